--- /dev/null
+++ b/src/carobhook/coordination/intake.py
@@ -0,0 +1,108 @@
+"""Decides what becomes of a request when it comes in: its route, service, region and times."""
+
+import attrs
+
+from carobhook.coordination import refusals
+from carobhook.state import codes, ids, routing
+
+# Time that a client waits if it does not say; the route's timeout binds besides.
+_DEFAULT_TIME_LEFT_S = 30.0
+# An answer that is sent at the client's deadline arrives after it.
+_CLIENT_MARGIN_S = 0.03
+
+
+@attrs.frozen
+class Placed:
+    """Where a request goes and how long it may take.
+
+    Attributes:
+        route: Its route.
+        service: The service that is to run it.
+        region: Region whose dispatcher is asked.
+        target_at: Monotonic time in seconds until which an answer earns its full worth.
+        deadline_at: Monotonic time in seconds of the final answer.
+    """
+
+    route: routing.Route
+    service: ids.Service
+    region: ids.Region
+    target_at: float
+    deadline_at: float
+
+
+@attrs.define
+class Intake:
+    """Places requests by the configuration.
+
+    Load pattern: a client that was refused comes back with less time. The longest time that was
+    seen on a route is what a first attempt has, so the difference is what the client has waited
+    already, and its target is that much nearer.
+
+    Attributes:
+        region: Region of this instance.
+    """
+
+    region: ids.Region
+    _credits: dict[str, dict[ids.Service, float]] = attrs.field(factory=dict, init=False)
+    _longest_s: dict[str, float] = attrs.field(factory=dict, init=False)
+
+    def place(
+        self,
+        config: routing.RoutingConfig | None,
+        host: str,
+        path: str,
+        time_left_s: float | None,
+        began_at: float,
+    ) -> Placed | refusals.Refusal:
+        """Return where a request goes, or why it is refused.
+
+        Args:
+            config: Configuration in force, None before the first.
+            host: Value of its host header.
+            path: Its path without the query.
+            time_left_s: Seconds that the client still waits, None if it does not say.
+            began_at: Monotonic time in seconds at which it came.
+        """
+        if config is None:
+            return refusals.Refusal(codes.Code.NO_CONFIG, retry_after_s=0.5)
+        route = config.match(host, path)
+        if route is None:
+            return refusals.Refusal(codes.Code.NO_ROUTE, detail=f"{host}{path}")
+        left_s = _DEFAULT_TIME_LEFT_S if time_left_s is None else time_left_s
+        longest_s = max(self._longest_s.get(route.name, 0.0), left_s)
+        self._longest_s[route.name] = longest_s
+        waited_s = longest_s - left_s if time_left_s is not None else 0.0
+        deadline_at = began_at + min(route.timeout_s, left_s - _CLIENT_MARGIN_S)
+        return Placed(
+            route,
+            self.pick(route),
+            self._region_for(route),
+            began_at + route.target_s - waited_s,
+            deadline_at,
+        )
+
+    def pick(self, route: routing.Route) -> ids.Service:
+        """Return the service that takes a route's next request, by the weights.
+
+        The choice is smooth: over any few requests each service gets its part.
+        """
+        if len(route.shares) == 1:
+            return route.shares[0].service
+        credits_ = self._credits.setdefault(route.name, {})
+        for service in [held for held in credits_ if held not in _services(route)]:
+            del credits_[service]
+        total = sum(share.weight for share in route.shares)
+        for share in route.shares:
+            credits_[share.service] = credits_.get(share.service, 0.0) + share.weight
+        chosen = max(route.shares, key=lambda share: credits_[share.service]).service
+        credits_[chosen] -= total
+        return chosen
+
+    def _region_for(self, route: routing.Route) -> ids.Region:
+        if not route.homes or self.region in route.homes:
+            return self.region
+        return min(route.homes)
+
+
+def _services(route: routing.Route) -> set[ids.Service]:
+    return {share.service for share in route.shares}
--- /dev/null
+++ b/src/carobhook/coordination/slot_loans.py
@@ -0,0 +1,123 @@
+"""Decides how many slots each region lends to the others.
+
+Load pattern: regions have unequal servers and unequal, moving demand. A region whose own
+servers do not suffice borrows slots from those that have room; when there is not enough
+anywhere, all regions get the same share of what they need.
+"""
+
+from collections.abc import Mapping
+
+import attrs
+
+from carobhook.state import ids
+
+# Share of its slots that a region wants to have busy; above it, requests begin to wait.
+_COMFORTABLE_SHARE = 0.7
+# A region keeps a loan until it needs this much less, so that loans don't come and go.
+_HYSTERESIS_SLOTS = 0.7
+
+
+@attrs.frozen
+class RegionLoad:
+    """One region's servers and demand of one service.
+
+    Attributes:
+        slots: Slots of its own servers that can be used.
+        demand: Slots that its clients' requests keep busy at their present rate.
+    """
+
+    slots: float
+    demand: float
+
+
+def wanted_loans(
+    own: ids.Region, loads: Mapping[ids.Region, RegionLoad]
+) -> dict[ids.Region, float]:
+    """Return how many slots a region should lend to each other region.
+
+    Args:
+        own: The lending region.
+        loads: All regions that were heard lately, the lending one included.
+    """
+    total = sum(load.slots for load in loads.values())
+    needs = {region: load.demand / _COMFORTABLE_SHARE for region, load in loads.items()}
+    whole_need = sum(needs.values())
+    if whole_need > total > 0:
+        needs = {region: need * total / whole_need for region, need in needs.items()}
+    spare = {region: max(0.0, loads[region].slots - needs[region]) for region in loads}
+    lacking = {region: max(0.0, needs[region] - loads[region].slots) for region in loads}
+    whole_spare = sum(spare.values())
+    if whole_spare <= 0 or spare.get(own, 0.0) <= 0:
+        return {}
+    covered = min(1.0, whole_spare / max(1e-9, sum(lacking.values())))
+    part = spare[own] / whole_spare
+    return {region: lack * covered * part for region, lack in lacking.items() if lack > 0}
+
+
+@attrs.define
+class LoanBook:
+    """Whole slots that a region lends, moved toward what is wanted in bounded steps.
+
+    Attributes:
+        step: Most slots by which the loan to one region changes at a time, as a share of the
+            borrower's demand.
+    """
+
+    step: float
+    _lent: dict[ids.Region, int] = attrs.field(factory=dict, init=False)
+
+    @property
+    def lent(self) -> Mapping[ids.Region, int]:
+        """Return the slots lent to each region."""
+        return self._lent
+
+    def update(
+        self, wanted: Mapping[ids.Region, float], loads: Mapping[ids.Region, RegionLoad]
+    ) -> None:
+        """Move the loans one step toward what is wanted.
+
+        Args:
+            wanted: Result of `wanted_loans`.
+            loads: Regions that were heard lately; loans to others end.
+        """
+        moved: dict[ids.Region, int] = {}
+        for region in {*wanted, *self._lent} & set(loads):
+            present = self._lent.get(region, 0)
+            goal = wanted.get(region, 0.0)
+            if abs(goal - present) <= _HYSTERESIS_SLOTS:
+                moved[region] = present
+                continue
+            most = max(1, round(self.step * loads[region].demand))
+            change = round(goal) - present
+            moved[region] = present + max(-most, min(most, change))
+        self._lent = {region: count for region, count in moved.items() if count > 0}
+
+
+def place_loans(
+    lent: Mapping[ids.Region, int],
+    slots: Mapping[ids.Server, int],
+    before: Mapping[ids.Region, Mapping[ids.Server, int]],
+) -> dict[ids.Region, dict[ids.Server, int]]:
+    """Return which servers' slots make up the loans.
+
+    Slots of few servers are lent, and those that were lent before, because a server works
+    faster on objects that it had lately.
+
+    Args:
+        lent: Slots lent to each region.
+        slots: Slots of each server that can be lent, in order of preference.
+        before: The loans so far.
+    """
+    left = dict(slots)
+    placed: dict[ids.Region, dict[ids.Server, int]] = {}
+    for region in sorted(lent):
+        wanted = lent[region]
+        held = placed.setdefault(region, {})
+        favourites = before.get(region, {})
+        for server in sorted(left, key=lambda name: -favourites.get(name, 0)):
+            taken = min(left[server], wanted)
+            if taken > 0:
+                held[server] = taken
+                left[server] -= taken
+                wanted -= taken
+    return placed
--- /dev/null
+++ b/src/carobhook/entry_settings.py
@@ -0,0 +1,209 @@
+"""Settings of an entry instance on the platform: TOML text to validated, frozen values."""
+
+import pathlib
+from typing import Any
+
+import attrs
+
+from carobhook import checks, settings, tables
+from carobhook.platform import durations
+from carobhook.state import ids
+
+
+def _is_duration(value: Any) -> bool:
+    try:
+        durations.seconds(value)
+    except ValueError:
+        return False
+    return True
+
+
+_DURATION = checks.Check("a duration such as 1500ms or 2.5s", _is_duration)
+
+
+@attrs.frozen
+class PlaceSettings:
+    """Who and where this instance is, and what it listens on."""
+
+    name: ids.InstanceId = attrs.field(
+        validator=checks.TEXT,
+        metadata=checks.doc("Name of the instance, unique in the deployment."),
+    )
+    region: ids.Region = attrs.field(
+        validator=checks.TEXT, metadata=checks.doc("Region that the instance stands in.")
+    )
+    failure_domain: ids.FailureDomain = attrs.field(
+        validator=checks.TEXT,
+        metadata=checks.doc("Failure domain that the instance stands in."),
+    )
+    http: str = attrs.field(
+        validator=checks.ADDRESS, metadata=checks.doc("Address that clients use.")
+    )
+    readiness: str = attrs.field(
+        validator=checks.ADDRESS,
+        metadata=checks.doc("Address at which the platform asks whether it is ready."),
+    )
+    directory: str = attrs.field(
+        validator=checks.ADDRESS,
+        metadata=checks.doc("Address at which clients ask where to connect."),
+    )
+    peers: str = attrs.field(
+        validator=checks.ADDRESS, metadata=checks.doc("Address that other instances use.")
+    )
+    metrics: str = attrs.field(
+        validator=checks.ADDRESS, metadata=checks.doc("Address that serves the metrics.")
+    )
+    seeds: tuple[str, ...] = attrs.field(
+        default=(),
+        converter=tuple,
+        validator=checks.list_of(checks.ADDRESS),
+        metadata=checks.doc("Peer addresses of other instances, tried at the start."),
+    )
+
+
+@attrs.frozen
+class StoreSettings:
+    """Where the platform's store answers."""
+
+    address: str = attrs.field(
+        validator=checks.ADDRESS, metadata=checks.doc("Address of the platform's store.")
+    )
+    timeout_s: float = attrs.field(
+        default=1.5,
+        validator=checks.SECONDS,
+        metadata=checks.doc("Longest wait for one call, in seconds."),
+    )
+
+
+@attrs.frozen
+class CapacitySettings:
+    """What the machine gives to the process."""
+
+    memory_mb: float = attrs.field(
+        validator=checks.RATE, metadata=checks.doc("Memory of the process, in megabytes.")
+    )
+    file_descriptors: float = attrs.field(
+        validator=checks.RATE, metadata=checks.doc("File descriptors of the process.")
+    )
+    cores: float = attrs.field(
+        validator=checks.RATE, metadata=checks.doc("Processor share, in cores.")
+    )
+    link_mbps: float = attrs.field(
+        validator=checks.RATE, metadata=checks.doc("Bandwidth of its link, in Mbit/s.")
+    )
+
+
+@attrs.frozen
+class BoundSettings:
+    """Bounds that the deployment's owners agreed on."""
+
+    grace: str = attrs.field(
+        validator=_DURATION,
+        metadata=checks.doc("Time between a request to stop and the forced end."),
+    )
+    ttl_max: str = attrs.field(
+        validator=_DURATION,
+        metadata=checks.doc("Longest time for which clients may keep a directory answer."),
+    )
+    budget_ratio: float = attrs.field(
+        validator=checks.RATE,
+        metadata=checks.doc("Repeats that a service may get for each of its requests."),
+    )
+    budget_window: str = attrs.field(
+        validator=_DURATION, metadata=checks.doc("Window in which repeats are counted.")
+    )
+    budget_slack: float = attrs.field(
+        validator=checks.RATE, metadata=checks.doc("Repeats besides, in a window.")
+    )
+    cold_over: float = attrs.field(
+        validator=checks.RATE,
+        metadata=checks.doc("Times the rate of a cold server that it may get."),
+    )
+    cold_slack: float = attrs.field(
+        validator=checks.RATE,
+        metadata=checks.doc("Requests a second that a cold server may get besides."),
+    )
+    shift_most: float = attrs.field(
+        validator=checks.SHARE,
+        metadata=checks.doc("Share of a region's requests that may change region in 2 s."),
+    )
+
+    @property
+    def grace_s(self) -> float:
+        """Return the grace in seconds."""
+        return durations.seconds(self.grace)
+
+    @property
+    def ttl_max_s(self) -> float:
+        """Return the longest time of a directory answer in seconds."""
+        return durations.seconds(self.ttl_max)
+
+    @property
+    def budget_window_s(self) -> float:
+        """Return the window of the retry budget in seconds."""
+        return durations.seconds(self.budget_window)
+
+
+@attrs.frozen
+class EntrySettings:
+    """All settings of one entry instance, one attribute for each table of the file."""
+
+    place: PlaceSettings
+    store: StoreSettings
+    capacity: CapacitySettings
+    bounds: BoundSettings
+    regions: dict[ids.FailureDomain, ids.Region]
+    log: settings.LogSettings = attrs.field(factory=settings.LogSettings)
+
+
+_TABLES: dict[str, type[Any]] = {
+    "place": PlaceSettings,
+    "store": StoreSettings,
+    "capacity": CapacitySettings,
+    "bounds": BoundSettings,
+    "log": settings.LogSettings,
+}
+_REGIONS = "regions"
+
+
+def load(path: pathlib.Path) -> EntrySettings:
+    """Read settings from a TOML file.
+
+    Args:
+        path: The file.
+
+    Raises:
+        settings.SettingsError: The file has faults or cannot be read.
+    """
+    return loads(settings.read_text(path), str(path))
+
+
+def loads(text: str, source: str = "settings") -> EntrySettings:
+    """Read settings from TOML text.
+
+    Args:
+        text: The text.
+        source: Where it comes from, for reports.
+
+    Raises:
+        settings.SettingsError: The text has faults; each one is in the group.
+    """
+    try:
+        content = tables.parse(text, settings.SettingsFault)
+    except settings.SettingsFault as fault:
+        raise settings.SettingsError(source, [fault]) from fault
+    reader = tables.Reader(tables.Lines.scan(text), settings.SettingsFault)
+    reader.report_unknown_tables(content, (*_TABLES, _REGIONS))
+    values = {
+        name: reader.read(kind, name, content.get(name, {})) for name, kind in _TABLES.items()
+    }
+    regions = content.get(_REGIONS, {})
+    if not isinstance(regions, dict) or not regions:
+        reader.report(_REGIONS, "", regions, "a table of failure domains to regions")
+    for domain, region in regions.items() if isinstance(regions, dict) else ():
+        if not checks.TEXT.accepts(region):
+            reader.report(_REGIONS, domain, region, checks.TEXT.expected)
+    if reader.faults:
+        faults = [f for f in reader.faults if isinstance(f, settings.SettingsFault)]
+        raise settings.SettingsError(source, faults)
+    return EntrySettings(regions=regions, **values)
--- a/src/carobhook/measure/slope_parts.py
+++ b/src/carobhook/measure/slope_parts.py
@@ -153,7 +153,7 @@
     """Return accepted streams, without sockets and the kernel's buffers."""
     reactor = testing.MemoryReactorClock()
     identity = peers.Identity(ids.InstanceId("i"), ids.Incarnation("0"), b"key")
-    hub = peers.PeerHub(reactor, identity, lambda sender, message: None)
+    hub = peers.PeerHub(reactor, identity, lambda sender, message: None, codec)
     hub.listen("127.0.0.1", 1)
     factory = reactor.tcpServers[0][1]
     made: list[object] = [hub]
--- a/src/carobhook/protocol/codec.py
+++ b/src/carobhook/protocol/codec.py
@@ -11,20 +11,16 @@
 import cattrs.strategies
 import msgpack
 
-from carobhook.protocol import messages
+from carobhook.protocol import framing, messages
 from carobhook.state import configuration
 
-MAX_FRAME_OCTETS = 16 * 1024 * 1024
-# The unpacker takes this much at once when it is made; it grows when a frame needs more.
-_READ_OCTETS = 4 * 1024
+MAX_FRAME_OCTETS = framing.MAX_FRAME_OCTETS
+CodecError = framing.CodecError
+unpacker = framing.unpacker
 
 _TYPES: dict[str, type] = {cls.__name__: cls for cls in typing.get_args(messages.Message)}
 
 
-class CodecError(Exception):
-    """Octets or values do not decode to a known type."""
-
-
 def _configure(converter: cattrs.Converter) -> cattrs.Converter:
     cattrs.strategies.configure_tagged_union(configuration.Edit, converter, tag_name="type")
     return converter
@@ -97,13 +93,6 @@
         raise CodecError(f"fields of {frame[0]} are wrong") from error
 
 
-def unpacker(limit: int = MAX_FRAME_OCTETS) -> msgpack.Unpacker:
-    """Return a stream unpacker that holds at most so many octets."""
-    return msgpack.Unpacker(
-        max_buffer_size=limit, read_size=min(limit, _READ_OCTETS), use_list=True
-    )
-
-
 T = typing.TypeVar("T", bound=attrs.AttrsInstance)
 
 
--- /dev/null
+++ b/src/carobhook/protocol/slot_messages.py
@@ -0,0 +1,167 @@
+"""Messages between instances about slots of backend servers.
+
+Times are told as milliseconds from now, because monotonic clocks differ between instances.
+"""
+
+import attrs
+
+from carobhook.protocol import framing, greetings
+from carobhook.state import asks, ids
+
+
+@attrs.frozen
+class SlotAsked:
+    """Asks the dispatcher of a service's servers in a region for a slot.
+
+    Attributes:
+        region: Region of the dispatcher.
+        target_ms: Milliseconds until an answer is late.
+        deadline_ms: Milliseconds until no answer is wanted.
+
+    The other attributes are those of `state.asks.Ask`.
+    """
+
+    id: ids.RequestId
+    region: ids.Region
+    service: ids.Service
+    route: str
+    object_key: str | None
+    priority: int
+    target_ms: float
+    deadline_ms: float
+    repeat: bool
+    avoided: frozenset[ids.Server]
+    homes: frozenset[ids.Region]
+
+
+@attrs.frozen
+class SlotAskWithdrawn:
+    """Takes an ask back."""
+
+    id: ids.RequestId
+    region: ids.Region
+    service: ids.Service
+
+
+@attrs.frozen
+class SlotGranted:
+    """Answers an ask with a slot."""
+
+    grant: asks.SlotGrant
+
+
+@attrs.frozen
+class SlotRefused:
+    """Answers an ask without a slot.
+
+    Attributes:
+        ask_id: Id of the ask.
+        code: Number of the result code.
+        retry_after_s: Seconds after which room is expected.
+    """
+
+    ask_id: ids.RequestId
+    code: int
+    retry_after_s: float
+
+
+@attrs.frozen
+class SlotMoved:
+    """Answers an ask that another instance must decide."""
+
+    ask_id: ids.RequestId
+
+
+@attrs.frozen
+class SlotEnded:
+    """Gives a slot back."""
+
+    id: ids.RequestId
+    region: ids.Region
+    service: ids.Service
+    server: ids.Server
+    end: asks.WorkEnd
+
+
+@attrs.frozen
+class HeldSlot:
+    """A slot that a request holds at present.
+
+    Attributes:
+        id: Id of the ask.
+        route: Route of the request.
+        object_key: Its object.
+        server: The server.
+    """
+
+    id: ids.RequestId
+    route: str
+    object_key: str | None
+    server: ids.Server
+
+
+@attrs.frozen
+class SlotsHeld:
+    """Tells a new dispatcher which of its slots are in use."""
+
+    region: ids.Region
+    service: ids.Service
+    held: tuple[HeldSlot, ...]
+
+
+@attrs.frozen
+class RegionReport:
+    """What the dispatcher of one region tells that of another.
+
+    Attributes:
+        service: The service.
+        region: Region of the sender.
+        slots: Slots of its own servers that can be used.
+        demand: Slots that its clients' requests keep busy.
+        lent: Servers whose slots the receiver may use, with their numbers.
+        used: Servers of the receiver's region that the sender uses, with their busy slots.
+    """
+
+    service: ids.Service
+    region: ids.Region
+    slots: float
+    demand: float
+    lent: tuple[tuple[ids.Server, int], ...]
+    used: tuple[tuple[ids.Server, int], ...]
+
+
+@attrs.frozen
+class RequestMarked:
+    """Servers broke while they ran a request of this fingerprint."""
+
+    fingerprint: bytes
+    name: str
+    source: ids.InstanceId
+    remaining_ms: int
+
+
+@attrs.frozen
+class RequestCleared:
+    """A marked request was answered whole, so its marks no longer hold."""
+
+    fingerprint: bytes
+
+
+CODEC = framing.MessageCodec(
+    (
+        greetings.Challenge,
+        greetings.Hello,
+        greetings.Heartbeat,
+        greetings.Alive,
+        SlotAsked,
+        SlotAskWithdrawn,
+        SlotGranted,
+        SlotRefused,
+        SlotMoved,
+        SlotEnded,
+        SlotsHeld,
+        RegionReport,
+        RequestMarked,
+        RequestCleared,
+    )
+)
--- a/src/carobhook/settings.py
+++ b/src/carobhook/settings.py
@@ -199,22 +199,33 @@
 }
 
 
-def load(path: pathlib.Path) -> Settings:
-    """Read settings from a TOML file.
+def read_text(path: pathlib.Path) -> str:
+    """Return the text of a settings file.
 
     Args:
         path: The file.
 
     Raises:
-        SettingsError: The file has faults or cannot be read; each fault is in the group.
+        SettingsError: The file cannot be read.
     """
     try:
-        text = path.read_text("utf-8")
+        return path.read_text("utf-8")
     except (OSError, UnicodeDecodeError) as error:
         reason = getattr(error, "strerror", None) or "not UTF-8"
         fault = SettingsFault("", "", reason, "a readable UTF-8 file")
         raise SettingsError(str(path), [fault]) from error
-    return loads(text, str(path))
+
+
+def load(path: pathlib.Path) -> Settings:
+    """Read settings from a TOML file.
+
+    Args:
+        path: The file.
+
+    Raises:
+        SettingsError: The file has faults or cannot be read; each fault is in the group.
+    """
+    return loads(read_text(path), str(path))
 
 
 def loads(text: str, source: str = "settings") -> Settings:
--- a/src/carobhook/state/codes.py
+++ b/src/carobhook/state/codes.py
@@ -70,6 +70,20 @@
         True,
         "The region is lost and its traffic has not moved yet.",
     )
+    NO_CONFIG = CodeInfo(
+        1051, 503, Run.NOT_RUN, True, "The instance has no configuration yet."
+    )
+    RETRIES_USED_UP = CodeInfo(
+        1052,
+        503,
+        Run.NOT_RUN,
+        True,
+        "Too many requests of the service were sent again lately.",
+    )
+    DISPATCHER_SILENT = CodeInfo(
+        1053, 503, Run.NOT_RUN, True, "The instance that gives out the slots did not answer."
+    )
+    NO_ROUTE = CodeInfo(1054, 404, Run.NOT_RUN, False, "No route serves the request.")
     BACKEND_LOST = CodeInfo(
         1020,
         502,
--- a/src/carobhook/transport/daemon.py
+++ b/src/carobhook/transport/daemon.py
@@ -9,7 +9,7 @@
 from carobhook import metrics
 from carobhook import settings as settings_module
 from carobhook.coordination import budgeted_store, duties, journal, ownership
-from carobhook.protocol import messages
+from carobhook.protocol import codec, messages
 from carobhook.state import ids, members
 from carobhook.transport import (
     accounting,
@@ -20,6 +20,7 @@
     operators,
     peers,
     records,
+    sockets,
     tls,
 )
 
@@ -55,6 +56,7 @@
             reactor,
             identity,
             self._received,
+            codec,
             self._greet,
             self._contexts.peers if self._contexts else None,
         )
@@ -123,7 +125,7 @@
     def _listen(self, site: typing.Any, address: str) -> None:
         host, port = _host_port(address)
         context = self._contexts.server if self._contexts else None
-        self._listeners.append(tls.listen(self._reactor, host, port, site, context))
+        self._listeners.append(sockets.listen(self._reactor, host, port, site, context))
 
     def _frontend(self) -> frontend.Frontend:
         return frontend.Frontend(
--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -11,9 +11,9 @@
 from twisted.python import failure
 
 from carobhook import logs
-from carobhook.protocol import codec, messages
+from carobhook.protocol import framing, greetings
 from carobhook.state import ids
-from carobhook.transport import outbox, tls
+from carobhook.transport import outbox, sockets
 
 _RECONNECT_S = 0.5
 _MAX_RECONNECT_S = 2.0
@@ -22,7 +22,25 @@
 _NONCE_OCTETS = 16
 _HELLO_OCTETS = 64 * 1024
 
-Handler = Callable[[ids.InstanceId, messages.Message], None]
+Handler = Callable[[ids.InstanceId, typing.Any], None]
+
+
+class Wire(typing.Protocol):
+    """Codec of the messages on a stream."""
+
+    def encode(self, message: typing.Any) -> bytes:
+        """Return the frame of a message."""
+
+    def decode(self, frame: object) -> typing.Any:
+        """Return the message of an unpacked frame.
+
+        Raises:
+            framing.CodecError: The frame is of no known type or its fields are wrong.
+        """
+
+    def unpacker(self, limit: int = framing.MAX_FRAME_OCTETS) -> msgpack.Unpacker:
+        """Return a stream unpacker that holds at most so many octets."""
+
 
 
 def hello_proof(
@@ -45,13 +63,14 @@
 class _Framed(protocol.Protocol):
     """A connection that carries msgpack frames; garbage closes it."""
 
-    def __init__(self, reactor: typing.Any) -> None:
+    def __init__(self, reactor: typing.Any, wire: Wire) -> None:
         self._reactor = reactor
-        self._unpacker = codec.unpacker()
+        self._wire = wire
+        self._unpacker = wire.unpacker()
 
-    def send(self, message: messages.Message) -> None:
+    def send(self, message: typing.Any) -> None:
         """Write one message."""
-        self.transport.write(codec.encode(message))
+        self.transport.write(self._wire.encode(message))
 
     def dataReceived(self, data: bytes) -> None:
         try:
@@ -67,9 +86,9 @@
                 frame = self._unpacker.unpack()
             except msgpack.OutOfData:
                 return
-            self.received(codec.decode(frame))
+            self.received(self._wire.decode(frame))
 
-    def received(self, message: messages.Message) -> None:
+    def received(self, message: typing.Any) -> None:
         """Handle one message."""
         raise NotImplementedError
 
@@ -77,43 +96,45 @@
 class _Incoming(_Framed):
     """Accepting side: challenges the sender, then takes in its messages."""
 
-    def __init__(self, reactor: typing.Any, key: bytes, handler: Handler) -> None:
-        super().__init__(reactor)
+    def __init__(
+        self, reactor: typing.Any, wire: Wire, key: bytes, handler: Handler
+    ) -> None:
+        super().__init__(reactor, wire)
         self._key = key
         self._handler = handler
         self._nonce = secrets.token_bytes(_NONCE_OCTETS)
         self._sender: ids.InstanceId | None = None
         # A stranger must not make this instance hold more than a hello.
-        self._unpacker = codec.unpacker(_HELLO_OCTETS)
+        self._unpacker = self._wire.unpacker(_HELLO_OCTETS)
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
-        self.send(messages.Challenge(self._nonce))
+        self.send(greetings.Challenge(self._nonce))
         self._timer = self._reactor.callLater(_HELLO_TIMEOUT_S, self._silent)
 
     def connectionLost(self, reason: failure.Failure = protocol.connectionDone) -> None:
         if self._timer.active():
             self._timer.cancel()
 
-    def received(self, message: messages.Message) -> None:
+    def received(self, message: typing.Any) -> None:
         self._timer.reset(_SILENT_AFTER_S)
         if self._sender is None:
             self._sender = self._check(message)
             # The connector waits for no answer to its hello: keep what came behind it.
             behind = self._unpacker.read_bytes(_HELLO_OCTETS)
-            self._unpacker = codec.unpacker()
+            self._unpacker = self._wire.unpacker()
             self._unpacker.feed(behind)
             return
-        if isinstance(message, messages.Heartbeat):
-            self.send(messages.Alive())
+        if isinstance(message, greetings.Heartbeat):
+            self.send(greetings.Alive())
         self._handler(self._sender, message)
 
-    def _check(self, message: messages.Message) -> ids.InstanceId:
-        if not isinstance(message, messages.Hello):
-            raise codec.CodecError(f"first message must be Hello, got {message!r:.80}")
+    def _check(self, message: typing.Any) -> ids.InstanceId:
+        if not isinstance(message, greetings.Hello):
+            raise framing.CodecError(f"first message must be Hello, got {message!r:.80}")
         proof = hello_proof(self._key, self._nonce, message.name, message.incarnation)
         if not hmac.compare_digest(proof, message.proof):
-            raise codec.CodecError(f"proof of {message.name!r} does not match the shared key")
+            raise framing.CodecError(f"proof of {message.name!r} does not match the shared key")
         return message.name
 
     def _silent(self) -> None:
@@ -124,8 +145,8 @@
 class _Outgoing(_Framed):
     """Connecting side: proves itself, then carries this instance's messages."""
 
-    def __init__(self, reactor: typing.Any, identity: Identity) -> None:
-        super().__init__(reactor)
+    def __init__(self, reactor: typing.Any, wire: Wire, identity: Identity) -> None:
+        super().__init__(reactor, wire)
         self._identity = identity
         self.ready = False
 
@@ -141,12 +162,12 @@
         self.transport.unregisterProducer()
         self.transport.loseConnection()
 
-    def received(self, message: messages.Message) -> None:
+    def received(self, message: typing.Any) -> None:
         self._timer.reset(_SILENT_AFTER_S)
-        if isinstance(message, messages.Challenge) and not self.ready:
+        if isinstance(message, greetings.Challenge) and not self.ready:
             me = self._identity
             proof = hello_proof(me.key, message.nonce, me.name, me.incarnation)
-            self.send(messages.Hello(me.name, me.incarnation, proof))
+            self.send(greetings.Hello(me.name, me.incarnation, proof))
             self.ready = True
             self.factory.on_ready(self.factory.address)
 
@@ -168,11 +189,13 @@
     def __init__(
         self,
         reactor: typing.Any,
+        wire: Wire,
         identity: Identity,
         address: str,
         on_ready: Callable[[str], None],
     ) -> None:
         self.clock = reactor
+        self._wire = wire
         self.initialDelay = self.delay = _RECONNECT_S
         self.maxDelay = _MAX_RECONNECT_S
         self._identity = identity
@@ -182,7 +205,7 @@
 
     def buildProtocol(self, addr: typing.Any) -> _Outgoing:
         self.resetDelay()
-        self.stream = _Outgoing(self.clock, self._identity)
+        self.stream = _Outgoing(self.clock, self._wire, self._identity)
         self.stream.factory = self
         return self.stream
 
@@ -190,13 +213,16 @@
 class _Acceptor(protocol.Factory):
     noisy = False
 
-    def __init__(self, reactor: typing.Any, key: bytes, handler: Handler) -> None:
+    def __init__(
+        self, reactor: typing.Any, wire: Wire, key: bytes, handler: Handler
+    ) -> None:
         self._reactor = reactor
+        self._wire = wire
         self._key = key
         self._handler = handler
 
     def buildProtocol(self, addr: typing.Any) -> _Incoming:
-        stream = _Incoming(self._reactor, self._key, self._handler)
+        stream = _Incoming(self._reactor, self._wire, self._key, self._handler)
         stream.factory = self
         return stream
 
@@ -211,10 +237,10 @@
     def connect(self, address: str) -> None:
         """Keep a stream to an address."""
 
-    def send(self, address: str, message: messages.Message) -> bool:
+    def send(self, address: str, message: typing.Any) -> bool:
         """Send a message to an address; return False if its stream is not ready."""
 
-    def broadcast(self, message: messages.Message) -> None:
+    def broadcast(self, message: typing.Any) -> None:
         """Send a message on every ready stream."""
 
 
@@ -225,6 +251,7 @@
         reactor: The reactor.
         identity: What this instance shows to its peers.
         handler: Called with the sender's name and each message.
+        wire: Codec of the messages.
         on_ready: Called with the address when a stream to it is ready.
         context: TLS context of both ends; plain TCP without.
     """
@@ -234,10 +261,12 @@
         reactor: typing.Any,
         identity: Identity,
         handler: Handler,
+        wire: Wire,
         on_ready: Callable[[str], None] = lambda address: None,
         context: typing.Any = None,
     ) -> None:
         self._context = context
+        self._wire = wire
         self._reactor = reactor
         self._identity = identity
         self._handler = handler
@@ -253,8 +282,8 @@
 
     def listen(self, host: str, port: int) -> int:
         """Accept streams; return the port number."""
-        acceptor = _Acceptor(self._reactor, self._identity.key, self._handler)
-        self._port = tls.listen(self._reactor, host, port, acceptor, self._context)
+        acceptor = _Acceptor(self._reactor, self._wire, self._identity.key, self._handler)
+        self._port = sockets.listen(self._reactor, host, port, acceptor, self._context)
         number = self._port.getHost().port
         self._own_address = f"{host}:{number}"
         return number
@@ -263,12 +292,14 @@
         """Keep a stream to an address, unless there is one or it is this instance's own."""
         if address in self._connectors or address == self._own_address:
             return
-        connector = _Connector(self._reactor, self._identity, address, self._on_ready)
+        connector = _Connector(
+            self._reactor, self._wire, self._identity, address, self._on_ready
+        )
         self._connectors[address] = connector
         host, _, port = address.rpartition(":")
-        tls.connect(self._reactor, host, int(port), connector, self._context, _SILENT_AFTER_S)
+        sockets.connect(self._reactor, host, int(port), connector, self._context, _SILENT_AFTER_S)
 
-    def send(self, address: str, message: messages.Message) -> bool:
+    def send(self, address: str, message: typing.Any) -> bool:
         """Send a message on the stream to an address; return False if it is not ready."""
         connector = self._connectors.get(address)
         if connector is None or connector.stream is None or not connector.stream.ready:
@@ -276,9 +307,9 @@
         connector.stream.outbox.send(message)
         return True
 
-    def broadcast(self, message: messages.Message) -> None:
+    def broadcast(self, message: typing.Any) -> None:
         """Send a message on every ready stream."""
-        frame = codec.encode(message)
+        frame = self._wire.encode(message)
         for connector in self._connectors.values():
             if connector.stream is not None and connector.stream.ready:
                 connector.stream.transport.write(frame)
--- /dev/null
+++ b/src/carobhook/transport/sockets.py
@@ -0,0 +1,31 @@
+"""Listening and connecting, with TLS if there is a context."""
+
+import typing
+
+
+def listen(
+    reactor: typing.Any, host: str, port: int, factory: typing.Any, context: typing.Any
+) -> typing.Any:
+    """Listen on an address, with TLS if there is a context; return the listening port.
+
+    Raises:
+        twisted.internet.error.CannotListenError: The address is in use.
+    """
+    if context is None:
+        return reactor.listenTCP(port, factory, interface=host)
+    return reactor.listenSSL(port, factory, context, interface=host)
+
+
+def connect(
+    reactor: typing.Any,
+    host: str,
+    port: int,
+    factory: typing.Any,
+    context: typing.Any,
+    timeout_s: float,
+) -> None:
+    """Connect a factory to an address, with TLS if there is a context."""
+    if context is None:
+        reactor.connectTCP(host, port, factory, timeout=timeout_s)
+    else:
+        reactor.connectSSL(host, port, factory, context, timeout=timeout_s)
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -101,7 +101,7 @@
     def hub(self, name, context, received=lambda sender, message: None):
         """Return a hub that listens."""
         identity = peers.Identity(ids.InstanceId(name), ids.Incarnation("0" * 16), b"k" * 16)
-        hub = peers.PeerHub(reactor, identity, received, context=context)
+        hub = peers.PeerHub(reactor, identity, received, codec, context=context)
         self.addCleanup(lambda: defer.ensureDeferred(hub.stop()))
         hub.listen("127.0.0.1", 0)
         return hub
@@ -166,7 +166,7 @@
         other = write(self.mktemp(), issue("other"), issue("x"))
         context = tls.load(files).server
         site = server.Site(_Table())
-        port = tls.listen(reactor, "127.0.0.1", 0, site, context)
+        port = sockets.listen(reactor, "127.0.0.1", 0, site, context)
         self.addCleanup(port.stopListening)
         address = f"127.0.0.1:{port.getHost().port}"
         trusting = operator.HttpOperator(reactor, address, "t", pathlib.Path(files.ca))
