Refuse requests that keep breaking servers, and count only sends that arrived

Marks are shared with all instances; three marks without an answer between refuse the request as not run (503). Ruled out: two marks, since one lost answer and its retry would already refuse a sound request.

--- a/src/carobhook/coordination/poison.py
+++ b/src/carobhook/coordination/poison.py
@@ -2,6 +2,7 @@
 
 import collections
 import enum
+from collections.abc import Iterable
 
 import attrs
 import xxhash
@@ -43,11 +44,17 @@
 
 def fingerprint(request: requests.Request) -> Fingerprint:
     """Return what identifies a request over its repeats."""
+    parts = (request.service, request.method, request.path, request.key or "")
+    return fingerprint_of(parts, request.body)
+
+
+def fingerprint_of(parts: Iterable[str], body: bytes) -> Fingerprint:
+    """Return what identifies a request by its texts and its body."""
     digest = xxhash.xxh3_128()
-    for part in (request.service, request.method, request.path, request.key or ""):
+    for part in parts:
         digest.update(part.encode("utf-8", "surrogateescape"))
         digest.update(b"\0")
-    digest.update(request.body)
+    digest.update(body)
     return digest.digest()
 
 
@@ -62,9 +69,11 @@
 
     Attributes:
         own: Name of this instance.
+        marks_of_poison: Marks with which a request is refused.
     """
 
     own: ids.InstanceId
+    marks_of_poison: int = MARKS_OF_POISON
     _marks: dict[Fingerprint, dict[str, Mark]] = attrs.field(factory=dict, init=False)
     _active: dict[Fingerprint, int] = attrs.field(factory=dict, init=False)
     _proven: collections.OrderedDict[Fingerprint, None] = attrs.field(
@@ -95,7 +104,7 @@
             now: Monotonic time in seconds.
         """
         marks = self._live(print_, now)
-        if len(marks) >= MARKS_OF_POISON:
+        if len(marks) >= self.marks_of_poison:
             return Verdict.REFUSE
         alone = bool(marks) or print_ not in self._proven
         return Verdict.WAIT if alone and self._active.get(print_) else Verdict.RUN
--- a/src/carobhook/state/codes.py
+++ b/src/carobhook/state/codes.py
@@ -98,7 +98,7 @@
         1022, 502, Run.UNKNOWN, False, "The instance that ran the request was lost."
     )
     POISONED = CodeInfo(
-        1030, 422, Run.NOT_RUN, False, "The request is quarantined: it broke backend servers."
+        1030, 503, Run.NOT_RUN, False, "The request is quarantined: it broke backend servers."
     )
     KEY_UNKNOWN = CodeInfo(
         1040, 409, Run.UNKNOWN, False, "An earlier attempt with this key may have run."
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer, task
 
 from carobhook import entry_settings, logs
-from carobhook.coordination import catalog, intake, membership, refusals
+from carobhook.coordination import catalog, intake, membership, poison, refusals
 from carobhook.platform import names, requests, store
 from carobhook.protocol import greetings, http1, slot_messages
 from carobhook.state import codes, ids, members, routing
@@ -39,6 +39,9 @@
 # Share of an agreed bound that is used, as what is on its way is not counted yet.
 _BOUND_MARGIN = 0.8
 _SEED_KEY = b""
+# A request that broke this many servers and was never answered is refused.
+_MARKS_OF_POISON = 3
+_POISON_RETRY_S = 10.0
 
 
 def _host_port(address: str) -> tuple[str, int]:
@@ -119,6 +122,7 @@
         self._flows: set[request_flow.RequestFlow] = set()
         self._loops: list[task.LoopingCall] = []
         self._requests = 0
+        self._quarantine = poison.Quarantine(place.name, _MARKS_OF_POISON)
 
     def _slot_bounds(self) -> slot_desk.SlotBounds:
         bounds = self._settings.bounds
@@ -254,6 +258,13 @@
     def _received(self, sender: ids.InstanceId, message: typing.Any) -> None:
         if isinstance(message, greetings.Heartbeat):
             self._heard(message)
+        elif isinstance(message, slot_messages.RequestMarked):
+            expires_at = self._reactor.seconds() + message.remaining_ms / 1000
+            self._quarantine.add(
+                poison.Mark(message.fingerprint, message.name, message.source, expires_at)
+            )
+        elif isinstance(message, slot_messages.RequestCleared):
+            self._quarantine.clear(message.fingerprint)
         else:
             self._desk.received(sender, message)
 
@@ -316,6 +327,14 @@
             )
             answer(request_flow.refusal_answer(placed))
             return None
+        if self._is_poison(inbound):
+            logs.event("request-refused", request=requests.request_id(head), code=1030)
+            answer(
+                request_flow.refusal_answer(
+                    refusals.Refusal(codes.Code.POISONED, retry_after_s=_POISON_RETRY_S)
+                )
+            )
+            return None
         self._requests += 1
         accepted = request_flow.Accepted(
             inbound=inbound,
@@ -336,6 +355,7 @@
             self._wire,
             answer,
             lambda outcome: self._ended(flow, outcome),
+            self._broke,
         )
         self._flows.add(flow)
         flow.start()
@@ -343,6 +363,8 @@
 
     def _ended(self, flow: request_flow.RequestFlow, outcome: request_flow.Outcome) -> None:
         self._flows.discard(flow)
+        if outcome.refusal is None:
+            self._clear_marks(outcome.accepted)
         accepted = outcome.accepted
         refusal = outcome.refusal
         logs.event(
@@ -358,6 +380,33 @@
             total_ms=round(outcome.total_s * 1000, 1),
         )
 
+    def _is_poison(self, inbound: client_connections.Inbound) -> bool:
+        if self._quarantine.empty:
+            return False
+        verdict = self._quarantine.judge(_fingerprint(inbound), self._reactor.seconds())
+        return verdict is poison.Verdict.REFUSE
+
+    def _broke(self, accepted: request_flow.Accepted) -> None:
+        """Mark a request that a server broke under, here and at the other instances."""
+        now = self._reactor.seconds()
+        print_ = _fingerprint(accepted.inbound)
+        mark = self._quarantine.broke(print_, secrets.token_hex(8), now)
+        logs.warning(
+            "request-marked", request=accepted.client_id, fingerprint=print_.hex()
+        )
+        left_ms = round((mark.expires_at - now) * 1000)
+        self._hub.broadcast(
+            slot_messages.RequestMarked(print_, mark.name, mark.source, left_ms)
+        )
+
+    def _clear_marks(self, accepted: request_flow.Accepted) -> None:
+        """Forget the marks of a request that was answered."""
+        if self._quarantine.empty:
+            return
+        print_ = _fingerprint(accepted.inbound)
+        if self._quarantine.clear(print_):
+            self._hub.broadcast(slot_messages.RequestCleared(print_))
+
     def _take_readiness(
         self,
         inbound: client_connections.Inbound,
@@ -389,3 +438,11 @@
         serving = self._roster.serving(self._reactor.seconds())
         near = [member.http for member in serving if member.region == region]
         return (near or [member.http for member in serving])[:_MOST_ADDRESSES]
+
+
+def _fingerprint(inbound: client_connections.Inbound) -> poison.Fingerprint:
+    """Return what stays the same when a client sends a request again."""
+    head = inbound.head
+    host = head.get("host") or ""
+    parts = (inbound.client, host, head.method.decode("latin-1"), head.target.decode("latin-1"))
+    return poison.fingerprint_of(parts, inbound.body)
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -18,6 +18,8 @@
 _ANSWER_MARGIN_S = 0.02
 # A request with less time than this is not sent, as no server works that fast.
 _SHORTEST_WORK_S = 0.005
+# Servers that may prove unreachable before a request is refused.
+_MOST_UNREACHABLE = 4
 
 
 class Stage(enum.Enum):
@@ -114,7 +116,7 @@
         wire: How requests are written for servers.
         answer: Answers the client; called once at most.
         ended: Called once with the outcome.
-        broke: Called when a server's connection broke under the request.
+        broke: Called each time that a server's connection broke under the request.
     """
 
     def __init__(
@@ -126,7 +128,7 @@
         wire: Wire,
         answer: Callable[[http1.Answer], None],
         ended: Callable[[Outcome], None],
-        broke: Callable[[Accepted, bool], None] = lambda accepted, broken: None,
+        broke: Callable[[Accepted], None] = lambda accepted: None,
     ) -> None:
         self._reactor = reactor
         self._accepted = accepted
@@ -140,6 +142,7 @@
         self._running: defer.Deferred | None = None
         self._avoided: frozenset[ids.Server] = frozenset()
         self._sends = 0
+        self._unreachable = 0
         self._may_have_run = False
         self._server: ids.Server | None = None
         self._first_slot_at: float | None = None
@@ -270,6 +273,9 @@
             error=problem,
         )
         if problem.fault is server_connections.Fault.CONNECT:
+            # Nothing arrived, so neither a bound of attempts nor the budget counts it.
+            self._sends -= 1
+            self._unreachable += 1
             return asks.WorkEnd.UNREACHABLE
         self._may_have_run = True
         if problem.reused and problem.fault is server_connections.Fault.RESET:
@@ -290,7 +296,7 @@
         if end is asks.WorkEnd.FAILED:
             self._may_have_run = True
         elif end is asks.WorkEnd.BROKEN:
-            self._broke(self._accepted, True)
+            self._broke(self._accepted)
         self._avoided |= {grant.server}
         if self._may_try_again(end):
             self._stage = Stage.WAITING
@@ -312,11 +318,9 @@
         route = self._accepted.route
         if self._answered:
             return False
-        if self._sends >= max(2, route.max_attempts):
+        if self._sends >= route.max_attempts or self._unreachable > _MOST_UNREACHABLE:
             return False
         ran = end in (asks.WorkEnd.FAILED, asks.WorkEnd.BROKEN)
-        if ran and self._sends >= route.max_attempts:
-            return False
         if ran and not route.repeatable:
             return False
         return self._accepted.deadline_at - self._reactor.seconds() > _SHORTEST_WORK_S
