Let one instance of a region follow the store, and lend slots from the start

Ruled out: stale reads in place of watches (they may be seconds old, so configuration and drains would miss their bounds).

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -158,7 +158,9 @@
         ]
         for waiting in self._waiting:
             if now >= waiting.ask.deadline_at:
-                decisions.append(self._refusal(waiting.ask, codes.Code.DEADLINE_UNMEETABLE, now))
+                decisions.append(
+                    self._refusal(waiting.ask, codes.Code.DEADLINE_UNMEETABLE, now)
+                )
                 continue
             option = self._best(waiting, free, now) if free else None
             if option is not None:
@@ -166,7 +168,9 @@
                 if option.server.free(now) <= 0 or not option.server.admits(now):
                     free.remove(option.server)
             elif self._hopeless(waiting, now):
-                decisions.append(self._refusal(waiting.ask, codes.Code.DEADLINE_UNMEETABLE, now))
+                decisions.append(
+                    self._refusal(waiting.ask, codes.Code.DEADLINE_UNMEETABLE, now)
+                )
             else:
                 kept.append(waiting)
         self._waiting = kept
--- a/src/carobhook/coordination/following.py
+++ b/src/carobhook/coordination/following.py
@@ -13,16 +13,30 @@
 
 @attrs.frozen
 class Listed:
-    """All objects by kind, in place of what was known before."""
+    """All objects by kind, in place of what was known before.
+
+    Attributes:
+        items: The objects.
+        revision: Revision of the store up to which they are complete.
+    """
 
     items: Mapping[str, tuple[objects.StoredObject, ...]]
+    revision: int
 
 
 @attrs.frozen
 class Changed:
-    """Changes since the objects were listed or last changed, in the order of versions."""
+    """Changes since the objects were listed or last changed, in the order of versions.
+
+    Attributes:
+        events: The changes.
+        since: Revision after which they came.
+        revision: Revision of the store up to which they are complete.
+    """
 
     events: tuple[objects.WatchEvent, ...]
+    since: int
+    revision: int
 
 
 @attrs.frozen
@@ -43,10 +57,12 @@
     Attributes:
         wait_s: Seconds that one watch waits for an event.
         delays: Delays after failures.
+        pause_s: Seconds between an event and the next watch, in which events gather.
     """
 
     wait_s: float = attrs.field(default=5.0, validator=validators.gt(0))
     delays: backoff.Backoff = attrs.field(factory=backoff.Backoff)
+    pause_s: float = attrs.field(default=0.0, validator=validators.ge(0))
 
 
 class Follower:
@@ -64,6 +80,7 @@
         listed_kinds: Kinds that are listed after those, and not watched.
         handler: Called with every message; must not raise.
         options: Waits and delays.
+        resume_at: Revision up to which the objects are known already.
     """
 
     def __init__(
@@ -76,6 +93,7 @@
         *,
         listed_kinds: Sequence[str] = (),
         options: FollowOptions | None = None,
+        resume_at: int | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -84,8 +102,8 @@
         self._listed_kinds = tuple(listed_kinds)
         self._handler = handler
         self._options = options or FollowOptions()
-        self._since: int | None = None
-        self._listed: dict[str, int] = {}
+        self._since = resume_at
+        self._listed: dict[str, int] = dict.fromkeys(self._kinds, resume_at or 0)
         self._failures = 0
         self._running: defer.Deferred[None] | None = None
 
@@ -127,13 +145,16 @@
         batch = await self._store.watch(self._kinds, self._since, self._options.wait_s)
         new = [event for event in batch.events if event.version > self._listed[event.kind]]
         if new:
-            self._handler(Changed(tuple(new)))
+            self._handler(Changed(tuple(new), self._since, batch.revision))
         self._since = batch.revision
+        if new and self._options.pause_s:
+            await task.deferLater(self._clock, self._options.pause_s)
 
     async def _list(self) -> None:
         found = {}
         for kind in (*self._kinds, *self._listed_kinds):
             found[kind] = await self._store.list(kind)
         self._listed = {kind: found[kind].revision for kind in self._kinds}
-        self._handler(Listed({kind: listing.items for kind, listing in found.items()}))
         self._since = min(self._listed.values())
+        items = {kind: listing.items for kind, listing in found.items()}
+        self._handler(Listed(items, self._since))
--- a/src/carobhook/coordination/membership.py
+++ b/src/carobhook/coordination/membership.py
@@ -17,9 +17,11 @@
 
     Attributes:
         own: Name of this instance.
+        dead_after_s: Seconds of silence after which an instance counts as dead.
     """
 
     own: ids.InstanceId
+    dead_after_s: float = DEAD_AFTER_S
     _members: dict[ids.InstanceId, members.Member] = attrs.field(factory=dict, init=False)
     _heard_at: dict[ids.InstanceId, float] = attrs.field(factory=dict, init=False)
 
@@ -59,7 +61,7 @@
         return [
             member
             for name, member in sorted(self._members.items())
-            if now - self._heard_at[name] <= DEAD_AFTER_S
+            if now - self._heard_at[name] <= self.dead_after_s
         ]
 
     def serving(self, now: float) -> list[members.Member]:
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -210,7 +210,7 @@
     def _rebuild_holders(self) -> None:
         self._holders.clear()
         for server in self._servers.values():
-            for key in server.objects.keys():
+            for key in server.objects:
                 self._holders.setdefault(key, set()).add(server.name)
 
     def replace(self, wanted: Iterable[PooledServer]) -> None:
--- a/src/carobhook/coordination/slot_loans.py
+++ b/src/carobhook/coordination/slot_loans.py
@@ -11,8 +11,10 @@
 
 from carobhook.state import ids
 
-# Share of its slots that a region wants to have busy; above it, requests begin to wait.
-_COMFORTABLE_SHARE = 0.7
+# Share of its slots that a region wants to have busy; above it, requests begin to wait. Few
+# slots need more room besides, as their load varies more.
+_COMFORTABLE_SHARE = 0.55
+_ROOM_SLOTS = 1.5
 # A region keeps a loan until it needs this much less, so that loans don't come and go.
 _HYSTERESIS_SLOTS = 0.7
 
@@ -23,11 +25,12 @@
 
     Attributes:
         slots: Slots of its own servers that can be used.
-        demand: Slots that its clients' requests keep busy at their present rate.
+        demand: Slots that its clients' requests keep busy at their present rate, or None while
+            it has had no requests.
     """
 
     slots: float
-    demand: float
+    demand: float | None
 
 
 def wanted_loans(
@@ -40,7 +43,7 @@
         loads: All regions that were heard lately, the lending one included.
     """
     total = sum(load.slots for load in loads.values())
-    needs = {region: load.demand / _COMFORTABLE_SHARE for region, load in loads.items()}
+    needs = {region: _need(load, total / len(loads)) for region, load in loads.items()}
     whole_need = sum(needs.values())
     if whole_need > total > 0:
         needs = {region: need * total / whole_need for region, need in needs.items()}
@@ -54,6 +57,13 @@
     return {region: lack * covered * part for region, lack in lacking.items() if lack > 0}
 
 
+def _need(load: RegionLoad, equal_part: float) -> float:
+    """Return the slots that a region wants to have; without requests, its equal part."""
+    if load.demand is None:
+        return equal_part
+    return load.demand / _COMFORTABLE_SHARE + _ROOM_SLOTS
+
+
 @attrs.define
 class LoanBook:
     """Whole slots that a region lends, moved toward what is wanted in bounded steps.
@@ -84,10 +94,14 @@
         for region in {*wanted, *self._lent} & set(loads):
             present = self._lent.get(region, 0)
             goal = wanted.get(region, 0.0)
+            demand = loads[region].demand
+            if demand is None:
+                moved[region] = round(goal)
+                continue
             if abs(goal - present) <= _HYSTERESIS_SLOTS:
                 moved[region] = present
                 continue
-            most = max(1, round(self.step * loads[region].demand))
+            most = max(1, round(self.step * demand))
             change = round(goal) - present
             moved[region] = present + max(-most, min(most, change))
         self._lent = {region: count for region, count in moved.items() if count > 0}
--- a/src/carobhook/coordination/work_times.py
+++ b/src/carobhook/coordination/work_times.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections
+from collections.abc import Iterator
 
 import attrs
 
@@ -43,9 +44,8 @@
                 return depth
         return None
 
-    def keys(self) -> list[str]:
-        """Return the objects, the latest last."""
-        return list(self._order)
+    def __iter__(self) -> Iterator[str]:
+        return iter(self._order)
 
     def clear(self) -> None:
         """Forget everything, as a restarted server has."""
--- a/src/carobhook/platform/store.py
+++ b/src/carobhook/platform/store.py
@@ -1,6 +1,7 @@
 """Client of the platform's store; implements `coordination.objects.ObjectStore`."""
 
 import json
+import math
 import typing
 import urllib.parse
 from collections.abc import Collection, Sequence
@@ -15,6 +16,9 @@
 _JSON = b"application/json"
 # A watch is answered this much after its wait at the latest, else its connection is silent.
 _WATCH_MARGIN_S = 0.7
+# There is no such object, so the answer is short.
+_PROBE_KIND = "probes"
+_PROBE_NAME = "none"
 
 
 class PlatformStore:
@@ -43,6 +47,12 @@
         self._whole_kinds = frozenset(whole_kinds)
         self._connections = server_connections.ServerConnections(reactor, timeout_s)
         self._calls = 0
+        self._answered_at = -math.inf
+
+    @property
+    def answered_at(self) -> float:
+        """Return the monotonic time in seconds of the last call that the store carried out."""
+        return self._answered_at
 
     @property
     def calls(self) -> int:
@@ -101,6 +111,17 @@
         events = tuple(self._event(kinds[0], since, event) for event in body["events"])
         return objects.WatchBatch(body["CurrentRev"], events)
 
+    async def probe(self, timeout_s: float) -> None:
+        """Find out whether the store answers, at the least price.
+
+        Args:
+            timeout_s: Seconds after which it counts as not answering.
+
+        Raises:
+            objects.UnavailableError: It does not answer, or refuses.
+        """
+        await self._read(_path(_PROBE_KIND, _PROBE_NAME) + "?StaleOk=1", timeout_s)
+
     def close_idle(self, now: float) -> None:
         """Close connections that were idle for too long."""
         self._connections.close_idle(now)
@@ -114,6 +135,7 @@
             raise objects.ExpiredError(path)
         if answer.status not in (200, 404):
             raise objects.UnavailableError(f"GET {path}: status {answer.status}")
+        self._answered_at = self._reactor.seconds()
         return answer
 
     async def _write(self, method: bytes, path: str, plain: typing.Any) -> int:
--- a/src/carobhook/protocol/messages.py
+++ b/src/carobhook/protocol/messages.py
@@ -5,7 +5,6 @@
 from carobhook.protocol import greetings
 from carobhook.state import configuration, ids, load
 
-
 Challenge = greetings.Challenge
 Hello = greetings.Hello
 Heartbeat = greetings.Heartbeat
--- a/src/carobhook/protocol/slot_messages.py
+++ b/src/carobhook/protocol/slot_messages.py
@@ -5,7 +5,6 @@
 
 import attrs
 
-from carobhook.protocol import framing, greetings
 from carobhook.state import asks, ids
 
 
@@ -117,7 +116,7 @@
         service: The service.
         region: Region of the sender.
         slots: Slots of its own servers that can be used.
-        demand: Slots that its clients' requests keep busy.
+        demand: Slots that its clients' requests keep busy, None before the first request.
         lent: Servers whose slots the receiver may use, with their numbers.
         used: Servers of the receiver's region that the sender uses, with their busy slots.
     """
@@ -125,7 +124,7 @@
     service: ids.Service
     region: ids.Region
     slots: float
-    demand: float
+    demand: float | None
     lent: tuple[tuple[ids.Server, int], ...]
     used: tuple[tuple[ids.Server, int], ...]
 
@@ -145,23 +144,3 @@
     """A marked request was answered whole, so its marks no longer hold."""
 
     fingerprint: bytes
-
-
-CODEC = framing.MessageCodec(
-    (
-        greetings.Challenge,
-        greetings.Hello,
-        greetings.Heartbeat,
-        greetings.Alive,
-        SlotAsked,
-        SlotAskWithdrawn,
-        SlotGranted,
-        SlotRefused,
-        SlotMoved,
-        SlotEnded,
-        SlotsHeld,
-        RegionReport,
-        RequestMarked,
-        RequestCleared,
-    )
-)
--- a/src/carobhook/state/codes.py
+++ b/src/carobhook/state/codes.py
@@ -70,9 +70,7 @@
         True,
         "The region is lost and its traffic has not moved yet.",
     )
-    NO_CONFIG = CodeInfo(
-        1051, 503, Run.NOT_RUN, True, "The instance has no configuration yet."
-    )
+    NO_CONFIG = CodeInfo(1051, 503, Run.NOT_RUN, True, "The instance has no configuration yet.")
     RETRIES_USED_UP = CodeInfo(
         1052,
         503,
--- a/src/carobhook/transport/client_connections.py
+++ b/src/carobhook/transport/client_connections.py
@@ -90,11 +90,13 @@
         return not self._busy and self._parser is None and not self._pending
 
     def connectionMade(self) -> None:
+        """Begin to wait for the first request."""
         self.transport.setTcpNoDelay(True)
         self._listener.opened(self)
         self._wait(self._listener.limits().idle_timeout_s)
 
     def connectionLost(self, reason: typing.Any = protocol.connectionDone) -> None:
+        """Tell who handles the present request that its client is gone."""
         self._stop_timer()
         self._release_body()
         self._listener.closed(self)
@@ -103,6 +105,7 @@
             exchange.client_gone()
 
     def dataReceived(self, data: bytes) -> None:
+        """Take in octets of requests."""
         if self._closing:
             return
         if self._parser is not None:
@@ -201,9 +204,7 @@
         self._busy = True
         head = typing.cast(http1.RequestHead, self._head)
         peer = self.transport.getPeer()
-        request = Inbound(
-            head, b"".join(self._body), getattr(peer, "host", ""), self._began_at
-        )
+        request = Inbound(head, b"".join(self._body), getattr(peer, "host", ""), self._began_at)
         self._body.clear()
         self._with_body = head.method != b"HEAD"
         self._wants_close = _wants_close(head, parser.their_http_version)
@@ -314,6 +315,7 @@
         return len(self._connections)
 
     def buildProtocol(self, addr: typing.Any) -> protocol.Protocol | None:
+        """Return the protocol of a new connection, or None to close one beyond the limit."""
         if len(self._connections) >= self._max_connections:
             logs.warning("connections-full", limit=self._max_connections)
             return None
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -10,7 +10,13 @@
 from carobhook import entry_settings, logs
 from carobhook.coordination import catalog, intake, membership, poison, refusals
 from carobhook.platform import names, requests, store
-from carobhook.protocol import greetings, http1, slot_messages
+from carobhook.protocol import (
+    feed_messages,
+    greetings,
+    http1,
+    peer_codec,
+    slot_messages,
+)
 from carobhook.state import codes, ids, members, routing
 from carobhook.transport import (
     client_connections,
@@ -22,12 +28,13 @@
 )
 
 _HEARTBEAT_S = 0.4
+_DEAD_AFTER_S = 1.4
 _CONNECT_TIMEOUT_S = 0.5
 _DIRECTORY_TTL_S = 2.0
 _MOST_ADDRESSES = 64
 _TICK_S = 0.1
 _CLOSE_IDLE_S = 1.0
-# New connections are taken this long after a stop began, for clients that know no other address.
+# New connections are taken this long after a stop began, for clients that know nothing else.
 _ACCEPT_WHILE_LEAVING_S = 1.5
 _STOP_POLL_S = 0.05
 # The last answers are out this long before the forced end.
@@ -86,22 +93,29 @@
         self._incarnation = ids.Incarnation(secrets.token_hex(ids.INCARNATION_LENGTH // 2))
         self._phase = members.Phase.STARTING
         self._known = catalog.Catalog()
-        self._roster = membership.Membership(place.name)
+        self._roster = membership.Membership(place.name, _DEAD_AFTER_S)
         self._intake = intake.Intake(place.region)
         self._store = store.PlatformStore(
             reactor, settings.store.address, settings.store.timeout_s, (names.SERVERS_KIND,)
         )
+        self._streams = _MemberStreams(self._roster)
         self._follow = store_follow.StoreFollow(
-            reactor, self._store, self._known, self._rng, self._catalog_changed
+            reactor,
+            self._store,
+            self._known,
+            self._rng,
+            self._catalog_changed,
+            store_follow.FeedPort(place.name, self._feed_candidates, self._streams.send),
         )
-        self._streams = _MemberStreams(self._roster)
         self._hub = peers.PeerHub(
             reactor,
             peers.Identity(place.name, self._incarnation, _SEED_KEY),
             self._received,
-            slot_messages.CODEC,
+            peer_codec.CODEC,
             self._greet,
+            on_lost=self._stream_lost,
         )
+        self._live: set[ids.InstanceId] = set()
         self._streams.hub = self._hub
         self._desk = slot_desk.SlotDesk(
             reactor,
@@ -249,8 +263,27 @@
             logs.event("instance-ready", version=self._known.config.version)
         member = self._member()
         self._roster.heard(member, now)
+        self._forget_dead(now)
         self._hub.broadcast(greetings.Heartbeat(member, (self._settings.place.peers,)))
 
+    def _forget_dead(self, now: float) -> None:
+        """Give up what instances held that fell silent."""
+        live = {member.name for member in self._roster.live(now)}
+        for name in self._live - live:
+            logs.warning("member-lost", member=name, reason="silent")
+            self._desk.lost(name)
+            self._follow.lost(name)
+        if live != self._live:
+            self._live = live
+            self._desk.members_changed()
+
+    def _stream_lost(self, name: ids.InstanceId) -> None:
+        """Take an instance whose stream ended for gone until it is heard again."""
+        if self._roster.get(name) is None or name == self._settings.place.name:
+            return
+        self._roster.lost(name)
+        self._forget_dead(self._reactor.seconds())
+
     def _greet(self, address: str) -> None:
         beat = greetings.Heartbeat(self._member(), self._hub.known)
         self._hub.send(address, beat)
@@ -258,6 +291,8 @@
     def _received(self, sender: ids.InstanceId, message: typing.Any) -> None:
         if isinstance(message, greetings.Heartbeat):
             self._heard(message)
+        elif isinstance(message, feed_messages.Message):
+            self._follow.received(sender, message)
         elif isinstance(message, slot_messages.RequestMarked):
             expires_at = self._reactor.seconds() + message.remaining_ms / 1000
             self._quarantine.add(
@@ -280,6 +315,8 @@
             logs.event("member-seen", member=member.name, phase=member.phase)
             if before is not None:
                 self._desk.lost(member.name)
+                self._follow.lost(member.name)
+        self._live.add(member.name)
         if before is None or before.phase is not member.phase:
             self._desk.members_changed()
 
@@ -291,8 +328,17 @@
             self._beat()
 
     def _tick(self) -> None:
+        self._follow.tick()
         self._desk.tick()
 
+    def _feed_candidates(self) -> list[ids.InstanceId]:
+        """Return who could follow the store for this region, in order of preference."""
+        region = self._settings.place.region
+        serving = self._roster.serving(self._reactor.seconds())
+        able = [m.name for m in serving if m.region == region and m.reaches_store]
+        ordered = membership.rendezvous(f"feed/{region}", able)
+        return [ids.InstanceId(name) for name in ordered]
+
     def _close_idle(self) -> None:
         now = self._reactor.seconds()
         self._servers.close_idle(now)
@@ -311,13 +357,9 @@
         try:
             left_s = requests.time_left_s(head)
         except ValueError:
-            answer(
-                request_flow.refusal_answer(refusals.Refusal(codes.Code.BAD_REQUEST))
-            )
+            answer(request_flow.refusal_answer(refusals.Refusal(codes.Code.BAD_REQUEST)))
             return None
-        placed = self._intake.place(
-            self._known.config, host, path, left_s, inbound.began_at
-        )
+        placed = self._intake.place(self._known.config, host, path, left_s, inbound.began_at)
         if isinstance(placed, refusals.Refusal):
             logs.event(
                 "request-refused",
@@ -391,9 +433,7 @@
         now = self._reactor.seconds()
         print_ = _fingerprint(accepted.inbound)
         mark = self._quarantine.broke(print_, secrets.token_hex(8), now)
-        logs.warning(
-            "request-marked", request=accepted.client_id, fingerprint=print_.hex()
-        )
+        logs.warning("request-marked", request=accepted.client_id, fingerprint=print_.hex())
         left_ms = round((mark.expires_at - now) * 1000)
         self._hub.broadcast(
             slot_messages.RequestMarked(print_, mark.name, mark.source, left_ms)
--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -42,7 +42,6 @@
         """Return a stream unpacker that holds at most so many octets."""
 
 
-
 def hello_proof(
     key: bytes, nonce: bytes, name: ids.InstanceId, incarnation: ids.Incarnation
 ) -> bytes:
@@ -97,11 +96,17 @@
     """Accepting side: challenges the sender, then takes in its messages."""
 
     def __init__(
-        self, reactor: typing.Any, wire: Wire, key: bytes, handler: Handler
+        self,
+        reactor: typing.Any,
+        wire: Wire,
+        key: bytes,
+        handler: Handler,
+        on_lost: Callable[[ids.InstanceId], None],
     ) -> None:
         super().__init__(reactor, wire)
         self._key = key
         self._handler = handler
+        self._on_lost = on_lost
         self._nonce = secrets.token_bytes(_NONCE_OCTETS)
         self._sender: ids.InstanceId | None = None
         # A stranger must not make this instance hold more than a hello.
@@ -115,6 +120,8 @@
     def connectionLost(self, reason: failure.Failure = protocol.connectionDone) -> None:
         if self._timer.active():
             self._timer.cancel()
+        if self._sender is not None:
+            self._on_lost(self._sender)
 
     def received(self, message: typing.Any) -> None:
         self._timer.reset(_SILENT_AFTER_S)
@@ -214,15 +221,21 @@
     noisy = False
 
     def __init__(
-        self, reactor: typing.Any, wire: Wire, key: bytes, handler: Handler
+        self,
+        reactor: typing.Any,
+        wire: Wire,
+        key: bytes,
+        handler: Handler,
+        on_lost: Callable[[ids.InstanceId], None],
     ) -> None:
         self._reactor = reactor
         self._wire = wire
         self._key = key
         self._handler = handler
+        self._on_lost = on_lost
 
     def buildProtocol(self, addr: typing.Any) -> _Incoming:
-        stream = _Incoming(self._reactor, self._wire, self._key, self._handler)
+        stream = _Incoming(self._reactor, self._wire, self._key, self._handler, self._on_lost)
         stream.factory = self
         return stream
 
@@ -253,6 +266,7 @@
         handler: Called with the sender's name and each message.
         wire: Codec of the messages.
         on_ready: Called with the address when a stream to it is ready.
+        on_lost: Called with the sender's name when its stream ended.
         context: TLS context of both ends; plain TCP without.
     """
 
@@ -264,6 +278,7 @@
         wire: Wire,
         on_ready: Callable[[str], None] = lambda address: None,
         context: typing.Any = None,
+        on_lost: Callable[[ids.InstanceId], None] = lambda name: None,
     ) -> None:
         self._context = context
         self._wire = wire
@@ -271,6 +286,7 @@
         self._identity = identity
         self._handler = handler
         self._on_ready = on_ready
+        self._on_lost = on_lost
         self._connectors: dict[str, _Connector] = {}
         self._port: typing.Any = None
         self._own_address = ""
@@ -282,7 +298,9 @@
 
     def listen(self, host: str, port: int) -> int:
         """Accept streams; return the port number."""
-        acceptor = _Acceptor(self._reactor, self._wire, self._identity.key, self._handler)
+        acceptor = _Acceptor(
+            self._reactor, self._wire, self._identity.key, self._handler, self._on_lost
+        )
         self._port = sockets.listen(self._reactor, host, port, acceptor, self._context)
         number = self._port.getHost().port
         self._own_address = f"{host}:{number}"
@@ -297,7 +315,9 @@
         )
         self._connectors[address] = connector
         host, _, port = address.rpartition(":")
-        sockets.connect(self._reactor, host, int(port), connector, self._context, _SILENT_AFTER_S)
+        sockets.connect(
+            self._reactor, host, int(port), connector, self._context, _SILENT_AFTER_S
+        )
 
     def send(self, address: str, message: typing.Any) -> bool:
         """Send a message on the stream to an address; return False if it is not ready."""
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -202,9 +202,7 @@
             decision = await self._desk.ask(self._ask(), self._accepted.region)
             if isinstance(decision, asks.SlotRefusal):
                 self._refuse(
-                    refusals.Refusal(
-                        decision.code, self._may_have_run, decision.retry_after_s
-                    )
+                    refusals.Refusal(decision.code, self._may_have_run, decision.retry_after_s)
                 )
                 return
             if self._first_slot_at is None:
@@ -307,9 +305,7 @@
             self._refuse(refusals.Refusal(codes.Code.BACKEND_LOST, True))
         else:
             code = (
-                codes.Code.BACKEND_SHED
-                if end is asks.WorkEnd.SHED
-                else codes.Code.NO_BACKEND
+                codes.Code.BACKEND_SHED if end is asks.WorkEnd.SHED else codes.Code.NO_BACKEND
             )
             self._refuse(refusals.Refusal(code, self._may_have_run, 0.5))
         return False
--- a/src/carobhook/transport/slot_desk.py
+++ b/src/carobhook/transport/slot_desk.py
@@ -93,7 +93,7 @@
     granted: dict[ids.RequestId, tuple[ids.InstanceId, ids.Server, float]] = attrs.field(
         factory=dict
     )
-    demand: float = 0.0
+    demand: float | None = None
     reports: dict[ids.Region, tuple[slot_messages.RegionReport, float]] = attrs.field(
         factory=dict
     )
@@ -419,9 +419,7 @@
         now = self._reactor.seconds()
         held = self._shard((message.region, message.service))
         for slot in message.held:
-            ask = asks.Ask(
-                slot.id, message.service, slot.route, slot.object_key, 0, now, now
-            )
+            ask = asks.Ask(slot.id, message.service, slot.route, slot.object_key, 0, now, now)
             held.dispatcher.hold(ask, slot.server, now)
             held.granted[slot.id] = (sender, slot.server, now)
 
@@ -432,9 +430,7 @@
             gone = [ask_id for ask_id, entry in held.granted.items() if entry[0] == name]
             for ask_id in gone:
                 server = held.granted.pop(ask_id)[1]
-                decisions = held.dispatcher.ended(
-                    ask_id, server, asks.WorkEnd.CANCELLED, now
-                )
+                decisions = held.dispatcher.ended(ask_id, server, asks.WorkEnd.CANCELLED, now)
                 self._carry_out(shard, held, decisions)
             for ask_id in [a for a, asker in held.askers.items() if asker == name]:
                 del held.askers[ask_id]
@@ -510,11 +506,14 @@
 
     def _report(self, shard: Shard, held: _Shard, elapsed_s: float, now: float) -> None:
         """Move the loans of a shard, and tell the other regions' dispatchers."""
-        region, service = shard
+        region = shard[0]
         if self._owners.get(shard) != self._own:
             return
         asked = held.dispatcher.take_demand() / max(0.05, min(elapsed_s, 2.0))
-        held.demand += _DEMAND_WEIGHT * (asked - held.demand)
+        if held.demand is not None:
+            held.demand += _DEMAND_WEIGHT * (asked - held.demand)
+        elif asked > 0:
+            held.demand = asked
         own_slots = {
             pooled.name: pooled.slots
             for pooled in held.dispatcher.pool.servers
@@ -528,7 +527,19 @@
         loads[region] = slot_loans.RegionLoad(sum(own_slots.values()), held.demand)
         held.loans.update(slot_loans.wanted_loans(region, loads), loads)
         order = dict(sorted(own_slots.items(), key=lambda item: item[0]))
+        before = held.lent
         held.lent = slot_loans.place_loans(held.loans.lent, order, held.lent)
+        if held.lent != before:
+            logs.event(
+                "slots-lent",
+                region=region,
+                service=shard[1],
+                lent=[f"{to}:{sum(held.lent[to].values())}" for to in held.lent],
+                loads=[
+                    f"{name}:{load.slots:g}/{load.demand or 0:.1f}"
+                    for name, load in loads.items()
+                ],
+            )
         self._set_lent(held)
         for other in set(self._regions.values()) - {region}:
             self._tell_region(shard, held, other, loads[region])
@@ -585,4 +596,3 @@
         ask.avoided,
         ask.homes,
     )
-
--- a/src/carobhook/transport/store_follow.py
+++ b/src/carobhook/transport/store_follow.py
@@ -1,18 +1,42 @@
-"""Keeps the catalog up to date from the platform's store."""
+"""Keeps the catalog up to date: from the store itself, or from an instance that follows it."""
 
+import json
 import random
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Iterable
+
+import attrs
+from twisted.internet import defer
 
 from carobhook import logs
-from carobhook.coordination import backoff, catalog, following, objects
-from carobhook.platform import names
+from carobhook.coordination import backoff, catalog, feeding, following, objects
+from carobhook.platform import names, store
 from carobhook.platform import objects as platform_objects
+from carobhook.protocol import feed_messages
 from carobhook.state import ids
 
-_WATCH_WAIT_S = 2.0
-_DELAYS = backoff.Backoff(first_s=0.1, cap_s=0.8)
 _KINDS = (names.CONFIG_KIND, names.SERVERS_KIND, names.EVACUATIONS_KIND)
+_OPTIONS = following.FollowOptions(
+    wait_s=4.0, delays=backoff.Backoff(first_s=0.2, cap_s=1.0), pause_s=0.2
+)
+_PROBE_INTERVAL_S = 0.5
+_PROBE_TIMEOUT_S = 0.5
+
+
+@attrs.frozen
+class FeedPort:
+    """How other instances are reached.
+
+    Attributes:
+        own: Name of this instance.
+        candidates: Returns the instances of the region that could follow the store for it, in
+            order of preference.
+        send: Sends a message to an instance.
+    """
+
+    own: ids.InstanceId
+    candidates: Callable[[], list[ids.InstanceId]]
+    send: Callable[[ids.InstanceId, typing.Any], bool]
 
 
 class StoreFollow:
@@ -20,45 +44,153 @@
 
     Args:
         reactor: Source of time and timers.
-        store: The store.
+        platform: The store.
         known: The catalog to keep.
         rng: Source of the jitter of delays.
         changed: Called after each change to the catalog.
+        port: How other instances are reached.
     """
 
     def __init__(
         self,
         reactor: typing.Any,
-        store: objects.ObjectStore,
+        platform: store.PlatformStore,
         known: catalog.Catalog,
         rng: random.Random,
         changed: Callable[[], object],
+        port: FeedPort,
     ) -> None:
         self._reactor = reactor
+        self._platform = platform
         self._known = known
+        self._rng = rng
         self._changed = changed
-        self._listed: set[str] = set()
+        self._port = port
+        self._objects: dict[str, dict[str, feed_messages.FedObject]] = {}
+        self._revisions: dict[str, int] = {}
         self._evacuated: set[ids.FailureDomain] = set()
-        options = following.FollowOptions(wait_s=_WATCH_WAIT_S, delays=_DELAYS)
-        self._followers = [
-            following.Follower(store, reactor, rng, (kind,), self._hearer(kind), options=options)
-            for kind in _KINDS
-        ]
+        self._followers: list[following.Follower] = []
+        self._choice = feeding.SourceChoice(port.own)
+        self._subscribers = feeding.Subscribers()
+        self._probing: defer.Deferred | None = None
+        self._probed_at = 0.0
 
     @property
     def complete(self) -> bool:
-        """Return whether every kind was listed once."""
-        return len(self._listed) == len(_KINDS)
+        """Return whether every kind is known."""
+        return len(self._revisions) == len(_KINDS)
+
+    @property
+    def direct(self) -> bool:
+        """Return whether this instance follows the store itself."""
+        return bool(self._followers)
 
     def start(self) -> None:
         """Begin to follow."""
-        for follower in self._followers:
-            follower.start().addErrback(_log_failure)
+        self._go_direct()
 
     def stop(self) -> None:
         """Stop following."""
+        self._stop_followers()
+        if self._probing is not None:
+            self._probing.cancel()
+
+    def tick(self) -> None:
+        """Choose the source, prove that the store answers, and tell the subscribers."""
+        now = self._reactor.seconds()
+        step = self._choice.decide(self._port.candidates(), self.complete, now)
+        if step.ask is not None:
+            self._port.send(step.ask, feed_messages.FeedWanted())
+        if step.direct and not self._followers:
+            self._go_direct()
+        elif not step.direct and self._followers:
+            logs.event("store-followed-by", instance=step.source)
+            self._stop_followers()
+        if self._followers:
+            self._probe(now)
+            if feeding.in_touch(self._platform.answered_at, now):
+                told = feed_messages.FeedFresh(feed_messages.revisions_of(self._revisions))
+                for name in self._subscribers.due(now):
+                    self._port.send(name, told)
+
+    def lost(self, name: ids.InstanceId) -> None:
+        """Forget an instance that is gone."""
+        self._subscribers.remove(name)
+
+    def received(self, sender: ids.InstanceId, message: feed_messages.Message) -> None:
+        """Handle a message about the feed."""
+        now = self._reactor.seconds()
+        if isinstance(message, feed_messages.FeedWanted):
+            if self._followers and self.complete:
+                self._subscribers.add(sender)
+                for snapshot in self._snapshots():
+                    self._port.send(sender, snapshot)
+        elif isinstance(message, feed_messages.FeedFresh):
+            current = all(
+                self._revisions.get(kind, -1) >= revision
+                for kind, revision in message.revisions
+            )
+            self._choice.told_fresh(sender, current, now)
+        elif isinstance(message, feed_messages.FeedSnapshot):
+            if message.revision >= self._revisions.get(message.kind, 0):
+                self._replace(message.kind, message.revision, message.items)
+        elif message.since <= self._revisions.get(message.kind, -1):
+            self._change(message.kind, message.revision, message.items)
+
+    def _snapshots(self) -> list[feed_messages.FeedSnapshot]:
+        return [
+            feed_messages.FeedSnapshot(
+                kind, revision, tuple(self._objects.get(kind, {}).values())
+            )
+            for kind, revision in self._revisions.items()
+        ]
+
+    # The store itself.
+
+    def _go_direct(self) -> None:
+        logs.event("store-followed-directly", revisions=dict(self._revisions))
+        self._followers = [
+            following.Follower(
+                self._platform,
+                self._reactor,
+                self._rng,
+                (kind,),
+                self._hearer(kind),
+                options=_OPTIONS,
+                resume_at=self._revisions.get(kind),
+            )
+            for kind in _KINDS
+        ]
         for follower in self._followers:
+            follower.start().addErrback(_log_failure)
+
+    def _stop_followers(self) -> None:
+        followers, self._followers = self._followers, []
+        for follower in followers:
             follower.stop()
+        self._subscribers.clear()
+
+    def _probe(self, now: float) -> None:
+        idle_s = now - max(self._platform.answered_at, self._probed_at)
+        if self._probing is not None or idle_s < _PROBE_INTERVAL_S:
+            return
+        self._probed_at = now
+        self._probing = defer.ensureDeferred(self._platform.probe(_PROBE_TIMEOUT_S))
+        self._probing.addCallbacks(self._probe_answered, self._probe_failed)
+
+    def _probe_answered(self, _: object) -> None:
+        self._probing = None
+
+    def _probe_failed(self, reason: typing.Any) -> None:
+        self._probing = None
+        if reason.check(defer.CancelledError):
+            return
+        if not reason.check(objects.StoreError):
+            _log_failure(reason)
+            return
+        if self._known.store_lost_at is None:
+            logs.warning("store-unavailable", kind="probe", error=reason.value)
+        self._known.store_lost(self._reactor.seconds())
 
     def _hearer(self, kind: str) -> following.Handler:
         return lambda message: self._hear(kind, message)
@@ -75,24 +207,50 @@
             logs.event("store-answers", kind=kind, unavailable_s=round(lost_s, 3))
         self._known.store_answered(now)
         if isinstance(message, following.Listed):
-            items = message.items[kind]
-            self._listed.add(kind)
-            logs.event("objects-listed", kind=kind, objects=len(items))
-            if kind == names.EVACUATIONS_KIND:
-                self._evacuated.clear()
-            if kind == names.SERVERS_KIND:
-                self._known.retain(frozenset(ids.Server(i.name) for i in items), now)
-            self._take(kind, items, now)
+            items = tuple(_fed(item) for item in message.items[kind])
+            self._replace(kind, message.revision, items)
+            told: feed_messages.Message = feed_messages.FeedSnapshot(
+                kind, message.revision, items
+            )
         else:
-            self._take(kind, message.events, now)
+            items = tuple(_fed(event) for event in message.events)
+            self._change(kind, message.revision, items)
+            told = feed_messages.FeedEvents(kind, message.since, message.revision, items)
+        for name in self._subscribers.names:
+            self._port.send(name, told)
+
+    # What is known.
+
+    def _replace(
+        self, kind: str, revision: int, items: Iterable[feed_messages.FedObject]
+    ) -> None:
+        now = self._reactor.seconds()
+        held = {item.name: item for item in items}
+        logs.event("objects-listed", kind=kind, objects=len(held), revision=revision)
+        before = self._objects.get(kind, {})
+        self._objects[kind] = held
+        self._revisions[kind] = revision
+        if kind == names.EVACUATIONS_KIND:
+            self._evacuated.clear()
+        if kind == names.SERVERS_KIND:
+            self._known.retain(frozenset(ids.Server(name) for name in held), now)
+        self._take(kind, _news(kind, held, before), now)
         self._changed()
 
-    def _take(
-        self,
-        kind: str,
-        items: typing.Iterable[objects.StoredObject | objects.WatchEvent],
-        now: float,
+    def _change(
+        self, kind: str, revision: int, items: Iterable[feed_messages.FedObject]
     ) -> None:
+        held = self._objects.setdefault(kind, {})
+        for item in items:
+            if item.value is None:
+                held.pop(item.name, None)
+            else:
+                held[item.name] = item
+        self._revisions[kind] = max(revision, self._revisions.get(kind, 0))
+        self._take(kind, items, self._reactor.seconds())
+        self._changed()
+
+    def _take(self, kind: str, items: Iterable[feed_messages.FedObject], now: float) -> None:
         for item in items:
             if kind == names.CONFIG_KIND:
                 self._take_config(item)
@@ -103,11 +261,11 @@
         if kind == names.EVACUATIONS_KIND:
             self._known.set_evacuated(frozenset(self._evacuated))
 
-    def _take_config(self, item: objects.StoredObject | objects.WatchEvent) -> None:
+    def _take_config(self, item: feed_messages.FedObject) -> None:
         if item.name != names.CONFIG_NAME or item.value is None:
             return
         try:
-            config = platform_objects.config(item.value)
+            config = platform_objects.config(json.loads(item.value))
         except platform_objects.MalformedObjectError as problem:
             logs.warning("object-malformed", object=f"config/{item.name}", error=problem)
             return
@@ -119,16 +277,14 @@
                 routes=len(config.routes),
             )
 
-    def _take_server(
-        self, item: objects.StoredObject | objects.WatchEvent, now: float
-    ) -> None:
+    def _take_server(self, item: feed_messages.FedObject, now: float) -> None:
         name = ids.Server(item.name)
         if item.value is None:
             logs.event("server-removed", server=name, revision=item.version)
             self._known.remove(name, now)
             return
         try:
-            entry = platform_objects.server(item.value)
+            entry = platform_objects.server(json.loads(item.value))
         except platform_objects.MalformedObjectError as problem:
             logs.warning("object-malformed", object=f"servers/{item.name}", error=problem)
             self._known.remove(name, now)
@@ -144,7 +300,7 @@
         )
         self._known.put(entry, now)
 
-    def _take_evacuation(self, item: objects.StoredObject | objects.WatchEvent) -> None:
+    def _take_evacuation(self, item: feed_messages.FedObject) -> None:
         zone = ids.FailureDomain(item.name)
         logs.event("evacuation", zone=zone, begun=item.value is not None, revision=item.version)
         if item.value is None:
@@ -153,5 +309,23 @@
             self._evacuated.add(zone)
 
 
+def _news(
+    kind: str,
+    held: dict[str, feed_messages.FedObject],
+    before: dict[str, feed_messages.FedObject],
+) -> list[feed_messages.FedObject]:
+    """Return what a listing holds that was not known; what was evacuated is told anew."""
+    if kind == names.EVACUATIONS_KIND:
+        return list(held.values())
+    return [item for item in held.values() if item != before.get(item.name)]
+
+
+def _fed(item: objects.StoredObject | objects.WatchEvent) -> feed_messages.FedObject:
+    value = None
+    if item.value is not None:
+        value = json.dumps(item.value, separators=(",", ":")).encode()
+    return feed_messages.FedObject(item.name, item.version, value)
+
+
 def _log_failure(reason: typing.Any) -> None:
     logs.error("unhandled-error", text=reason.getErrorMessage(), trace=reason.getTraceback())
