Take changed settings into force on SIGHUP, and without a signal

SIGHUP had no handler, so the process ended with 129 and cut what was in flight. Ruled out: ignoring the signal only; the file may change without one, so it is read again every two seconds, and a faulty text changes nothing.

--- a/src/carobhook/entry.py
+++ b/src/carobhook/entry.py
@@ -6,15 +6,17 @@
 
 import os
 import pathlib
+import signal
 import sys
 
-from twisted.internet import defer, reactor
+from twisted.internet import defer, reactor, task
 from twisted.python import failure
 
 from carobhook import entry_settings, logs, settings
-from carobhook.transport import entry_daemon
+from carobhook.transport import entry_daemon, settings_watch
 
 SETTINGS_VARIABLE = "CAROBHOOK_SETTINGS"
+SETTINGS_INTERVAL_S = 2.0
 
 
 def main() -> None:
@@ -43,7 +45,18 @@
     def end() -> defer.Deferred:
         return defer.ensureDeferred(daemon.stop()).addErrback(failed)
 
+    watch = settings_watch.SettingsWatch(path, daemon.reload)
+
+    def tell_of_signal(number: int, frame: object) -> None:
+        reactor.callFromThread(watch.look, True)
+
+    def begin_watch() -> None:
+        # The reactor installs its own handlers when it starts, but none for this signal.
+        signal.signal(signal.SIGHUP, tell_of_signal)
+        task.LoopingCall(watch.look).start(SETTINGS_INTERVAL_S, now=False)
+
     reactor.callWhenRunning(begin)
+    reactor.callWhenRunning(begin_watch)
     reactor.addSystemEventTrigger("before", "shutdown", end)
     reactor.run()
     if failures:
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -75,6 +75,15 @@
     INSTANCE_READY = EventInfo(
         "instance-ready", "The configuration and the servers are known; clients are taken."
     )
+    SETTINGS_RELOADED = EventInfo(
+        "settings-reloaded", "Changed settings are in force, as far as they need no restart."
+    )
+    SETTINGS_UNCHANGED = EventInfo(
+        "settings-unchanged", "A signal said that the settings changed, but they did not."
+    )
+    SETTINGS_FAULTY = EventInfo(
+        "settings-faulty", "Changed settings have a fault; the former ones stay in force."
+    )
     MEMBER_SEEN = EventInfo("member-seen", "Another instance, or a new run of it, was heard.")
     MEMBER_LOST = EventInfo(
         "member-lost", "An instance fell silent or its stream ended; its slots are freed."
--- a/src/carobhook/protocol/framing.py
+++ b/src/carobhook/protocol/framing.py
@@ -69,8 +69,9 @@
 
 
 def _plain(value: typing.Any) -> typing.Any:
-    if attrs.has(type(value)):
-        return [_plain(getattr(value, name)) for name in _names(type(value))]
+    cls: typing.Any = type(value)
+    if attrs.has(cls):
+        return [_plain(getattr(value, name)) for name in _names(cls)]
     if isinstance(value, enum.Enum):
         return value.name
     if isinstance(value, (tuple, list, frozenset)):
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -5,6 +5,7 @@
 import secrets
 import typing
 
+import attrs
 from twisted.internet import defer, task
 
 from carobhook import entry_settings, logs
@@ -196,6 +197,19 @@
         self._loop(self._close_idle, _CLOSE_IDLE_S)
         logs.event("instance-started", region=place.region, zone=place.failure_domain)
 
+    def reload(self, settings: entry_settings.EntrySettings) -> None:
+        """Take changed settings into force; addresses and names need a restart.
+
+        Args:
+            settings: The changed settings.
+        """
+        kept = self._settings
+        self._settings = attrs.evolve(kept, bounds=settings.bounds, regions=settings.regions)
+        for seed in settings.place.seeds:
+            self._hub.connect(seed)
+        needs_restart = settings.place != kept.place or settings.capacity != kept.capacity
+        logs.event("settings-reloaded", needs_restart=needs_restart)
+
     async def stop(self) -> None:
         """Leave without cutting a request, then close all sockets; once only."""
         if self._phase is members.Phase.LEAVING:
--- /dev/null
+++ b/tests/test_settings_watch.py
@@ -0,0 +1,42 @@
+"""Tests of carobhook.transport.settings_watch."""
+
+import pytest
+
+from carobhook.transport import settings_watch
+from test_entry import SETTINGS
+
+TEXT = SETTINGS.format(
+    name="one", http=1, readiness=2, directory=3, peers=4, metrics=5, seeds="", store=6
+)
+
+
+@pytest.fixture
+def watched(tmp_path):
+    """Return a file, a watch of it, and what the watch told."""
+    path = tmp_path / "settings.toml"
+    path.write_text(TEXT)
+    told = []
+    return path, settings_watch.SettingsWatch(path, told.append), told
+
+
+class TestSettingsWatch:
+    """Changes of the settings file."""
+
+    def test_change_is_told_once(self, watched):
+        """A change is noticed without a signal, and only when the text differs."""
+        path, watch, told = watched
+        watch.look()
+        assert told == []
+        path.write_text(TEXT.replace('ttl_max = "5s"', 'ttl_max = "4s"'))
+        watch.look()
+        watch.look(signalled=True)
+        assert [one.bounds.ttl_max_s for one in told] == [4.0]
+
+    def test_faulty_or_missing_file_changes_nothing(self, watched):
+        """What was in force stays when the new text cannot be used."""
+        path, watch, told = watched
+        path.write_text(TEXT.replace("budget_ratio = 0.2", "budget_ratio = -1"))
+        watch.look(signalled=True)
+        path.unlink()
+        watch.look(signalled=True)
+        assert told == []
