Log within a budget without blocking, serve metrics as text, explain requests from lines

Cause: on-call engineers have only logs and metrics; so far lines went to a blocking stream, without a bound, and metrics went out by statsd from the former daemon only. Ruled out: an asyncio or thread writer (memory, and threads take turns at any point); own text format for metrics: prometheus-client costs 0.9 MB, measured by import. Processor time of logging: not measured yet.

--- a/src/carobhook/cli/__init__.py
+++ b/src/carobhook/cli/__init__.py
@@ -3,7 +3,15 @@
 import typer
 
 import carobhook
-from carobhook.cli import ctl, demo, reference, scenario, serve, standin
+from carobhook.cli import (
+    ctl,
+    demo,
+    explain_request,
+    reference,
+    scenario,
+    serve,
+    standin,
+)
 
 app = typer.Typer(
     help="Global traffic steering: the daemon, the operators' client and test stand-ins.",
@@ -20,6 +28,7 @@
 app.command(name="serve")(serve.serve)
 app.command(name="check-settings")(serve.check_settings)
 app.command(name="ctl")(ctl.ctl)
+app.command(name="explain-request")(explain_request.explain_request)
 app.command(name="codes")(reference.codes)
 app.command(name="demo")(demo.demo)
 app.command(name="scenario")(scenario.scenario)
--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -316,7 +316,15 @@
         slots = max(1, self.pool.slots)
         backlog_s = sum(waiting.guess_s for waiting in self._waiting) / slots
         retry_after_s = min(_LONGEST_RETRY_AFTER_S, max(_SHORTEST_RETRY_AFTER_S, backlog_s))
-        return asks.SlotRefusal(ask.id, code, retry_after_s)
+        return asks.SlotRefusal(ask.id, code, retry_after_s, self._describe(ask, now))
+
+    def _describe(self, ask: asks.Ask, now: float) -> str:
+        """Return what a refusal was decided from."""
+        return (
+            f"running={self.pool.running}/{self.pool.slots} waiting={len(self._waiting)} "
+            f"servers={len(self.pool.servers)} target_ms={(ask.target_at - now) * 1000:.0f} "
+            f"work_ms={self._guess(ask) * 1000:.0f}"
+        )
 
 
 def _allowed(server: server_pool.PooledServer, ask: asks.Ask) -> bool:
--- a/src/carobhook/coordination/token_bucket.py
+++ b/src/carobhook/coordination/token_bucket.py
@@ -33,6 +33,11 @@
         self._tokens -= 1
         return True
 
+    def left(self, now: float) -> float:
+        """Return the tokens that are there now."""
+        self._fill(now)
+        return self._tokens
+
     def wait_s(self, now: float) -> float:
         """Return the seconds until one token is there; 0 if there is one now."""
         self._fill(now)
--- a/src/carobhook/entry.py
+++ b/src/carobhook/entry.py
@@ -12,11 +12,86 @@
 from twisted.internet import defer, reactor, task
 from twisted.python import failure
 
-from carobhook import entry_settings, logs, settings
+from carobhook import entry_settings, log_output, logs, settings
 from carobhook.transport import entry_daemon, settings_watch
 
 SETTINGS_VARIABLE = "CAROBHOOK_SETTINGS"
 SETTINGS_INTERVAL_S = 2.0
+OUTPUT_INTERVAL_S = 1.0
+# The same as those of the command line.
+EXIT_USAGE = 2
+EXIT_FAILED = 6
+
+
+class _Run:
+    """One run of the reactor with a daemon, from its start to its end.
+
+    Args:
+        path: The settings file, which is read again when it changes.
+        loaded: What it holds now.
+    """
+
+    def __init__(self, path: pathlib.Path, loaded: entry_settings.EntrySettings) -> None:
+        self._budget = log_output.LineBudget()
+        self._handler = log_output.LineHandler(sys.stdout.fileno(), self._budget)
+        logs.setup_handler(loaded.log, self._handler, loaded.place.name)
+        logs.follow_twisted()
+        self._daemon = entry_daemon.EntryDaemon(
+            loaded, reactor, omitted=lambda: self._budget.omitted_total
+        )
+        self._watch = settings_watch.SettingsWatch(path, self._daemon.reload)
+        self.failed = False
+
+    def begin(self) -> None:
+        """Start the daemon and what goes on beside it."""
+        defer.ensureDeferred(self._daemon.start()).addErrback(self._start_failed)
+        # The reactor installs its own handlers when it starts, but none for this signal.
+        signal.signal(signal.SIGHUP, self._signalled)
+        task.LoopingCall(self._watch.look).start(SETTINGS_INTERVAL_S, now=False)
+        task.LoopingCall(self._tend_output).start(OUTPUT_INTERVAL_S, now=False)
+
+    def end(self) -> defer.Deferred:
+        """Stop the daemon; the reactor goes on until it has."""
+        if self.failed:
+            return defer.succeed(None)
+        return defer.ensureDeferred(self._daemon.stop()).addErrback(self._stop_failed)
+
+    def _signalled(self, number: int, frame: object) -> None:
+        reactor.callFromThread(self._watch.look, True)
+
+    def _tend_output(self) -> None:
+        self._handler.flush()
+        omitted = self._budget.take_omitted()
+        if omitted:
+            logs.warning("lines-omitted", **omitted)
+
+    def _start_failed(self, reason: failure.Failure) -> None:
+        self.failed = True
+        trace = reason.getTraceback()
+        logs.error("start-failed", text=reason.getErrorMessage(), trace=trace)
+        if reactor.running:
+            reactor.stop()
+
+    def _stop_failed(self, reason: failure.Failure) -> None:
+        logs.error("unhandled-error", trace=reason.getTraceback())
+
+
+def run(path: pathlib.Path, loaded: entry_settings.EntrySettings) -> None:
+    """Run an instance until it is told to stop.
+
+    Args:
+        path: Its settings file.
+        loaded: What the file holds.
+
+    Raises:
+        SystemExit: The start failed.
+    """
+    one = _Run(path, loaded)
+    reactor.callWhenRunning(one.begin)
+    reactor.addSystemEventTrigger("before", "shutdown", one.end)
+    reactor.run()
+    if one.failed:
+        sys.exit(EXIT_FAILED)
 
 
 def main() -> None:
@@ -27,40 +102,8 @@
     except settings.SettingsError as group:
         for fault in group.exceptions:
             sys.stderr.write(f"{path}: {fault}\n")
-        sys.exit(2)
-    logs.setup(loaded.log, sys.stdout, loaded.place.name)
-    daemon = entry_daemon.EntryDaemon(loaded, reactor)
-    logs.follow_twisted()
-    failures: list[failure.Failure] = []
-
-    def failed(reason: failure.Failure) -> None:
-        failures.append(reason)
-        logs.error("start-failed", text=reason.getErrorMessage(), trace=reason.getTraceback())
-        if reactor.running:
-            reactor.stop()
-
-    def begin() -> None:
-        defer.ensureDeferred(daemon.start()).addErrback(failed)
-
-    def end() -> defer.Deferred:
-        return defer.ensureDeferred(daemon.stop()).addErrback(failed)
-
-    watch = settings_watch.SettingsWatch(path, daemon.reload)
-
-    def tell_of_signal(number: int, frame: object) -> None:
-        reactor.callFromThread(watch.look, True)
-
-    def begin_watch() -> None:
-        # The reactor installs its own handlers when it starts, but none for this signal.
-        signal.signal(signal.SIGHUP, tell_of_signal)
-        task.LoopingCall(watch.look).start(SETTINGS_INTERVAL_S, now=False)
-
-    reactor.callWhenRunning(begin)
-    reactor.callWhenRunning(begin_watch)
-    reactor.addSystemEventTrigger("before", "shutdown", end)
-    reactor.run()
-    if failures:
-        sys.exit(6)
+        sys.exit(EXIT_USAGE)
+    run(path, loaded)
 
 
 if __name__ == "__main__":
--- /dev/null
+++ b/src/carobhook/entry_metrics.py
@@ -0,0 +1,144 @@
+"""Metrics of an entry instance, served as text on the metrics address."""
+
+import enum
+import typing
+from collections.abc import Callable, Mapping
+
+import attrs
+import prometheus_client
+from prometheus_client import registry
+
+_BUCKETS_S = (0.01, 0.025, 0.05, 0.1, 0.2, 0.3, 0.4, 0.5, 0.75, 1.0, 1.5, 2.0, 3.0, 5.0, 10.0)
+
+
+class Kind(enum.Enum):
+    """How a metric counts."""
+
+    COUNTER = "counter"
+    HISTOGRAM = "histogram"
+    GAUGE = "gauge"
+
+
+@attrs.frozen
+class MetricInfo:
+    """Meaning of one metric.
+
+    Attributes:
+        name: Its name.
+        kind: How it counts.
+        labels: What it is counted by; each has few values.
+        text: One plain sentence.
+    """
+
+    name: str
+    kind: Kind
+    labels: tuple[str, ...]
+    text: str
+
+
+class EntryMetric(enum.Enum):
+    """Every metric of an entry instance."""
+
+    REQUESTS = MetricInfo(
+        "carobhook_requests_total",
+        Kind.COUNTER,
+        ("service", "code"),
+        "Requests that ended, by service and result code.",
+    )
+    REQUEST_TIME = MetricInfo(
+        "carobhook_request_seconds",
+        Kind.HISTOGRAM,
+        ("service",),
+        "Time from a request's arrival to the end of its answer.",
+    )
+    SLOT_WAIT = MetricInfo(
+        "carobhook_slot_wait_seconds",
+        Kind.HISTOGRAM,
+        ("service",),
+        "Time from a request's arrival to its first slot or its refusal.",
+    )
+    REPEATS = MetricInfo(
+        "carobhook_repeats_total",
+        Kind.COUNTER,
+        ("service",),
+        "Sends of requests beyond the first.",
+    )
+    LOOKUPS = MetricInfo(
+        "carobhook_lookups_total", Kind.COUNTER, ("status",), "Answers of the directory."
+    )
+    IN_FLIGHT = MetricInfo(
+        "carobhook_requests_in_flight", Kind.GAUGE, (), "Requests that wait or run."
+    )
+    CLIENT_CONNECTIONS = MetricInfo(
+        "carobhook_client_connections", Kind.GAUGE, (), "Open connections of clients."
+    )
+    SERVER_CONNECTIONS = MetricInfo(
+        "carobhook_server_connections_opened",
+        Kind.GAUGE,
+        (),
+        "Connections to backend servers opened since the start.",
+    )
+    STORE_CALLS = MetricInfo(
+        "carobhook_store_calls", Kind.GAUGE, (), "Calls to the store since the start."
+    )
+    STORE_LOST = MetricInfo(
+        "carobhook_store_lost", Kind.GAUGE, (), "1 while the store does not answer, else 0."
+    )
+    SERVERS = MetricInfo(
+        "carobhook_servers_usable", Kind.GAUGE, (), "Backend servers that may get requests."
+    )
+    MEMBERS = MetricInfo(
+        "carobhook_instances_serving", Kind.GAUGE, (), "Instances heard lately that serve."
+    )
+    CONFIG_VERSION = MetricInfo(
+        "carobhook_config_version", Kind.GAUGE, (), "Configuration version in force here."
+    )
+    READY = MetricInfo("carobhook_ready", Kind.GAUGE, (), "1 while clients are taken, else 0.")
+    LINES_OMITTED = MetricInfo(
+        "carobhook_log_lines_omitted",
+        Kind.GAUGE,
+        (),
+        "Log lines left out since the start, as more came than the budget or reader bears.",
+    )
+
+
+class EntryMetrics:
+    """Counts what an instance does, and gives it as text.
+
+    Args:
+        gauges: What each gauge shows at present.
+    """
+
+    def __init__(self, gauges: Mapping[EntryMetric, Callable[[], float]]) -> None:
+        self._registry = registry.CollectorRegistry()
+        self._held: dict[EntryMetric, typing.Any] = {}
+        for metric in EntryMetric:
+            info = metric.value
+            if info.kind is Kind.COUNTER:
+                made: typing.Any = prometheus_client.Counter(
+                    info.name, info.text, info.labels, registry=self._registry
+                )
+            elif info.kind is Kind.HISTOGRAM:
+                made = prometheus_client.Histogram(
+                    info.name,
+                    info.text,
+                    info.labels,
+                    registry=self._registry,
+                    buckets=_BUCKETS_S,
+                )
+            else:
+                made = prometheus_client.Gauge(info.name, info.text, registry=self._registry)
+                made.set_function(gauges[metric])
+            self._held[metric] = made
+
+    def count(self, metric: EntryMetric, *labels: str) -> None:
+        """Add one to a counter."""
+        self._held[metric].labels(*labels).inc()
+
+    def observe(self, metric: EntryMetric, seconds: float, *labels: str) -> None:
+        """Add a time in seconds to a histogram."""
+        self._held[metric].labels(*labels).observe(seconds)
+
+    def text(self) -> bytes:
+        """Return all metrics in Prometheus' text format."""
+        return prometheus_client.generate_latest(self._registry)
--- a/src/carobhook/logs.py
+++ b/src/carobhook/logs.py
@@ -56,11 +56,23 @@
         stream: Where the lines go.
         instance: Name put into every line, none when empty.
     """
-    handler = logging.StreamHandler(stream)
+    setup_handler(log_settings, logging.StreamHandler(stream), instance)
+
+
+def setup_handler(
+    log_settings: settings.LogSettings, handler: logging.Handler, instance: str = ""
+) -> None:
+    """Give events to a handler, and warnings of libraries as well.
+
+    Args:
+        log_settings: Form and level.
+        handler: What writes them.
+        instance: Name put into every line, none when empty.
+    """
     handler.setFormatter(formatter(log_settings.form, instance))
     root = logging.getLogger()
     for old in list(root.handlers):
-        if isinstance(old, logging.StreamHandler) and hasattr(old, "carobhook"):
+        if hasattr(old, "carobhook"):
             root.removeHandler(old)
     handler.carobhook = True  # type: ignore[attr-defined]
     root.addHandler(handler)
--- a/src/carobhook/protocol/slot_messages.py
+++ b/src/carobhook/protocol/slot_messages.py
@@ -57,11 +57,13 @@
         ask_id: Id of the ask.
         code: Number of the result code.
         retry_after_s: Seconds after which room is expected.
+        detail: What it was decided from, for the log.
     """
 
     ask_id: ids.RequestId
     code: int
     retry_after_s: float
+    detail: str
 
 
 @attrs.frozen
--- a/src/carobhook/state/asks.py
+++ b/src/carobhook/state/asks.py
@@ -82,8 +82,10 @@
         ask_id: Id of the ask.
         code: Why.
         retry_after_s: Seconds after which room is expected.
+        detail: What it was decided from, for the log.
     """
 
     ask_id: ids.RequestId
     code: codes.Code
     retry_after_s: float
+    detail: str = ""
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -8,7 +8,7 @@
 import attrs
 from twisted.internet import defer, task
 
-from carobhook import entry_settings, logs
+from carobhook import entry_metrics, entry_settings, logs
 from carobhook.coordination import catalog, intake, membership, poison, refusals
 from carobhook.platform import names, requests, store
 from carobhook.protocol import (
@@ -28,6 +28,7 @@
     store_follow,
 )
 
+METRICS_PATH = b"/metrics"
 _HEARTBEAT_S = 0.4
 _DEAD_AFTER_S = 1.4
 _CONNECT_TIMEOUT_S = 0.5
@@ -79,6 +80,7 @@
         settings: Its settings.
         reactor: The reactor.
         rng: Source of jitter.
+        omitted: Returns the number of log lines left out so far.
     """
 
     def __init__(
@@ -86,6 +88,7 @@
         settings: entry_settings.EntrySettings,
         reactor: typing.Any,
         rng: random.Random | None = None,
+        omitted: typing.Callable[[], int] = lambda: 0,
     ) -> None:
         self._settings = settings
         self._reactor = reactor
@@ -133,11 +136,13 @@
         self._front = self._listener(self._take_request)
         self._readiness = self._listener(self._take_readiness)
         self._directory = self._listener(self._take_directory)
+        self._metrics_listener = self._listener(self._take_metrics)
         self._ports: list[typing.Any] = []
         self._flows: set[request_flow.RequestFlow] = set()
         self._loops: list[task.LoopingCall] = []
         self._requests = 0
         self._quarantine = poison.Quarantine(place.name, _MARKS_OF_POISON)
+        self._metrics = entry_metrics.EntryMetrics(self._gauges(omitted))
 
     def _slot_bounds(self) -> slot_desk.SlotBounds:
         bounds = self._settings.bounds
@@ -162,6 +167,24 @@
             int(capacity.memory_mb * _BODY_SHARE_OF_MEMORY * 1024 * 1024),
         )
 
+    def _gauges(
+        self, omitted: typing.Callable[[], int]
+    ) -> dict[entry_metrics.EntryMetric, typing.Callable[[], float]]:
+        known, seconds = self._known, self._reactor.seconds
+        metric = entry_metrics.EntryMetric
+        return {
+            metric.IN_FLIGHT: lambda: len(self._flows),
+            metric.CLIENT_CONNECTIONS: lambda: self._front.open_connections,
+            metric.SERVER_CONNECTIONS: lambda: self._servers.opened,
+            metric.STORE_CALLS: lambda: self._store.calls,
+            metric.STORE_LOST: lambda: float(known.store_lost_at is not None),
+            metric.SERVERS: lambda: len(known.servers(seconds())),
+            metric.MEMBERS: lambda: len(self._roster.serving(seconds())),
+            metric.CONFIG_VERSION: lambda: known.config.version if known.config else 0,
+            metric.READY: lambda: float(self._phase is members.Phase.READY),
+            metric.LINES_OMITTED: omitted,
+        }
+
     def _client_limits(self) -> routing.ClientLimits:
         config = self._known.config
         return config.limits if config is not None else routing.ClientLimits()
@@ -183,6 +206,7 @@
             (place.http, self._front),
             (place.readiness, self._readiness),
             (place.directory, self._directory),
+            (place.metrics, self._metrics_listener),
         ):
             host, port = _host_port(address)
             self._ports.append(
@@ -239,7 +263,12 @@
         for port in self._ports:
             await defer.maybeDeferred(port.stopListening)
         await self._hub.stop()
-        for listener in (self._front, self._readiness, self._directory):
+        for listener in (
+            self._front,
+            self._readiness,
+            self._directory,
+            self._metrics_listener,
+        ):
             listener.abort()
         self._servers.stop()
         self._store.stop()
@@ -406,6 +435,7 @@
             object_key=requests.object_key(head),
             target_at=placed.target_at,
             deadline_at=placed.deadline_at,
+            config_version=self._known.config.version if self._known.config else 0,
         )
         flow = request_flow.RequestFlow(
             self._reactor,
@@ -428,6 +458,7 @@
             self._clear_marks(outcome.accepted)
         accepted = outcome.accepted
         refusal = outcome.refusal
+        self._count(outcome)
         logs.event(
             "request-ended",
             request=accepted.client_id,
@@ -436,11 +467,33 @@
             status=outcome.status,
             code=refusal.code.number if refusal is not None else codes.Code.OK.number,
             server=outcome.server,
+            detail=refusal.detail if refusal is not None else "",
             sends=outcome.sends,
+            config=f"{accepted.config_version:08x}",
             waited_ms=round(outcome.waited_s * 1000, 1),
             total_ms=round(outcome.total_s * 1000, 1),
         )
 
+    def _count(self, outcome: request_flow.Outcome) -> None:
+        metric, service = entry_metrics.EntryMetric, outcome.accepted.service
+        code = outcome.refusal.code if outcome.refusal is not None else codes.Code.OK
+        self._metrics.count(metric.REQUESTS, service, str(code.number))
+        self._metrics.observe(metric.REQUEST_TIME, outcome.total_s, service)
+        self._metrics.observe(metric.SLOT_WAIT, outcome.waited_s, service)
+        for _ in range(1, outcome.sends):
+            self._metrics.count(metric.REPEATS, service)
+
+    def _take_metrics(
+        self,
+        inbound: client_connections.Inbound,
+        answer: typing.Callable[[http1.Answer], None],
+    ) -> None:
+        if inbound.head.target.partition(b"?")[0] != METRICS_PATH:
+            answer(client_connections.own_answer(404))
+            return
+        headers = ((b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8"),)
+        answer(http1.Answer(200, b"OK", headers, self._metrics.text()))
+
     def _is_poison(self, inbound: client_connections.Inbound) -> bool:
         if self._quarantine.empty:
             return False
@@ -484,6 +537,8 @@
             answer(client_connections.own_answer(404))
             return
         addresses = self._addresses(ids.Region(query[1]))
+        status = "200" if addresses else "503"
+        self._metrics.count(entry_metrics.EntryMetric.LOOKUPS, status)
         if not addresses:
             answer(client_connections.own_answer(503))
             return
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -69,6 +69,7 @@
         object_key: Object that it concerns, or None.
         target_at: Monotonic time in seconds until which an answer earns its full worth.
         deadline_at: Monotonic time in seconds of the final answer.
+        config_version: Version of the configuration by which it was placed.
     """
 
     inbound: client_connections.Inbound
@@ -80,6 +81,7 @@
     object_key: str | None
     target_at: float
     deadline_at: float
+    config_version: int
 
 
 @attrs.frozen
@@ -306,6 +308,13 @@
         self._avoided |= {grant.server}
         if self._may_try_again(end):
             self._stage = Stage.WAITING
+            logs.event(
+                "request-retried",
+                request=self._accepted.client_id,
+                server=grant.server,
+                end=end,
+                sends=self._sends,
+            )
             return True
         if end is asks.WorkEnd.FAILED:
             self._pass_on(received)
--- a/src/carobhook/transport/slot_desk.py
+++ b/src/carobhook/transport/slot_desk.py
@@ -218,7 +218,10 @@
             self._granted_to_us(sender, message.grant)
         elif isinstance(message, slot_messages.SlotRefused):
             code = _CODES.get(message.code, codes.Code.NO_BACKEND)
-            self._answer(asks.SlotRefusal(message.ask_id, code, message.retry_after_s))
+            refusal = asks.SlotRefusal(
+                message.ask_id, code, message.retry_after_s, f"{sender}: {message.detail}"
+            )
+            self._answer(refusal)
         elif isinstance(message, slot_messages.SlotMoved):
             self._moved(message.ask_id)
         elif isinstance(message, slot_messages.SlotsHeld):
@@ -391,7 +394,10 @@
                 self._peers.send(asker, slot_messages.SlotGranted(decision))
             else:
                 refused = slot_messages.SlotRefused(
-                    decision.ask_id, decision.code.number, decision.retry_after_s
+                    decision.ask_id,
+                    decision.code.number,
+                    decision.retry_after_s,
+                    decision.detail,
                 )
                 self._peers.send(asker, refused)
 
