Promise not-run where it is true, so that clients may come back

What waited until its deadline was answered 504, which promises nothing. Ruled out: longer waits; the time was over. Test: tests/test_intake.py.

--- a/src/carobhook/coordination/refusals.py
+++ b/src/carobhook/coordination/refusals.py
@@ -6,6 +6,8 @@
 
 # Codes that promise that the request was not run travel with one of these statuses.
 NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
+# These say nothing of whether the request was run, so a client must not repeat it.
+_SILENT_STATUSES = frozenset({502, 504})
 
 
 @attrs.frozen
@@ -26,8 +28,10 @@
 
     @property
     def status(self) -> int:
-        """Return the HTTP status; one that promises not-run only if that is true."""
+        """Return the HTTP status: one that promises not-run if, and only if, that is true."""
         status = self.code.value.http_status
-        if self.may_have_run and status in NOT_RUN_STATUSES:
-            return 502
+        if self.may_have_run:
+            return 502 if status in NOT_RUN_STATUSES else status
+        if status in _SILENT_STATUSES and self.code.run is codes.Run.NOT_RUN:
+            return 503
         return status
--- a/tests/test_intake.py
+++ b/tests/test_intake.py
@@ -93,3 +93,10 @@
         sent = refusals.Refusal(codes.Code.DEADLINE_UNMEETABLE, may_have_run=True)
         assert sent.status == 502
         assert refusals.Refusal(codes.Code.DEADLINE_UNMEETABLE).status == 503
+
+    def test_promise_is_made_where_it_is_true(self):
+        """What waited until its deadline was not run, so its client may come back."""
+        waited = refusals.Refusal(codes.Code.DEADLINE_PASSED_QUEUED)
+        assert waited.status == 503
+        sent = refusals.Refusal(codes.Code.DEADLINE_PASSED_QUEUED, may_have_run=True)
+        assert sent.status == 504
