--- a/src/carobhook/coordination/slot_loans.py
+++ b/src/carobhook/coordination/slot_loans.py
@@ -17,6 +17,8 @@
 _ROOM_SLOTS = 1.5
 # A region keeps a loan until it needs this much less, so that loans don't come and go.
 _HYSTERESIS_SLOTS = 0.7
+# A borrower has heard of a change after this, and has told which recalled slots still work.
+_RECALL_S = 0.7
 
 
 @attrs.frozen
@@ -107,6 +109,56 @@
         self._lent = {region: count for region, count in moved.items() if count > 0}
 
 
+@attrs.define
+class RecalledSlots:
+    """Slots that were lent until a moment ago, and may still be given out by the borrower.
+
+    Load pattern: loans move while every slot is busy. A slot that two dispatchers give out at
+    once lets one request wait inside the server, where nobody can refuse or move it.
+    """
+
+    _held: list[tuple[float, ids.Server, int]] = attrs.field(factory=list, init=False)
+
+    @property
+    def counts(self) -> dict[ids.Server, int]:
+        """Return the slots of each server that must not be given out yet."""
+        found: dict[ids.Server, int] = {}
+        for _, server, count in self._held:
+            found[server] = found.get(server, 0) + count
+        return found
+
+    def of(self, server: ids.Server) -> int:
+        """Return the slots of one server that must not be given out yet."""
+        return self.counts.get(server, 0)
+
+    def recall(
+        self,
+        before: Mapping[ids.Region, Mapping[ids.Server, int]],
+        after: Mapping[ids.Region, Mapping[ids.Server, int]],
+        now: float,
+    ) -> None:
+        """Take note of the slots that a change of loans takes back.
+
+        Args:
+            before: The loans until now.
+            after: The loans from now on.
+            now: Monotonic time in seconds.
+        """
+        for region, held in before.items():
+            for server, count in held.items():
+                less = count - after.get(region, {}).get(server, 0)
+                if less > 0:
+                    self._held.append((now + _RECALL_S, server, less))
+
+    def forget(self, now: float) -> None:
+        """Give up the slots whose borrower has heard of the change by now.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        self._held = [entry for entry in self._held if entry[0] > now]
+
+
 def place_loans(
     lent: Mapping[ids.Region, int],
     slots: Mapping[ids.Server, int],
--- a/src/carobhook/entry_settings.py
+++ b/src/carobhook/entry_settings.py
@@ -156,7 +156,7 @@
     log: settings.LogSettings = attrs.field(factory=settings.LogSettings)
 
 
-_TABLES: dict[str, type[Any]] = {
+TABLES: dict[str, type[Any]] = {
     "place": PlaceSettings,
     "store": StoreSettings,
     "capacity": CapacitySettings,
@@ -193,9 +193,9 @@
     except settings.SettingsFault as fault:
         raise settings.SettingsError(source, [fault]) from fault
     reader = tables.Reader(tables.Lines.scan(text), settings.SettingsFault)
-    reader.report_unknown_tables(content, (*_TABLES, _REGIONS))
+    reader.report_unknown_tables(content, (*TABLES, _REGIONS))
     values = {
-        name: reader.read(kind, name, content.get(name, {})) for name, kind in _TABLES.items()
+        name: reader.read(kind, name, content.get(name, {})) for name, kind in TABLES.items()
     }
     regions = content.get(_REGIONS, {})
     if not isinstance(regions, dict) or not regions:
--- a/src/carobhook/reference.py
+++ b/src/carobhook/reference.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from carobhook import events, metrics, settings
+from carobhook import entry_metrics, entry_settings, events, metrics, settings
 from carobhook.state import codes
 
 
@@ -62,12 +62,26 @@
         "Made by `make docs`.",
     ]
     for name, kind in settings.TABLES.items():
-        lines += ["", f"## [{name}]", "", (kind.__doc__ or "").strip(), ""]
-        rows = [_setting_row(field) for field in attrs.fields(kind)]
-        lines += _table(("Key", "Expected", "Default", "Meaning"), rows)
+        lines += _settings_table(name, kind)
+    lines += [
+        "",
+        "# Settings on the platform",
+        "",
+        "A file with a table `place` describes an entry instance on the platform. On the",
+        "platform it is made from the template `deploy/settings.toml`. Besides these tables,",
+        "`[regions]` holds the region of each failure domain.",
+    ]
+    for name, kind in entry_settings.TABLES.items():
+        lines += _settings_table(name, kind)
     return "\n".join([*lines, ""])
 
 
+def _settings_table(name: str, kind: type[Any]) -> list[str]:
+    rows = [_setting_row(field) for field in attrs.fields(kind)]
+    heading = ["", f"## [{name}]", "", (kind.__doc__ or "").strip(), ""]
+    return heading + _table(("Key", "Expected", "Default", "Meaning"), rows)
+
+
 def events_page() -> str:
     """Return docs/EVENTS.md."""
     rows = [(f"`{event.value.name}`", event.value.text) for event in events.Event]
@@ -99,10 +113,21 @@
         )
         for info in (metric.value for metric in metrics.Metric)
     ]
+    served = [
+        (f"`{info.name}`", info.kind.value, ", ".join(info.labels), info.text)
+        for info in (metric.value for metric in entry_metrics.EntryMetric)
+    ]
     return "\n".join(
         (
             "# Metrics",
             "",
+            "An entry instance on the platform serves these as text at `/metrics` of its",
+            "metrics address. The users' letter asks for this in place of the brief's statsd.",
+            "",
+            *_table(("Name", "Kind", "Labels", "Meaning"), served),
+            "",
+            "## The former daemon",
+            "",
             "Each daemon sends its metrics by UDP to the statsd server of `[metrics] address`,",
             f"every {metrics.FLUSH_INTERVAL_S:g} s in few datagrams, and none when no address",
             "is set. Names begin with `[metrics] prefix`. Where a name ends in RANK or CODE,",
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -155,6 +155,7 @@
         self._first_slot_at: float | None = None
         self._timer: typing.Any = None
         self._answered = False
+        self._failure: server_connections.Received | None = None
 
     @property
     def stage(self) -> Stage:
@@ -306,6 +307,7 @@
             return False
         if end is asks.WorkEnd.FAILED:
             self._may_have_run = True
+            self._failure = received
         elif end is asks.WorkEnd.BROKEN:
             self._broke(self._accepted)
         self._avoided |= {grant.server}
@@ -319,9 +321,7 @@
                 sends=self._sends,
             )
             return True
-        if end is asks.WorkEnd.FAILED:
-            self._pass_on(received)
-        elif end is asks.WorkEnd.BROKEN:
+        if end is asks.WorkEnd.BROKEN:
             self._refuse(refusals.Refusal(codes.Code.BACKEND_LOST, True))
         else:
             code = (
@@ -349,6 +349,10 @@
         self._finish(answer.status, None)
 
     def _refuse(self, refusal: refusals.Refusal) -> None:
+        if self._failure is not None and not self._answered:
+            # A server's own failure tells the client more than one of this instance.
+            self._pass_on(self._failure)
+            return
         if not self._answered:
             self._answered = True
             self._answer(refusal_answer(refusal))
--- a/src/carobhook/transport/slot_desk.py
+++ b/src/carobhook/transport/slot_desk.py
@@ -98,6 +98,7 @@
         factory=dict
     )
     lent: dict[ids.Region, dict[ids.Server, int]] = attrs.field(factory=dict)
+    recalled: slot_loans.RecalledSlots = attrs.field(factory=slot_loans.RecalledSlots)
 
 
 class SlotDesk:
@@ -502,6 +503,9 @@
             for server, count in borrowed.items():
                 counts[server] = counts.get(server, 0) + count
         now = self._reactor.seconds()
+        held.recalled.forget(now)
+        for server, count in held.recalled.counts.items():
+            counts[server] = counts.get(server, 0) + count
         for region, (report, heard_at) in held.reports.items():
             if now - heard_at > _REPORT_LIFETIME_S:
                 continue
@@ -533,9 +537,14 @@
         }
         loads[region] = slot_loans.RegionLoad(sum(own_slots.values()), held.demand)
         held.loans.update(slot_loans.wanted_loans(region, loads), loads)
-        order = dict(sorted(own_slots.items(), key=lambda item: item[0]))
         before = held.lent
+        held.recalled.forget(now)
+        order = {
+            server: max(0, own_slots[server] - held.recalled.of(server))
+            for server in sorted(own_slots)
+        }
         held.lent = slot_loans.place_loans(held.loans.lent, order, held.lent)
+        held.recalled.recall(before, held.lent, now)
         if held.lent != before:
             logs.event(
                 "slots-lent",
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -299,6 +299,13 @@
         statuses = [(await self.request(X_Attempt_Id=str(n))).status for n in range(4)]
         assert statuses == [200] * 4
 
+    async def test_failure_of_every_server_is_passed_on(self):
+        """A server's own 500 reaches the client when no other server does better."""
+        self.behave(status=500, body=b"mine")
+        answer = await self.request()
+        assert (answer.status, answer.body) == (500, b"mine")
+        assert answer.get("x-instance-id") in self.backends
+
     async def test_octets_behind_an_answer_reach_nobody(self):
         """A connection that carried more than its answer is not used again."""
         self.behave(extra=b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nevil")
--- a/tests/test_slot_loans.py
+++ b/tests/test_slot_loans.py
@@ -94,3 +94,25 @@
             assert sum(held.get(name, 0) for held in first.values()) <= 3
         again = slot_loans.place_loans({A: 2, C: 3}, slots, first)
         assert again == first
+
+
+class TestRecalledSlots:
+    """Slots on their way back."""
+
+    def test_recalled_slot_is_given_out_by_nobody_for_a_moment(self):
+        """The borrower may still use it until it has heard of the change."""
+        x = ids.Server("x")
+        recalled = slot_loans.RecalledSlots()
+        recalled.recall({A: {x: 3}}, {A: {x: 1}, C: {x: 1}}, 10.0)
+        assert recalled.of(x) == 2
+        recalled.forget(10.2)
+        assert recalled.of(x) == 2
+        recalled.forget(11.0)
+        assert recalled.counts == {}
+
+    def test_loan_that_grows_recalls_nothing(self):
+        """Only what is taken back is held."""
+        x = ids.Server("x")
+        recalled = slot_loans.RecalledSlots()
+        recalled.recall({A: {x: 1}}, {A: {x: 3}}, 0.0)
+        assert recalled.counts == {}
