--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -17,7 +17,6 @@
 _SLOWNESS_HALF_LIFE_S = 3.0
 _SLOWNESS_RANGE = (0.5, 8.0)
 _SHED_PAUSE_S = 0.15
-_COLD_BURST = 2.0
 
 
 @attrs.frozen
@@ -169,11 +168,7 @@
 
 @attrs.define
 class ServerPool:
-    """The servers that one dispatcher gives work to.
-
-    Attributes:
-        cold_rates: Requests a second that one cold server may get from this pool, by service.
-    """
+    """The servers that one dispatcher gives work to."""
 
     _servers: dict[ids.Server, PooledServer] = attrs.field(factory=dict, init=False)
     _holders: dict[str, set[ids.Server]] = attrs.field(factory=dict, init=False)
--- a/src/carobhook/transport/slot_desk.py
+++ b/src/carobhook/transport/slot_desk.py
@@ -19,14 +19,10 @@
 from carobhook.protocol import slot_messages
 from carobhook.state import asks, codes, ids
 
-# How often slots that nobody tells of are looked at again, and loans are moved.
-TICK_S = 0.1
 _REPORT_INTERVAL_S = 0.5
 _REPORT_LIFETIME_S = 1.6
 _DEMAND_WEIGHT = 0.2
 _COLD_BURST = 2.0
-# A grant whose instance died without telling its end is forgotten after this.
-_FORGOTTEN_AFTER_S = 10.0
 _MOVED_RETRY_S = 0.02
 _ROUND_TRIP_WEIGHT = 0.2
 
