--- a/src/carobhook/cli/__init__.py
+++ b/src/carobhook/cli/__init__.py
@@ -8,7 +8,6 @@
     demo,
     explain_request,
     reference,
-    scenario,
     serve,
     standin,
 )
@@ -20,7 +19,7 @@
     add_completion=False,
     rich_markup_mode="markdown",
     epilog=(
-        "Exit codes: 0 done, 1 order refused or scenario failed, 2 bad usage or settings, "
+        "Exit codes: 0 done, 1 order refused, 2 bad usage or settings, "
         "3 unreachable, 4 accepted but not in force in time, 5 address in use, "
         "6 failed otherwise."
     ),
@@ -31,7 +30,6 @@
 app.command(name="explain-request")(explain_request.explain_request)
 app.command(name="codes")(reference.codes)
 app.command(name="demo")(demo.demo)
-app.command(name="scenario")(scenario.scenario)
 app.add_typer(standin.app, name="standin")
 
 
--- a/src/carobhook/cli/demo.py
+++ b/src/carobhook/cli/demo.py
@@ -30,7 +30,6 @@
     SIGTERM.
     """
     layout = layouts.Layout(
-        layouts.description(),
         layouts.Ports.starting_at(base_port),
         token=secrets.token_urlsafe(_TOKEN_BYTES),
         peer_key=secrets.token_urlsafe(_TOKEN_BYTES),
@@ -42,7 +41,7 @@
         layouts.write(layout, write)
     except OSError as problem:
         exits.leave(exits.Exit.USAGE, f"error: --write {write}: {problem}")
-    typer.echo(f"wrote {len(layout.description.instances)} instances to {write}")
+    typer.echo(f"wrote {len(layout.instances)} instances to {write}")
 
 
 def _run_here(layout: layouts.Layout) -> None:
--- a/src/carobhook/cli/local.py
+++ b/src/carobhook/cli/local.py
@@ -1,45 +1,43 @@
 """Runs the demo's deployment in one process."""
 
-from collections.abc import Sequence
+import random
 from typing import Any
 
 import attrs
 import typer
-from twisted.internet import defer, task
+from twisted.internet import defer
 
-from carobhook import demo, deployment, events, logs, settings
-from carobhook.cli import applying, operator
-from carobhook.standins import backend, caller, memory_store
-from carobhook.standins import store as store_standin
-from carobhook.transport import daemon
+from carobhook import demo, entry_settings, events, logs
+from carobhook.platform import names, store
+from carobhook.standins import memory_store, platform_client, platform_store, service_group
+from carobhook.transport import entry_daemon
 
-_CALLER_RATE = 10.0
-_CALLER_SPELL_S = 60.0
-_POLL_INTERVAL_S = 0.2
+_RATE = 10.0
+_SPELL_S = 60.0
+_STORE_TIMEOUT_S = 2.0
 
 
 @attrs.define
 class LocalDemo:
-    """Object API, backend servers, entry instances and a caller in one reactor."""
+    """Store, backend servers, entry instances and clients in one reactor."""
 
     _reactor: Any
     _layout: demo.Layout
-    _daemons: list[daemon.Daemon] = attrs.field(factory=list, init=False)
+    _daemons: list[entry_daemon.EntryDaemon] = attrs.field(factory=list, init=False)
     _stopping: bool = attrs.field(default=False, init=False)
 
     async def start(self) -> None:
-        """Start everything, give the first order and print how to look around."""
-        ports = self._layout.ports
-        engine = memory_store.MemoryStore()
-        store_standin.listen(self._reactor, demo.HOST, ports.store, engine)
-        for group in self._layout.backends:
-            await self._start_backends(group)
-        for index in range(len(self._layout.description.instances)):
-            text = self._layout.settings_text(index)
-            instance = daemon.Daemon(settings.loads(text), self._reactor)
-            await instance.start()
-            self._daemons.append(instance)
-        await self._configure()
+        """Start everything and print how to look around."""
+        engine = platform_store.PlatformStoreServer(self._reactor, memory_store.MemoryStore())
+        engine.listen(demo.HOST, self._layout.ports.store)
+        engine.put(names.CONFIG_KIND, names.CONFIG_NAME, self._layout.config())
+        client = store.PlatformStore(self._reactor, self._layout.store, _STORE_TIMEOUT_S)
+        await service_group.ServiceGroup(self._reactor, client).start(self._layout.servers)
+        for index in range(len(self._layout.instances)):
+            loaded = entry_settings.loads(self._layout.settings_text(index))
+            daemon = entry_daemon.EntryDaemon(loaded, self._reactor)
+            await daemon.start()
+            self._daemons.append(daemon)
         typer.echo(self._layout.guide(self._layout.token))
         defer.ensureDeferred(self._call()).addErrback(_log_failure)
 
@@ -48,54 +46,16 @@
         typer.echo("stopping")
         self._stopping = True
         await defer.DeferredList(
-            [defer.ensureDeferred(instance.stop()) for instance in self._daemons]
+            [defer.ensureDeferred(daemon.stop()) for daemon in self._daemons]
         )
 
-    async def _start_backends(self, group: demo.BackendGroup) -> None:
-        await backend.start(
-            self._reactor,
-            store_url=self._layout.store_url,
-            region=group.region,
-            failure_domain=group.failure_domain,
-            services=group.services,
-            count=group.count,
-            host=demo.HOST,
-            first_port=group.first_port,
-            slots=group.slots,
-            service_time_ms=group.service_time_ms,
-        )
-
-    async def _configure(self) -> None:
-        """Give the first order once every instance is known, and wait until it is in force."""
-        given = operator.HttpOperator(
-            self._reactor, self._layout.operators[0], self._layout.token
-        )
-        while len((await given.send(operator.Order("show instances"))).rows or ()) < len(
-            self._daemons
-        ):
-            await task.deferLater(self._reactor, _POLL_INTERVAL_S)
-        edits = applying.plain_edits(deployment.edits(self._layout.description))
-        answer = await given.send(operator.Order("apply demo.toml", edits))
-        while answer.version is not None:
-            progress = await given.progress(answer.version)
-            if progress.complete:
-                return
-            await task.deferLater(self._reactor, _POLL_INTERVAL_S)
-
     async def _call(self) -> None:
         """Send a little traffic until the stop."""
-        services: Sequence[str] = [s.name for s in self._layout.description.services]
-        seed = 0
+        client = platform_client.PlatformClient(
+            self._reactor, self._layout.directories, "addis", "addis-a", random.Random()
+        )
         while not self._stopping:
-            await caller.run_load(
-                self._reactor,
-                self._layout.entries,
-                services,
-                rate=_CALLER_RATE,
-                duration_s=_CALLER_SPELL_S,
-                seed=seed,
-            )
-            seed += 1
+            await client.run(self._layout.requests, _RATE, _SPELL_S)
 
 
 def _log_failure(reason: Any) -> None:
--- a/src/carobhook/cli/operator.py
+++ b/src/carobhook/cli/operator.py
@@ -43,12 +43,10 @@
 
     Attributes:
         text: The order as the operator wrote it.
-        edits: Prepared edits in plain form, when the order brings a file.
         id: Random id; the same in every attempt to send the order.
     """
 
     text: str
-    edits: list[Any] | None = None
     id: ids.OrderId = attrs.field(factory=_new_order_id)
 
 
@@ -145,8 +143,6 @@
             UnexpectedAnswerError: The answer is not one of a daemon.
         """
         body: dict[str, Any] = {"id": order.id, "text": order.text}
-        if order.edits is not None:
-            body["edits"] = order.edits
         return await self._attempt(Answer, "POST", "orders", body)
 
     async def progress(self, version: int) -> Progress:
--- a/src/carobhook/cli/serve.py
+++ b/src/carobhook/cli/serve.py
@@ -1,8 +1,6 @@
 """Commands that run one daemon and check its settings."""
 
 import pathlib
-import re
-import sys
 from typing import Annotated
 
 import typer
@@ -10,8 +8,6 @@
 from carobhook import entry_settings, settings
 from carobhook.cli import exits
 
-_PLATFORM_TABLE = re.compile(r"^\s*\[place\]", re.MULTILINE)
-
 SettingsFile = Annotated[
     pathlib.Path, typer.Option("--settings", "-s", help="Settings file in TOML.")
 ]
@@ -27,7 +23,7 @@
     faulty = False
     for file in files:
         try:
-            _load_any(file)
+            entry_settings.load(file)
         except settings.SettingsError as group:
             faulty = True
             _report(file, group)
@@ -37,21 +33,6 @@
         raise typer.Exit(exits.Exit.USAGE)
 
 
-def _load_any(
-    file: pathlib.Path,
-) -> settings.Settings | entry_settings.EntrySettings:
-    """Return the settings of a file; those of the platform have a table ``place``.
-
-    Raises:
-        settings.SettingsError: The file has faults.
-    """
-    text = settings.read_text(file)
-    is_platform = _PLATFORM_TABLE.search(text) is not None
-    if is_platform:
-        return entry_settings.loads(text, str(file))
-    return settings.loads(text, str(file))
-
-
 def serve(settings_file: SettingsFile) -> None:
     """Run one daemon until SIGINT or SIGTERM, which stop it gracefully.
 
@@ -60,36 +41,20 @@
     not to start: the daemon keeps trying and says so at /readyz.
     """
     loaded = _load_or_leave(settings_file)
-    if isinstance(loaded, entry_settings.EntrySettings):
-        from carobhook import entry
-
-        entry.run(settings_file, loaded)
-        return
     # Imported late, so that check-settings needs no reactor.
-    from twisted.internet import reactor
+    from carobhook import entry
 
-    from carobhook import logs
-    from carobhook.cli import running
-    from carobhook.transport import daemon, tls
-
-    logs.setup(loaded.log, sys.stderr, loaded.instance.name)
-    try:
-        instance = daemon.Daemon(loaded, reactor)
-    except tls.TlsFilesError as problem:
-        exits.leave(exits.Exit.USAGE, f"{settings_file}: {problem}")
-    running.until_stopped(reactor, instance.start, instance.stop)
+    entry.run(settings_file, loaded)
 
 
-def _load_or_leave(
-    file: pathlib.Path,
-) -> settings.Settings | entry_settings.EntrySettings:
+def _load_or_leave(file: pathlib.Path) -> entry_settings.EntrySettings:
     """Return the settings of a file.
 
     Raises:
         typer.Exit: The file has faults; they have been printed.
     """
     try:
-        return _load_any(file)
+        return entry_settings.load(file)
     except settings.SettingsError as group:
         _report(file, group)
         exits.leave(exits.Exit.USAGE)
--- a/src/carobhook/cli/session.py
+++ b/src/carobhook/cli/session.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from carobhook.cli import applying, exits, operator, output
+from carobhook.cli import exits, operator, output
 from carobhook.state import codes
 
 _POLL_INTERVAL_S = 0.1
@@ -31,7 +31,7 @@
     def run(self, text: str) -> exits.Exit:
         """Send one order, print what came of it, and return the exit code."""
         try:
-            answer = self._operator.send(applying.prepare(text))
+            answer = self._operator.send(operator.Order(text))
             progress = self._follow(answer)
         except operator.UnreachableError as problem:
             self._printer.problem(codes.Code.DAEMON_UNREACHABLE, str(problem))
@@ -39,9 +39,6 @@
         except operator.UnexpectedAnswerError as problem:
             self._printer.problem(codes.Code.DAEMON_UNREACHABLE, str(problem))
             return exits.Exit.UNREACHABLE
-        except applying.FileError as problem:
-            self._printer.problem(codes.Code.ORDER_INVALID, str(problem))
-            return exits.Exit.USAGE
         self._printer.answer(answer, progress)
         return _exit_of(answer, progress)
 
--- a/src/carobhook/coordination/catalog.py
+++ b/src/carobhook/coordination/catalog.py
@@ -1,5 +1,7 @@
 """What this instance believes of backend servers, evacuations and the configuration."""
 
+from collections.abc import Callable
+
 import attrs
 
 from carobhook.state import ids, routing, servers
@@ -39,8 +41,14 @@
     Load pattern: the store goes away for seconds while servers live on, and their entries lapse
     meanwhile. Entries that are missing when it returns are used for a short time more, so that
     a return of the store does not empty every service at once.
+
+    Attributes:
+        empties: Tells whether operators want a server to get no new work at all.
     """
 
+    empties: Callable[[servers.ServerEntry], bool] = attrs.field(
+        default=lambda entry: False, init=False
+    )
     _servers: dict[ids.Server, _Known] = attrs.field(factory=dict, init=False)
     _evacuated: frozenset[ids.FailureDomain] = attrs.field(default=frozenset(), init=False)
     _config: routing.RoutingConfig | None = attrs.field(default=None, init=False)
@@ -144,6 +152,7 @@
         return (
             known.entry.state is servers.ServerState.READY
             and known.entry.zone not in self._evacuated
+            and not self.empties(known.entry)
         )
 
     def servers(self, now: float) -> list[ServerView]:
@@ -160,3 +169,12 @@
             for name, known in self._servers.items()
             if self.usable(name)
         ]
+
+    def servers_of(self, service: ids.Service, now: float) -> list[ServerView]:
+        """Return the servers of a service that may be used.
+
+        Args:
+            service: The service.
+            now: Monotonic time in seconds.
+        """
+        return [view for view in self.servers(now) if view.entry.service == service]
--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -64,9 +64,13 @@
 
     Args:
         allowance: Bounds repeats.
+
+    Attributes:
+        paused: Whether asks wait whatever is free, because not all slots in use are known yet.
     """
 
     allowance: retry_allowance.RetryAllowance
+    paused: bool = attrs.field(default=False, init=False)
     pool: server_pool.ServerPool = attrs.field(factory=server_pool.ServerPool, init=False)
     _times: work_times.WorkTimes = attrs.field(factory=work_times.WorkTimes, init=False)
     _waiting: list[_Waiting] = attrs.field(factory=list, init=False)
@@ -99,7 +103,7 @@
             self._demand_s += guess_s
         waiting = _Waiting(ask, now, guess_s, late=False)
         waiting.late = self._misses_target(waiting, now)
-        refusal = self._refuse_on_arrival(waiting, now)
+        refusal = None if self.paused else self._refuse_on_arrival(waiting, now)
         if refusal is not None:
             return [refusal]
         self._waiting.append(waiting)
@@ -153,7 +157,7 @@
             now: Monotonic time in seconds.
         """
         decisions: list[Decision] = []
-        if not self._waiting:
+        if not self._waiting or self.paused:
             return decisions
         for waiting in self._waiting:
             if not waiting.late and self._misses_target(waiting, now):
--- a/src/carobhook/coordination/feeding.py
+++ b/src/carobhook/coordination/feeding.py
@@ -7,11 +7,12 @@
 """
 
 import math
-from collections.abc import Sequence
+from collections.abc import Iterable, Sequence
 
 import attrs
 
-from carobhook.state import ids
+from carobhook.coordination import membership
+from carobhook.state import ids, members
 
 # Proofs are sent this often, and trusted this long.
 PROOF_INTERVAL_S = 0.3
@@ -30,6 +31,18 @@
     return now - answered_at <= _IN_TOUCH_S
 
 
+def candidates(serving: Iterable[members.Member], region: ids.Region) -> list[ids.InstanceId]:
+    """Return the instances that could follow the store for a region, best first.
+
+    Args:
+        serving: Instances that take new work.
+        region: The region.
+    """
+    able = [m.name for m in serving if m.region == region and m.reaches_store]
+    ordered = membership.rendezvous(f"feed/{region}", able)
+    return [ids.InstanceId(name) for name in ordered]
+
+
 @attrs.frozen
 class Step:
     """What an instance does now.
--- a/src/carobhook/coordination/following.py
+++ b/src/carobhook/coordination/following.py
@@ -77,7 +77,6 @@
         clock: Reactor, or `twisted.internet.task.Clock`.
         rng: Source of the jitter.
         kinds: Kinds to follow.
-        listed_kinds: Kinds that are listed after those, and not watched.
         handler: Called with every message; must not raise.
         options: Waits and delays.
         resume_at: Revision up to which the objects are known already.
@@ -91,7 +90,6 @@
         kinds: Sequence[str],
         handler: Handler,
         *,
-        listed_kinds: Sequence[str] = (),
         options: FollowOptions | None = None,
         resume_at: int | None = None,
     ) -> None:
@@ -99,7 +97,6 @@
         self._clock = clock
         self._rng = rng
         self._kinds = tuple(kinds)
-        self._listed_kinds = tuple(listed_kinds)
         self._handler = handler
         self._options = options or FollowOptions()
         self._since = resume_at
@@ -152,7 +149,7 @@
 
     async def _list(self) -> None:
         found = {}
-        for kind in (*self._kinds, *self._listed_kinds):
+        for kind in self._kinds:
             found[kind] = await self._store.list(kind)
         self._listed = {kind: found[kind].revision for kind in self._kinds}
         self._since = min(self._listed.values())
--- a/src/carobhook/coordination/intake.py
+++ b/src/carobhook/coordination/intake.py
@@ -2,13 +2,18 @@
 
 import attrs
 
-from carobhook.coordination import refusals
+from carobhook.coordination import refusals, steering
+from carobhook.protocol import own_calls
 from carobhook.state import codes, ids, routing
 
 # Time that a client waits if it does not say; the route's timeout binds besides.
 _DEFAULT_TIME_LEFT_S = 30.0
 # An answer that is sent at the client's deadline arrives after it.
 _CLIENT_MARGIN_S = 0.03
+# Of a request to a service by its name: part of its time in which its answer is timely, and
+# the most servers that it may be sent to.
+_TARGET_SHARE = 0.5
+_CALL_ATTEMPTS = 2
 
 
 @attrs.frozen
@@ -19,6 +24,8 @@
         route: Its route.
         service: The service that is to run it.
         region: Region whose dispatcher is asked.
+        fallback: Region that is asked if that one refuses, None for none.
+        priority: Rank of the request; 0 is the most urgent.
         target_at: Monotonic time in seconds until which an answer earns its full worth.
         deadline_at: Monotonic time in seconds of the final answer.
     """
@@ -26,6 +33,8 @@
     route: routing.Route
     service: ids.Service
     region: ids.Region
+    fallback: ids.Region | None
+    priority: int
     target_at: float
     deadline_at: float
 
@@ -40,9 +49,11 @@
 
     Attributes:
         region: Region of this instance.
+        orders: Operators' orders in force.
     """
 
     region: ids.Region
+    orders: steering.Steering
     _credits: dict[str, dict[ids.Service, float]] = attrs.field(factory=dict, init=False)
     _longest_s: dict[str, float] = attrs.field(factory=dict, init=False)
 
@@ -73,14 +84,62 @@
         self._longest_s[route.name] = longest_s
         waited_s = longest_s - left_s if time_left_s is not None else 0.0
         deadline_at = began_at + min(route.timeout_s, left_s - _CLIENT_MARGIN_S)
+        service = self.pick(route)
+        priority = self.orders.priority(route.name, route.priority)
+        home = self._home_of(route)
+        region = self.orders.region_for(service, home, priority, route.homes)
         return Placed(
             route,
-            self.pick(route),
-            self._region_for(route),
+            service,
+            region,
+            home if region != home else None,
+            priority,
             began_at + route.target_s - waited_s,
             deadline_at,
         )
 
+    def place_call(
+        self,
+        config: routing.RoutingConfig | None,
+        call: own_calls.ServiceCall,
+        began_at: float,
+    ) -> Placed | refusals.Refusal:
+        """Return where a request to a service goes, or why it is refused.
+
+        Args:
+            config: Configuration in force, None before the first.
+            call: The request.
+            began_at: Monotonic time in seconds at which it came.
+        """
+        if config is None:
+            return refusals.Refusal(codes.Code.NO_CONFIG, retry_after_s=0.5)
+        if call.service not in config.services:
+            detail = f"no service {call.service!r}"
+            return refusals.Refusal(codes.Code.NO_ROUTE, detail=detail)
+        left_s = _DEFAULT_TIME_LEFT_S if call.time_left_s is None else call.time_left_s
+        route = routing.Route(
+            name=f"service/{call.service}",
+            host="",
+            prefix="/",
+            idempotency=_idempotency(call),
+            timeout_s=left_s,
+            target_s=left_s * _TARGET_SHARE,
+            priority=call.priority,
+            shares=(routing.Share(call.service, 1),),
+            max_attempts=_CALL_ATTEMPTS,
+            keeps_objects=False,
+        )
+        region = self.orders.region_for(call.service, self.region, call.priority, frozenset())
+        return Placed(
+            route,
+            call.service,
+            region,
+            self.region if region != self.region else None,
+            call.priority,
+            began_at + route.target_s,
+            began_at + left_s - _CLIENT_MARGIN_S,
+        )
+
     def pick(self, route: routing.Route) -> ids.Service:
         """Return the service that takes a route's next request, by the weights.
 
@@ -98,11 +157,17 @@
         credits_[chosen] -= total
         return chosen
 
-    def _region_for(self, route: routing.Route) -> ids.Region:
+    def _home_of(self, route: routing.Route) -> ids.Region:
         if not route.homes or self.region in route.homes:
             return self.region
         return min(route.homes)
 
 
+def _idempotency(call: own_calls.ServiceCall) -> routing.Idempotency:
+    if call.repeatable:
+        return routing.Idempotency.REPEATABLE
+    return routing.Idempotency.ONCE
+
+
 def _services(route: routing.Route) -> set[ids.Service]:
     return {share.service for share in route.shares}
--- /dev/null
+++ b/src/carobhook/coordination/order_tables.py
@@ -0,0 +1,360 @@
+"""Answers operators' questions from what one instance knows."""
+
+import datetime
+from collections.abc import Callable, Sequence
+from typing import Any
+
+import attrs
+
+from carobhook.coordination import catalog, ordering, paces, steering
+from carobhook.protocol import slot_messages
+from carobhook.state import codes, ids, members, orders, routing, statements
+
+Row = tuple[Any, ...]
+
+
+@attrs.frozen
+class Answer:
+    """Answer to an order or a question.
+
+    Attributes:
+        code: What came of it.
+        text: One sentence, empty for that of the code.
+        version: Version of the orders that it made or tells of.
+        columns: Names of the columns of a table.
+        rows: Its rows.
+    """
+
+    code: codes.Code
+    text: str = ""
+    version: ids.Version | None = None
+    columns: tuple[str, ...] = ()
+    rows: tuple[Row, ...] = ()
+
+
+@attrs.frozen
+class View:
+    """What questions are answered from.
+
+    Attributes:
+        orders: Orders in force here, and how far each has taken effect.
+        config: Configuration in force, None before the first.
+        servers: Servers that may be used.
+        live: Instances that were heard lately.
+        loads: How busy the shards are, as their dispatchers told.
+        regions: Regions by failure domain.
+    """
+
+    orders: steering.Steering
+    config: routing.RoutingConfig | None
+    servers: Sequence[catalog.ServerView]
+    live: Sequence[members.Member]
+    loads: Sequence[slot_messages.ShardLoad]
+    regions: dict[ids.FailureDomain, ids.Region]
+
+    @property
+    def routes(self) -> Sequence[routing.Route]:
+        """Return the routes of the configuration."""
+        return self.config.routes if self.config is not None else ()
+
+
+def show(query: statements.Show, view: View) -> Answer:
+    """Return the table that a query asks for."""
+    columns, rows = _TABLES[query.subject](view)
+    return Answer(codes.Code.QUERY_OK, "", view.orders.book.version, columns, tuple(rows))
+
+
+def show_change(query: statements.ShowChange, view: View) -> Answer:
+    """Return one accepted change: who, when, what."""
+    changes = view.orders.book.changes
+    found = next((change for change in changes if change.version == query.version), None)
+    if found is None:
+        text = f"version {query.version} is not kept; the last is {view.orders.book.version}"
+        return Answer(codes.Code.ORDER_INVALID, text)
+    columns, rows = _change_rows((found,))
+    return Answer(codes.Code.QUERY_OK, "", found.version, columns, tuple(rows))
+
+
+def progress(version: ids.Version, live: Sequence[members.Member]) -> Answer:
+    """Return how far a version of the orders is in force.
+
+    Args:
+        version: The version.
+        live: Instances that were heard lately.
+    """
+    lacking = missing(version, live)
+    code = codes.Code.ORDER_ACCEPTED if lacking else codes.Code.ORDER_IN_FORCE
+    reached = len(live) - len(lacking)
+    text = f"version {version} is in force in {reached} of {len(live)} instances"
+    return Answer(code, text, version, ("missing",), tuple((name,) for name in lacking))
+
+
+def missing(version: ids.Version, live: Sequence[members.Member]) -> list[ids.InstanceId]:
+    """Return the instances in which a version is not in force yet."""
+    return [member.name for member in live if member.orders_version < version]
+
+
+def explain_service(query: statements.ExplainService, view: View) -> Answer:
+    """Return where the requests of a region's clients go, and which orders have them there."""
+    book = view.orders.book
+    columns = ("served by", "share", "wanted", "rank", "why", "author")
+    moved = 0.0
+    rows: list[Row] = []
+    for shift in book.shifts:
+        if (shift.service, shift.source) != (query.service, query.region):
+            continue
+        share = view.orders.share_of(shift.order)
+        moved += share if shift.priority is None else 0.0
+        rank = "all" if shift.priority is None else shift.priority
+        why = f"shift {shift.order}"
+        rows.append(
+            (shift.target, _percent(share), _percent(shift.share), rank, why, shift.author)
+        )
+    rows.insert(0, (query.region, _percent(1.0 - moved), "", "all", "its own region", ""))
+    rows += [
+        (f"not {drain.name}", _percent(view.orders.share_of(drain.order)), "100%", "all",
+         f"drain {drain.order}", drain.author)
+        for drain in book.drains
+    ]  # fmt: skip
+    text = "what a region refuses that requests were shifted to is served at home"
+    return Answer(codes.Code.QUERY_OK, text, book.version, columns, tuple(rows))
+
+
+def explain_region(query: statements.ExplainRegion, view: View) -> Answer:
+    """Return how busy a region is, and what binds there."""
+    columns = ("service", "slots", "usable", "running", "waiting", "demand", "binds")
+    rows = [
+        (load.service, load.slots, load.usable, load.running, load.waiting,
+         _number(load.demand), _binding(load))
+        for load in view.loads
+        if load.region == query.region
+    ]  # fmt: skip
+    covering = [
+        f"{drain.kind.value} {drain.name} ({drain.order} of {drain.author})"
+        for drain in view.orders.book.drains
+        if view.orders.share_of(drain.order) > 0
+        and query.region in (drain.name, view.regions.get(ids.FailureDomain(drain.name)))
+    ]
+    text = "drained: " + ", ".join(covering) if covering else "no drain holds here"
+    return Answer(codes.Code.QUERY_OK, text, view.orders.book.version, columns, tuple(rows))
+
+
+def _binding(load: slot_messages.ShardLoad) -> str:
+    if load.usable <= 0:
+        return "no slots"
+    if load.running >= load.usable:
+        return "all slots are in use"
+    if load.waiting:
+        return "servers' pace"
+    return ""
+
+
+def dry_run(command: statements.Command, view: View, context: ordering.OrderContext) -> Answer:
+    """Return what a command would lead to in the end, without carrying it out.
+
+    Args:
+        command: The command.
+        view: What is known.
+        context: Who asks, and when.
+
+    Raises:
+        ordering.OrderFault: The command would not be accepted.
+    """
+    after = ordering.apply(command, view.orders.book, context)
+    columns = ("service", "region", "slots", "demand", "slots then", "demand then", "use then")
+    rows = []
+    short = []
+    for service in sorted({load.service for load in view.loads}):
+        found = [load for load in view.loads if load.service == service]
+        slots = {load.region: _slots_left(after, service, load.region, view) for load in found}
+        demand = _demand_then(after, service, found)
+        for load in sorted(found, key=lambda load: load.region):
+            region = load.region
+            use = _percent(demand[region] / slots[region]) if slots[region] else "none"
+            told = (load.slots, _number(load.demand), slots[region], _number(demand[region]))
+            rows.append((service, region, *told, use))
+        if sum(demand.values()) > sum(slots.values()):
+            short.append(service)
+    text = "regions lend each other slots; "
+    text += f"too few slots for {', '.join(short)}" if short else "there are slots for all"
+    text += f"; {_duration_text(command, after, context)}"
+    version = view.orders.book.version
+    return Answer(codes.Code.QUERY_OK, text, version, columns, tuple(rows))
+
+
+def _slots_left(
+    book: orders.OrderBook, service: ids.Service, region: ids.Region, view: View
+) -> int:
+    drained = {drain.name for drain in book.drains if drain.span.ends_at is None}
+    return sum(
+        server.entry.slots
+        for server in view.servers
+        if server.entry.service == service
+        and view.regions.get(server.entry.zone) == region
+        and not drained & {region, server.entry.zone, server.entry.name}
+    )
+
+
+def _demand_then(
+    book: orders.OrderBook, service: ids.Service, loads: Sequence[slot_messages.ShardLoad]
+) -> dict[ids.Region, float]:
+    now = {load.region: load.demand or 0.0 for load in loads}
+    then = dict(now)
+    for shift in book.shifts:
+        if shift.service == service and shift.span.ends_at is None and shift.source in now:
+            then[shift.source] -= shift.share * now[shift.source]
+            then[shift.target] = then.get(shift.target, 0.0) + shift.share * now[shift.source]
+    return then
+
+
+def _duration_text(
+    command: statements.Command, book: orders.OrderBook, context: ordering.OrderContext
+) -> str:
+    made = [move for move in book.moves if move.order == context.order]
+    if not made:
+        return "in force within seconds"
+    goal = made[0].share if isinstance(made[0], orders.Shift) else 1.0
+    cap = book.cap_of(made[0])
+    return f"takes about {paces.duration_s(goal, cap):.0f} s at {_cap_text(cap)}"
+
+
+# Tables.
+
+
+def _instances(view: View) -> tuple[tuple[str, ...], list[Row]]:
+    columns = ("instance", "region", "failure domain", "phase", "config", "orders", "http")
+    return columns, [
+        (m.name, m.region, m.failure_domain, m.phase.value, f"{m.version:08x}",
+         m.orders_version, m.http)
+        for m in view.live
+    ]  # fmt: skip
+
+
+def _servers(view: View) -> tuple[tuple[str, ...], list[Row]]:
+    columns = ("server", "service", "region", "failure domain", "state", "slots", "address")
+    entries = sorted((server.entry for server in view.servers), key=lambda entry: entry.name)
+    return columns, [
+        (e.name, e.service, view.regions.get(e.zone, ""), e.zone, e.state.value, e.slots,
+         e.address)
+        for e in entries
+    ]  # fmt: skip
+
+
+def _regions(view: View) -> tuple[tuple[str, ...], list[Row]]:
+    columns = ("region", "instances", "servers", "slots", "running", "waiting")
+    rows: list[Row] = []
+    for region in sorted(set(view.regions.values())):
+        loads = [load for load in view.loads if load.region == region]
+        own = [s for s in view.servers if view.regions.get(s.entry.zone) == region]
+        rows.append(
+            (
+                region,
+                sum(member.region == region for member in view.live),
+                len(own),
+                sum(server.entry.slots for server in own),
+                sum(load.running for load in loads),
+                sum(load.waiting for load in loads),
+            )
+        )
+    return columns, rows
+
+
+def _traffic(view: View) -> tuple[tuple[str, ...], list[Row]]:
+    columns = ("service", "region", "slots", "usable", "running", "waiting", "demand", "lent",
+               "withheld")  # fmt: skip
+    ordered = sorted(view.loads, key=lambda load: (load.service, load.region))
+    return columns, [
+        (load.service, load.region, load.slots, load.usable, load.running, load.waiting,
+         _number(load.demand), " ".join(f"{to}:{count}" for to, count in load.lent if count),
+         load.withheld)
+        for load in ordered
+    ]  # fmt: skip
+
+
+def _routes(view: View) -> tuple[tuple[str, ...], list[Row]]:
+    columns = ("route", "host", "prefix", "services", "rank", "target s", "timeout s", "homes")
+    return columns, [
+        (r.name, r.host, r.prefix, " ".join(f"{s.service}:{s.weight:g}" for s in r.shares),
+         view.orders.priority(r.name, r.priority), r.target_s, r.timeout_s,
+         " ".join(sorted(r.homes)))
+        for r in view.routes
+    ]  # fmt: skip
+
+
+def _ranks(view: View) -> tuple[tuple[str, ...], list[Row]]:
+    priorities = view.orders.book.priorities
+    return ("route", "rank", "by the configuration"), [
+        (r.name, priorities.get(r.name, r.priority), r.priority) for r in view.routes
+    ]
+
+
+def _drains(view: View) -> tuple[tuple[str, ...], list[Row]]:
+    columns = ("order", "author", "what", "name", "done", "cap", "from", "until")
+    book = view.orders.book
+    return columns, [
+        (d.order, d.author, d.kind.value, d.name, _percent(view.orders.share_of(d.order)),
+         _cap_text(book.cap_of(d)), _time_text(d.span.begins_at), _time_text(d.span.ends_at))
+        for d in book.drains
+    ]  # fmt: skip
+
+
+def _shifts(view: View) -> tuple[tuple[str, ...], list[Row]]:
+    columns = ("order", "author", "service", "from", "to", "rank", "share", "done", "cap",
+               "until")  # fmt: skip
+    book = view.orders.book
+    return columns, [
+        (s.order, s.author, s.service, s.source, s.target,
+         "all" if s.priority is None else s.priority, _percent(s.share),
+         _percent(view.orders.share_of(s.order)), _cap_text(book.cap_of(s)),
+         _time_text(s.span.ends_at))
+        for s in book.shifts
+    ]  # fmt: skip
+
+
+def _caps(view: View) -> tuple[tuple[str, ...], list[Row]]:
+    book = view.orders.book
+    rows: list[Row] = [("all others", _cap_text(book.cap))]
+    rows += [(service, _cap_text(cap)) for service, cap in sorted(book.caps.items())]
+    return ("service", "cap"), rows
+
+
+def _changes(view: View) -> tuple[tuple[str, ...], list[Row]]:
+    return _change_rows(tuple(reversed(view.orders.book.changes)))
+
+
+def _change_rows(changes: Sequence[orders.Change]) -> tuple[tuple[str, ...], list[Row]]:
+    return ("version", "author", "order", "at", "text"), [
+        (c.version, c.author, c.order, _time_text(c.at), c.text) for c in changes
+    ]
+
+
+def _percent(share: float) -> str:
+    return f"{share * 100:.3g}%"
+
+
+def _number(value: float | None) -> str:
+    return "" if value is None else f"{value:.1f}"
+
+
+def _cap_text(cap: orders.Cap) -> str:
+    return f"{_percent(cap.share)} per {cap.window_s:g}s"
+
+
+def _time_text(at: float | None) -> str:
+    if at is None:
+        return ""
+    return datetime.datetime.fromtimestamp(at, datetime.UTC).strftime("%Y-%m-%d %H:%M:%S UTC")
+
+
+_TABLES: dict[statements.Subject, Callable[[View], tuple[tuple[str, ...], list[Row]]]] = {
+    statements.Subject.INSTANCES: _instances,
+    statements.Subject.SERVERS: _servers,
+    statements.Subject.REGIONS: _regions,
+    statements.Subject.TRAFFIC: _traffic,
+    statements.Subject.ROUTES: _routes,
+    statements.Subject.RANKS: _ranks,
+    statements.Subject.DRAINS: _drains,
+    statements.Subject.SHIFTS: _shifts,
+    statements.Subject.CAPS: _caps,
+    statements.Subject.CHANGES: _changes,
+}
--- a/src/carobhook/coordination/poison.py
+++ b/src/carobhook/coordination/poison.py
@@ -1,30 +1,20 @@
 """Quarantine of requests that break the backend servers that run them."""
 
-import collections
-import enum
 from collections.abc import Iterable
 
 import attrs
 import xxhash
 
-from carobhook.state import ids, requests
+from carobhook.state import ids
 
 MARK_LIFETIME_S = 600.0
-MARKS_OF_POISON = 2
+# A request that broke this many servers and was never answered is refused.
+MARKS_OF_POISON = 3
 _MAX_MARKED = 10_000
-_MAX_PROVEN = 20_000
 
 Fingerprint = bytes
 
 
-class Verdict(enum.Enum):
-    """What may happen to a request."""
-
-    RUN = "run"
-    WAIT = "wait"
-    REFUSE = "refuse"
-
-
 @attrs.frozen
 class Mark:
     """A server's connection broke while it ran a request of this fingerprint.
@@ -42,12 +32,6 @@
     expires_at: float
 
 
-def fingerprint(request: requests.Request) -> Fingerprint:
-    """Return what identifies a request over its repeats."""
-    parts = (request.service, request.method, request.path, request.key or "")
-    return fingerprint_of(parts, request.body)
-
-
 def fingerprint_of(parts: Iterable[str], body: bytes) -> Fingerprint:
     """Return what identifies a request by its texts and its body."""
     digest = xxhash.xxh3_128()
@@ -60,12 +44,10 @@
 
 @attrs.define
 class Quarantine:
-    """Marks of this instance and its peers, and what runs here of each fingerprint.
+    """Marks of this instance and its peers.
 
-    A fingerprint that no server has answered yet, or that has a mark, runs once at a time, so
-    that repeats sent at the same moment cannot break one server each. Breaks of a fingerprint
-    that was answered before count once for all runs that were under way, so that the loss of a
-    whole failure domain does not quarantine the requests that happened to run there.
+    Load pattern: a request that breaks each server that runs it is sent again and again, at any
+    instance. It is refused once it has enough marks that no whole answer has cleared.
 
     Attributes:
         own: Name of this instance.
@@ -75,61 +57,20 @@
     own: ids.InstanceId
     marks_of_poison: int = MARKS_OF_POISON
     _marks: dict[Fingerprint, dict[str, Mark]] = attrs.field(factory=dict, init=False)
-    _active: dict[Fingerprint, int] = attrs.field(factory=dict, init=False)
-    _proven: collections.OrderedDict[Fingerprint, None] = attrs.field(
-        factory=collections.OrderedDict, init=False
-    )
-    _under_way: dict[Fingerprint, str] = attrs.field(factory=dict, init=False)
-
-    def holder(self, print_: Fingerprint, now: float) -> ids.InstanceId | None:
-        """Return the one instance that may run a marked request, or None if it has no mark.
-
-        Args:
-            print_: Its fingerprint.
-            now: Monotonic time in seconds.
-        """
-        marks = self._live(print_, now)
-        return min(mark.source for mark in marks) if marks else None
 
     @property
     def empty(self) -> bool:
         """Return whether nothing is marked."""
         return not self._marks
 
-    def judge(self, print_: Fingerprint, now: float) -> Verdict:
-        """Return what may happen to a request now.
+    def refuses(self, print_: Fingerprint, now: float) -> bool:
+        """Tell whether a request has too many marks to be sent.
 
         Args:
             print_: Its fingerprint.
             now: Monotonic time in seconds.
         """
-        marks = self._live(print_, now)
-        if len(marks) >= self.marks_of_poison:
-            return Verdict.REFUSE
-        alone = bool(marks) or print_ not in self._proven
-        return Verdict.WAIT if alone and self._active.get(print_) else Verdict.RUN
-
-    def marked(self, print_: Fingerprint, now: float) -> bool:
-        """Tell whether a fingerprint has a mark."""
-        return bool(self._live(print_, now))
-
-    def started(self, print_: Fingerprint) -> None:
-        """Count a request that will be sent to a server."""
-        self._active[print_] = self._active.get(print_, 0) + 1
-
-    def ended(self, print_: Fingerprint) -> None:
-        """Count the end of a request counted by `started`."""
-        self._active[print_] -= 1
-        if not self._active[print_]:
-            del self._active[print_]
-            self._under_way.pop(print_, None)
-
-    def proven(self, print_: Fingerprint) -> None:
-        """Take note that a server lived to begin an answer."""
-        self._proven[print_] = None
-        self._proven.move_to_end(print_)
-        if len(self._proven) > _MAX_PROVEN:
-            self._proven.popitem(last=False)
+        return len(self._live(print_, now)) >= self.marks_of_poison
 
     def clear(self, print_: Fingerprint) -> bool:
         """Forget the marks of a fingerprint answered whole; return whether there were any."""
@@ -143,8 +84,6 @@
             name: Unique name of the event.
             now: Monotonic time in seconds.
         """
-        if print_ in self._proven:
-            name = self._under_way.setdefault(print_, name)
         mark = Mark(print_, name, self.own, now + MARK_LIFETIME_S)
         self.add(mark)
         return mark
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -17,6 +17,39 @@
 _SLOWNESS_HALF_LIFE_S = 3.0
 _SLOWNESS_RANGE = (0.5, 8.0)
 _SHED_PAUSE_S = 0.15
+_COLD_BURST = 2.0
+
+
+def shared_cold_rate(told_per_s: float, most_per_s: float) -> float:
+    """Return the rate at which one dispatcher may send to a cold server.
+
+    Two dispatchers may give out the same server's slots for a moment, so each keeps to half of
+    the most that the server may get.
+
+    Args:
+        told_per_s: Requests a second that a cold server bears.
+        most_per_s: Requests in one second that it may get from all instances.
+    """
+    return max(1.0, min(told_per_s, most_per_s / 2 - _COLD_BURST))
+
+
+@attrs.frozen
+class ServerOffer:
+    """A server that a pool may use.
+
+    Attributes:
+        view: What the store says of it.
+        region: Its region.
+        slots: Slots that the pool may use.
+        round_trip_s: Seconds that the way there and back takes.
+        cold_rate: Requests a second that it may get while it is cold, None without a bound.
+    """
+
+    view: catalog.ServerView
+    region: ids.Region
+    slots: int
+    round_trip_s: float = 0.0
+    cold_rate: float | None = None
 
 
 @attrs.frozen
@@ -80,6 +113,14 @@
         """Return whether the last thing known of it is that it does not answer."""
         return self._failures > 0
 
+    def take(self, offer: ServerOffer) -> None:
+        """Take in what is newly known of the server."""
+        self.view = offer.view
+        self.slots = offer.slots
+        self.round_trip_s = offer.round_trip_s
+        if self.cold_bucket is None and offer.cold_rate is not None:
+            self.cold_bucket = token_bucket.TokenBucket(offer.cold_rate, _COLD_BURST)
+
     def free(self, now: float) -> int:
         """Return how many slots are free.
 
@@ -209,24 +250,19 @@
             for key in server.objects:
                 self._holders.setdefault(key, set()).add(server.name)
 
-    def replace(self, wanted: Iterable[PooledServer]) -> None:
+    def replace(self, offers: Iterable[ServerOffer]) -> None:
         """Replace the list of servers; what is known of those that stay is kept.
 
         Args:
-            wanted: Servers with their slots; new ones are taken as they are.
+            offers: Servers with their slots.
         """
         found: dict[ids.Server, PooledServer] = {}
-        for new in wanted:
-            old = self._servers.get(new.name)
-            if old is None or _restarted(old, new):
-                found[new.name] = new
-                continue
-            old.view = new.view
-            old.slots = new.slots
-            old.round_trip_s = new.round_trip_s
-            if old.cold_bucket is None:
-                old.cold_bucket = new.cold_bucket
-            found[new.name] = old
+        for offer in offers:
+            pooled = self._servers.get(offer.view.entry.name)
+            if pooled is None or _restarted(pooled.view, offer.view):
+                pooled = PooledServer(offer.view, offer.region, offer.slots)
+            pooled.take(offer)
+            found[pooled.name] = pooled
         self._servers = found
 
     def lend(self, counts: Mapping[ids.Server, int]) -> None:
@@ -235,5 +271,5 @@
             server.lent = counts.get(server.name, 0)
 
 
-def _restarted(old: PooledServer, new: PooledServer) -> bool:
-    return old.view.entry.started_at_ms != new.view.entry.started_at_ms
+def _restarted(old: catalog.ServerView, new: catalog.ServerView) -> bool:
+    return old.entry.started_at_ms != new.entry.started_at_ms
--- a/src/carobhook/demo.py
+++ b/src/carobhook/demo.py
@@ -1,40 +1,77 @@
 """Lays out a whole deployment on loopback: settings, operator's token and processes."""
 
 import hashlib
-import importlib.resources
 import json
 import pathlib
 import shlex
 from collections.abc import Mapping, Sequence
+from typing import Any
 
 import attrs
 
-from carobhook import deployment
-from carobhook.state import ids
+from carobhook.standins import platform_client, service_group
 
 HOST = "127.0.0.1"
+SERVED_HOST = "demo.example"
 OPERATOR = "demo"
 TOKEN_FILE = "operator.token"
 PROCESSES_FILE = "processes"
-DEPLOYMENT_FILE = "deployment.toml"
+SERVERS_FILE = "servers.json"
+CONFIG_FILE = "config.json"
 GUIDE_FILE = "guide"
-_CALLER_RATE = 20.0
-_CALLER_DURATION_S = 86_400.0
+REGIONS = {
+    "addis-a": "addis",
+    "addis-b": "addis",
+    "kigali-a": "kigali",
+    "kigali-b": "kigali",
+    "accra-a": "accra",
+    "accra-b": "accra",
+}
+_INSTANCES_OF_DOMAIN = {"a": 2, "b": 1}
+_RATE = 20.0
+_DURATION_S = 86_400.0
 _PRIVATE = 0o600
-MIN_SECRET_LENGTH = 16
 _GUIDE = """\
 The deployment is up: {instances} entry instances of {regions} regions.
 Look around in another shell, with carobhook on PATH (it is in .venv/bin):
   export CAROBHOOK_OPERATOR={operator} CAROBHOOK_TOKEN={token}
   carobhook ctl show regions
   carobhook ctl show traffic
+  carobhook ctl plan drain region addis
   carobhook ctl shift catalogue from addis to kigali by 10%
   carobhook ctl                      (a prompt; quit leaves it)
-  curl 'http://{entry}/v1/lookup?service=catalogue&client=10.1.2.3'
+  curl 'http://{directory}/v1/lookup?region=addis&failure_domain=addis-a'
   curl -i http://{entry}/v1/services/catalogue/item
+  curl -i -H 'Host: {host}' http://{entry}/catalogue/7
+  curl http://{metrics}/metrics
 Stop it with Ctrl-C."""
 
 
+@attrs.frozen
+class ServicePlan:
+    """One service of the demo and its route.
+
+    Attributes:
+        name: The service.
+        kind: What may be repeated of its requests, as the platform writes it.
+        priority: Rank of its requests; 0 is the most urgent.
+        work_s: Seconds that a request takes.
+    """
+
+    name: str
+    kind: str
+    priority: int
+    work_s: float
+
+
+SERVICES = (
+    ServicePlan("catalogue", "safe", 1, 0.03),
+    ServicePlan("licences", "unsafe", 0, 0.03),
+    ServicePlan("royalties", "unsafe", 0, 0.03),
+    ServicePlan("stems", "download", 2, 0.03),
+)
+
+
 @attrs.frozen
 class Ports:
     """First ports of each kind on loopback; instances and servers count up from them."""
@@ -43,12 +80,16 @@
     peers: int = 18100
     operators: int = 18200
     store: int = 18300
-    backends: int = 18400
+    readiness: int = 18310
+    directory: int = 18330
+    metrics: int = 18350
+    servers: int = 18400
 
     @classmethod
     def starting_at(cls, base: int) -> "Ports":
         """Return the ports of a deployment whose first port is ``base``."""
-        return cls(base, base + 100, base + 200, base + 300, base + 400)
+        offset = base - cls().http
+        return cls(*(port + offset for port in attrs.astuple(cls())))
 
 
 @attrs.frozen
@@ -59,80 +100,113 @@
     arguments: tuple[str, ...]
 
 
-@attrs.frozen
-class BackendGroup:
-    """Backend servers that one stand-in process runs: alike, and of one failure domain."""
-
-    region: str
-    failure_domain: str
-    services: tuple[str, ...]
-    count: int
-    slots: int
-    service_time_ms: float
-    first_port: int
-
-    @property
-    def servers(self) -> int:
-        """Return the number of servers; each has a port."""
-        return len(self.services) * self.count
-
-
 @attrs.frozen
 class Layout:
     """A deployment laid out on loopback ports.
 
     Attributes:
-        description: What is laid out.
         ports: First ports.
         token: The operator's token.
         peer_key: Key shared by the instances.
     """
 
-    description: deployment.Deployment
     ports: Ports
     token: str = attrs.field(repr=False)
     peer_key: str = attrs.field(repr=False)
 
     @property
-    def store_url(self) -> str:
-        """Return the address of the object API."""
-        return f"http://{HOST}:{self.ports.store}"
+    def instances(self) -> Sequence[tuple[str, str]]:
+        """Return the names of the instances, each with its failure domain."""
+        numbers: dict[str, int] = {}
+        found = []
+        for domain, region in REGIONS.items():
+            for _ in range(_INSTANCES_OF_DOMAIN[domain[-1]]):
+                numbers[region] = numbers.get(region, 0) + 1
+                found.append((f"{region}-{numbers[region]}", domain))
+        return found
 
     @property
-    def entries(self) -> tuple[str, ...]:
-        """Return the addresses of the entry instances for callers."""
-        count = len(self.description.instances)
-        return tuple(f"{HOST}:{self.ports.http + index}" for index in range(count))
+    def store(self) -> str:
+        """Return the address of the store."""
+        return f"{HOST}:{self.ports.store}"
 
     @property
-    def operators(self) -> tuple[str, ...]:
-        """Return the addresses of the entry instances for operators."""
-        count = len(self.description.instances)
-        return tuple(f"{HOST}:{self.ports.operators + index}" for index in range(count))
+    def operator(self) -> str:
+        """Return the address of the first instance for operators."""
+        return f"{HOST}:{self.ports.operators}"
 
     @property
-    def backends(self) -> tuple[BackendGroup, ...]:
-        """Return the groups of backend servers, with ports that follow each other."""
-        groups: list[BackendGroup] = []
-        port = self.ports.backends
-        for region, domain in self.description.places:
-            for (count, slots, time_ms), names in self._alike(domain).items():
-                group = BackendGroup(region, domain, names, count, slots, time_ms, port)
-                groups.append(group)
-                port += group.servers
-        return tuple(groups)
-
-    def _alike(
-        self, domain: ids.FailureDomain
-    ) -> dict[tuple[int, int, float], tuple[str, ...]]:
-        """Return the services of a failure domain by count, slots and service time."""
-        found: dict[tuple[int, int, float], tuple[str, ...]] = {}
-        for service in self.description.services:
-            count = self.description.upstreams_in(service)[domain]
-            key = (count, service.slots, service.service_time_ms)
-            if count:
-                found[key] = (*found.get(key, ()), service.name)
-        return found
+    def directories(self) -> list[str]:
+        """Return the addresses that answer where to connect."""
+        return [
+            f"{HOST}:{self.ports.directory + index}" for index in range(len(self.instances))
+        ]
+
+    @property
+    def servers(self) -> list[service_group.ServerPlan]:
+        """Return the backend servers: one of each service in each failure domain."""
+        return [
+            service_group.ServerPlan(
+                f"{service.name}-{number}",
+                service.name,
+                domain,
+                f"{HOST}:{self.ports.servers + row * len(REGIONS) + number - 1}",
+                work_s=service.work_s,
+            )
+            for row, service in enumerate(SERVICES)
+            for number, domain in enumerate(REGIONS, start=1)
+        ]
+
+    @property
+    def requests(self) -> list[platform_client.RequestPlan]:
+        """Return the kinds of requests that the demo's clients send."""
+        return [
+            platform_client.RequestPlan(
+                SERVED_HOST, f"/{service.name}/", repeatable=service.kind != "unsafe"
+            )
+            for service in SERVICES
+        ]
+
+    def config(self) -> dict[str, Any]:
+        """Return the routing configuration as the operators' team writes it."""
+        routes = [
+            {
+                "Name": service.name,
+                "Host": SERVED_HOST,
+                "PathPrefix": f"/{service.name}/",
+                "Kind": service.kind,
+                "Timeout": "2s",
+                "TargetLatency": "300ms",
+                "Priority": service.priority,
+                "Service": service.name,
+                "MaxAttempts": 2,
+                "SessionAffinity": service.kind == "safe",
+                "HomeRegions": [],
+            }
+            for service in SERVICES
+        ]
+        services = [
+            {
+                "Name": service.name,
+                "HealthPath": "/health",
+                "MaxConnections": 330,
+                "ColdStart": "3s",
+                "ColdPerS": 10.0,
+            }
+            for service in SERVICES
+        ]
+        limits = {
+            "MaxHeaderBytes": 16384,
+            "MaxBodyBytes": 8388608,
+            "HeaderTimeout": "5s",
+            "IdleTimeout": "30s",
+        }
+        return {
+            "ConfigVersion": f"{1:08x}",
+            "Routes": routes,
+            "Services": services,
+            "Limits": limits,
+        }
 
     def guide(self, token: str) -> str:
         """Return how to look around.
@@ -141,85 +215,81 @@
             token: The token, or a shell expression that gives it.
         """
         return _GUIDE.format(
-            instances=len(self.description.instances),
-            regions=len(self.description.regions),
-            operator=self.operators[0],
+            instances=len(self.instances),
+            regions=len(set(REGIONS.values())),
+            operator=self.operator,
             token=token,
-            entry=self.entries[0],
+            directory=self.directories[0],
+            entry=f"{HOST}:{self.ports.http}",
+            metrics=f"{HOST}:{self.ports.metrics}",
+            host=SERVED_HOST,
         )
 
     def settings_text(self, index: int) -> str:
         """Return the settings file of one instance, counted from 0."""
-        place = self.description.instances[index]
-        tables: Mapping[str, Mapping[str, object]] = {
-            "instance": {
-                "name": place.name,
-                "region": place.region,
-                "failure_domain": place.failure_domain,
-                "http": self.entries[index],
-                "peers": f"{HOST}:{self.ports.peers + index}",
-                "operators": self.operators[index],
-                "seeds": self._seeds(index),
+        name, domain = self.instances[index]
+        ports = attrs.asdict(self.ports)
+        addresses = {
+            key: f"{HOST}:{ports[key] + index}"
+            for key in ("http", "readiness", "directory", "peers", "metrics", "operators")
+        }
+        place = {"name": name, "region": REGIONS[domain], "failure_domain": domain}
+        seeds = [f"{HOST}:{self.ports.peers + other}" for other in range(2) if other != index]
+        sections: Mapping[str, Mapping[str, object]] = {
+            "place": {**place, **addresses, "seeds": seeds},
+            "store": {"address": self.store},
+            "capacity": {
+                "memory_mb": 300,
+                "file_descriptors": 4096,
+                "cores": 1,
+                "link_mbps": 1000,
             },
-            "store": {"url": self.store_url},
+            "bounds": _BOUNDS,
             "security": {"peer_key": self.peer_key},
             "security.operators": {OPERATOR: token_hash(self.token)},
+            "regions": REGIONS,
         }
-        return "\n\n".join(_table_text(name, table) for name, table in tables.items()) + "\n"
-
-    def _seeds(self, index: int) -> list[str]:
-        """Return the peer addresses of all other instances."""
-        count = len(self.description.instances)
-        return [
-            f"{HOST}:{self.ports.peers + other}" for other in range(count) if other != index
-        ]
+        return "\n\n".join(_table_text(name, table) for name, table in sections.items()) + "\n"
 
     def processes(self, directory: pathlib.Path) -> tuple[Process, ...]:
         """Return the processes in the order in which they start."""
         store = ("standin", "store", "--host", HOST, "--port", str(self.ports.store))
-        backends = [
-            self._backend_process(number, group)
-            for number, group in enumerate(self.backends, start=1)
-        ]
+        config = ("--config", str(directory / CONFIG_FILE))
+        servers = ("standin", "servers", "--store", self.store)
+        listed = ("--file", str(directory / SERVERS_FILE))
         daemons = [
-            Process(
-                place.name, ("serve", "--settings", str(settings_path(directory, place.name)))
-            )
-            for place in self.description.instances
+            Process(name, ("serve", "--settings", str(settings_path(directory, name))))
+            for name, _ in self.instances
         ]
-        return Process("store", store), *backends, *daemons
-
-    def caller(self) -> Process:
-        """Return the process that sends a little traffic."""
-        arguments = ["standin", "caller", "--rate", f"{_CALLER_RATE:g}"]
-        arguments += ["--duration", f"{_CALLER_DURATION_S:g}"]
-        for entry in self.entries:
-            arguments += ["--entry", entry]
-        for service in self.description.services:
-            arguments += ["--service", service.name]
-        return Process("caller", tuple(arguments))
-
-    def _backend_process(self, number: int, group: BackendGroup) -> Process:
-        arguments = (
-            *("standin", "backend", "--store", self.store_url),
-            *("--region", group.region, "--failure-domain", group.failure_domain),
-            *(word for name in group.services for word in ("--service", name)),
-            *("--count", str(group.count)),
-            *("--host", HOST, "--first-port", str(group.first_port)),
-            *("--slots", str(group.slots)),
-            *("--service-time-ms", f"{group.service_time_ms:g}"),
+        return (
+            Process("store", store + config),
+            Process("servers", servers + listed),
+            *daemons,
+            self._client(),
         )
-        return Process(f"backends-{number}-{group.failure_domain}", arguments)
 
-
-def description() -> deployment.Deployment:
-    """Return the deployment that the demo shows."""
-    return deployment.loads(description_text(), "demo.toml")
-
-
-def description_text() -> str:
-    """Return the deployment file of the demo."""
-    return importlib.resources.files("carobhook").joinpath("demo.toml").read_text("utf-8")
+    def _client(self) -> Process:
+        arguments = ["standin", "clients", "--rate", f"{_RATE:g}"]
+        arguments += ["--duration", f"{_DURATION_S:g}", "--region", "addis"]
+        arguments += ["--failure-domain", "addis-a", "--host", SERVED_HOST]
+        for address in self.directories[:3]:
+            arguments += ["--directory", address]
+        for service in SERVICES:
+            option = "--once" if service.kind == "unsafe" else "--repeatable"
+            arguments += [option, f"/{service.name}/"]
+        return Process("clients", tuple(arguments))
+
+
+_BOUNDS = {
+    "grace": "6s",
+    "ttl_max": "5s",
+    "budget_ratio": 0.2,
+    "budget_window": "10s",
+    "budget_slack": 58,
+    "cold_over": 1.5,
+    "cold_slack": 5,
+    "shift_most": 0.15,
+}
 
 
 def settings_path(directory: pathlib.Path, name: str) -> pathlib.Path:
@@ -233,7 +303,7 @@
 
 
 def write(layout: Layout, directory: pathlib.Path) -> None:
-    """Write settings, token, deployment, guide and the list of processes below a directory.
+    """Write settings, token, servers, guide and the list of processes below a directory.
 
     Args:
         layout: The deployment.
@@ -244,19 +314,19 @@
     """
     directory.mkdir(parents=True, exist_ok=True)
     (directory / "settings").mkdir(exist_ok=True)
-    for index, place in enumerate(layout.description.instances):
-        _write_private(settings_path(directory, place.name), layout.settings_text(index))
+    for index, (name, _) in enumerate(layout.instances):
+        _write_private(settings_path(directory, name), layout.settings_text(index))
     _write_private(directory / TOKEN_FILE, layout.token + "\n")
-    (directory / DEPLOYMENT_FILE).write_text(description_text(), "utf-8")
+    listed = [attrs.asdict(plan) for plan in layout.servers]
+    (directory / SERVERS_FILE).write_text(json.dumps(listed, indent=1), "utf-8")
+    (directory / CONFIG_FILE).write_text(json.dumps(layout.config(), indent=1), "utf-8")
     guide = layout.guide(f"$(cat {shlex.quote(str(directory / TOKEN_FILE))})")
     (directory / GUIDE_FILE).write_text(guide + "\n", "utf-8")
-    processes = (*layout.processes(directory), layout.caller())
-    (directory / PROCESSES_FILE).write_text(_process_lines(processes), "utf-8")
-
-
-def _process_lines(processes: Sequence[Process]) -> str:
-    """Return one line for each process: its name, then arguments quoted for a shell."""
-    return "".join(f"{item.name} {shlex.join(item.arguments)}\n" for item in processes)
+    lines = "".join(
+        f"{process.name} {shlex.join(process.arguments)}\n"
+        for process in layout.processes(directory)
+    )
+    (directory / PROCESSES_FILE).write_text(lines, "utf-8")
 
 
 def _table_text(name: str, table: Mapping[str, object]) -> str:
--- a/src/carobhook/entry.py
+++ b/src/carobhook/entry.py
@@ -9,10 +9,11 @@
 import signal
 import sys
 
-from twisted.internet import defer, reactor, task
+from twisted.internet import defer, error, reactor, task
 from twisted.python import failure
 
 from carobhook import entry_settings, log_output, logs, settings
+from carobhook.state import codes
 from carobhook.transport import entry_daemon, settings_watch
 
 SETTINGS_VARIABLE = "CAROBHOOK_SETTINGS"
@@ -20,6 +21,7 @@
 OUTPUT_INTERVAL_S = 1.0
 # The same as those of the command line.
 EXIT_USAGE = 2
+EXIT_ADDRESS_IN_USE = 5
 EXIT_FAILED = 6
 
 
@@ -40,7 +42,7 @@
             loaded, reactor, omitted=lambda: self._budget.omitted_total
         )
         self._watch = settings_watch.SettingsWatch(path, self._daemon.reload)
-        self.failed = False
+        self.exit_code = 0
 
     def begin(self) -> None:
         """Start the daemon and what goes on beside it."""
@@ -52,7 +54,7 @@
 
     def end(self) -> defer.Deferred:
         """Stop the daemon; the reactor goes on until it has."""
-        if self.failed:
+        if self.exit_code:
             return defer.succeed(None)
         return defer.ensureDeferred(self._daemon.stop()).addErrback(self._stop_failed)
 
@@ -66,9 +68,13 @@
             logs.warning("lines-omitted", **omitted)
 
     def _start_failed(self, reason: failure.Failure) -> None:
-        self.failed = True
-        trace = reason.getTraceback()
-        logs.error("start-failed", text=reason.getErrorMessage(), trace=trace)
+        if reason.check(error.CannotListenError):
+            self.exit_code = EXIT_ADDRESS_IN_USE
+            sys.stderr.write(_listen_complaint(reason.value))
+        else:
+            self.exit_code = EXIT_FAILED
+            trace = reason.getTraceback()
+            logs.error("start-failed", text=reason.getErrorMessage(), trace=trace)
         if reactor.running:
             reactor.stop()
 
@@ -86,12 +92,23 @@
     Raises:
         SystemExit: The start failed.
     """
-    one = _Run(path, loaded)
+    try:
+        one = _Run(path, loaded)
+    except settings.TlsFilesError as problem:
+        sys.stderr.write(f"{path}: {problem}\n")
+        sys.exit(EXIT_USAGE)
     reactor.callWhenRunning(one.begin)
     reactor.addSystemEventTrigger("before", "shutdown", one.end)
     reactor.run()
-    if one.failed:
-        sys.exit(EXIT_FAILED)
+    if one.exit_code:
+        sys.exit(one.exit_code)
+
+
+def _listen_complaint(problem: error.CannotListenError) -> str:
+    """Return the one line for an address that cannot be listened on."""
+    cause = getattr(problem.socketError, "strerror", None) or problem.socketError
+    number = codes.Code.ADDRESS_IN_USE.number
+    return f"error {number}: cannot listen on {problem.interface}:{problem.port}: {cause}\n"
 
 
 def main() -> None:
--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -93,6 +93,9 @@
     CONFIG_VERSION = MetricInfo(
         "carobhook_config_version", Kind.GAUGE, (), "Configuration version in force here."
     )
+    ORDERS_VERSION = MetricInfo(
+        "carobhook_orders_version", Kind.GAUGE, (), "Version of the operators' orders in force."
+    )
     READY = MetricInfo("carobhook_ready", Kind.GAUGE, (), "1 while clients are taken, else 0.")
     LINES_OMITTED = MetricInfo(
         "carobhook_log_lines_omitted",
--- a/src/carobhook/entry_settings.py
+++ b/src/carobhook/entry_settings.py
@@ -1,4 +1,4 @@
-"""Settings of an entry instance on the platform: TOML text to validated, frozen values."""
+"""Settings of an entry instance: TOML text to validated, frozen values."""
 
 import pathlib
 from typing import Any
@@ -53,6 +53,11 @@
     metrics: str = attrs.field(
         validator=checks.ADDRESS, metadata=checks.doc("Address that serves the metrics.")
     )
+    operators: str = attrs.field(
+        default="",
+        validator=checks.optional(checks.ADDRESS),
+        metadata=checks.doc("Address that operators' clients use; none when empty."),
+    )
     seeds: tuple[str, ...] = attrs.field(
         default=(),
         converter=tuple,
@@ -75,6 +80,28 @@
     )
 
 
+@attrs.frozen
+class SecuritySettings:
+    """Shared key of the instances, and tokens as SHA-256 hashes by name."""
+
+    peer_key: str = attrs.field(
+        default="",
+        repr=False,
+        validator=checks.optional(checks.SECRET),
+        metadata=checks.doc("Key shared by all instances; empty where the network is trusted."),
+    )
+    operators: dict[str, str] = attrs.field(
+        factory=dict,
+        validator=checks.table_of(checks.SHA256_HEX, "operators' names to SHA-256 hashes"),
+        metadata=checks.doc("SHA-256 hash, in hexadecimal, of each operator's token."),
+    )
+    readers: dict[str, str] = attrs.field(
+        factory=dict,
+        validator=checks.table_of(checks.SHA256_HEX, "readers' names to SHA-256 hashes"),
+        metadata=checks.doc("SHA-256 hash of each token that may ask, but not order."),
+    )
+
+
 @attrs.frozen
 class CapacitySettings:
     """What the machine gives to the process."""
@@ -153,7 +180,9 @@
     capacity: CapacitySettings
     bounds: BoundSettings
     regions: dict[ids.FailureDomain, ids.Region]
+    security: SecuritySettings = attrs.field(factory=SecuritySettings)
     log: settings.LogSettings = attrs.field(factory=settings.LogSettings)
+    tls: settings.TlsSettings = attrs.field(factory=settings.TlsSettings)
 
 
 TABLES: dict[str, type[Any]] = {
@@ -161,7 +190,9 @@
     "store": StoreSettings,
     "capacity": CapacitySettings,
     "bounds": BoundSettings,
+    "security": SecuritySettings,
     "log": settings.LogSettings,
+    "tls": settings.TlsSettings,
 }
 _REGIONS = "regions"
 
@@ -203,7 +234,24 @@
     for domain, region in regions.items() if isinstance(regions, dict) else ():
         if not checks.TEXT.accepts(region):
             reader.report(_REGIONS, domain, region, checks.TEXT.expected)
+    _check_across(reader, values)
     if reader.faults:
         faults = [f for f in reader.faults if isinstance(f, settings.SettingsFault)]
         raise settings.SettingsError(source, faults)
     return EntrySettings(regions=regions, **values)
+
+
+def _check_across(reader: tables.Reader, values: dict[str, Any]) -> None:
+    """Report faults that only show in several fields together."""
+    place, tls = values["place"], values["tls"]
+    if place is not None:
+        seen: set[str] = set()
+        for key in ("http", "readiness", "directory", "peers", "metrics", "operators"):
+            address = getattr(place, key)
+            if address and address in seen:
+                reader.report("place", key, address, "an address of its own")
+            seen.add(address)
+    if tls is not None and any((tls.cert, tls.key, tls.ca)):
+        for key in ("cert", "key", "ca"):
+            if not getattr(tls, key):
+                reader.report("tls", key, "", "a file, as cert, key and ca go together")
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -22,31 +22,25 @@
     """Every event."""
 
     INSTANCE_STARTED = EventInfo("instance-started", "The daemon listens on all its ports.")
-    SERVER_LEAVING = EventInfo(
-        "server-leaving", "A sign says that a backend server is leaving; it gets nothing new."
-    )
     INSTANCE_LEAVING = EventInfo("instance-leaving", "A graceful stop has begun.")
     INSTANCE_STOPPED = EventInfo("instance-stopped", "Nothing is in flight any more.")
-    DRAIN_LIMIT_PASSED = EventInfo(
-        "drain-limit-passed",
-        "Requests were still in flight when the stop could wait no longer.",
-    )
     START_FAILED = EventInfo("start-failed", "The daemon could not start.")
-    CONFIG_APPLIED = EventInfo("config-applied", "A configuration version is in force here.")
-    CONFIG_COMPACTED = EventInfo(
-        "config-compacted", "A snapshot was written and the changes before it were deleted."
+    ORDER_ACCEPTED = EventInfo(
+        "order-accepted", "An operator's order was written to the store; author and text."
+    )
+    ORDER_REFUSED = EventInfo(
+        "order-refused", "An operator's order or question was refused, and why."
     )
-    COMPACTION_FAILED = EventInfo(
-        "compaction-failed", "A snapshot could not be written; it is tried again."
+    ORDERS_IN_FORCE = EventInfo(
+        "orders-in-force", "A newer version of the operators' orders is in force here."
+    )
+    LOADS_INCOMPLETE = EventInfo(
+        "loads-incomplete", "Some instances did not tell their loads in time for a question."
     )
-    ORDER = EventInfo("order", "An operator's order was answered here.")
     ORDER_FORBIDDEN = EventInfo("order-forbidden", "A token that may only ask gave an order.")
     ORDER_UNAUTHENTICATED = EventInfo(
         "order-unauthenticated", "An order came without a token or with a wrong one."
     )
-    PLAN_STEP = EventInfo("plan-step", "The planner moved traffic.")
-    PLAN_FAILED = EventInfo("plan-failed", "The planner could not write its step.")
-    STEERING_FAILED = EventInfo("steering-failed", "A round of steering ended with an error.")
     REQUEST_MARKED = EventInfo(
         "request-marked",
         "A backend server broke while it ran a request; the request is marked.",
@@ -69,9 +63,6 @@
     STORE_UNAVAILABLE = EventInfo(
         "store-unavailable", "The object API did not answer a read or a watch."
     )
-    METRICS_UNAVAILABLE = EventInfo(
-        "metrics-unavailable", "The statsd address cannot be used; no metrics are sent."
-    )
     INSTANCE_READY = EventInfo(
         "instance-ready", "The configuration and the servers are known; clients are taken."
     )
@@ -114,10 +105,13 @@
     REQUEST_ENDED = EventInfo(
         "request-ended", "A request was answered, or its client left; code 1000 is a server's."
     )
+    WORK_ENDED_LATE = EventInfo(
+        "work-ended-late",
+        "Work that may run once ended after its client had got another answer or had left.",
+    )
     REQUEST_REFUSED = EventInfo(
         "request-refused", "A request was refused before it asked for a slot."
     )
-    REQUEST_SENT = EventInfo("request-sent", "A request got a slot and goes to a server.")
     REQUEST_RETRIED = EventInfo(
         "request-retried", "A server failed a request, which may go to another one."
     )
--- a/src/carobhook/protocol/language.py
+++ b/src/carobhook/protocol/language.py
@@ -4,32 +4,20 @@
 import pathlib
 import typing
 
-import attrs
 import lark
 
-from carobhook.state import configuration, goals, ids, ledger, plan, statements
+from carobhook.state import ids, orders, statements
 
-_BITS_PER_GBIT = 1e9
 _SECONDS_PER_HOUR = 3600
 _SECONDS_PER_MINUTE = 60
 _DESCRIPTIONS = {
     "NAME": "a name",
+    "ROUTE": "the name of a route",
     "INT": "a whole number",
     "NUMBER": "a number",
     "TIME": "a time, such as 14:00",
-    "ADDRESS": "an IP address",
-    "PREFIX": "an address prefix, such as 10.1.",
-    "METHOD": "a method, such as POST, or *",
-    "PATH": "a path, such as /buy",
-    "ORDER": "an order's id",
-    "FILE": "a file",
     "$END": "the end",
 }
-_DRAINS = {
-    "region": goals.GoalKind.DRAIN_REGION,
-    "failure-domain": goals.GoalKind.DRAIN_FAILURE_DOMAIN,
-    "server": goals.GoalKind.DRAIN_SERVER,
-}
 
 
 class SyntaxFaultError(Exception):
@@ -75,8 +63,8 @@
     def show_change(self, version: str) -> statements.ShowChange:
         return statements.ShowChange(ids.Version(int(version)))
 
-    def explain_client(self, service: str, client: str) -> statements.ExplainClient:
-        return statements.ExplainClient(ids.Service(str(service)), str(client))
+    def explain_service(self, service: str, region: str) -> statements.ExplainService:
+        return statements.ExplainService(ids.Service(str(service)), ids.Region(str(region)))
 
     def explain_region(self, region: str) -> statements.ExplainRegion:
         return statements.ExplainRegion(ids.Region(str(region)))
@@ -95,16 +83,16 @@
         return float(number)
 
     def cap(self, share: float, window_s: float) -> statements.OwnCap:
-        return statements.OwnCap(_cap(share, window_s))
+        return statements.OwnCap(orders.Cap(share, window_s))
 
     def emergency_cap(self, share: float, window_s: float) -> statements.OwnCap:
-        return statements.OwnCap(_cap(share, window_s), emergency=True)
+        return statements.OwnCap(orders.Cap(share, window_s), emergency=True)
 
     def own_cap(self, cap: statements.OwnCap) -> statements.OwnCap:
         return cap
 
-    def for_rank(self, rank: str) -> ids.Rank:
-        return ids.Rank(str(rank))
+    def for_rank(self, rank: str) -> int:
+        return int(rank)
 
     def shift(
         self,
@@ -113,93 +101,45 @@
         target: str,
         share: float,
         own_cap: statements.OwnCap | None,
-        rank: ids.Rank | None,
+        priority: int | None,
     ) -> statements.Shift:
         return statements.Shift(
             ids.Service(str(service)),
             ids.Region(str(source)),
             ids.Region(str(target)),
-            _positions(share),
+            share,
             own_cap,
-            rank or ledger.ALL_RANKS,
+            priority,
         )
 
-    def subject(self, kind: str, name: str) -> tuple[goals.GoalKind, str]:
-        return _DRAINS[str(kind)], str(name)
+    def subject(self, kind: str, name: str) -> tuple[orders.DrainKind, str]:
+        return orders.DrainKind(str(kind)), str(name)
 
     def drain(
         self,
-        subject: tuple[goals.GoalKind, str],
+        subject: tuple[orders.DrainKind, str],
         starts: str | None,
         ends: str | None,
         own_cap: statements.OwnCap | None,
     ) -> statements.Drain:
         return statements.Drain(*subject, own_cap, _second(starts), _second(ends))
 
-    def undrain(self, subject: tuple[goals.GoalKind, str]) -> statements.Undrain:
+    def undrain(self, subject: tuple[orders.DrainKind, str]) -> statements.Undrain:
         return statements.Undrain(*subject)
 
-    def set_cap(
-        self, share: float, window_s: float, service: str | None, rank: ids.Rank | None
-    ) -> statements.SetCap:
-        return statements.SetCap(
-            _cap(share, window_s),
-            ids.Service(str(service or ledger.ALL_SERVICES)),
-            rank or ledger.ALL_RANKS,
-        )
-
-    def order(self, number: str) -> dict[str, typing.Any]:
-        return {"order": int(number)}
-
-    def worth(self, number: str) -> dict[str, typing.Any]:
-        return {"worth": float(number)}
-
-    def floor(self, share: float) -> dict[str, typing.Any]:
-        return {"floor": share}
-
-    def target(self, duration_s: float) -> dict[str, typing.Any]:
-        return {"latency_target_s": duration_s}
-
-    def queue(self, number: str) -> dict[str, typing.Any]:
-        return {"queue_limit": int(number)}
-
-    def set_rank(self, name: str, *fields: dict[str, typing.Any]) -> statements.SetRank:
-        given = statements.SetRank(ids.Rank(str(name)))
-        for field in fields:
-            given = attrs.evolve(given, **field)
-        return given
+    def set_cap(self, share: float, window_s: float, service: str | None) -> statements.SetCap:
+        named = None if service is None else ids.Service(str(service))
+        return statements.SetCap(orders.Cap(share, window_s), named)
 
-    def set_rule(self, service: str, method: str, path: str, rank: str) -> statements.SetRule:
-        rule = configuration.RankRule(str(method), str(path), ids.Rank(str(rank)))
-        return statements.SetRule(ids.Service(str(service)), rule)
+    def set_rank(self, priority: str, route: str) -> statements.SetRank:
+        return statements.SetRank(str(route), int(priority))
 
-    def set_default_rank(self, service: str, rank: str) -> statements.SetDefaultRank:
-        return statements.SetDefaultRank(ids.Service(str(service)), ids.Rank(str(rank)))
-
-    def set_block(self, prefix: str, region: str) -> statements.SetBlock:
-        return statements.SetBlock(str(prefix), ids.Region(str(region)))
-
-    def set_link(self, region: str, other: str, gbit: str) -> statements.SetLink:
-        bits_per_s = float(gbit) * _BITS_PER_GBIT
-        return statements.SetLink(ids.Region(str(region)), ids.Region(str(other)), bits_per_s)
-
-    def set_headroom(self, share: float) -> statements.SetHeadroom:
-        return statements.SetHeadroom(share)
+    def unset_rank(self, route: str) -> statements.SetRank:
+        return statements.SetRank(str(route), None)
 
     def cancel(self, order: str) -> statements.Cancel:
         return statements.Cancel(ids.OrderId(str(order)))
 
-    def apply(self, path: str) -> statements.ApplyFile:
-        return statements.ApplyFile(str(path))
-
-
-def _positions(share: float) -> int:
-    return round(share * plan.POSITIONS)
-
-
-def _cap(share: float, window_s: float) -> ledger.Cap:
-    return ledger.Cap(_positions(share), window_s)
-
 
 def _second(time: str | None) -> int | None:
     if time is None:
@@ -211,7 +151,7 @@
 _GRAMMAR = pathlib.Path(__file__).with_name("language.lark")
 _parser = lark.Lark(_GRAMMAR.read_text("utf-8"), parser="lalr", maybe_placeholders=True)
 _TERMINALS = {terminal.name: terminal.pattern for terminal in _parser.terminals}
-_CHOICES = {"SUBJECT": statements.Subject, "SUBJECT_KIND": tuple(_DRAINS)}
+_CHOICES = {"SUBJECT": statements.Subject, "SUBJECT_KIND": orders.DrainKind}
 
 
 def parse(text: str) -> statements.Statement:
@@ -262,7 +202,7 @@
     words: set[str] = set()
     for name in names:
         if name in _CHOICES:
-            words.update(getattr(choice, "value", choice) for choice in _CHOICES[name])
+            words.update(choice.value for choice in _CHOICES[name])
         elif name in _DESCRIPTIONS:
             words.add(_DESCRIPTIONS[name])
         else:
--- a/src/carobhook/protocol/slot_messages.py
+++ b/src/carobhook/protocol/slot_messages.py
@@ -85,6 +85,14 @@
     end: asks.WorkEnd
 
 
+@attrs.frozen
+class SlotsWanted:
+    """Asks an instance which slots of a shard its requests hold; answered by `SlotsHeld`."""
+
+    region: ids.Region
+    service: ids.Service
+
+
 @attrs.frozen
 class HeldSlot:
     """A slot that a request holds at present.
@@ -118,6 +126,7 @@
     Attributes:
         service: The service.
         region: Region of the sender.
+        receiver: Region of the dispatcher that it is for.
         slots: Slots of its own servers that can be used.
         demand: Slots that its clients' requests keep busy, None before the first request.
         lent: Servers whose slots the receiver may use, with their numbers.
@@ -126,12 +135,55 @@
 
     service: ids.Service
     region: ids.Region
+    receiver: ids.Region
     slots: float
     demand: float | None
     lent: tuple[tuple[ids.Server, int], ...]
     used: tuple[tuple[ids.Server, int], ...]
 
 
+@attrs.frozen
+class ShardLoad:
+    """How busy the servers of one service in one region are, for operators.
+
+    Attributes:
+        region: The region.
+        service: The service.
+        slots: Slots of the region's own servers.
+        usable: Slots that the region's dispatcher may give out, borrowed ones included.
+        running: Requests that hold one.
+        waiting: Requests that wait for one.
+        demand: Slots that the requests keep busy, None before the first request.
+        lent: Slots lent to other regions.
+        withheld: Slots of its own servers that drains leave unused.
+    """
+
+    region: ids.Region
+    service: ids.Service
+    slots: int
+    usable: int
+    running: int
+    waiting: int
+    demand: float | None
+    lent: tuple[tuple[ids.Region, int], ...]
+    withheld: int
+
+
+@attrs.frozen
+class LoadsWanted:
+    """Asks an instance how busy the shards are that it gives out."""
+
+    id: str
+
+
+@attrs.frozen
+class LoadsTold:
+    """Answers `LoadsWanted`."""
+
+    id: str
+    loads: tuple[ShardLoad, ...]
+
+
 @attrs.frozen
 class RequestMarked:
     """Servers broke while they ran a request of this fingerprint."""
--- a/src/carobhook/reference.py
+++ b/src/carobhook/reference.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from carobhook import entry_metrics, entry_settings, events, metrics, settings
+from carobhook import entry_metrics, entry_settings, events
 from carobhook.state import codes
 
 
@@ -38,7 +38,7 @@
             "in the header `Carobhook-Code` and orders in the field `code`. *Run* says whether",
             "the request was run (or the order took effect): `not-run` is only said when it is",
             "certain. *Retry* says whether the same call may be sent again later; a",
-            "non-idempotent request that is sent again needs its `Idempotency-Key`.",
+            "non-idempotent request is sent again only after `not-run`.",
             "",
             "1xxx are requests, 2xxx orders and queries, 3xxx settings and start-up.",
             "",
@@ -57,20 +57,12 @@
         "",
         "One TOML file per instance. `carobhook check-settings FILE` reports every fault of a",
         "file, one line each, and exits with 2 when there is any. Unknown tables and keys are",
-        "faults. `examples/zema.toml` and `examples/tarnok.toml` are commented examples.",
+        "faults. `examples/zema.toml` and `examples/tarnok.toml` are commented examples; on",
+        "the platform the file is made from the template `deploy/settings.toml`. Besides the",
+        "tables below, `[regions]` holds the region of each failure domain.",
         "",
         "Made by `make docs`.",
     ]
-    for name, kind in settings.TABLES.items():
-        lines += _settings_table(name, kind)
-    lines += [
-        "",
-        "# Settings on the platform",
-        "",
-        "A file with a table `place` describes an entry instance on the platform. On the",
-        "platform it is made from the template `deploy/settings.toml`. Besides these tables,",
-        "`[regions]` holds the region of each failure domain.",
-    ]
     for name, kind in entry_settings.TABLES.items():
         lines += _settings_table(name, kind)
     return "\n".join([*lines, ""])
@@ -89,7 +81,7 @@
         (
             "# Events",
             "",
-            "The daemon writes one line to standard error for each event: its time (UTC),",
+            "The daemon writes one line to standard output for each event: its time (UTC),",
             "level, the instance's name, the event and its fields as `key=value` pairs. A",
             "value with spaces or the like is quoted as in JSON. With `[log] form` `json`",
             "each line is a JSON object with the same names.",
@@ -104,15 +96,6 @@
 
 def metrics_page() -> str:
     """Return docs/METRICS.md."""
-    rows = [
-        (
-            f"`{'.'.join(part for part in (info.name, info.by) if part)}`",
-            info.kind.value,
-            info.unit,
-            info.text,
-        )
-        for info in (metric.value for metric in metrics.Metric)
-    ]
     served = [
         (f"`{info.name}`", info.kind.value, ", ".join(info.labels), info.text)
         for info in (metric.value for metric in entry_metrics.EntryMetric)
@@ -121,22 +104,12 @@
         (
             "# Metrics",
             "",
-            "An entry instance on the platform serves these as text at `/metrics` of its",
-            "metrics address. The users' letter asks for this in place of the brief's statsd.",
-            "",
-            *_table(("Name", "Kind", "Labels", "Meaning"), served),
-            "",
-            "## The former daemon",
-            "",
-            "Each daemon sends its metrics by UDP to the statsd server of `[metrics] address`,",
-            f"every {metrics.FLUSH_INTERVAL_S:g} s in few datagrams, and none when no address",
-            "is set. Names begin with `[metrics] prefix`. Where a name ends in RANK or CODE,",
-            "there is one metric for each rank or result code (see CODES.md). Of each timer,",
-            f"the first {metrics.MAX_TIMINGS} values of an interval are sent.",
+            "An entry instance serves these as text at `/metrics` of its metrics address. The",
+            "users' letter asks for this in place of the brief's statsd.",
             "",
             "Made by `make docs`.",
             "",
-            *_table(("Name", "Kind", "Unit", "Meaning"), rows),
+            *_table(("Name", "Kind", "Labels", "Meaning"), served),
             "",
         )
     )
--- a/src/carobhook/request_trace.py
+++ b/src/carobhook/request_trace.py
@@ -122,6 +122,10 @@
     if broken:
         last = broken[-1].fields
         text += f"; the exchange with {last.get('server')} failed: {last.get('error')}"
+    late = next((line for line in lines if line.event == "work-ended-late"), None)
+    if late is not None:
+        after = f"after {late.fields.get('total_ms')} ms"
+        text += f"; its work ended {after} with status {late.fields.get('status')}"
     if fields.get("detail"):
         text += f"; decided from {fields['detail']}"
     return text + "."
--- a/src/carobhook/state/codes.py
+++ b/src/carobhook/state/codes.py
@@ -36,13 +36,10 @@
     """Every result code of carobhook."""
 
     OK = CodeInfo(1000, 200, Run.RAN, False, "The request ran and its whole answer was sent.")
-    NO_SERVICE = CodeInfo(1001, 404, Run.NOT_RUN, False, "No such service is configured.")
     BAD_REQUEST = CodeInfo(1002, 400, Run.NOT_RUN, False, "The request is malformed.")
-    BODY_TOO_LARGE = CodeInfo(1003, 413, Run.NOT_RUN, False, "The request body is too large.")
     NO_BACKEND = CodeInfo(
         1010, 503, Run.NOT_RUN, True, "No backend server can take the request."
     )
-    QUEUE_FULL = CodeInfo(1011, 503, Run.NOT_RUN, True, "The rank's queue is full.")
     DEADLINE_UNMEETABLE = CodeInfo(
         1012, 503, Run.NOT_RUN, True, "The request could not have finished before its deadline."
     )
@@ -52,24 +49,9 @@
     BACKEND_SHED = CodeInfo(
         1014, 503, Run.NOT_RUN, True, "The backend server shed the request."
     )
-    RANK_SHED = CodeInfo(
-        1015, 503, Run.NOT_RUN, True, "The rank is shed at this entry instance."
-    )
-    CLIENT_LIMIT = CodeInfo(1016, 429, Run.NOT_RUN, True, "The client is over its fair share.")
-    CONNECT_FAILED = CodeInfo(
-        1017, 502, Run.NOT_RUN, True, "No connection to a backend server could be opened."
-    )
-    STOPPING = CodeInfo(1018, 503, Run.NOT_RUN, True, "The instance is stopping.")
     CALLER_GONE = CodeInfo(
         1019, 408, Run.NOT_RUN, True, "The caller went away while the request was queued."
     )
-    REGION_LOST = CodeInfo(
-        1050,
-        503,
-        Run.NOT_RUN,
-        True,
-        "The region is lost and its traffic has not moved yet.",
-    )
     NO_CONFIG = CodeInfo(1051, 503, Run.NOT_RUN, True, "The instance has no configuration yet.")
     RETRIES_USED_UP = CodeInfo(
         1052,
@@ -92,27 +74,9 @@
     DEADLINE_PASSED_RUNNING = CodeInfo(
         1021, 504, Run.UNKNOWN, False, "The deadline passed while the request was running."
     )
-    OWNER_LOST = CodeInfo(
-        1022, 502, Run.UNKNOWN, False, "The instance that ran the request was lost."
-    )
     POISONED = CodeInfo(
         1030, 503, Run.NOT_RUN, False, "The request is quarantined: it broke backend servers."
     )
-    KEY_UNKNOWN = CodeInfo(
-        1040, 409, Run.UNKNOWN, False, "An earlier attempt with this key may have run."
-    )
-    KEY_RAN = CodeInfo(
-        1041, 409, Run.RAN, False, "The key ran before; its answer is no longer kept."
-    )
-    KEY_MISMATCH = CodeInfo(
-        1042, 422, Run.NOT_RUN, False, "The key was used before with another request."
-    )
-    NO_LEASE = CodeInfo(
-        1043, 503, Run.NOT_RUN, True, "The key's owner cannot prove its ownership now."
-    )
-    JOURNAL_FAILED = CodeInfo(
-        1044, 503, Run.NOT_RUN, True, "The intent to run could not be recorded."
-    )
 
     ORDER_IN_FORCE = CodeInfo(2000, 200, Run.RAN, False, "The order is in force everywhere.")
     ORDER_ACCEPTED = CodeInfo(
@@ -143,9 +107,6 @@
 
     SETTINGS_INVALID = CodeInfo(3001, 400, Run.NOT_RUN, False, "The settings have faults.")
     ADDRESS_IN_USE = CodeInfo(3002, 500, Run.NOT_RUN, False, "An address is already in use.")
-    STORE_UNREACHABLE = CodeInfo(
-        3003, 503, Run.NOT_RUN, True, "The object API cannot be reached."
-    )
     DAEMON_UNREACHABLE = CodeInfo(3004, 503, Run.NOT_RUN, True, "The daemon cannot be reached.")
 
     @property
--- a/src/carobhook/state/ids.py
+++ b/src/carobhook/state/ids.py
@@ -14,7 +14,6 @@
 Region = NewType("Region", str)
 FailureDomain = NewType("FailureDomain", str)
 Service = NewType("Service", str)
-Rank = NewType("Rank", str)
 Server = NewType("Server", str)
 """Name of one backend server."""
 
@@ -23,4 +22,4 @@
 """Id that an operator's client gives to one order; a repeat carries the same id."""
 
 Version = NewType("Version", int)
-"""Number of a change in the change log; versions only rise."""
+"""Number of a change of the configuration or of the orders; versions only rise."""
--- a/src/carobhook/state/members.py
+++ b/src/carobhook/state/members.py
@@ -6,6 +6,8 @@
 
 from carobhook.state import ids
 
+_NO_ORDERS = ids.Version(0)
+
 
 class Phase(enum.Enum):
     """Phase of an instance or backend server."""
@@ -28,6 +30,7 @@
         peers: Its address for other instances, ``host:port``.
         phase: Its phase.
         version: Version of the configuration in force there.
+        orders_version: Version of the operators' orders in force there.
         reaches_store: Whether the object API answers it, so that it can own keys.
     """
 
@@ -39,27 +42,5 @@
     peers: str
     phase: Phase
     version: ids.Version
+    orders_version: ids.Version = _NO_ORDERS
     reaches_store: bool = True
-
-
-@attrs.frozen
-class BackendServer:
-    """A backend server as the platform's list shows it.
-
-    Attributes:
-        name: Name of the server.
-        service: Service that it runs.
-        region: Its region.
-        failure_domain: Its failure domain.
-        address: ``host:port``.
-        phase: Its phase by the list.
-        slots: Requests that it says it can run at once.
-    """
-
-    name: ids.Server
-    service: ids.Service
-    region: ids.Region
-    failure_domain: ids.FailureDomain
-    address: str
-    phase: Phase
-    slots: int
--- a/src/carobhook/state/statements.py
+++ b/src/carobhook/state/statements.py
@@ -4,7 +4,7 @@
 
 import attrs
 
-from carobhook.state import configuration, goals, ids, ledger
+from carobhook.state import ids, orders
 
 
 class Subject(enum.Enum):
@@ -13,13 +13,13 @@
     REGIONS = "regions"
     TRAFFIC = "traffic"
     SERVERS = "servers"
+    ROUTES = "routes"
     RANKS = "ranks"
-    POLICIES = "policies"
     DRAINS = "drains"
+    SHIFTS = "shifts"
+    CAPS = "caps"
     CHANGES = "changes"
     INSTANCES = "instances"
-    CAPS = "caps"
-    GOALS = "goals"
 
 
 @attrs.frozen
@@ -37,11 +37,11 @@
 
 
 @attrs.frozen
-class ExplainClient:
-    """Asks where a client's requests go, and why."""
+class ExplainService:
+    """Asks where the requests of a region's clients for a service go, and why."""
 
     service: ids.Service
-    client: str
+    region: ids.Region
 
 
 @attrs.frozen
@@ -67,29 +67,29 @@
         emergency: Whether it may be wider than the general one.
     """
 
-    cap: ledger.Cap
+    cap: orders.Cap
     emergency: bool = False
 
 
 @attrs.frozen
 class Shift:
-    """Moves positions of a service from one region to another.
+    """Has a share of one region's requests for a service served by another region.
 
     Attributes:
         service: The service.
-        source: Region that gives positions up.
+        source: Region whose clients' requests move.
         target: Region that takes them.
-        positions: How many for each client region.
+        share: Share of the requests.
         own_cap: Cap of the order, or None.
-        rank: Rank that moves; `ledger.ALL_RANKS` is every rank.
+        priority: Rank that moves, None for all.
     """
 
     service: ids.Service
     source: ids.Region
     target: ids.Region
-    positions: int
+    share: float
     own_cap: OwnCap | None = None
-    rank: ids.Rank = ledger.ALL_RANKS
+    priority: int | None = None
 
 
 @attrs.frozen
@@ -104,7 +104,7 @@
         ends: Seconds of the day, UTC, at which it is undone, or None.
     """
 
-    kind: goals.GoalKind
+    kind: orders.DrainKind
     name: str
     own_cap: OwnCap | None = None
     starts: int | None = None
@@ -115,108 +115,40 @@
 class Undrain:
     """Ends the drains of something."""
 
-    kind: goals.GoalKind
+    kind: orders.DrainKind
     name: str
 
 
 @attrs.frozen
 class SetCap:
-    """Sets how many positions may move within any window of seconds."""
+    """Sets the cap of a service, or of all without one of their own."""
 
-    cap: ledger.Cap
-    service: ids.Service = ledger.ALL_SERVICES
-    rank: ids.Rank = ledger.ALL_RANKS
+    cap: orders.Cap
+    service: ids.Service | None = None
 
 
 @attrs.frozen
 class SetRank:
-    """Changes fields of a rank, or adds a rank; a field that is None stays."""
-
-    name: ids.Rank
-    order: int | None = None
-    worth: float | None = None
-    floor: float | None = None
-    latency_target_s: float | None = None
-    queue_limit: int | None = None
-
-
-@attrs.frozen
-class SetRule:
-    """Gives a rank to a service's requests of a method and path prefix, before other rules."""
-
-    service: ids.Service
-    rule: configuration.RankRule
-
-
-@attrs.frozen
-class SetDefaultRank:
-    """Sets the rank of a service's requests that no rule matches."""
-
-    service: ids.Service
-    rank: ids.Rank
-
-
-@attrs.frozen
-class SetBlock:
-    """Maps a client prefix to a client region."""
+    """Sets the rank of a route's requests, or gives back that of the configuration.
 
-    prefix: str
-    region: ids.Region
-
-
-@attrs.frozen
-class SetLink:
-    """Sets the rate of the link between two regions."""
-
-    region: ids.Region
-    other: ids.Region
-    bits_per_s: float
-
-
-@attrs.frozen
-class SetHeadroom:
-    """Sets the share of a region's slots that steering may fill."""
+    Attributes:
+        route: Name of the route.
+        priority: Rank, 0 being the most urgent; None for that of the configuration.
+    """
 
-    limit: float
+    route: str
+    priority: int | None
 
 
 @attrs.frozen
 class Cancel:
-    """Ends the goal of an order where it stands."""
+    """Ends an order; what it moved returns within the cap."""
 
     order: ids.OrderId
 
 
-@attrs.frozen
-class ApplyFile:
-    """Names a deployment file that the operator's client reads."""
-
-    path: str
-
-
-@attrs.frozen
-class Apply:
-    """Makes edits that were prepared beforehand, such as those of a deployment file."""
-
-    edits: tuple[configuration.Edit, ...]
-
-
-Query = Show | ShowChange | ExplainClient | ExplainRegion | Wait
-Command = (
-    Shift
-    | Drain
-    | Undrain
-    | SetCap
-    | SetRank
-    | SetRule
-    | SetDefaultRank
-    | SetBlock
-    | SetLink
-    | SetHeadroom
-    | Cancel
-    | ApplyFile
-    | Apply
-)
+Query = Show | ShowChange | ExplainService | ExplainRegion | Wait
+Command = Shift | Drain | Undrain | SetCap | SetRank | Cancel
 
 
 @attrs.frozen
--- /dev/null
+++ b/src/carobhook/transport/operator_view.py
@@ -0,0 +1,69 @@
+"""What operators' questions are answered from, gathered from one instance and its peers."""
+
+from collections.abc import Callable, Mapping
+
+import attrs
+
+from carobhook.coordination import catalog, objects, order_tables, ordering, steering
+from carobhook.protocol import slot_messages
+from carobhook.state import ids
+from carobhook.transport import member_streams, operator_api, slot_desk
+
+
+@attrs.frozen
+class OperatorView:
+    """Knows where an instance keeps what operators ask for.
+
+    Attributes:
+        known: Servers and configuration.
+        orders: Operators' orders in force.
+        streams: Streams to the other instances.
+        desk: Dispatchers of this instance.
+        regions: Regions by failure domain.
+    """
+
+    known: catalog.Catalog
+    orders: steering.Steering
+    streams: member_streams.MemberStreams
+    desk: slot_desk.SlotDesk
+    regions: Mapping[ids.FailureDomain, ids.Region]
+
+    def ports(
+        self, store: objects.ObjectStore, seconds: Callable[[], float]
+    ) -> operator_api.OperatorPorts:
+        """Return what the operators' interface needs.
+
+        Args:
+            store: The store.
+            seconds: Returns the monotonic time in seconds.
+        """
+        return operator_api.OperatorPorts(
+            store,
+            lambda loads: self._view(loads, seconds()),
+            lambda: self._names(seconds()),
+            lambda message: self._ask_loads(message, seconds()),
+            self.desk.loads,
+        )
+
+    def _view(self, loads: list[slot_messages.ShardLoad], now: float) -> order_tables.View:
+        return order_tables.View(
+            self.orders,
+            self.known.config,
+            self.known.servers(now),
+            self.streams.roster.live(now),
+            loads,
+            dict(self.regions),
+        )
+
+    def _names(self, now: float) -> ordering.KnownNames:
+        config = self.known.config
+        return ordering.KnownNames(
+            self.regions,
+            tuple(config.services) if config is not None else (),
+            tuple(route.name for route in config.routes) if config is not None else (),
+            [view.entry.name for view in self.known.servers(now)],
+        )
+
+    def _ask_loads(self, message: slot_messages.LoadsWanted, now: float) -> int:
+        others = [m.name for m in self.streams.roster.live(now)]
+        return sum(self.streams.send(name, message) for name in others)
--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -13,7 +13,7 @@
 from carobhook import logs
 from carobhook.protocol import framing, greetings
 from carobhook.state import ids
-from carobhook.transport import outbox, sockets
+from carobhook.transport import sockets
 
 _RECONNECT_S = 0.5
 _MAX_RECONNECT_S = 2.0
@@ -159,14 +159,10 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
-        self.outbox = outbox.FairOutbox(self.send)
-        self.transport.registerProducer(self.outbox, True)
         self._timer = self._reactor.callLater(_SILENT_AFTER_S, self._silent)
 
     def close(self) -> None:
         """Close the connection after all that waits was written."""
-        self.outbox.flush()
-        self.transport.unregisterProducer()
         self.transport.loseConnection()
 
     def received(self, message: typing.Any) -> None:
@@ -324,7 +320,7 @@
         connector = self._connectors.get(address)
         if connector is None or connector.stream is None or not connector.stream.ready:
             return False
-        connector.stream.outbox.send(message)
+        connector.stream.send(message)
         return True
 
     def broadcast(self, message: typing.Any) -> None:
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -9,7 +9,7 @@
 
 from carobhook import logs
 from carobhook.coordination import refusals
-from carobhook.protocol import http1
+from carobhook.protocol import http1, own_calls
 from carobhook.state import asks, codes, ids, routing
 from carobhook.transport import client_connections, server_connections
 
@@ -66,6 +66,8 @@
         route: Its route.
         service: The service that is to run it.
         region: Region whose dispatcher is asked.
+        fallback: Region that is asked if that one refuses, None for none.
+        priority: Rank of the request; 0 is the most urgent.
         object_key: Object that it concerns, or None.
         target_at: Monotonic time in seconds until which an answer earns its full worth.
         deadline_at: Monotonic time in seconds of the final answer.
@@ -79,6 +81,8 @@
     route: routing.Route
     service: ids.Service
     region: ids.Region
+    fallback: ids.Region | None
+    priority: int
     object_key: str | None
     target_at: float
     deadline_at: float
@@ -119,7 +123,8 @@
         servers: Connections to servers.
         wire: How requests are written for servers.
         answer: Answers the client; called once at most.
-        ended: Called once with the outcome.
+        outcome: Called once with what the client got.
+        ended: Called once when nothing of the request goes on.
         broke: Called each time that a server's connection broke under the request.
         usable: Tells whether a server may get requests, as far as this instance knows.
     """
@@ -132,7 +137,8 @@
         servers: server_connections.ServerConnections,
         wire: Wire,
         answer: Callable[[http1.Answer], None],
-        ended: Callable[[Outcome], None],
+        outcome: Callable[[Outcome], None],
+        ended: Callable[[], None],
         broke: Callable[[Accepted], None] = lambda accepted: None,
         usable: Callable[[ids.Server], bool] = lambda server: True,
     ) -> None:
@@ -142,10 +148,12 @@
         self._servers = servers
         self._wire = wire
         self._answer = answer
+        self._on_outcome = outcome
         self._on_ended = ended
         self._broke = broke
         self._usable = usable
         self._stage = Stage.WAITING
+        self._region = accepted.region
         self._running: defer.Deferred | None = None
         self._avoided: frozenset[ids.Server] = frozenset()
         self._sends = 0
@@ -155,6 +163,7 @@
         self._first_slot_at: float | None = None
         self._timer: typing.Any = None
         self._answered = False
+        self._reported = False
         self._failure: server_connections.Received | None = None
 
     @property
@@ -175,12 +184,16 @@
         if self._stage is Stage.WAITING:
             self._finish(0, refusals.Refusal(codes.Code.CALLER_GONE, self._may_have_run))
             self._cancel()
-        elif self._stage is Stage.RUNNING and self._accepted.route.repeatable:
-            self._finish(0, refusals.Refusal(codes.Code.CALLER_GONE, True))
-            self._cancel()
+        elif self._stage is Stage.RUNNING:
+            self._report(0, refusals.Refusal(codes.Code.CALLER_GONE, True))
+            if self._accepted.route.repeatable:
+                self._end()
+                self._cancel()
 
     def _overdue(self) -> None:
         """Answer at the end of the request's time."""
+        if self._answered:
+            return
         if self._stage is Stage.WAITING:
             code = codes.Code.DEADLINE_PASSED_QUEUED
             self._refuse(refusals.Refusal(code, self._may_have_run, 1.0))
@@ -207,10 +220,17 @@
 
     async def _run(self) -> None:
         while True:
-            decision = await self._desk.ask(self._ask(), self._accepted.region)
+            decision = await self._desk.ask(self._ask(), self._region)
             if isinstance(decision, asks.SlotRefusal):
+                if self._falls_back():
+                    continue
                 self._refuse(
-                    refusals.Refusal(decision.code, self._may_have_run, decision.retry_after_s)
+                    refusals.Refusal(
+                        decision.code,
+                        self._may_have_run,
+                        decision.retry_after_s,
+                        decision.detail,
+                    )
                 )
                 return
             if self._first_slot_at is None:
@@ -223,6 +243,14 @@
             if not await self._send(decision):
                 return
 
+    def _falls_back(self) -> bool:
+        """Turn to the region that served this before an order moved it, if there is one."""
+        fallback = self._accepted.fallback
+        if fallback is None or self._region == fallback:
+            return False
+        self._region = fallback
+        return True
+
     def _ask(self) -> asks.Ask:
         accepted = self._accepted
         return asks.Ask(
@@ -230,7 +258,7 @@
             service=accepted.service,
             route=accepted.route.name,
             object_key=accepted.object_key if accepted.route.keeps_objects else None,
-            priority=accepted.route.priority,
+            priority=accepted.priority,
             target_at=accepted.target_at,
             deadline_at=accepted.deadline_at,
             repeat=self._sends > 0,
@@ -356,24 +384,44 @@
         if not self._answered:
             self._answered = True
             self._answer(refusal_answer(refusal))
+        self._report(refusal.status, refusal)
         keeps_running = (
             self._stage is Stage.RUNNING
             and refusal.code is codes.Code.DEADLINE_PASSED_RUNNING
             and not self._accepted.route.repeatable
         )
         if not keeps_running:
-            self._finish(refusal.status, refusal)
+            self._end()
 
     def _finish(self, status: int, refusal: refusals.Refusal | None) -> None:
+        self._report(status, refusal)
+        self._end()
+
+    def _end(self) -> None:
+        """Give the request up, once what it started is over."""
         if self._stage is Stage.ENDED:
             return
         self._stage = Stage.ENDED
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
+        self._on_ended()
+
+    def _report(self, status: int, refusal: refusals.Refusal | None) -> None:
+        """Tell what the client got, or what came of the work after it had got an answer."""
         now = self._reactor.seconds()
         began_at = self._accepted.inbound.began_at
+        if self._reported:
+            logs.event(
+                "work-ended-late",
+                request=self._accepted.client_id,
+                server=self._server,
+                status=status,
+                total_ms=round((now - began_at) * 1000, 1),
+            )
+            return
+        self._reported = True
         slot_at = self._first_slot_at if self._first_slot_at is not None else now
-        self._on_ended(
+        self._on_outcome(
             Outcome(
                 self._accepted,
                 status,
@@ -391,7 +439,7 @@
     info = refusal.code.value
     headers = [
         (b"Content-Type", b"text/plain; charset=utf-8"),
-        (b"Carobhook-Code", str(info.number).encode()),
+        *own_calls.result_headers(refusal.code, refusal.may_have_run),
     ]
     if refusal.status == 503 and refusal.retry_after_s is not None:
         headers.append((b"Retry-After", f"{refusal.retry_after_s:.3f}".encode()))
--- a/src/carobhook/transport/sockets.py
+++ b/src/carobhook/transport/sockets.py
@@ -2,6 +2,8 @@
 
 import typing
 
+_BACKLOG = 512
+
 
 def listen(
     reactor: typing.Any, host: str, port: int, factory: typing.Any, context: typing.Any
@@ -12,8 +14,8 @@
         twisted.internet.error.CannotListenError: The address is in use.
     """
     if context is None:
-        return reactor.listenTCP(port, factory, interface=host)
-    return reactor.listenSSL(port, factory, context, interface=host)
+        return reactor.listenTCP(port, factory, backlog=_BACKLOG, interface=host)
+    return reactor.listenSSL(port, factory, context, backlog=_BACKLOG, interface=host)
 
 
 def connect(
--- a/src/carobhook/transport/store_follow.py
+++ b/src/carobhook/transport/store_follow.py
@@ -9,16 +9,29 @@
 from twisted.internet import defer
 
 from carobhook import logs
-from carobhook.coordination import backoff, catalog, feeding, following, objects
+from carobhook.coordination import (
+    backoff,
+    catalog,
+    feeding,
+    following,
+    objects,
+    steering,
+)
 from carobhook.platform import names, store
 from carobhook.platform import objects as platform_objects
 from carobhook.protocol import feed_messages
 from carobhook.state import ids
 
-_KINDS = (names.CONFIG_KIND, names.SERVERS_KIND, names.EVACUATIONS_KIND)
-_OPTIONS = following.FollowOptions(
-    wait_s=4.0, delays=backoff.Backoff(first_s=0.2, cap_s=1.0), pause_s=0.2
-)
+_DELAYS = backoff.Backoff(first_s=0.2, cap_s=1.0)
+_OPTIONS = following.FollowOptions(wait_s=4.0, delays=_DELAYS, pause_s=0.2)
+# Orders are few, and each call is paid for.
+_ORDERS_OPTIONS = following.FollowOptions(wait_s=15.0, delays=_DELAYS, pause_s=0.2)
+_KINDS = {
+    names.CONFIG_KIND: _OPTIONS,
+    names.SERVERS_KIND: _OPTIONS,
+    names.EVACUATIONS_KIND: _OPTIONS,
+    names.ORDERS_KIND: _ORDERS_OPTIONS,
+}
 _PROBE_INTERVAL_S = 0.5
 _PROBE_TIMEOUT_S = 0.5
 
@@ -46,6 +59,7 @@
         reactor: Source of time and timers.
         platform: The store.
         known: The catalog to keep.
+        orders: The operators' orders to keep.
         rng: Source of the jitter of delays.
         changed: Called after each change to the catalog.
         port: How other instances are reached.
@@ -56,6 +70,7 @@
         reactor: typing.Any,
         platform: store.PlatformStore,
         known: catalog.Catalog,
+        orders: steering.Steering,
         rng: random.Random,
         changed: Callable[[], object],
         port: FeedPort,
@@ -63,6 +78,7 @@
         self._reactor = reactor
         self._platform = platform
         self._known = known
+        self._orders = orders
         self._rng = rng
         self._changed = changed
         self._port = port
@@ -156,10 +172,10 @@
                 self._rng,
                 (kind,),
                 self._hearer(kind),
-                options=_OPTIONS,
+                options=options,
                 resume_at=self._revisions.get(kind),
             )
-            for kind in _KINDS
+            for kind, options in _KINDS.items()
         ]
         for follower in self._followers:
             follower.start().addErrback(_log_failure)
@@ -256,6 +272,8 @@
                 self._take_config(item)
             elif kind == names.SERVERS_KIND:
                 self._take_server(item, now)
+            elif kind == names.ORDERS_KIND:
+                self._take_orders(item)
             else:
                 self._take_evacuation(item)
         if kind == names.EVACUATIONS_KIND:
@@ -277,6 +295,20 @@
                 routes=len(config.routes),
             )
 
+    def _take_orders(self, item: feed_messages.FedObject) -> None:
+        if item.name != names.ORDERS_NAME or item.value is None:
+            return
+        # Imported late, as most instances never see an order.
+        from carobhook.protocol import order_codec
+
+        try:
+            book = order_codec.book(json.loads(item.value))
+        except order_codec.MalformedOrdersError as problem:
+            logs.warning("object-malformed", object=f"orders/{item.name}", error=problem)
+            return
+        if self._orders.offer(book):
+            logs.event("orders-in-force", version=book.version, revision=item.version)
+
     def _take_server(self, item: feed_messages.FedObject, now: float) -> None:
         name = ids.Server(item.name)
         if item.value is None:
--- a/src/carobhook/transport/tls.py
+++ b/src/carobhook/transport/tls.py
@@ -10,10 +10,6 @@
 from carobhook import settings
 
 
-class TlsFilesError(Exception):
-    """A file of the settings' table tls cannot be used."""
-
-
 @attrs.frozen
 class Contexts:
     """How connections are secured.
@@ -33,7 +29,7 @@
     """Return the contexts of the settings, None when they set no certificate.
 
     Raises:
-        TlsFilesError: A file cannot be read or does not hold what it should.
+        settings.TlsFilesError: A file cannot be read or does not hold what it should.
     """
     if not tls.cert:
         return None
@@ -53,7 +49,7 @@
         for context in (server, peers):
             context.getContext().check_privatekey()
     except Exception as problem:
-        raise TlsFilesError(f"tls.cert and tls.key: {_cause(problem)}") from problem
+        raise settings.TlsFilesError(f"tls.cert and tls.key: {_cause(problem)}") from problem
     return Contexts(server, peers)
 
 
@@ -61,9 +57,11 @@
     try:
         return parse(pathlib.Path(name).read_bytes())
     except OSError as problem:
-        raise TlsFilesError(f"tls.{key}: {name}: {problem.strerror}") from problem
+        raise settings.TlsFilesError(f"tls.{key}: {name}: {problem.strerror}") from problem
     except Exception as problem:
-        raise TlsFilesError(f"tls.{key}: {name}: not in PEM: {_cause(problem)}") from problem
+        raise settings.TlsFilesError(
+            f"tls.{key}: {name}: not in PEM: {_cause(problem)}"
+        ) from problem
 
 
 def _certificates(data: bytes) -> list[typing.Any]:
