Tell of instances through relays, weigh machines by their links, and feed without gaps

Changed: - Each region has up to four relays, among its strongest instances. Others keep streams to these only; relays tell each other of their regions and their region of all, and only what changed (coordination/rosters.py). In regions of up to four instances all are relays, as before. - Dispatchers and store followers are relays. - Clients of a failure domain whose machines differ get three addresses, drawn by what each can carry. - An instance that starts takes its first view from a relay that is ready; a fleet that starts at once lists the store from its relays only. - A change is told since the revision that was told last. - A stream that is closed because nobody needs it says so, and its sender is not taken for dead. - News of poison marks is passed on; each mark counts once.

--- a/src/carobhook/cli/__init__.py
+++ b/src/carobhook/cli/__init__.py
@@ -9,6 +9,7 @@
     explain_request,
     reference,
     serve,
+    soak,
     standin,
 )
 
@@ -30,6 +31,7 @@
 app.command(name="explain-request")(explain_request.explain_request)
 app.command(name="codes")(reference.codes)
 app.command(name="demo")(demo.demo)
+app.command(name="soak")(soak.soak)
 app.add_typer(standin.app, name="standin")
 
 
--- a/src/carobhook/coordination/feeding.py
+++ b/src/carobhook/coordination/feeding.py
@@ -7,7 +7,7 @@
 """
 
 import math
-from collections.abc import Iterable, Sequence
+from collections.abc import Collection, Iterable, Sequence
 
 import attrs
 
@@ -19,6 +19,11 @@
 _PROOF_LIFETIME_S = 1.0
 _ASK_INTERVAL_S = 0.6
 _IN_TOUCH_S = 1.1
+# At its start an instance waits so long for others to be heard, for the feed of one that is
+# ready, and, if it is no relay itself, for a relay to become ready.
+_HEARING_S = 0.3
+_FIRST_FEED_S = 1.0
+_RELAY_START_S = 2.5
 
 
 def in_touch(answered_at: float, now: float) -> bool:
@@ -38,8 +43,9 @@
         serving: Instances that take new work.
         region: The region.
     """
-    able = [m.name for m in serving if m.region == region and m.reaches_store]
-    ordered = membership.rendezvous(f"feed/{region}", able)
+    able = [m for m in serving if m.region == region and m.reaches_store]
+    names = [m.name for m in membership.relays(able, region)]
+    ordered = membership.rendezvous(f"feed/{region}", names)
     return [ids.InstanceId(name) for name in ordered]
 
 
@@ -69,6 +75,7 @@
     own: ids.InstanceId
     _fresh: dict[ids.InstanceId, float] = attrs.field(factory=dict, init=False)
     _asked_at: float = attrs.field(default=-math.inf, init=False)
+    _began_at: float | None = attrs.field(default=None, init=False)
 
     def told_fresh(self, sender: ids.InstanceId, current: bool, now: float) -> None:
         """Take in a proof of an instance that the store answers it.
@@ -83,24 +90,38 @@
         else:
             self._fresh.pop(sender, None)
 
-    def decide(self, candidates: Sequence[ids.InstanceId], complete: bool, now: float) -> Step:
+    def decide(
+        self,
+        candidates: Sequence[ids.InstanceId],
+        relays: Collection[ids.InstanceId],
+        complete: bool,
+        now: float,
+    ) -> Step:
         """Return what to do now.
 
         Args:
             candidates: Instances that could follow the store, in order of preference.
+            relays: Instances that speak for the region, ready or not.
             complete: Whether everything is known once.
             now: Monotonic time in seconds.
         """
+        if self._began_at is None:
+            self._began_at = now
         source = candidates[0] if candidates else None
-        if source is None or source == self.own:
+        if source == self.own:
             return Step(True, None, None)
+        waited_s = now - self._began_at
+        if source is None:
+            patience_s = _HEARING_S if self.own in relays else _RELAY_START_S
+            return Step(complete or waited_s >= patience_s, None, None)
         fresh_s = now - self._fresh.get(source, -math.inf)
         trusted = complete and fresh_s <= _PROOF_LIFETIME_S
         ask = None
         if not trusted and now - self._asked_at >= _ASK_INTERVAL_S:
             ask = source
             self._asked_at = now
-        return Step(not trusted, source if trusted else None, ask)
+        starting = not complete and waited_s < _FIRST_FEED_S
+        return Step(not trusted and not starting, source if trusted else None, ask)
 
 
 @attrs.define
--- a/src/carobhook/coordination/membership.py
+++ b/src/carobhook/coordination/membership.py
@@ -7,8 +7,10 @@
 
 from carobhook.state import ids, members
 
-HEARTBEAT_INTERVAL_S = 0.5
-DEAD_AFTER_S = 2.0
+DEAD_AFTER_S = 1.4
+RELAYS = 4
+# An instance is a relay only if it can carry this part of what the strongest one can.
+_RELAY_WEIGHT_SHARE = 0.5
 
 
 @attrs.define
@@ -38,6 +40,11 @@
             self._members[member.name] = member
         self._heard_at[member.name] = now
 
+    def touched(self, name: ids.InstanceId, now: float) -> None:
+        """Take in that an instance that is known is live still."""
+        if name in self._members:
+            self._heard_at[name] = now
+
     def lost(self, name: ids.InstanceId) -> None:
         """Forget an instance that said it has left."""
         self._members.pop(name, None)
@@ -83,18 +90,42 @@
     )
 
 
+def relays(known: Iterable[members.Member], region: ids.Region) -> list[members.Member]:
+    """Return the instances of a region that speak for it, best first.
+
+    They are few and among its strongest, so that small machines carry no messages but their
+    own. In a region of few instances, all are relays.
+
+    Args:
+        known: Instances, of which only those of the region count.
+        region: The region.
+    """
+    own = {m.name: m for m in known if m.region == region}
+    staying = [m for m in own.values() if m.phase is not members.Phase.LEAVING]
+    pool = staying or list(own.values())
+    if not pool:
+        return []
+    strongest = max(member.weight for member in pool)
+    able = [m.name for m in pool if m.weight >= _RELAY_WEIGHT_SHARE * strongest]
+    if len(able) < RELAYS:
+        by_weight = sorted(pool, key=lambda m: (-m.weight, m.name))
+        able = [m.name for m in by_weight[:RELAYS]]
+    order = rendezvous(f"relay/{region}", able)
+    return [own[ids.InstanceId(name)] for name in order[:RELAYS]]
+
+
 def shard_owner(
     region: ids.Region, service: ids.Service, serving: Sequence[members.Member]
 ) -> ids.InstanceId | None:
     """Return the instance that dispatches to a service's backend servers in a region.
 
-    An instance of the region is preferred; without any, one of another region takes over.
+    A relay of the region is preferred; without any, an instance of another region takes over.
 
     Args:
         region: Region of the backend servers.
         service: Their service.
         serving: Instances that take new work.
     """
-    names = [m.name for m in serving if m.region == region] or [m.name for m in serving]
+    names = [m.name for m in relays(serving, region)] or [m.name for m in serving]
     order = rendezvous(f"{region}/{service}", names)
     return ids.InstanceId(order[0]) if order else None
--- a/src/carobhook/coordination/poison.py
+++ b/src/carobhook/coordination/poison.py
@@ -1,5 +1,6 @@
 """Quarantine of requests that break the backend servers that run them."""
 
+import collections
 from collections.abc import Iterable
 
 import attrs
@@ -11,6 +12,7 @@
 # A request that broke this many servers and was never answered is refused.
 MARKS_OF_POISON = 3
 _MAX_MARKED = 10_000
+_MAX_SEEN = 20_000
 
 Fingerprint = bytes
 
@@ -57,6 +59,9 @@
     own: ids.InstanceId
     marks_of_poison: int = MARKS_OF_POISON
     _marks: dict[Fingerprint, dict[str, Mark]] = attrs.field(factory=dict, init=False)
+    _seen: collections.OrderedDict[str, None] = attrs.field(
+        factory=collections.OrderedDict, init=False
+    )
 
     @property
     def empty(self) -> bool:
@@ -88,11 +93,21 @@
         self.add(mark)
         return mark
 
-    def add(self, mark: Mark) -> None:
-        """Take in a mark of this instance or of a peer."""
+    def add(self, mark: Mark) -> bool:
+        """Take in a mark of this instance or of a peer; tell whether it is new.
+
+        Each mark counts once, also after it was cleared, so that news of a mark and of its
+        clearing, which instances pass on to each other, cannot follow each other for ever.
+        """
+        if mark.name in self._seen:
+            return False
+        self._seen[mark.name] = None
+        if len(self._seen) > _MAX_SEEN:
+            self._seen.popitem(last=False)
         self._marks.setdefault(mark.fingerprint, {})[mark.name] = mark
         if len(self._marks) > _MAX_MARKED:
             del self._marks[next(iter(self._marks))]
+        return True
 
     def _live(self, print_: Fingerprint, now: float) -> list[Mark]:
         marks = self._marks.get(print_)
--- a/src/carobhook/demo.py
+++ b/src/carobhook/demo.py
@@ -238,18 +238,13 @@
         sections: Mapping[str, Mapping[str, object]] = {
             "place": {**place, **addresses, "seeds": seeds},
             "store": {"address": self.store},
-            "capacity": {
-                "memory_mb": 300,
-                "file_descriptors": 4096,
-                "cores": 1,
-                "link_mbps": 1000,
-            },
-            "bounds": _BOUNDS,
+            "capacity": CAPACITY,
+            "bounds": BOUNDS,
             "security": {"peer_key": self.peer_key},
             "security.operators": {OPERATOR: token_hash(self.token)},
             "regions": REGIONS,
         }
-        return "\n\n".join(_table_text(name, table) for name, table in sections.items()) + "\n"
+        return settings_file(sections)
 
     def processes(self, directory: pathlib.Path) -> tuple[Process, ...]:
         """Return the processes in the order in which they start."""
@@ -280,7 +275,8 @@
         return Process("clients", tuple(arguments))
 
 
-_BOUNDS = {
+CAPACITY = {"memory_mb": 300, "file_descriptors": 4096, "cores": 1, "link_mbps": 1000}
+BOUNDS = {
     "grace": "6s",
     "ttl_max": "5s",
     "budget_ratio": 0.2,
@@ -292,6 +288,11 @@
 }
 
 
+def settings_file(sections: Mapping[str, Mapping[str, object]]) -> str:
+    """Return the text of a settings file with some tables."""
+    return "\n\n".join(_table_text(name, table) for name, table in sections.items()) + "\n"
+
+
 def settings_path(directory: pathlib.Path, name: str) -> pathlib.Path:
     """Return the path of one instance's settings file."""
     return directory / "settings" / f"{name}.toml"
--- a/src/carobhook/protocol/greetings.py
+++ b/src/carobhook/protocol/greetings.py
@@ -29,10 +29,31 @@
 
 @attrs.frozen
 class Heartbeat:
-    """The sender's own state, and the peer addresses that it knows."""
+    """The sender's own state."""
 
     member: members.Member
-    known_peers: tuple[str, ...]
+
+
+@attrs.frozen
+class StreamUnneeded:
+    """Says that the sender closes this stream, and lives on."""
+
+
+@attrs.frozen
+class RosterTold:
+    """What a relay knows of other instances, as changes to what it told before.
+
+    All that it told of and did not take back are live.
+
+    Attributes:
+        members: Instances that are new to the receiver, or have changed.
+        lost: Names of those that have gone.
+        is_whole: Whether nothing that was told before counts any more.
+    """
+
+    members: tuple[members.Member, ...]
+    lost: tuple[ids.InstanceId, ...]
+    is_whole: bool
 
 
 @attrs.frozen
--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -8,6 +8,8 @@
         greetings.Hello,
         greetings.Heartbeat,
         greetings.Alive,
+        greetings.RosterTold,
+        greetings.StreamUnneeded,
         slot_messages.SlotAsked,
         slot_messages.SlotAskWithdrawn,
         slot_messages.SlotGranted,
--- a/src/carobhook/standins/memory_store.py
+++ b/src/carobhook/standins/memory_store.py
@@ -157,6 +157,11 @@
                 events.append(event)
         return objects.WatchBatch(self._revision, tuple(reversed(events)))
 
+    def forget(self) -> None:
+        """Give up the events that are kept, as a compaction does."""
+        self._events.clear()
+        self._forgotten = self._revision
+
     def listen(self, listener: Listener) -> Callable[[], None]:
         """Call ``listener`` with every event from now on; return how to stop that."""
         self._listeners.append(listener)
--- a/src/carobhook/standins/platform_client.py
+++ b/src/carobhook/standins/platform_client.py
@@ -118,8 +118,9 @@
         self._connections = server_connections.ServerConnections(reactor, _CONNECT_TIMEOUT_S)
         self._addresses: list[str] = []
         self._asked_at = -_LOOKUP_LIFETIME_S
+        self._failed: set[str] = set()
         self.report = Report()
-        self.attempts: list[Attempt] = []
+        self.attempts: list[tuple[RequestPlan, Attempt]] = []
 
     async def run(self, plans: Sequence[RequestPlan], rate: float, duration_s: float) -> None:
         """Send requests at an open rate, and wait for all of them.
@@ -146,7 +147,7 @@
         key = str(self._rng.randrange(plan.objects))
         while True:
             attempt = await self._attempt(plan, key, end_at - self._reactor.seconds())
-            self.attempts.append(attempt)
+            self.attempts.append((plan, attempt))
             self.report.statuses[attempt.status] += 1
             if attempt.status == 200:
                 self.report.served += 1
@@ -175,14 +176,17 @@
                 (names.TIME_LEFT_MS.encode(), str(max(1, int(left_s * 1000))).encode()),
             ),
         )
-        exchange = defer.ensureDeferred(
-            self._connections.exchange(address, head, b"", careful=True)
-        )
         try:
-            received = await exchange.addTimeout(left_s + _ANSWER_MARGIN_S, self._reactor)
-        except (server_connections.ExchangeError, defer.TimeoutError):
+            answer = await self._exchange(address, head, left_s + _ANSWER_MARGIN_S)
+        except server_connections.ExchangeError as problem:
+            if problem.fault is server_connections.Fault.CONNECT:
+                # Nothing was sent, so another address is tried.
+                self._failed.add(address)
+                spent_s = self._reactor.seconds() - began_at
+                return await self._attempt(plan, key, left_s - spent_s)
+            return Attempt(name, 0, self._reactor.seconds() - began_at)
+        except defer.TimeoutError:
             return Attempt(name, 0, self._reactor.seconds() - began_at)
-        answer = received.answer
         told = answer.get("retry-after")
         return Attempt(
             name,
@@ -193,27 +197,44 @@
             answer.body,
         )
 
+    async def _exchange(
+        self, address: str, head: http1.RequestHead, timeout_s: float
+    ) -> http1.Answer:
+        """Return the answer to a request.
+
+        Raises:
+            server_connections.ExchangeError: There is none.
+            defer.TimeoutError: There is none in time.
+        """
+        exchange = defer.ensureDeferred(
+            self._connections.exchange(address, head, b"", careful=True)
+        )
+        received = await exchange.addTimeout(timeout_s, self._reactor)
+        return received.answer
+
     async def _address(self, host: str) -> str | None:
-        """Return where to connect, from an answer of the directory that is still fresh."""
+        """Return where to connect, from an answer of the directory that is still fresh.
+
+        Addresses that could not be connected to are passed over until the next answer.
+        """
         if self._reactor.seconds() - self._asked_at >= _LOOKUP_LIFETIME_S:
             self._asked_at = self._reactor.seconds()
             found = await self._look_up(host)
             self._addresses = found or self._addresses
-        return self._rng.choice(self._addresses) if self._addresses else None
+            self._failed.clear()
+        left = [address for address in self._addresses if address not in self._failed]
+        return self._rng.choice(left) if left else None
 
     async def _look_up(self, host: str) -> list[str]:
         target = f"{names.RESOLVE_PATH}?Name={host}&Region={self._region}&Zone={self._domain}"
         for address in self._directories:
             head = http1.RequestHead(b"GET", target.encode(), ((b"Host", address.encode()),))
-            exchange = defer.ensureDeferred(
-                self._connections.exchange(address, head, b"", careful=True)
-            )
             try:
-                received = await exchange.addTimeout(_LOOKUP_TIMEOUT_S, self._reactor)
+                answer = await self._exchange(address, head, _LOOKUP_TIMEOUT_S)
             except (server_connections.ExchangeError, defer.TimeoutError):
                 continue
-            if received.answer.status == 200:
-                return list(json.loads(received.answer.body)["Addresses"])
+            if answer.status == 200:
+                return list(json.loads(answer.body)["Addresses"])
         return []
 
     def stop(self) -> None:
--- a/src/carobhook/standins/platform_server.py
+++ b/src/carobhook/standins/platform_server.py
@@ -31,6 +31,7 @@
         extra: Octets sent behind each answer.
         shed: Whether it says that it did not run the request.
         body: Body of its answers.
+        echoes: Whether the body is the attempt's id instead.
     """
 
     slots: int = 4
@@ -41,6 +42,7 @@
     extra: bytes = b""
     shed: bool = False
     body: bytes = b"served"
+    echoes: bool = False
 
 
 @attrs.define(eq=False)
@@ -65,18 +67,21 @@
         name: Its id.
 
     Attributes:
+        name: Its id.
         behaviour: How it works; may be changed at any time.
         ran: Ids of the requests that it began to work on.
+        runs: The same, each with the monotonic time in seconds of its begin.
         cancelled: Requests whose connection closed while it worked.
         heads: Heads of all requests.
     """
 
     def __init__(self, reactor: typing.Any, name: str) -> None:
         self._reactor = reactor
-        self._name = name
+        self.name = name
         self._connections: list[client_connections.ClientConnection] = []
         self.behaviour = Behaviour()
         self.ran: list[str] = []
+        self.runs: list[tuple[str, float]] = []
         self.cancelled = 0
         self.heads: list[http1.RequestHead] = []
 
@@ -110,14 +115,16 @@
         head = inbound.head
         self.heads.append(head)
         expected = head.get(names.EXPECTED_SERVER)
-        if expected is not None and expected != self._name:
+        if expected is not None and expected != self.name:
             answer(self._reply(head, 421, b""))
             return None
         if self.behaviour.shed:
             shed = self._reply(head, 503, b"", ((names.NOT_EXECUTED.encode(), b"1"),))
             answer(shed)
             return None
-        self.ran.append(head.get(names.REQUEST_ID) or "")
+        request = head.get(names.REQUEST_ID) or ""
+        self.ran.append(request)
+        self.runs.append((request, self._reactor.seconds()))
         timer = self._reactor.callLater(self.behaviour.work_s, self._end, head, answer)
         return _Run(timer, self._count_cancelled)
 
@@ -135,7 +142,10 @@
                     else:
                         connection.transport.abortConnection()
             return
-        answer(self._reply(head, behaviour.status, behaviour.body))
+        body = behaviour.body
+        if behaviour.echoes:
+            body = (head.get(names.REQUEST_ID) or "").encode()
+        answer(self._reply(head, behaviour.status, body))
         if behaviour.extra:
             for connection in self._connections:
                 if connection.connected:
@@ -151,7 +161,7 @@
         request_id = (head.get(names.REQUEST_ID) or "").encode()
         told = (
             (names.REQUEST_ID.encode(), request_id),
-            (names.SERVER_ID.encode(), self._name.encode()),
+            (names.SERVER_ID.encode(), self.name.encode()),
             (b"Server", b"standin"),
             *headers,
         )
--- a/src/carobhook/standins/platform_store.py
+++ b/src/carobhook/standins/platform_store.py
@@ -98,6 +98,10 @@
         if held is not None:
             self._engine.delete(kind, name, held.version, now)
 
+    def forget(self) -> None:
+        """Give up the history, so that watches have to begin anew."""
+        self._engine.forget()
+
     def _handle(
         self, inbound: client_connections.Inbound, answer: Answer
     ) -> client_connections.Exchange | None:
--- a/src/carobhook/state/members.py
+++ b/src/carobhook/state/members.py
@@ -31,7 +31,8 @@
         phase: Its phase.
         version: Version of the configuration in force there.
         orders_version: Version of the operators' orders in force there.
-        reaches_store: Whether the object API answers it, so that it can own keys.
+        reaches_store: Whether the store answers it, so that it can follow it for others.
+        weight: How much it can carry, relative to other instances.
     """
 
     name: ids.InstanceId
@@ -44,3 +45,4 @@
     version: ids.Version
     orders_version: ids.Version = _NO_ORDERS
     reaches_store: bool = True
+    weight: float = 1.0
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -11,7 +11,7 @@
 from twisted.internet import defer, task
 
 from carobhook import entry_metrics, entry_settings, logs
-from carobhook.coordination import catalog, directory, feeding, steering
+from carobhook.coordination import catalog, directory, feeding, membership, steering
 from carobhook.platform import names, requests, store
 from carobhook.protocol import feed_messages, http1, own_calls, slot_messages
 from carobhook.state import ids, members, routing
@@ -34,8 +34,9 @@
 _MOST_ADDRESSES = 64
 _TICK_S = 0.1
 _CLOSE_IDLE_S = 1.0
-# New connections are taken this long after a stop began, for clients that know nothing else.
-_ACCEPT_WHILE_LEAVING_S = 1.5
+# New connections are taken this long after a stop began: clients that asked the directory just
+# before go by its answer for that time.
+_ACCEPT_WHILE_LEAVING_S = _DIRECTORY_TTL_S + 0.3
 _STOP_POLL_S = 0.05
 # Share of the grace before whose end the last answers are out and the process has ended.
 _GRACE_MARGIN_SHARE = 0.15
@@ -45,6 +46,8 @@
 _LOAN_STEPS_IN_BOUND = 4
 # Share of an agreed bound that is used, as what is on its way is not counted yet.
 _BOUND_MARGIN = 0.8
+# Traffic that one core can carry.
+_MBPS_OF_CORE = 100.0
 
 
 @attrs.frozen
@@ -127,7 +130,10 @@
             rng,
             self._catalog_changed,
             store_follow.FeedPort(
-                self._settings.place.name, self._feed_candidates, self._streams.send
+                self._settings.place.name,
+                self._feed_candidates,
+                self._region_relays,
+                self._streams.send,
             ),
         )
 
@@ -270,7 +276,7 @@
         """
         kept = self._settings
         self._settings = attrs.evolve(kept, bounds=settings.bounds, regions=settings.regions)
-        self._streams.connect(settings.place.seeds)
+        self._streams.seed(settings.place.seeds)
         needs_restart = settings.place != kept.place or settings.capacity != kept.capacity
         logs.event("settings-reloaded", needs_restart=needs_restart)
 
@@ -338,8 +344,14 @@
             ids.Version(config.version if config is not None else 0),
             self._orders.book.version,
             self._known.store_lost_at is None,
+            self._weight(),
         )
 
+    def _weight(self) -> float:
+        """Return how much this instance can carry, in Mbit/s of its link or processor."""
+        capacity = self._settings.capacity
+        return min(capacity.link_mbps, capacity.cores * _MBPS_OF_CORE)
+
     def _beat(self) -> None:
         if (
             self._phase is members.Phase.STARTING
@@ -392,6 +404,11 @@
         serving = self._streams.roster.serving(self._reactor.seconds())
         return feeding.candidates(serving, self._settings.place.region)
 
+    def _region_relays(self) -> list[ids.InstanceId]:
+        live = self._streams.roster.live(self._reactor.seconds())
+        found = membership.relays(live, self._settings.place.region)
+        return [member.name for member in found]
+
     def _close_idle(self) -> None:
         now = self._reactor.seconds()
         self._servers.close_idle(now)
@@ -419,13 +436,14 @@
     ) -> None:
         lookup = own_calls.lookup(inbound.head.target)
         if lookup is not None:
-            self._answer_lookup(lookup, answer)
+            self._answer_lookup(lookup, inbound.client, answer)
             return
         query = requests.directory_query(inbound.head.target)
         if query is None:
             answer(client_connections.own_answer(404))
             return
-        addresses = self._addresses(ids.Region(query[1]), ids.FailureDomain(query[2]))
+        region, domain = ids.Region(query[1]), ids.FailureDomain(query[2])
+        addresses = self._addresses(region, domain, inbound.client)
         status = 200 if addresses else 503
         self._metrics.count(entry_metrics.EntryMetric.LOOKUPS, str(status))
         if not addresses:
@@ -436,18 +454,23 @@
         headers = ((b"Content-Type", b"application/json"),)
         answer(http1.Answer(status, b"OK", headers, body))
 
-    def _answer_lookup(self, lookup: own_calls.Lookup, answer: entry_requests.Answer) -> None:
-        addresses = self._addresses(lookup.region, lookup.failure_domain)
+    def _answer_lookup(
+        self, lookup: own_calls.Lookup, client: str, answer: entry_requests.Answer
+    ) -> None:
+        addresses = self._addresses(lookup.region, lookup.failure_domain, client)
         status = 200 if addresses else 503
         self._metrics.count(entry_metrics.EntryMetric.LOOKUPS, str(status))
         ttl_s = min(self._settings.bounds.ttl_max_s, _DIRECTORY_TTL_S)
         answer(own_calls.lookup_answer(addresses, ttl_s))
 
-    def _addresses(self, region: ids.Region, domain: ids.FailureDomain) -> list[str]:
-        """Return where clients of a failure domain connect to."""
-        serving = self._streams.roster.serving(self._reactor.seconds())
-        near = directory.nearest(serving, region, domain)
-        return [member.http for member in near[:_MOST_ADDRESSES]]
+    def _addresses(
+        self, region: ids.Region, domain: ids.FailureDomain, client: str
+    ) -> list[str]:
+        """Return where a client of a failure domain connects to."""
+        now = self._reactor.seconds()
+        near = directory.nearest(self._streams.roster.serving(now), region, domain)
+        told = directory.chosen(near, client, now)
+        return [member.http for member in told[:_MOST_ADDRESSES]]
 
 
 def _tls_contexts(settings: entry_settings.EntrySettings) -> typing.Any:
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -116,15 +116,19 @@
         return flow
 
     def marked(self, message: slot_messages.RequestMarked) -> None:
-        """Take in that servers broke at another instance while they ran a request."""
+        """Take in that servers broke at another instance while they ran a request.
+
+        News is passed on, as not every instance has a stream to every other.
+        """
         expires_at = self._reactor.seconds() + message.remaining_ms / 1000
-        self._quarantine.add(
-            poison.Mark(message.fingerprint, message.name, message.source, expires_at)
-        )
+        mark = poison.Mark(message.fingerprint, message.name, message.source, expires_at)
+        if self._quarantine.add(mark):
+            self._ports.broadcast(message)
 
     def cleared(self, message: slot_messages.RequestCleared) -> None:
-        """Take in that a marked request was answered at another instance."""
-        self._quarantine.clear(message.fingerprint)
+        """Take in that a marked request was answered at another instance, and pass it on."""
+        if self._quarantine.clear(message.fingerprint):
+            self._ports.broadcast(message)
 
     def _place(
         self, inbound: client_connections.Inbound, call: own_calls.ServiceCall | None
--- a/src/carobhook/transport/member_streams.py
+++ b/src/carobhook/transport/member_streams.py
@@ -6,12 +6,13 @@
 import attrs
 
 from carobhook import logs
-from carobhook.coordination import membership
+from carobhook.coordination import membership, rosters
 from carobhook.protocol import greetings, peer_codec
 from carobhook.state import ids, members
 from carobhook.transport import peers
 
-_DEAD_AFTER_S = 1.4
+# Seeds are kept for this long after they were told.
+_SEEDING_S = 10.0
 
 
 @attrs.frozen
@@ -53,7 +54,10 @@
         self._describe = describe
         self._events = events
         self._live: set[ids.InstanceId] = set()
-        self.roster = membership.Membership(identity.name, _DEAD_AFTER_S)
+        self._seeds: tuple[str, ...] = ()
+        self._seeded_at = 0.0
+        self.roster = membership.Membership(identity.name, membership.DEAD_AFTER_S)
+        self._known = rosters.Roster(identity.name, describe().region, self.roster)
         self._hub = peers.PeerHub(
             reactor,
             identity,
@@ -77,17 +81,28 @@
         host, _, port = address.rpartition(":")
         self._hub.listen(host, int(port))
         self.roster.heard(self._describe(), self._reactor.seconds())
-        self.connect(seeds)
+        self.seed(seeds)
 
-    def connect(self, addresses: typing.Iterable[str]) -> None:
-        """Keep streams to some addresses."""
-        for address in addresses:
+    def seed(self, addresses: typing.Iterable[str]) -> None:
+        """Look for other instances at some addresses."""
+        self._seeds = tuple(addresses)
+        self._seeded_at = self._reactor.seconds()
+        for address in self._seeds:
             self._hub.connect(address)
 
     def send(self, name: ids.InstanceId, message: typing.Any) -> bool:
-        """Send a message to an instance; return False if there is no stream to it."""
+        """Send a message to an instance; return False if there is no stream to it.
+
+        A stream is opened in that case, so that a later attempt may succeed.
+        """
         member = self.roster.get(name)
-        return member is not None and self._hub.send(member.peers, message)
+        if member is None:
+            return False
+        self._known.used(name, self._reactor.seconds())
+        if self._hub.send(member.peers, message):
+            return True
+        self._hub.connect(member.peers)
+        return False
 
     def broadcast(self, message: typing.Any) -> None:
         """Send a message on every ready stream."""
@@ -95,49 +110,105 @@
 
     def beat(self) -> None:
         """Tell the others of this instance, and give up those that fell silent."""
+        now = self._reactor.seconds()
         member = self._describe()
-        self.roster.heard(member, self._reactor.seconds())
+        self.roster.heard(member, now)
         self._forget_dead()
-        self._hub.broadcast(greetings.Heartbeat(member, (member.peers,)))
+        self._hub.keep(self._wanted(now))
+        self._hub.broadcast(greetings.Heartbeat(member))
+        for name, message in self._known.reports(now).items():
+            receiver = self.roster.get(name)
+            if receiver is not None:
+                self._hub.send(receiver.peers, message)
 
     async def stop(self) -> None:
         """Close all streams."""
         await self._hub.stop()
 
+    def _wanted(self, now: float) -> set[str]:
+        """Return the addresses to keep streams to: those of relays, and seeds while alone."""
+        wanted = set(self._known.wanted(now))
+        others = [m for m in self.roster.live(now) if m.name != self._own]
+        if not others or now - self._seeded_at < _SEEDING_S:
+            wanted.update(self._seeds)
+        return wanted
+
     def _forget_dead(self) -> None:
-        live = {member.name for member in self.roster.live(self._reactor.seconds())}
+        now = self._reactor.seconds()
+        live = {member.name for member in self.roster.live(now)}
         for name in self._live - live:
             logs.warning("member-lost", member=name, reason="silent")
+            self._known.lost(name, now)
             self._events.lost(name)
         if live != self._live:
             self._live = live
             self._events.changed()
 
     def _stream_lost(self, name: ids.InstanceId) -> None:
-        """Take an instance whose stream ended for gone until it is heard again."""
-        if self.roster.get(name) is None or name == self._own:
+        """Take an instance whose stream ended for gone until it is heard again.
+
+        A stream that carried no heartbeats lately was closed because nobody needed it.
+        """
+        now = self._reactor.seconds()
+        if name == self._own or not self._known.is_direct(name, now):
             return
-        self.roster.lost(name)
+        self._known.lost(name, now)
         self._forget_dead()
 
     def _greet(self, address: str) -> None:
-        self._hub.send(address, greetings.Heartbeat(self._describe(), self._hub.known))
+        """Introduce this instance on a new stream, with the others that it knows."""
+        now = self._reactor.seconds()
+        live = self.roster.live(now)
+        for member in live:
+            if member.peers == address:
+                self._known.greeted(member.name)
+        self._hub.send(address, greetings.Heartbeat(self._describe()))
+        others = tuple(member for member in live if member.name != self._own)
+        self._hub.send(address, greetings.RosterTold(others, (), True))
 
     def _received(self, sender: ids.InstanceId, message: typing.Any) -> None:
         if isinstance(message, greetings.Heartbeat):
-            self._heard(message)
+            self._heard(message.member)
+        elif isinstance(message, greetings.StreamUnneeded):
+            self._known.unneeded(sender)
+        elif isinstance(message, greetings.RosterTold):
+            self._told(sender, message)
         else:
             self._events.received(sender, message)
 
-    def _heard(self, beat: greetings.Heartbeat) -> None:
-        member = beat.member
+    def _heard(self, member: members.Member) -> None:
+        now = self._reactor.seconds()
         before = self.roster.get(member.name)
-        self.roster.heard(member, self._reactor.seconds())
-        self.connect((member.peers, *beat.known_peers))
+        self._known.heard(member, now)
+        if before is None:
+            # It may know nobody yet, so a stream to it is opened, on which it is greeted.
+            self._known.used(member.name, now)
+        self._noticed(before, member)
+
+    def _told(self, sender: ids.InstanceId, message: greetings.RosterTold) -> None:
+        """Take in what a relay, or an instance that was just met, knows of others."""
+        now = self._reactor.seconds()
+        before = {member.name: self.roster.get(member.name) for member in message.members}
+        gone = self._known.told(sender, message, now)
+        for name in gone:
+            logs.warning("member-lost", member=name, reason="relay")
+        for member in message.members:
+            if self.roster.get(member.name) == member:
+                self._noticed(before[member.name], member)
+        if gone:
+            for name in gone:
+                self._live.discard(name)
+                self._events.lost(name)
+            self._events.changed()
+
+    def _noticed(self, before: members.Member | None, member: members.Member) -> None:
+        """Tell of an instance that is new, has begun a new run, or has changed its phase."""
         if before is None or before.incarnation != member.incarnation:
             logs.event("member-seen", member=member.name, phase=member.phase)
             if before is not None:
                 self._events.lost(member.name)
         self._live.add(member.name)
+        if before is None:
+            self._hub.keep(self._wanted(self._reactor.seconds()))
         if before is None or before.phase is not member.phase:
             self._events.changed()
--- a/src/carobhook/transport/operator_view.py
+++ b/src/carobhook/transport/operator_view.py
@@ -4,7 +4,14 @@
 
 import attrs
 
-from carobhook.coordination import catalog, objects, order_tables, ordering, steering
+from carobhook.coordination import (
+    catalog,
+    membership,
+    objects,
+    order_tables,
+    ordering,
+    steering,
+)
 from carobhook.protocol import slot_messages
 from carobhook.state import ids
 from carobhook.transport import member_streams, operator_api, slot_desk
@@ -65,5 +72,11 @@
         )
 
     def _ask_loads(self, message: slot_messages.LoadsWanted, now: float) -> int:
-        others = [m.name for m in self.streams.roster.live(now)]
-        return sum(self.streams.send(name, message) for name in others)
+        """Ask the instances that can give out slots; return how many were reached."""
+        live = self.streams.roster.live(now)
+        able = [
+            member.name
+            for region in set(self.regions.values())
+            for member in membership.relays(live, region)
+        ]
+        return sum(self.streams.send(name, message) for name in able)
--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -3,7 +3,7 @@
 import hmac
 import secrets
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Collection
 
 import attrs
 import msgpack
@@ -330,6 +330,18 @@
             if connector.stream is not None and connector.stream.ready:
                 connector.stream.transport.write(frame)
 
+    def keep(self, addresses: Collection[str]) -> None:
+        """Keep streams to some addresses, and close those to all others."""
+        for address in [held for held in self._connectors if held not in addresses]:
+            connector = self._connectors.pop(address)
+            connector.stopTrying()
+            if connector.stream is not None and connector.stream.transport is not None:
+                if connector.stream.ready:
+                    connector.stream.send(greetings.StreamUnneeded())
+                connector.stream.close()
+        for address in addresses:
+            self.connect(address)
+
     async def stop(self) -> None:
         """Close every stream and stop accepting."""
         for connector in self._connectors.values():
--- a/src/carobhook/transport/store_follow.py
+++ b/src/carobhook/transport/store_follow.py
@@ -44,11 +44,13 @@
         own: Name of this instance.
         candidates: Returns the instances of the region that could follow the store for it, in
             order of preference.
+        relays: Returns the instances that speak for the region, ready or not.
         send: Sends a message to an instance.
     """
 
     own: ids.InstanceId
     candidates: Callable[[], list[ids.InstanceId]]
+    relays: Callable[[], list[ids.InstanceId]]
     send: Callable[[ids.InstanceId, typing.Any], bool]
 
 
@@ -102,8 +104,8 @@
         return bool(self._followers)
 
     def start(self) -> None:
-        """Begin to follow."""
-        self._go_direct()
+        """Begin to follow: another instance that is ready, or the store itself."""
+        self.tick()
 
     def stop(self) -> None:
         """Stop following."""
@@ -114,7 +116,9 @@
     def tick(self) -> None:
         """Choose the source, prove that the store answers, and tell the subscribers."""
         now = self._reactor.seconds()
-        step = self._choice.decide(self._port.candidates(), self.complete, now)
+        step = self._choice.decide(
+            self._port.candidates(), self._port.relays(), self.complete, now
+        )
         if step.ask is not None:
             self._port.send(step.ask, feed_messages.FeedWanted())
         if step.direct and not self._followers:
@@ -230,8 +234,10 @@
             )
         else:
             items = tuple(_fed(event) for event in message.events)
+            # The watch may have gone on since over changes of other kinds, untold.
+            since = self._revisions.get(kind, message.since)
             self._change(kind, message.revision, items)
-            told = feed_messages.FeedEvents(kind, message.since, message.revision, items)
+            told = feed_messages.FeedEvents(kind, since, message.revision, items)
         for name in self._subscribers.names:
             self._port.send(name, told)
 
--- a/tests/store_access.py
+++ b/tests/store_access.py
@@ -49,6 +49,10 @@
         now = self.clock.seconds()
         return self._written(self.engine.update(kind, name, value, version, now))
 
+    async def probe(self, timeout_s):
+        """Find out whether the store answers."""
+        self._check()
+
     async def watch(self, kinds, since, wait_s):
         """Return events, as soon as there are some or the wait is over."""
         self._check()
--- a/tests/test_poison.py
+++ b/tests/test_poison.py
@@ -45,6 +45,25 @@
             one.add(other.broke(PRINT, f"m{number}", 0.0))
         assert one.refuses(PRINT, 0.0)
 
+    def test_news_of_marks_and_clearings_ends(self):
+        """In a ring of instances that pass news on, nothing goes round for ever."""
+        ring = [poison.Quarantine(f"i{number}") for number in range(5)]
+        mark = ring[0].broke(PRINT, "m1", 0.0)
+        # Each item is where a piece of news goes next: a mark, or None for a clearing.
+        news = [(1, mark), (4, mark)]
+        ring[2].add(mark)
+        ring[2].clear(PRINT)
+        news += [(1, None), (3, None)]
+        passed = 0
+        while news and passed < 1000:
+            place, held = news.pop(0)
+            one = ring[place]
+            is_new = one.clear(PRINT) if held is None else one.add(held)
+            if is_new:
+                passed += 1
+                news += [((place + 1) % 5, held), ((place - 1) % 5, held)]
+        assert passed < 50
+
     def test_whole_answer_clears_the_marks(self):
         """A request that a server answered whole does not break servers by itself."""
         one = poison.Quarantine("i1")
@@ -59,6 +78,6 @@
         """The oldest marks give way, so that marks cannot fill the memory."""
         one = poison.Quarantine("i1", marks_of_poison=1)
         for number in range(10_001):
-            one.broke(number.to_bytes(16), "m", 0.0)
+            one.broke(number.to_bytes(16), f"m{number}", 0.0)
         assert not one.refuses((0).to_bytes(16), 0.0)
         assert one.refuses((10_000).to_bytes(16), 0.0)
