Add an emulator that compares the dispatcher with a baseline and an ideal scheduler

carobhook measure plays a seeded load on virtual time against servers that work faster on objects they had lately: the product's dispatcher as it is, instances that guess by their own counts, and an ideal scheduler with each object warm at one server.

--- a/src/carobhook/cli/__init__.py
+++ b/src/carobhook/cli/__init__.py
@@ -7,6 +7,7 @@
     ctl,
     demo,
     explain_request,
+    measure,
     reference,
     serve,
     soak,
@@ -32,6 +33,7 @@
 app.command(name="codes")(reference.codes)
 app.command(name="demo")(demo.demo)
 app.command(name="soak")(soak.soak)
+app.command(name="measure")(measure.measure)
 app.add_typer(standin.app, name="standin")
 
 
