Share the rate of cold servers and the slack of repeats by the instances that are seen

Cause: tests/test_joint_sums.py plays histories in which instances of a region lose and find each other, in two to four parts that notice one after the other. A cold server got 16 and 17 requests in a second (bound 12.5), with two parts too: each new dispatcher began with a full burst, and each part of the region with the whole rate. Repeats had the same two faults.

Changed: a new dispatcher gains its burst before it uses it, and its slack of repeats over a window; both are multiplied by the part of the region's instances that this one sees, of those that were known in the last two minutes. Parts that see none of each other share what one would have.

Ruled out: no cold servers at all without a majority (after a real loss of most instances, nobody would warm them), leases from the store (it may be away just then).

--- a/src/carobhook/coordination/retry_allowance.py
+++ b/src/carobhook/coordination/retry_allowance.py
@@ -1,10 +1,13 @@
 """Bounds the requests that a service gets beyond the first send of each."""
 
 import collections
+import math
 
 import attrs
 
 _BUCKET_S = 0.5
+# Part of the slack that a new allowance has at once.
+_FIRST_SHARE = 0.1
 
 
 @attrs.define
@@ -42,11 +45,16 @@
         ratio: Repeats for each request.
         slack: Repeats in a window besides.
         window_s: Length of the window in seconds.
+        began_at: Monotonic time in seconds from which this one counts. Another may have counted
+            before, so the slack is gained over a window.
+        share: Part of the slack that this one may use, while others may count besides.
     """
 
     ratio: float
     slack: float
     window_s: float
+    began_at: float = -math.inf
+    share: float = 1.0
     _requests: _Window = attrs.field(init=False)
     _repeats: _Window = attrs.field(init=False)
 
@@ -68,7 +76,9 @@
         Args:
             now: Monotonic time in seconds.
         """
-        allowed = self.ratio * self._requests.total(now) + self.slack
+        gained = min(1.0, _FIRST_SHARE + max(0.0, now - self.began_at) / self.window_s)
+        slack = self.slack * self.share * gained
+        allowed = self.ratio * self._requests.total(now) + slack
         if self._repeats.total(now) + 1 > allowed:
             return False
         self._repeats.add(now)
--- a/src/carobhook/coordination/rosters.py
+++ b/src/carobhook/coordination/rosters.py
@@ -121,6 +121,29 @@
         """Tell whether this instance is a relay of its region."""
         return self.own in self._relay_names(self.table.live(now), self.region)
 
+    def visible_share(self, region: ids.Region, now: float) -> float:
+        """Return the part of a region's instances that is live, of those known lately.
+
+        Instances that said that they leave are not missed. Where none of a region is live, one
+        of another region may stand in for all of them, and counts as one more.
+
+        Args:
+            region: The region.
+            now: Monotonic time in seconds.
+        """
+        live = sum(member.region == region for member in self.table.live(now))
+        known = sum(
+            member.region == region
+            and (
+                member.phase is not members.Phase.LEAVING
+                or self.table.get(member.name) is not None
+            )
+            for member in self._known(now)
+        )
+        if not live:
+            return 1 / (known + 1)
+        return live / max(live, known)
+
     def wanted(self, now: float) -> list[str]:
         """Return the peer addresses to which this instance keeps streams.
 
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -20,17 +20,19 @@
 _COLD_BURST = 2.0
 
 
-def shared_cold_rate(told_per_s: float, most_per_s: float) -> float:
+def shared_cold_rate(told_per_s: float, most_per_s: float, visible: float) -> float:
     """Return the rate at which one dispatcher may send to a cold server.
 
-    Two dispatchers may give out the same server's slots for a moment, so each keeps to half of
-    the most that the server may get.
+    Load pattern: a server is cold while instances lose sight of each other, and each part of
+    them has a dispatcher. Two dispatchers may overlap for a moment, so each keeps to half of
+    the most that the server may get; parts that last share the rate by the instances they see.
 
     Args:
         told_per_s: Requests a second that a cold server bears.
         most_per_s: Requests in one second that it may get from all instances.
+        visible: Part of the region's instances that this one sees.
     """
-    return max(1.0, min(told_per_s, most_per_s / 2 - _COLD_BURST))
+    return max(1.0, min(told_per_s, most_per_s / 2 - _COLD_BURST)) * visible
 
 
 @attrs.frozen
@@ -113,13 +115,18 @@
         """Return whether the last thing known of it is that it does not answer."""
         return self._failures > 0
 
-    def take(self, offer: ServerOffer) -> None:
+    def take(self, offer: ServerOffer, now: float) -> None:
         """Take in what is newly known of the server."""
         self.view = offer.view
         self.slots = offer.slots
         self.round_trip_s = offer.round_trip_s
-        if self.cold_bucket is None and offer.cold_rate is not None:
+        if offer.cold_rate is None:
+            return
+        if self.cold_bucket is None:
             self.cold_bucket = token_bucket.TokenBucket(offer.cold_rate, _COLD_BURST)
+            # Another dispatcher may have used its burst a moment ago.
+            self.cold_bucket.empty(now)
+        self.cold_bucket.rate = offer.cold_rate
 
     def free(self, now: float) -> int:
         """Return how many slots are free.
@@ -250,18 +257,19 @@
             for key in server.objects:
                 self._holders.setdefault(key, set()).add(server.name)
 
-    def replace(self, offers: Iterable[ServerOffer]) -> None:
+    def replace(self, offers: Iterable[ServerOffer], now: float) -> None:
         """Replace the list of servers; what is known of those that stay is kept.
 
         Args:
             offers: Servers with their slots.
+            now: Monotonic time in seconds.
         """
         found: dict[ids.Server, PooledServer] = {}
         for offer in offers:
             pooled = self._servers.get(offer.view.entry.name)
             if pooled is None or _restarted(pooled.view, offer.view):
                 pooled = PooledServer(offer.view, offer.region, offer.slots)
-            pooled.take(offer)
+            pooled.take(offer, now)
             found[pooled.name] = pooled
         self._servers = found
 
--- a/src/carobhook/coordination/token_bucket.py
+++ b/src/carobhook/coordination/token_bucket.py
@@ -21,6 +21,10 @@
     def __attrs_post_init__(self) -> None:
         self._tokens = self.burst
 
+    def empty(self, now: float) -> None:
+        """Take all tokens, so that a burst has to be gained first."""
+        self._tokens, self._filled_at = 0.0, now
+
     def take(self, now: float) -> bool:
         """Take one token if there is one; tell whether it was taken.
 
--- a/src/carobhook/emulator/policies.py
+++ b/src/carobhook/emulator/policies.py
@@ -57,7 +57,7 @@
         self._requests: dict[ids.RequestId, model.Request] = {}
         allowance = retry_allowance.RetryAllowance(0.2, 50.0, 10.0)
         self._one = dispatcher.Dispatcher(allowance)
-        self._one.pool.replace(_offer(server) for server in pool)
+        self._one.pool.replace((_offer(server) for server in pool), 0.0)
 
     def arrive(self, request: model.Request, now: float) -> list[Decision]:
         """Ask the dispatcher for a slot."""
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -44,8 +44,6 @@
 _BODY_SHARE_OF_MEMORY = 0.25
 # Loans between regions move once in half a second, and a bound holds for two seconds.
 _LOAN_STEPS_IN_BOUND = 4
-# Share of an agreed bound that is used, as what is on its way is not counted yet.
-_BOUND_MARGIN = 0.8
 # Traffic that one core can carry.
 _MBPS_OF_CORE = 100.0
 
@@ -147,13 +145,14 @@
             self._orders,
             self._streams,
             self._slot_bounds(),
+            self._streams.visible_share,
         )
 
     def _slot_bounds(self) -> slot_shards.SlotBounds:
         bounds = self._settings.bounds
         return slot_shards.SlotBounds(
-            bounds.budget_ratio * _BOUND_MARGIN,
-            bounds.budget_slack * _BOUND_MARGIN,
+            bounds.budget_ratio * slot_shards.BOUND_MARGIN,
+            bounds.budget_slack * slot_shards.BOUND_MARGIN,
             bounds.budget_window_s,
             bounds.cold_over,
             bounds.cold_slack,
--- a/src/carobhook/transport/member_streams.py
+++ b/src/carobhook/transport/member_streams.py
@@ -121,6 +121,10 @@
             if receiver is not None:
                 self._hub.send(receiver.peers, message)
 
+    def visible_share(self, region: ids.Region) -> float:
+        """Return the part of a region's instances that is live, of those known lately."""
+        return self._known.visible_share(region, self._reactor.seconds())
+
     async def stop(self) -> None:
         """Close all streams."""
         await self._hub.stop()
--- a/src/carobhook/transport/slot_desk.py
+++ b/src/carobhook/transport/slot_desk.py
@@ -1,7 +1,7 @@
 """Joins this instance's asks with the dispatchers that it runs, and with other instances."""
 
 import typing
-from collections.abc import Mapping
+from collections.abc import Callable, Mapping
 
 from twisted.internet import defer
 
@@ -35,6 +35,8 @@
         orders: Operators' orders in force.
         peers: Streams to other instances.
         bounds: What bounds sends.
+        visible: Returns the part of a region's instances that was heard lately, of those that
+            were heard in the last minutes.
     """
 
     def __init__(
@@ -47,6 +49,7 @@
         orders: steering.Steering,
         peers: Peers,
         bounds: slot_shards.SlotBounds,
+        visible: Callable[[ids.Region], float],
     ) -> None:
         self._reactor = reactor
         self._own = own
@@ -69,6 +72,7 @@
             self._owner_of,
             self._send,
             self._live,
+            visible,
         )
 
     @property
--- a/src/carobhook/transport/slot_shards.py
+++ b/src/carobhook/transport/slot_shards.py
@@ -20,6 +20,8 @@
 
 Shard = slot_asks.Shard
 
+# Share of an agreed bound that is used, as what is on its way is not counted yet.
+BOUND_MARGIN = 0.8
 _REPORT_LIFETIME_S = 1.6
 _DEMAND_WEIGHT = 0.2
 _ROUND_TRIP_WEIGHT = 0.2
@@ -88,6 +90,7 @@
         owner_of: Returns the instance that gives out the slots of a shard, or None.
         send: Sends a message to an instance, this one included.
         live: Returns the instances that were heard lately.
+        visible: Returns the part of a region's instances that was heard lately.
     """
 
     def __init__(
@@ -101,6 +104,7 @@
         owner_of: Callable[[Shard], ids.InstanceId | None],
         send: Callable[[ids.InstanceId, typing.Any], bool],
         live: Callable[[], Collection[ids.InstanceId]],
+        visible: Callable[[ids.Region], float],
     ) -> None:
         self._reactor = reactor
         self._own = own
@@ -111,6 +115,7 @@
         self._owner_of = owner_of
         self._send = send
         self._live = live
+        self._visible = visible
         self._shards: dict[Shard, _Held] = {}
         self._round_trips: dict[ids.Region, float] = {}
 
@@ -224,6 +229,7 @@
             self._bounds.budget_ratio,
             self._bounds.budget_slack / regions,
             self._bounds.budget_window_s,
+            self._reactor.seconds(),
         )
         held = _Held(
             dispatcher.Dispatcher(allowance), slot_loans.LoanBook(self._bounds.loan_step)
@@ -318,7 +324,8 @@
             elif entry.name in borrowed and now >= view.cold_until:
                 wanted.append(self._offer(view, home, borrowed[entry.name]))
         held.withheld = self._orders.withheld(service, region, own)
-        held.dispatcher.pool.replace(wanted)
+        held.dispatcher.pool.replace(wanted, now)
+        held.dispatcher.allowance.share = self._visible(region)
         self._set_lent(held, now)
 
     def _offer(
@@ -329,7 +336,8 @@
         cold_rate = None
         if policy is not None and policy.cold_per_s > 0:
             most = policy.cold_per_s * self._bounds.cold_over + self._bounds.cold_slack
-            cold_rate = server_pool.shared_cold_rate(policy.cold_per_s, most)
+            visible = self._visible(region)
+            cold_rate = server_pool.shared_cold_rate(policy.cold_per_s, most, visible)
         round_trip_s = self._round_trips.get(region, 0.0)
         return server_pool.ServerOffer(view, region, slots, round_trip_s, cold_rate)
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -39,7 +39,7 @@
     """Return a dispatcher with some servers."""
     allowance = retry_allowance.RetryAllowance(ratio, slack, 10.0)
     one = dispatcher.Dispatcher(allowance)
-    one.pool.replace(pooled)
+    one.pool.replace(pooled, 0.0)
     return one
 
 
--- a/tests/test_slot_desk.py
+++ b/tests/test_slot_desk.py
@@ -61,8 +61,13 @@
             steering.Steering({ZONE: NORTH}),
             Streams(self, name),
             BOUNDS,
+            lambda region: self.visible(name),
         )
 
+    def visible(self, name):
+        """Return the part of all instances that one sees."""
+        return len(self.rosters[name].live(self.clock.seconds())) / len(self.rosters)
+
     @property
     def owner(self):
         """Return the instance that gives out the slots."""
