Count scheduled drains in dry runs and among what leaves nothing to serve

Cause: read as a newcomer: a drain with an end was passed over by plan and by the check that some failure domain is left, as both looked for drains without an end.

--- a/src/carobhook/coordination/order_tables.py
+++ b/src/carobhook/coordination/order_tables.py
@@ -166,8 +166,11 @@
     short = []
     for service in sorted({load.service for load in view.loads}):
         found = [load for load in view.loads if load.service == service]
-        slots = {load.region: _slots_left(after, service, load.region, view) for load in found}
-        demand = _demand_then(after, service, found)
+        drained = _drained(after, context.wall)
+        slots = {
+            load.region: _slots_left(drained, service, load.region, view) for load in found
+        }
+        demand = _demand_then(after, service, found, context.wall)
         for load in sorted(found, key=lambda load: load.region):
             region = load.region
             use = _percent(demand[region] / slots[region]) if slots[region] else "none"
@@ -182,10 +185,12 @@
     return Answer(codes.Code.QUERY_OK, text, version, columns, tuple(rows))
 
 
-def _slots_left(
-    book: orders.OrderBook, service: ids.Service, region: ids.Region, view: View
-) -> int:
-    drained = {drain.name for drain in book.drains if drain.span.ends_at is None}
+def _drained(book: orders.OrderBook, wall: float) -> set[str]:
+    """Return the names of all that is drained, or will be."""
+    return {drain.name for drain in book.drains if ordering.is_open(drain, wall)}
+
+
+def _slots_left(drained: set[str], service: ids.Service, region: ids.Region, view: View) -> int:
     return sum(
         server.entry.slots
         for server in view.servers
@@ -196,12 +201,16 @@
 
 
 def _demand_then(
-    book: orders.OrderBook, service: ids.Service, loads: Sequence[slot_messages.ShardLoad]
+    book: orders.OrderBook,
+    service: ids.Service,
+    loads: Sequence[slot_messages.ShardLoad],
+    wall: float,
 ) -> dict[ids.Region, float]:
     now = {load.region: load.demand or 0.0 for load in loads}
     then = dict(now)
     for shift in book.shifts:
-        if shift.service == service and shift.span.ends_at is None and shift.source in now:
+        is_counted = shift.service == service and ordering.is_open(shift, wall)
+        if is_counted and shift.source in now:
             then[shift.source] -= shift.share * now[shift.source]
             then[shift.target] = then.get(shift.target, 0.0) + shift.share * now[shift.source]
     return then
--- a/src/carobhook/coordination/ordering.py
+++ b/src/carobhook/coordination/ordering.py
@@ -92,6 +92,16 @@
     )
 
 
+def is_open(order: orders.Move, wall: float) -> bool:
+    """Tell whether an order holds now, or will at a time of its schedule.
+
+    Args:
+        order: The order.
+        wall: Wall-clock time in seconds.
+    """
+    return order.span.ends_at is None or order.span.ends_at > wall
+
+
 def _is_over(order: orders.Move, book: orders.OrderBook, wall: float) -> bool:
     """Tell whether an order has ended, and what it moved has been back for a while."""
     goal = order.share if isinstance(order, orders.Shift) else 1.0
@@ -156,7 +166,7 @@
         orders.Span(begins_at, ends_at),
         _own_cap(command.own_cap, book.cap),
     )
-    _check_some_left(drain, book, context.known)
+    _check_some_left(drain, book, context)
     return attrs.evolve(book, drains=(*book.drains, drain))
 
 
@@ -165,7 +175,7 @@
     command: statements.Undrain, book: orders.OrderBook, context: OrderContext
 ) -> orders.OrderBook:
     subject = (command.kind, command.name)
-    if not any((d.kind, d.name) == subject and _is_open(d, context) for d in book.drains):
+    if not any((d.kind, d.name) == subject and is_open(d, context.wall) for d in book.drains):
         text = f"{command.kind.value} {command.name} is not drained"
         raise OrderFault(codes.Code.ORDER_INVALID, text)
     drains = tuple(
@@ -206,7 +216,7 @@
 def _(
     command: statements.Cancel, book: orders.OrderBook, context: OrderContext
 ) -> orders.OrderBook:
-    found = [held.order for held in book.moves if _is_open(held, context)]
+    found = [held.order for held in book.moves if is_open(held, context.wall)]
     _check(command.order, found, "order that is under way")
     return attrs.evolve(
         book,
@@ -219,10 +229,6 @@
     )
 
 
-def _is_open(order: orders.Move, context: OrderContext) -> bool:
-    return order.span.ends_at is None or order.span.ends_at > context.wall
-
-
 def _ended(order: _M, context: OrderContext) -> _M:
     """Return an order that ends now; one that has not begun never does."""
     now = context.wall
@@ -264,11 +270,14 @@
     _check(name, names, kind.value)
 
 
-def _check_some_left(drain: orders.Drain, book: orders.OrderBook, known: KnownNames) -> None:
+def _check_some_left(
+    drain: orders.Drain, book: orders.OrderBook, context: OrderContext
+) -> None:
     """Refuse a drain that would leave no failure domain to serve."""
-    drains = (*(d for d in book.drains if d.span.ends_at is None), drain)
+    drains = (*(d for d in book.drains if is_open(d, context.wall)), drain)
     drained = {d.name for d in drains if d.kind is not orders.DrainKind.SERVER}
-    left = [zone for zone, region in known.regions.items() if not drained & {zone, region}]
+    zones = context.known.regions.items()
+    left = [zone for zone, region in zones if not drained & {zone, region}]
     if not left:
         text = f"with {drain.kind.value} {drain.name} drained, no failure domain would serve"
         raise OrderFault(codes.Code.ORDER_OVERLOAD, text)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -610,6 +610,9 @@
             assert (status, answer["code"]) == (200, 2002), (text, answer)
             assert answer["rows"], text
             assert all(len(row) == len(answer["columns"]) for row in answer["rows"]), text
+        _, planned = await self.order("plan drain region north at 00:00 until 23:59")
+        column = planned["columns"].index("slots then")
+        assert [row[column] for row in planned["rows"] if row[1] == "north"] == [0]
         assert (await self.order("show change 9"))[1]["code"] == 2011
 
     async def test_store_away(self):
--- a/tests/test_ordering.py
+++ b/tests/test_ordering.py
@@ -92,6 +92,12 @@
             given("drain region south", "drain region north")
         assert caught.value.code is codes.Code.ORDER_OVERLOAD
 
+    def test_scheduled_drains_count_among_those_that_leave_nothing(self):
+        """A drain that will end is a drain until then."""
+        with pytest.raises(ordering.OrderFault) as caught:
+            given("drain region south until 23:00", "drain region north")
+        assert caught.value.code is codes.Code.ORDER_OVERLOAD
+
     def test_undrain_and_cancel_keep_what_still_returns(self):
         """An ended order stays until what it moved has returned, then it is forgotten."""
         book = given("drain region north", "undrain region north")
