--- a/src/carobhook/soak/checks.py
+++ b/src/carobhook/soak/checks.py
@@ -12,6 +12,8 @@
 _SERVED_SHARE = 0.95
 # A server that says it is draining gets nothing after this.
 DRAIN_S = 2.5
+# A connection that ends so soon after a request was sent may have been closed before.
+LOSS_SLACK_S = 0.2
 _PROMISES = frozenset({408, 421, 429, 503})
 
 
@@ -61,14 +63,27 @@
 
 
 def cut(
+    runs: Iterable[Run],
     attempts: Iterable[tuple[platform_client.RequestPlan, platform_client.Attempt]],
 ) -> list[str]:
-    """Return the attempts that got no answer, which planned work must not lead to."""
-    return [
-        f"{attempt.id} got {attempt.status or 'no answer'} under planned work only"
-        for _, attempt in attempts
-        if attempt.status in (0, 500, 502, 504)
-    ]
+    """Return the attempts that were cut, which planned work must not lead to.
+
+    A request that crosses the close of its connection was read by nobody: no server ran it, and
+    its end comes at once.
+
+    Args:
+        runs: Every run at a server.
+        attempts: Every attempt of a client with its kind of request.
+    """
+    ran = {run.attempt for run in runs}
+    found = []
+    for _, attempt in attempts:
+        crossed = attempt.id not in ran and attempt.seconds <= LOSS_SLACK_S
+        if attempt.status in (500, 502, 504) or (attempt.status == 0 and not crossed):
+            found.append(
+                f"{attempt.id} got {attempt.status or 'no answer'} under planned work only"
+            )
+    return found
 
 
 def late_sends(runs: Iterable[Run], drained: Iterable[tuple[str, float, float]]) -> list[str]:
--- a/src/carobhook/soak/run.py
+++ b/src/carobhook/soak/run.py
@@ -242,7 +242,7 @@
         sent, served = self._totals()
         found = checks.broken(runs, list(self._attempts()))
         if {step.fault for step in steps} <= faults.PLANNED:
-            found += checks.cut(during)
+            found += checks.cut(runs, during)
         store_faults = any(step.fault.value.startswith("store") for step in steps)
         if not store_faults:
             found += checks.late_sends(runs, self._drains)
