--- a/src/carobhook/soak/proxy.py
+++ b/src/carobhook/soak/proxy.py
@@ -3,7 +3,7 @@
 import enum
 import typing
 
-from twisted.internet import protocol
+from twisted.internet import defer, protocol
 
 
 class Mode(enum.Enum):
@@ -125,5 +125,5 @@
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
-        await self._port.stopListening()
+        await defer.maybeDeferred(self._port.stopListening)
         self.reset()
