Choose smoothly among weighted parts in one place

Intake.pick (a route's services) and Steering.region_for (regions of a shift) had the same credits written twice, and place and place_call worked out region and fallback each for themselves. SmoothChoice and Intake._placed serve both. Behaviour as before: test_intake and test_paces pass unchanged.

--- a/src/carobhook/coordination/intake.py
+++ b/src/carobhook/coordination/intake.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from carobhook.coordination import refusals, steering
+from carobhook.coordination import refusals, smooth_choice, steering
 from carobhook.protocol import own_calls
 from carobhook.state import codes, ids, routing
 
@@ -54,7 +54,9 @@
 
     region: ids.Region
     orders: steering.Steering
-    _credits: dict[str, dict[ids.Service, float]] = attrs.field(factory=dict, init=False)
+    _choice: smooth_choice.SmoothChoice[ids.Service] = attrs.field(
+        factory=smooth_choice.SmoothChoice, init=False
+    )
     _longest_s: dict[str, float] = attrs.field(factory=dict, init=False)
 
     def place(
@@ -86,17 +88,8 @@
         deadline_at = began_at + min(route.timeout_s, left_s - _CLIENT_MARGIN_S)
         service = self.pick(route)
         priority = self.orders.priority(route.name, route.priority)
-        home = self._home_of(route)
-        region = self.orders.region_for(service, home, priority, route.homes)
-        return Placed(
-            route,
-            service,
-            region,
-            home if region != home else None,
-            priority,
-            began_at + route.target_s - waited_s,
-            deadline_at,
-        )
+        target_at = began_at + route.target_s - waited_s
+        return self._placed(route, service, priority, target_at, deadline_at)
 
     def place_call(
         self,
@@ -129,16 +122,9 @@
             max_attempts=_CALL_ATTEMPTS,
             keeps_objects=False,
         )
-        region = self.orders.region_for(call.service, self.region, call.priority, frozenset())
-        return Placed(
-            route,
-            call.service,
-            region,
-            self.region if region != self.region else None,
-            call.priority,
-            began_at + route.target_s,
-            began_at + left_s - _CLIENT_MARGIN_S,
-        )
+        target_at = began_at + route.target_s
+        deadline_at = began_at + left_s - _CLIENT_MARGIN_S
+        return self._placed(route, call.service, call.priority, target_at, deadline_at)
 
     def pick(self, route: routing.Route) -> ids.Service:
         """Return the service that takes a route's next request, by the weights.
@@ -147,15 +133,24 @@
         """
         if len(route.shares) == 1:
             return route.shares[0].service
-        credits_ = self._credits.setdefault(route.name, {})
-        for service in [held for held in credits_ if held not in _services(route)]:
-            del credits_[service]
-        total = sum(share.weight for share in route.shares)
+        weights: dict[ids.Service, float] = {}
         for share in route.shares:
-            credits_[share.service] = credits_.get(share.service, 0.0) + share.weight
-        chosen = max(route.shares, key=lambda share: credits_[share.service]).service
-        credits_[chosen] -= total
-        return chosen
+            weights[share.service] = weights.get(share.service, 0.0) + share.weight
+        return self._choice.choose(route.name, weights)
+
+    def _placed(
+        self,
+        route: routing.Route,
+        service: ids.Service,
+        priority: int,
+        target_at: float,
+        deadline_at: float,
+    ) -> Placed:
+        """Return where a request goes by the orders of operators."""
+        home = self._home_of(route)
+        region = self.orders.region_for(service, home, priority, route.homes)
+        fallback = home if region != home else None
+        return Placed(route, service, region, fallback, priority, target_at, deadline_at)
 
     def _home_of(self, route: routing.Route) -> ids.Region:
         if not route.homes or self.region in route.homes:
@@ -167,7 +162,3 @@
     if call.repeatable:
         return routing.Idempotency.REPEATABLE
     return routing.Idempotency.ONCE
-
-
-def _services(route: routing.Route) -> set[ids.Service]:
-    return {share.service for share in route.shares}
--- a/src/carobhook/coordination/steering.py
+++ b/src/carobhook/coordination/steering.py
@@ -6,7 +6,7 @@
 import attrs
 import xxhash
 
-from carobhook.coordination import catalog, paces
+from carobhook.coordination import catalog, paces, smooth_choice
 from carobhook.state import ids, orders, servers
 
 
@@ -25,8 +25,8 @@
         factory=dict, init=False
     )
     _started: bool = attrs.field(default=False, init=False)
-    _credits: dict[tuple[ids.Service, int], dict[ids.Region, float]] = attrs.field(
-        factory=dict, init=False
+    _choice: smooth_choice.SmoothChoice[ids.Region] = attrs.field(
+        factory=smooth_choice.SmoothChoice, init=False
     )
 
     @property
@@ -166,14 +166,7 @@
         if not parts:
             return source
         parts[source] = max(0.0, 1.0 - sum(parts.values()))
-        credits_ = self._credits.setdefault((service, priority), {})
-        for region in [held for held in credits_ if held not in parts]:
-            del credits_[region]
-        for region, share in parts.items():
-            credits_[region] = credits_.get(region, 0.0) + share
-        chosen = max(parts, key=lambda region: credits_[region])
-        credits_[chosen] -= sum(parts.values())
-        return chosen
+        return self._choice.choose((service, priority), parts)
 
     def _parts(
         self,
