Answer look-ups of both interfaces on one path, in a module of its own

EntryDaemon._take_directory and _answer_lookup were the same steps twice (addresses, status, count, time to live), and two headers in milliseconds were decoded by two copies of one line. Both queries decode to one Lookup now (directory_query returned a bare tuple, whose host nobody read), both answers are whole http1.Answer values, and http1.told_s reads such a header. Readiness, directory and metrics move out of the daemon, whose job is the life of an instance. Behaviour as before; tests unchanged.

--- a/src/carobhook/platform/requests.py
+++ b/src/carobhook/platform/requests.py
@@ -1,8 +1,11 @@
 """Headers of requests and answers as the platform's clients and servers use them."""
 
+import json
+
 from carobhook.platform import names
-from carobhook.protocol import http1
+from carobhook.protocol import http1, own_calls
 from carobhook.state import asks, ids
+from carobhook.transport import client_connections
 
 _LONGEST_MS = 24 * 3600 * 1000
 _DROPPED = frozenset(
@@ -26,10 +29,7 @@
     Raises:
         ValueError: The header is no number.
     """
-    text = head.get(names.TIME_LEFT_MS)
-    if text is None:
-        return None
-    return min(_LONGEST_MS, max(0.0, float(text))) / 1000
+    return http1.told_s(head, names.TIME_LEFT_MS, _LONGEST_MS)
 
 
 class ServerWire:
@@ -76,8 +76,8 @@
         return asks.WorkEnd.ANSWERED
 
 
-def directory_query(target: bytes) -> tuple[str, str, str] | None:
-    """Return host, region and failure domain of a client that asks where to connect.
+def directory_query(target: bytes) -> own_calls.Lookup | None:
+    """Return what a client that asks where to connect says of itself.
 
     Args:
         target: Request target.
@@ -89,9 +89,20 @@
     if path != names.RESOLVE_PATH:
         return None
     fields = dict(part.partition("=")[::2] for part in query.split("&") if part)
-    return fields.get("Name", ""), fields.get("Region", ""), fields.get("Zone", "")
+    return own_calls.Lookup(
+        ids.Region(fields.get("Region", "")), ids.FailureDomain(fields.get("Zone", ""))
+    )
+
 
+def directory_answer(addresses: list[str], ttl_s: float) -> http1.Answer:
+    """Return the answer that tells a client where to connect.
 
-def directory_answer(addresses: list[str], ttl_s: float) -> dict[str, object]:
-    """Return the body that tells a client where to connect."""
-    return {"Addresses": addresses, "Ttl": f"{round(ttl_s * 1000)}ms"}
+    Args:
+        addresses: Addresses for requests, best first; without any, it says so by its status.
+        ttl_s: Seconds for which clients may keep it.
+    """
+    if not addresses:
+        return client_connections.own_answer(503)
+    plain = {"Addresses": addresses, "Ttl": f"{round(ttl_s * 1000)}ms"}
+    headers = ((b"Content-Type", b"application/json"),)
+    return http1.Answer(200, b"OK", headers, json.dumps(plain).encode())
--- a/src/carobhook/protocol/http1.py
+++ b/src/carobhook/protocol/http1.py
@@ -139,6 +139,21 @@
     return int(head.get("content-length") or 0)
 
 
+def told_s(head: RequestHead, name: str, longest_ms: float) -> float | None:
+    """Return the seconds that a header tells in milliseconds, None without the header.
+
+    Args:
+        head: The head.
+        name: Name of the header.
+        longest_ms: Longest time; more is taken for that.
+
+    Raises:
+        ValueError: The header is no number.
+    """
+    text = head.get(name)
+    return None if text is None else min(longest_ms, max(0.0, float(text))) / 1000
+
+
 def end_to_end(headers: typing.Iterable[tuple[bytes, bytes]]) -> Headers:
     """Return headers without those that concern one connection, with their spelling."""
     kept = list(headers)
--- a/src/carobhook/protocol/own_calls.py
+++ b/src/carobhook/protocol/own_calls.py
@@ -83,13 +83,12 @@
     if not target.startswith(_SERVICES_PREFIX):
         return None
     name, slash, rest = target.removeprefix(_SERVICES_PREFIX).partition("/")
-    told_ms = head.get(_TIME_LEFT_HEADER)
     return ServiceCall(
         ids.Service(name),
         attrs.evolve(head, target=f"{slash or '/'}{rest}".encode("latin-1")),
         head.method in _REPEATABLE_METHODS,
         int(head.get(_RANK_HEADER) or _DEFAULT_RANK),
-        None if told_ms is None else min(_LONGEST_MS, max(0.0, float(told_ms))) / 1000,
+        http1.told_s(head, _TIME_LEFT_HEADER, _LONGEST_MS),
     )
 
 
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -1,6 +1,5 @@
 """One entry instance on the platform: its sockets, and the tasks behind them."""
 
-import json
 import random
 import secrets
 import time
@@ -11,12 +10,13 @@
 from twisted.internet import defer, task
 
 from carobhook import entry_metrics, entry_settings, logs
-from carobhook.coordination import catalog, directory, feeding, membership, steering
-from carobhook.platform import names, requests, store
-from carobhook.protocol import feed_messages, http1, own_calls, slot_messages
+from carobhook.coordination import catalog, feeding, membership, steering
+from carobhook.platform import names, store
+from carobhook.protocol import feed_messages, slot_messages
 from carobhook.state import ids, members, routing
 from carobhook.transport import (
     client_connections,
+    entry_answers,
     entry_requests,
     member_streams,
     peers,
@@ -27,16 +27,13 @@
     store_follow,
 )
 
-METRICS_PATH = b"/metrics"
 _HEARTBEAT_S = 0.4
 _CONNECT_TIMEOUT_S = 0.5
-_DIRECTORY_TTL_S = 2.0
-_MOST_ADDRESSES = 64
 _TICK_S = 0.1
 _CLOSE_IDLE_S = 1.0
 # New connections are taken this long after a stop began: clients that asked the directory just
 # before go by its answer for that time.
-_ACCEPT_WHILE_LEAVING_S = _DIRECTORY_TTL_S + 0.3
+_ACCEPT_WHILE_LEAVING_S = entry_answers.DIRECTORY_TTL_S + 0.3
 _STOP_POLL_S = 0.05
 # Share of the grace before whose end the last answers are out and the process has ended.
 _GRACE_MARGIN_SHARE = 0.15
@@ -99,9 +96,16 @@
         self._metrics = entry_metrics.EntryMetrics(self._gauges(omitted))
         self._requests = self._entry_requests()
         self._front = self._listener(self._requests.take)
-        self._readiness = self._listener(self._take_readiness)
-        self._directory = self._listener(self._take_directory)
-        self._metrics_listener = self._listener(self._take_metrics)
+        answers = entry_answers.EntryAnswers(
+            reactor,
+            self._streams.roster,
+            self._metrics,
+            lambda: self._phase is members.Phase.READY,
+            lambda: self._settings.bounds.ttl_max_s,
+        )
+        self._readiness = self._listener(answers.take_readiness)
+        self._directory = self._listener(answers.take_directory)
+        self._metrics_listener = self._listener(answers.take_metrics)
         self._operators: typing.Any = None
         self._ports: list[typing.Any] = []
         self._loops: list[task.LoopingCall] = []
@@ -413,64 +417,6 @@
         self._servers.close_idle(now)
         self._store.close_idle(now)
 
-    # What others ask of this instance.
-
-    def _take_metrics(
-        self, inbound: client_connections.Inbound, answer: entry_requests.Answer
-    ) -> None:
-        if inbound.head.target.partition(b"?")[0] != METRICS_PATH:
-            answer(client_connections.own_answer(404))
-            return
-        headers = ((b"Content-Type", b"text/plain; version=0.0.4; charset=utf-8"),)
-        answer(http1.Answer(200, b"OK", headers, self._metrics.text()))
-
-    def _take_readiness(
-        self, inbound: client_connections.Inbound, answer: entry_requests.Answer
-    ) -> None:
-        is_ready = self._phase is members.Phase.READY
-        answer(client_connections.own_answer(200 if is_ready else 503))
-
-    def _take_directory(
-        self, inbound: client_connections.Inbound, answer: entry_requests.Answer
-    ) -> None:
-        lookup = own_calls.lookup(inbound.head.target)
-        if lookup is not None:
-            self._answer_lookup(lookup, inbound.client, answer)
-            return
-        query = requests.directory_query(inbound.head.target)
-        if query is None:
-            answer(client_connections.own_answer(404))
-            return
-        region, domain = ids.Region(query[1]), ids.FailureDomain(query[2])
-        addresses = self._addresses(region, domain, inbound.client)
-        status = 200 if addresses else 503
-        self._metrics.count(entry_metrics.EntryMetric.LOOKUPS, str(status))
-        if not addresses:
-            answer(client_connections.own_answer(status))
-            return
-        ttl_s = min(self._settings.bounds.ttl_max_s, _DIRECTORY_TTL_S)
-        body = json.dumps(requests.directory_answer(addresses, ttl_s)).encode()
-        headers = ((b"Content-Type", b"application/json"),)
-        answer(http1.Answer(status, b"OK", headers, body))
-
-    def _answer_lookup(
-        self, lookup: own_calls.Lookup, client: str, answer: entry_requests.Answer
-    ) -> None:
-        addresses = self._addresses(lookup.region, lookup.failure_domain, client)
-        status = 200 if addresses else 503
-        self._metrics.count(entry_metrics.EntryMetric.LOOKUPS, str(status))
-        ttl_s = min(self._settings.bounds.ttl_max_s, _DIRECTORY_TTL_S)
-        answer(own_calls.lookup_answer(addresses, ttl_s))
-
-    def _addresses(
-        self, region: ids.Region, domain: ids.FailureDomain, client: str
-    ) -> list[str]:
-        """Return where a client of a failure domain connects to."""
-        now = self._reactor.seconds()
-        near = directory.nearest(self._streams.roster.serving(now), region, domain)
-        told = directory.chosen(near, client, now)
-        return [member.http for member in told[:_MOST_ADDRESSES]]
-
 
 def _tls_contexts(settings: entry_settings.EntrySettings) -> typing.Any:
     """Return how connections are secured, None without certificates."""
