Work out a cold server's rate once a refresh, and remove what nothing uses

Each refresh of a shard asked, for each of its servers, which part of the region's instances is seen, which sorts the table of all instances: servers times instances, twice a second and at each change of the store. It is asked once now. Rosters looked a name up in a tuple for each name held; a table serves both.

Removed as dead: round trips (nothing has ever called observe_round_trip, so every term was 0; the way to other regions stays listed in docs/OPEN.md), Membership.run_of, PeerHub.known and the Hub protocol, checks and a table reader of the former daemon's settings, three names of the platform that nothing speaks. Behaviour as before; tests unchanged.

--- a/src/carobhook/checks.py
+++ b/src/carobhook/checks.py
@@ -68,14 +68,6 @@
     )
 
 
-def seconds_up_to(limit: float) -> Check:
-    """Return a check for a number of seconds above 0, up to a limit."""
-    return Check(
-        f"a number of seconds above 0, up to {limit:g}",
-        lambda value: _is_number(value) and 0 < value <= limit,
-    )
-
-
 def optional(check: Check) -> Check:
     """Return a check that takes an empty string as well, for "not set"."""
     return attrs.evolve(
@@ -113,10 +105,6 @@
     return math.isfinite(value)
 
 
-def _is_whole(value: Any) -> bool:
-    return isinstance(value, int) and not isinstance(value, bool)
-
-
 def _is_text(value: Any) -> bool:
     return isinstance(value, str) and value.isprintable() and value.strip() != ""
 
@@ -153,9 +141,6 @@
 SECONDS = Check("a number of seconds above 0", lambda value: _is_number(value) and value > 0)
 RATE = Check("a number above 0", lambda value: _is_number(value) and value > 0)
 SHARE = Check("a share from 0 to 1", lambda value: _is_number(value) and 0 <= value <= 1)
-COUNT = Check("a whole number above 0", lambda value: _is_whole(value) and value > 0)
-ORDER = Check("a whole number from 0", lambda value: _is_whole(value) and value >= 0)
-FLAG = Check("true or false", lambda value: isinstance(value, bool))
 SHA256_HEX = Check(
     "64 lower-case hexadecimal digits of a SHA-256 hash",
     lambda value: isinstance(value, str) and _SHA256_HEX.fullmatch(value) is not None,
--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -145,7 +145,7 @@
         if pooled is not None and run is not None:
             foreseen = self._times.seen(run.route, run.depth)
             if end is asks.WorkEnd.ANSWERED:
-                elapsed_s = now - run.started_at - pooled.round_trip_s
+                elapsed_s = now - run.started_at
                 self._times.observe(run.route, run.depth, elapsed_s / pooled.slowness(now))
             pooled.ended(run, end, now, foreseen)
         return self.decide(now)
@@ -256,7 +256,7 @@
             emptiest = min(
                 strangers,
                 key=lambda s: (
-                    s.round_trip_s + self._trouble(s, now),
+                    self._trouble(s, now),
                     s.view.entry.zone != ask.domain,
                     len(s.running) / max(1, s.slots),
                     len(s.objects),
@@ -306,7 +306,7 @@
         penalty = server.failure_share * _FAILURE_PENALTY * work_s
         if ask.domain is not None and server.view.entry.zone != ask.domain:
             penalty += _OTHER_DOMAIN_S
-        cost = wait_s + server.round_trip_s + work_s * (1 + weight) + penalty
+        cost = wait_s + work_s * (1 + weight) + penalty
         return _Option(server, wait_s, work_s, cost)
 
     def _trouble(self, server: server_pool.PooledServer, now: float) -> float:
--- a/src/carobhook/coordination/membership.py
+++ b/src/carobhook/coordination/membership.py
@@ -54,11 +54,6 @@
         """Return what an instance last said of itself, or None if it is not known."""
         return self._members.get(name)
 
-    def run_of(self, incarnation: ids.Incarnation, now: float) -> members.Member | None:
-        """Return the live member that is a given run of an instance, or None."""
-        found = (m for m in self.live(now) if m.incarnation == incarnation)
-        return next(found, None)
-
     def live(self, now: float) -> list[members.Member]:
         """Return the instances heard from lately, by name.
 
--- a/src/carobhook/coordination/rosters.py
+++ b/src/carobhook/coordination/rosters.py
@@ -62,7 +62,8 @@
         if message.is_whole:
             self._heard_from.pop(sender, None)
         held = self._heard_from.setdefault(sender, {})
-        held.update((member.name, member) for member in message.members)
+        news = {member.name: member for member in message.members}
+        held.update(news)
         gone = []
         for name in message.lost:
             held.pop(name, None)
@@ -73,7 +74,7 @@
             if name == self.own or self.is_direct(name, now):
                 continue
             known = self.table.get(name)
-            if known is None or member in message.members:
+            if known is None or name in news:
                 self._take(member, now)
             else:
                 self.table.touched(name, now)
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -43,14 +43,12 @@
         view: What the store says of it.
         region: Its region.
         slots: Slots that the pool may use.
-        round_trip_s: Seconds that the way there and back takes.
         cold_rate: Requests a second that it may get while it is cold, None without a bound.
     """
 
     view: catalog.ServerView
     region: ids.Region
     slots: int
-    round_trip_s: float = 0.0
     cold_rate: float | None = None
 
 
@@ -81,13 +79,11 @@
         view: What the store says of it.
         region: Its region.
         slots: Slots that this pool may use.
-        round_trip_s: Seconds that the way there and back takes.
     """
 
     view: catalog.ServerView
     region: ids.Region
     slots: int
-    round_trip_s: float = 0.0
     cold_bucket: token_bucket.TokenBucket | None = None
     running: dict[ids.RequestId, Running] = attrs.field(factory=dict, init=False)
     objects: work_times.RecentObjects = attrs.field(
@@ -119,7 +115,6 @@
         """Take in what is newly known of the server."""
         self.view = offer.view
         self.slots = offer.slots
-        self.round_trip_s = offer.round_trip_s
         if offer.cold_rate is None:
             return
         if self.cold_bucket is None:
@@ -155,10 +150,7 @@
         """Return the seconds until a slot is expected to be free."""
         if now < self._paused_until:
             return self._paused_until - now
-        ends = [
-            run.started_at + run.expected_s + self.round_trip_s - now
-            for run in self.running.values()
-        ]
+        ends = [run.started_at + run.expected_s - now for run in self.running.values()]
         return max(0.005, min(ends)) if ends else 0.0
 
     def start(self, ask: asks.Ask, expected_s: float, now: float) -> int | None:
@@ -203,7 +195,7 @@
             return
         self._blame(1.0 if end is asks.WorkEnd.FAILED else 0.0)
         if end is asks.WorkEnd.ANSWERED and foreseen and run.expected_s > 0:
-            elapsed_s = now - run.started_at - self.round_trip_s
+            elapsed_s = now - run.started_at
             ratio = elapsed_s * run.slowness / run.expected_s
             low, high = _SLOWNESS_RANGE
             present = self.slowness(now)
--- a/src/carobhook/platform/names.py
+++ b/src/carobhook/platform/names.py
@@ -5,12 +5,9 @@
 OBJECT_KEY = "x-affinity-key"
 EXPECTED_SERVER = "x-expected-instance"
 SERVER_ID = "x-instance-id"
-SERVER_LOAD = "x-server-load"
-SERVER_COLD_MS = "x-cold-ms"
 NOT_EXECUTED = "x-not-executed"
 
 RESOLVE_PATH = "/-/resolve"
-READINESS_PATH = "/-/readiness"
 OBJECTS_PATH = "/-/objects/"
 
 CONFIG_KIND = "config"
--- a/src/carobhook/tables.py
+++ b/src/carobhook/tables.py
@@ -10,8 +10,6 @@
 
 import attrs
 
-from carobhook import checks
-
 _TABLE_LINE = re.compile(r"\s*\[+\s*([^\]]+?)\s*\]+")
 _KEY_LINE = re.compile(r"""\s*["']?([A-Za-z0-9_.-]+)["']?\s*=""")
 _ERROR_LINE = re.compile(r"at line (\d+)")
@@ -157,19 +155,6 @@
             return None
         return kind(**content, **fixed)
 
-    def read_named(self, kind: type[Any], table: str, content: Any) -> tuple[Any, ...]:
-        """Return one value for each subtable, with the subtable's name as its ``name``."""
-        if not isinstance(content, dict):
-            self.report(table, "", content, "a table of tables")
-            return ()
-        values = []
-        for name, item in content.items():
-            if not checks.NAME.accepts(name):
-                self.report(table, name, name, checks.NAME.expected)
-                continue
-            values.append(self.read(kind, f"{table}.{name}", item, name=name))
-        return tuple(value for value in values if value is not None)
-
     def report(
         self, table: str, key: str, value: object, expected: str, suggestion: str | None = None
     ) -> None:
--- a/src/carobhook/transport/client_connections.py
+++ b/src/carobhook/transport/client_connections.py
@@ -13,7 +13,6 @@
 
 # What may wait of requests that a client sent ahead of their turn.
 _MAX_AHEAD_OCTETS = 64 * 1024
-_READ_AHEAD_OCTETS = 4 * 1024
 # Time for a client to read a refusal before the connection is reset under unread data.
 _LINGER_S = 1.0
 _REASONS = {
--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -236,23 +236,6 @@
         return stream
 
 
-class Hub(typing.Protocol):
-    """Streams to other instances, as an instance uses them."""
-
-    @property
-    def known(self) -> tuple[str, ...]:
-        """Return the peer addresses that streams are kept to."""
-
-    def connect(self, address: str) -> None:
-        """Keep a stream to an address."""
-
-    def send(self, address: str, message: typing.Any) -> bool:
-        """Send a message to an address; return False if its stream is not ready."""
-
-    def broadcast(self, message: typing.Any) -> None:
-        """Send a message on every ready stream."""
-
-
 class PeerHub:
     """Owns all streams to and from other instances.
 
@@ -287,11 +270,6 @@
         self._port: typing.Any = None
         self._own_address = ""
 
-    @property
-    def known(self) -> tuple[str, ...]:
-        """Return the peer addresses that streams are kept to."""
-        return tuple(self._connectors)
-
     def listen(self, host: str, port: int) -> int:
         """Accept streams; return the port number."""
         acceptor = _Acceptor(
--- a/src/carobhook/transport/slot_desk.py
+++ b/src/carobhook/transport/slot_desk.py
@@ -114,10 +114,6 @@
         """Free the slots of an instance that is gone."""
         self._shards.lost(name)
 
-    def observe_round_trip(self, region: ids.Region, seconds: float) -> None:
-        """Take in how long the way to a region's servers and back took."""
-        self._shards.observe_round_trip(region, seconds)
-
     def tick(self) -> None:
         """Look at what waits, and move the loans between regions."""
         now = self._reactor.seconds()
--- a/src/carobhook/transport/slot_shards.py
+++ b/src/carobhook/transport/slot_shards.py
@@ -24,7 +24,6 @@
 BOUND_MARGIN = 0.8
 _REPORT_LIFETIME_S = 1.6
 _DEMAND_WEIGHT = 0.2
-_ROUND_TRIP_WEIGHT = 0.2
 # A new dispatcher waits this long for the instances' word on the slots that they hold.
 _TAKEOVER_S = 0.25
 
@@ -117,7 +116,6 @@
         self._live = live
         self._visible = visible
         self._shards: dict[Shard, _Held] = {}
-        self._round_trips: dict[ids.Region, float] = {}
 
     # Asks.
 
@@ -297,13 +295,6 @@
 
     # Servers and loans.
 
-    def observe_round_trip(self, region: ids.Region, seconds: float) -> None:
-        """Take in how long the way to a region's servers and back took."""
-        known = self._round_trips.get(region)
-        self._round_trips[region] = (
-            seconds if known is None else known + _ROUND_TRIP_WEIGHT * (seconds - known)
-        )
-
     def _refresh(self, shard: Shard, held: _Held) -> None:
         """Give a dispatcher the servers that it may use."""
         now = self._reactor.seconds()
@@ -313,6 +304,8 @@
             borrowed.update(told.lent)
         wanted = []
         own = []
+        visible = self._visible(region)
+        cold_rate = self._cold_rate(service, visible)
         for view in self._known.servers_of(service, now):
             entry = view.entry
             home = self._regions.get(entry.zone)
@@ -320,26 +313,23 @@
                 continue
             if home == region:
                 own.append(view)
-                wanted.append(self._offer(view, home, entry.slots))
+                wanted.append(server_pool.ServerOffer(view, home, entry.slots, cold_rate))
             elif entry.name in borrowed and now >= view.cold_until:
-                wanted.append(self._offer(view, home, borrowed[entry.name]))
+                slots = borrowed[entry.name]
+                wanted.append(server_pool.ServerOffer(view, home, slots, cold_rate))
         held.withheld = self._orders.withheld(service, region, own)
         held.dispatcher.pool.replace(wanted, now)
-        held.dispatcher.allowance.share = self._visible(region)
+        held.dispatcher.allowance.share = visible
         self._set_lent(held, now)
 
-    def _offer(
-        self, view: catalog.ServerView, region: ids.Region, slots: int
-    ) -> server_pool.ServerOffer:
+    def _cold_rate(self, service: ids.Service, visible: float) -> float | None:
+        """Return the rate at which this instance may send to a cold server of a service."""
         config = self._known.config
-        policy = config.services.get(view.entry.service) if config is not None else None
-        cold_rate = None
-        if policy is not None and policy.cold_per_s > 0:
-            most = policy.cold_per_s * self._bounds.cold_over + self._bounds.cold_slack
-            visible = self._visible(region)
-            cold_rate = server_pool.shared_cold_rate(policy.cold_per_s, most, visible)
-        round_trip_s = self._round_trips.get(region, 0.0)
-        return server_pool.ServerOffer(view, region, slots, round_trip_s, cold_rate)
+        policy = config.services.get(service) if config is not None else None
+        if policy is None or policy.cold_per_s <= 0:
+            return None
+        most = policy.cold_per_s * self._bounds.cold_over + self._bounds.cold_slack
+        return server_pool.shared_cold_rate(policy.cold_per_s, most, visible)
 
     def _set_lent(self, held: _Held, now: float) -> None:
         """Set how many slots of each server this dispatcher must leave alone."""
