Decode stored objects in one way, answer questions by their type, name our own kind beside its type

store_follow had the same try, decode, warn three times; _decoded serves configuration, servers and orders. The operators' questions went through a chain of isinstance; order_tables.answer is a singledispatch, as commands are already. Kind and name of the orders' object are the product's own, so they stand in state/orders, and coordination no longer imports platform. Behaviour as before; tests unchanged.

--- a/src/carobhook/coordination/order_store.py
+++ b/src/carobhook/coordination/order_store.py
@@ -3,7 +3,6 @@
 from collections.abc import Awaitable, Callable
 
 from carobhook.coordination import objects, ordering
-from carobhook.platform import names
 from carobhook.protocol import order_codec
 from carobhook.state import codes, ids, orders, statements
 
@@ -70,7 +69,7 @@
         raise ordering.OrderFault(codes.Code.ORDER_CONFLICT, text)
 
     async def _read(self) -> tuple[orders.OrderBook, int | None]:
-        held = await self._store.get(names.ORDERS_KIND, names.ORDERS_NAME)
+        held = await self._store.get(orders.STORE_KIND, orders.STORE_NAME)
         if held is None:
             return orders.OrderBook(), None
         return order_codec.book(held.value), held.version
@@ -78,9 +77,9 @@
     async def _write(self, book: orders.OrderBook, revision: int | None) -> None:
         plain = order_codec.plain(book)
         if revision is None:
-            await self._store.create(names.ORDERS_KIND, names.ORDERS_NAME, plain)
+            await self._store.create(orders.STORE_KIND, orders.STORE_NAME, plain)
         else:
-            await self._store.update(names.ORDERS_KIND, names.ORDERS_NAME, plain, revision)
+            await self._store.update(orders.STORE_KIND, orders.STORE_NAME, plain, revision)
 
 
 def _check_base(book: orders.OrderBook, base: ids.Version | None) -> None:
--- a/src/carobhook/coordination/order_tables.py
+++ b/src/carobhook/coordination/order_tables.py
@@ -1,6 +1,7 @@
 """Answers operators' questions from what one instance knows."""
 
 import datetime
+import functools
 from collections.abc import Callable, Sequence
 from typing import Any
 
@@ -58,14 +59,25 @@
         return self.config.routes if self.config is not None else ()
 
 
-def show(query: statements.Show, view: View) -> Answer:
-    """Return the table that a query asks for."""
+@functools.singledispatch
+def answer(query: object, view: View) -> Answer:
+    """Return the answer to a question.
+
+    Args:
+        query: One of `statements.Query`.
+        view: What is known.
+    """
+    raise TypeError(f"query must be a query, got {query!r:.60}")
+
+
+@answer.register
+def _(query: statements.Show, view: View) -> Answer:
     columns, rows = _TABLES[query.subject](view)
     return Answer(codes.Code.QUERY_OK, "", view.orders.book.version, columns, tuple(rows))
 
 
-def show_change(query: statements.ShowChange, view: View) -> Answer:
-    """Return one accepted change: who, when, what."""
+@answer.register
+def _(query: statements.ShowChange, view: View) -> Answer:
     changes = view.orders.book.changes
     found = next((change for change in changes if change.version == query.version), None)
     if found is None:
@@ -75,18 +87,15 @@
     return Answer(codes.Code.QUERY_OK, "", found.version, columns, tuple(rows))
 
 
-def progress(version: ids.Version, live: Sequence[members.Member]) -> Answer:
-    """Return how far a version of the orders is in force.
-
-    Args:
-        version: The version.
-        live: Instances that were heard lately.
-    """
-    lacking = missing(version, live)
+@answer.register
+def _(query: statements.Wait, view: View) -> Answer:
+    lacking = missing(query.version, view.live)
     code = codes.Code.ORDER_ACCEPTED if lacking else codes.Code.ORDER_IN_FORCE
-    reached = len(live) - len(lacking)
-    text = f"version {version} is in force in {reached} of {len(live)} instances"
-    return Answer(code, text, version, ("missing",), tuple((name,) for name in lacking))
+    total = len(view.live)
+    reached = f"{total - len(lacking)} of {total} instances"
+    text = f"version {query.version} is in force in {reached}"
+    rows = tuple((name,) for name in lacking)
+    return Answer(code, text, query.version, ("missing",), rows)
 
 
 def missing(version: ids.Version, live: Sequence[members.Member]) -> list[ids.InstanceId]:
@@ -94,8 +103,8 @@
     return [member.name for member in live if member.orders_version < version]
 
 
-def explain_service(query: statements.ExplainService, view: View) -> Answer:
-    """Return where the requests of a region's clients go, and which orders have them there."""
+@answer.register
+def _(query: statements.ExplainService, view: View) -> Answer:
     book = view.orders.book
     columns = ("served by", "share", "wanted", "rank", "why", "author")
     moved = 0.0
@@ -120,8 +129,8 @@
     return Answer(codes.Code.QUERY_OK, text, book.version, columns, tuple(rows))
 
 
-def explain_region(query: statements.ExplainRegion, view: View) -> Answer:
-    """Return how busy a region is, and what binds there."""
+@answer.register
+def _(query: statements.ExplainRegion, view: View) -> Answer:
     columns = ("service", "slots", "usable", "running", "waiting", "demand", "binds")
     rows = [
         (load.service, load.slots, load.usable, load.running, load.waiting,
--- a/src/carobhook/platform/names.py
+++ b/src/carobhook/platform/names.py
@@ -14,6 +14,3 @@
 CONFIG_NAME = "main"
 SERVERS_KIND = "servers"
 EVACUATIONS_KIND = "evacuations"
-# Of this product's own: what operators have ordered.
-ORDERS_KIND = "orders"
-ORDERS_NAME = "main"
--- a/src/carobhook/state/orders.py
+++ b/src/carobhook/state/orders.py
@@ -8,6 +8,9 @@
 
 from carobhook.state import ids
 
+# Where the store keeps the orders: kind and name of the one object.
+STORE_KIND = "orders"
+STORE_NAME = "main"
 _SHARE = validators.and_(validators.ge(0.0), validators.le(1.0))
 
 
--- a/src/carobhook/transport/operator_api.py
+++ b/src/carobhook/transport/operator_api.py
@@ -13,7 +13,7 @@
 from carobhook import logs
 from carobhook.coordination import objects, order_store, order_tables, ordering
 from carobhook.protocol import http1, language, order_codec, slot_messages
-from carobhook.state import codes, ids, routing, statements
+from carobhook.state import codes, ids, orders, routing, statements
 from carobhook.transport import client_connections
 
 ORDERS_PATH = "/v1/orders"
@@ -213,15 +213,7 @@
         view = self._ports.view(await self._gather_loads())
         if isinstance(query, statements.DryRun):
             return order_tables.dry_run(query.command, view, context)
-        if isinstance(query, statements.Show):
-            return order_tables.show(query, view)
-        if isinstance(query, statements.ShowChange):
-            return order_tables.show_change(query, view)
-        if isinstance(query, statements.ExplainService):
-            return order_tables.explain_service(query, view)
-        if isinstance(query, statements.ExplainRegion):
-            return order_tables.explain_region(query, view)
-        return order_tables.progress(query.version, view.live)
+        return order_tables.answer(query, view)
 
     async def _gather_loads(self) -> list[slot_messages.ShardLoad]:
         """Return the loads of all shards whose instances answer in time."""
@@ -245,7 +237,11 @@
 
 def _unexpected(reason: typing.Any) -> http1.Answer:
     if reason.check(order_codec.MalformedOrdersError):
-        logs.error("object-malformed", object="orders/main", error=reason.value)
+        logs.error(
+            "object-malformed",
+            object=f"{orders.STORE_KIND}/{orders.STORE_NAME}",
+            error=reason.value,
+        )
         code = codes.Code.ORDER_INVALID
     else:
         text = reason.getErrorMessage()
--- a/src/carobhook/transport/store_follow.py
+++ b/src/carobhook/transport/store_follow.py
@@ -20,7 +20,7 @@
 from carobhook.platform import names, store
 from carobhook.platform import objects as platform_objects
 from carobhook.protocol import feed_messages
-from carobhook.state import ids
+from carobhook.state import ids, orders
 
 _DELAYS = backoff.Backoff(first_s=0.2, cap_s=1.0)
 _OPTIONS = following.FollowOptions(wait_s=4.0, delays=_DELAYS, pause_s=0.2)
@@ -30,8 +30,10 @@
     names.CONFIG_KIND: _OPTIONS,
     names.SERVERS_KIND: _OPTIONS,
     names.EVACUATIONS_KIND: _OPTIONS,
-    names.ORDERS_KIND: _ORDERS_OPTIONS,
+    orders.STORE_KIND: _ORDERS_OPTIONS,
 }
+_T = typing.TypeVar("_T")
+
 _PROBE_INTERVAL_S = 0.5
 _PROBE_TIMEOUT_S = 0.5
 
@@ -278,7 +280,7 @@
                 self._take_config(item)
             elif kind == names.SERVERS_KIND:
                 self._take_server(item, now)
-            elif kind == names.ORDERS_KIND:
+            elif kind == orders.STORE_KIND:
                 self._take_orders(item)
             else:
                 self._take_evacuation(item)
@@ -288,12 +290,13 @@
     def _take_config(self, item: feed_messages.FedObject) -> None:
         if item.name != names.CONFIG_NAME or item.value is None:
             return
-        try:
-            config = platform_objects.config(json.loads(item.value))
-        except platform_objects.MalformedObjectError as problem:
-            logs.warning("object-malformed", object=f"config/{item.name}", error=problem)
-            return
-        if self._known.offer_config(config):
+        config = _decoded(
+            f"{names.CONFIG_KIND}/{item.name}",
+            item.value,
+            platform_objects.config,
+            platform_objects.MalformedObjectError,
+        )
+        if config is not None and self._known.offer_config(config):
             logs.event(
                 "config-in-force",
                 version=f"{config.version:08x}",
@@ -302,17 +305,18 @@
             )
 
     def _take_orders(self, item: feed_messages.FedObject) -> None:
-        if item.name != names.ORDERS_NAME or item.value is None:
+        if item.name != orders.STORE_NAME or item.value is None:
             return
         # Imported late, as most instances never see an order.
         from carobhook.protocol import order_codec
 
-        try:
-            book = order_codec.book(json.loads(item.value))
-        except order_codec.MalformedOrdersError as problem:
-            logs.warning("object-malformed", object=f"orders/{item.name}", error=problem)
-            return
-        if self._orders.offer(book):
+        book = _decoded(
+            f"{orders.STORE_KIND}/{item.name}",
+            item.value,
+            order_codec.book,
+            order_codec.MalformedOrdersError,
+        )
+        if book is not None and self._orders.offer(book):
             logs.event("orders-in-force", version=book.version, revision=item.version)
 
     def _take_server(self, item: feed_messages.FedObject, now: float) -> None:
@@ -321,10 +325,13 @@
             logs.event("server-removed", server=name, revision=item.version)
             self._known.remove(name, now)
             return
-        try:
-            entry = platform_objects.server(json.loads(item.value))
-        except platform_objects.MalformedObjectError as problem:
-            logs.warning("object-malformed", object=f"servers/{item.name}", error=problem)
+        entry = _decoded(
+            f"{names.SERVERS_KIND}/{item.name}",
+            item.value,
+            platform_objects.server,
+            platform_objects.MalformedObjectError,
+        )
+        if entry is None:
             self._known.remove(name, now)
             return
         logs.event(
@@ -347,6 +354,27 @@
             self._evacuated.add(zone)
 
 
+def _decoded(
+    name: str,
+    value: bytes,
+    decode: Callable[[typing.Any], _T],
+    malformed: type[Exception],
+) -> _T | None:
+    """Return what an object holds, None for one that cannot be read, which one line tells.
+
+    Args:
+        name: Kind and name of the object.
+        value: Its value in JSON.
+        decode: Makes it of the value's plain form.
+        malformed: What ``decode`` raises if it cannot.
+    """
+    try:
+        return decode(json.loads(value))
+    except malformed as problem:
+        logs.warning("object-malformed", object=name, error=problem)
+        return None
+
+
 def _news(
     kind: str,
     held: dict[str, feed_messages.FedObject],
