Share the demo's requests and configuration with the soak, import modules in tests

soak/run built the list of requests that demo.Layout had, and soak/deployment made a layout only for its configuration; both are functions of demo now. A server's entry was taken apart before it was put into the store's stand-in, which reads it whole. Four tests imported names. Behaviour and assertions as before.

--- a/src/carobhook/cli/local.py
+++ b/src/carobhook/cli/local.py
@@ -30,7 +30,7 @@
         """Start everything and print how to look around."""
         engine = platform_store.PlatformStoreServer(self._reactor, memory_store.MemoryStore())
         engine.listen(demo.HOST, self._layout.ports.store)
-        engine.put(names.CONFIG_KIND, names.CONFIG_NAME, self._layout.config())
+        engine.put(names.CONFIG_KIND, names.CONFIG_NAME, demo.config())
         client = store.PlatformStore(self._reactor, self._layout.store, _STORE_TIMEOUT_S)
         await service_group.ServiceGroup(self._reactor, client).start(self._layout.servers)
         for index in range(len(self._layout.instances)):
@@ -55,7 +55,7 @@
             self._reactor, self._layout.directories, "addis", "addis-a", random.Random()
         )
         while not self._stopping:
-            await client.run(self._layout.requests, _RATE, _SPELL_S)
+            await client.run(demo.request_plans(), _RATE, _SPELL_S)
 
 
 def _log_failure(reason: Any) -> None:
--- a/src/carobhook/demo.py
+++ b/src/carobhook/demo.py
@@ -157,57 +157,6 @@
             for number, domain in enumerate(REGIONS, start=1)
         ]
 
-    @property
-    def requests(self) -> list[platform_client.RequestPlan]:
-        """Return the kinds of requests that the demo's clients send."""
-        return [
-            platform_client.RequestPlan(
-                SERVED_HOST, f"/{service.name}/", repeatable=service.kind != "unsafe"
-            )
-            for service in SERVICES
-        ]
-
-    def config(self) -> dict[str, Any]:
-        """Return the routing configuration as the operators' team writes it."""
-        routes = [
-            {
-                "Name": service.name,
-                "Host": SERVED_HOST,
-                "PathPrefix": f"/{service.name}/",
-                "Kind": service.kind,
-                "Timeout": "2s",
-                "TargetLatency": "300ms",
-                "Priority": service.priority,
-                "Service": service.name,
-                "MaxAttempts": 2,
-                "SessionAffinity": service.kind == "safe",
-                "HomeRegions": [],
-            }
-            for service in SERVICES
-        ]
-        services = [
-            {
-                "Name": service.name,
-                "HealthPath": "/health",
-                "MaxConnections": 330,
-                "ColdStart": "3s",
-                "ColdPerS": 10.0,
-            }
-            for service in SERVICES
-        ]
-        limits = {
-            "MaxHeaderBytes": 16384,
-            "MaxBodyBytes": 8388608,
-            "HeaderTimeout": "5s",
-            "IdleTimeout": "30s",
-        }
-        return {
-            "ConfigVersion": f"{1:08x}",
-            "Routes": routes,
-            "Services": services,
-            "Limits": limits,
-        }
-
     def guide(self, token: str) -> str:
         """Return how to look around.
 
@@ -288,6 +237,58 @@
 }
 
 
+def request_plans() -> list[platform_client.RequestPlan]:
+    """Return the kinds of requests that clients of the demo send, one for each service."""
+    return [
+        platform_client.RequestPlan(
+            SERVED_HOST, f"/{service.name}/", repeatable=service.kind != "unsafe"
+        )
+        for service in SERVICES
+    ]
+
+
+def config(version: int = 1) -> dict[str, Any]:
+    """Return a version of the routing configuration as the operators' team writes it."""
+    routes = [
+        {
+            "Name": service.name,
+            "Host": SERVED_HOST,
+            "PathPrefix": f"/{service.name}/",
+            "Kind": service.kind,
+            "Timeout": "2s",
+            "TargetLatency": "300ms",
+            "Priority": service.priority,
+            "Service": service.name,
+            "MaxAttempts": 2,
+            "SessionAffinity": service.kind == "safe",
+            "HomeRegions": [],
+        }
+        for service in SERVICES
+    ]
+    services = [
+        {
+            "Name": service.name,
+            "HealthPath": "/health",
+            "MaxConnections": 330,
+            "ColdStart": "3s",
+            "ColdPerS": 10.0,
+        }
+        for service in SERVICES
+    ]
+    limits = {
+        "MaxHeaderBytes": 16384,
+        "MaxBodyBytes": 8388608,
+        "HeaderTimeout": "5s",
+        "IdleTimeout": "30s",
+    }
+    return {
+        "ConfigVersion": f"{version:08x}",
+        "Routes": routes,
+        "Services": services,
+        "Limits": limits,
+    }
+
+
 def settings_file(sections: Mapping[str, Mapping[str, object]]) -> str:
     """Return the text of a settings file with some tables."""
     return "\n\n".join(_table_text(name, table) for name, table in sections.items()) + "\n"
@@ -320,7 +321,7 @@
     _write_private(directory / TOKEN_FILE, layout.token + "\n")
     listed = [attrs.asdict(plan) for plan in layout.servers]
     (directory / SERVERS_FILE).write_text(json.dumps(listed, indent=1), "utf-8")
-    (directory / CONFIG_FILE).write_text(json.dumps(layout.config(), indent=1), "utf-8")
+    (directory / CONFIG_FILE).write_text(json.dumps(config(), indent=1), "utf-8")
     guide = layout.guide(f"$(cat {shlex.quote(str(directory / TOKEN_FILE))})")
     (directory / GUIDE_FILE).write_text(guide + "\n", "utf-8")
     lines = "".join(
--- a/src/carobhook/soak/deployment.py
+++ b/src/carobhook/soak/deployment.py
@@ -89,12 +89,12 @@
         self.servers.append(server)
         self.plans.append(plan)
         self.server_proxies.append(between)
-        self.store.put(names.SERVERS_KIND, name, *_entry(plan, "ready"))
+        self.store.put(names.SERVERS_KIND, name, service_group.entry(plan))
 
     def set_state(self, index: int, state: str) -> None:
         """Let a server say that it is ready or draining."""
         plan = self.plans[index]
-        self.store.put(names.SERVERS_KIND, plan.name, *_entry(plan, state))
+        self.store.put(names.SERVERS_KIND, plan.name, service_group.entry(plan, state))
         if state == "draining":
             self.drained[plan.name] = self._reactor.seconds()
         else:
@@ -103,8 +103,7 @@
     def change_config(self) -> None:
         """Write a newer configuration."""
         self._config_version += 1
-        layout = demo.Layout(demo.Ports(), token="", peer_key="")
-        spec = layout.config() | {"ConfigVersion": f"{self._config_version:08x}"}
+        spec = demo.config(self._config_version)
         self.store.put(names.CONFIG_KIND, names.CONFIG_NAME, spec)
 
     async def _free_ports(self) -> dict[str, int]:
@@ -192,10 +191,3 @@
         self.store.abort()
         for server in self.servers:
             server.abort()
-
-
-def _entry(plan: service_group.ServerPlan, state: str) -> tuple[typing.Any, typing.Any]:
-    """Return spec and status of a server's entry."""
-    whole = service_group.entry(plan, state)
-    status = whole.pop("Status")
-    return whole, status
--- a/src/carobhook/soak/run.py
+++ b/src/carobhook/soak/run.py
@@ -117,12 +117,7 @@
 
     def _load(self, duration_s: float) -> defer.Deferred:
         """Send requests from clients of two regions; fires when all are answered."""
-        plans = [
-            platform_client.RequestPlan(
-                demo.SERVED_HOST, f"/{service.name}/", service.kind != "unsafe"
-            )
-            for service in demo.SERVICES
-        ]
+        plans = demo.request_plans()
         running = []
         for region, zone in _CLIENT_ZONES:
             client = platform_client.PlatformClient(
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -1,8 +1,8 @@
 """Tests of carobhook.protocol.framing and the messages that it carries."""
 
+import hypothesis
 import msgpack
 import pytest
-from hypothesis import given
 from hypothesis import strategies as st
 
 from carobhook.protocol import framing, peer_codec, slot_messages
@@ -38,7 +38,7 @@
         with pytest.raises(framing.CodecError):
             peer_codec.CODEC.decode(frame)
 
-    @given(st.binary(max_size=200))
+    @hypothesis.given(st.binary(max_size=200))
     def test_any_octets(self, octets):
         """Garbage never raises anything else."""
         try:
--- a/tests/test_retry_allowance.py
+++ b/tests/test_retry_allowance.py
@@ -1,6 +1,6 @@
 """Tests of carobhook.coordination.retry_allowance."""
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies as st
 
 from carobhook.coordination import retry_allowance
@@ -9,7 +9,7 @@
 class TestRetryAllowance:
     """Repeats in a window."""
 
-    @given(st.lists(st.tuples(st.floats(0.0, 0.3), st.booleans()), max_size=400))
+    @hypothesis.given(st.lists(st.tuples(st.floats(0.0, 0.3), st.booleans()), max_size=400))
     def test_the_bound_holds_in_every_window(self, steps):
         """No window sees more repeats than the share of the requests before and the slack."""
         one = retry_allowance.RetryAllowance(0.2, 3.0, 5.0)
--- a/tests/test_settings_watch.py
+++ b/tests/test_settings_watch.py
@@ -2,10 +2,10 @@
 
 import pytest
 
+import test_entry
 from carobhook.transport import settings_watch
-from test_entry import SETTINGS
 
-TEXT = SETTINGS.format(
+TEXT = test_entry.SETTINGS.format(
     name="one",
     http=1,
     readiness=2,
--- a/tests/test_slot_loans.py
+++ b/tests/test_slot_loans.py
@@ -1,6 +1,6 @@
 """Tests of carobhook.coordination.slot_loans."""
 
-from hypothesis import given
+import hypothesis
 from hypothesis import strategies as st
 
 from carobhook.coordination import slot_loans
@@ -48,7 +48,7 @@
                 got[borrower] += count
         assert max(got.values()) - min(got.values()) < 1.0
 
-    @given(LOADS)
+    @hypothesis.given(LOADS)
     def test_no_region_lends_what_it_needs(self, loads):
         """Loans never exceed the lender's slots, nor the borrowers' lack."""
         for lender in loads:
