Log late event loops, dispatch time and freed slots

Change: event-loop-late has the delay of the tick, the time that dispatchers took since the previous one, and the queue; three metrics hold the same. slots-freed tells what a lost instance's end removed. member-lost says stream-ended where a stream ended.

--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -98,6 +98,24 @@
         "carobhook_orders_version", Kind.GAUGE, (), "Version of the operators' orders in force."
     )
     READY = MetricInfo("carobhook_ready", Kind.GAUGE, (), "1 while clients are taken, else 0.")
+    EVENT_LOOP_DELAY = MetricInfo(
+        "carobhook_event_loop_delay_seconds",
+        Kind.HISTOGRAM,
+        (),
+        "Delay of the periodic call of the event loop, made ten times a second.",
+    )
+    DISPATCH_TIME = MetricInfo(
+        "carobhook_dispatch_seconds",
+        Kind.GAUGE,
+        (),
+        "Time since the start that this instance's dispatchers took for their decisions.",
+    )
+    SLOT_REQUESTS_QUEUED = MetricInfo(
+        "carobhook_slot_requests_queued",
+        Kind.GAUGE,
+        (),
+        "Slot requests in the queues of this instance's dispatchers.",
+    )
     LINES_OMITTED = MetricInfo(
         "carobhook_log_lines_omitted",
         Kind.GAUGE,
@@ -143,7 +161,9 @@
 
     def observe(self, metric: EntryMetric, seconds: float, *labels: str) -> None:
         """Record a duration in seconds in a histogram."""
-        self._collectors[metric].labels(*labels).observe(seconds)
+        collector = self._collectors[metric]
+        # The library has no child for a metric without labels.
+        (collector.labels(*labels) if labels else collector).observe(seconds)
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -79,6 +79,10 @@
     MEMBER_LOST = EventInfo(
         "member-lost", "An instance fell silent or its stream ended; its slots are freed."
     )
+    SLOTS_FREED = EventInfo(
+        "slots-freed",
+        "The queued requests of a lost instance were removed here, and its slots freed.",
+    )
     DISPATCHER_CHANGED = EventInfo(
         "dispatcher-changed",
         "Another instance gives out the slots of a service in a region from now on.",
@@ -121,6 +125,10 @@
     EXCHANGE_BROKEN = EventInfo(
         "exchange-broken", "A connection to a backend server brought no whole answer."
     )
+    EVENT_LOOP_LATE = EventInfo(
+        "event-loop-late",
+        "The event loop was busy; everything of this instance was late by this much.",
+    )
     LINES_OMITTED = EventInfo(
         "lines-omitted", "Lines were left out, as more came than the budget or reader bears."
     )
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -18,6 +18,7 @@
     client_connections,
     entry_endpoints,
     entry_requests,
+    event_loop,
     member_streams,
     peers,
     server_connections,
@@ -104,6 +105,9 @@
         self._servers = server_connections.ServerConnections(reactor, _CONNECT_TIMEOUT_S)
         self._metrics = entry_metrics.EntryMetrics(self._gauges(omitted))
         self._requests = self._create_entry_requests()
+        self._loop_monitor = event_loop.EventLoopMonitor(
+            _TICK_INTERVAL_S, self._metrics, self._loop_load
+        )
         self._request_listener = self._create_listener(self._requests.handle)
         endpoints = entry_endpoints.EntryEndpoints(
             reactor,
@@ -220,9 +224,16 @@
             ),
             metric.ORDERS_VERSION: lambda: self._orders.in_force.version,
             metric.READY: lambda: float(self._phase is members.Phase.READY),
+            metric.DISPATCH_TIME: lambda: self._allocator.dispatch_s,
+            metric.SLOT_REQUESTS_QUEUED: lambda: self._allocator.queued_count,
             metric.LINES_OMITTED: omitted,
         }
 
+    def _loop_load(self) -> event_loop.LoopLoad:
+        return event_loop.LoopLoad(
+            self._allocator.dispatch_s, self._allocator.queued_count, self._requests.in_flight
+        )
+
     def _client_limits(self) -> routing.ClientLimits:
         config = self._catalog.config
         return config.limits if config is not None else routing.ClientLimits()
@@ -422,6 +433,7 @@
             self._heartbeat()
 
     def _tick(self) -> None:
+        self._loop_monitor.record_call(self._reactor.seconds())
         self._store_sync.tick()
         config = self._catalog.config
         services = tuple(config.services) if config is not None else ()
--- a/src/carobhook/transport/member_streams.py
+++ b/src/carobhook/transport/member_streams.py
@@ -148,12 +148,16 @@
             addresses.update(self._seeds)
         return addresses
 
-    def _remove_dead(self) -> None:
-        """Remove the instances that are no longer live, and call the callbacks for them."""
+    def _remove_dead(self, reason: str = "silent") -> None:
+        """Remove the instances that are no longer live, and call the callbacks for them.
+
+        Args:
+            reason: Why they are no longer live, for the log.
+        """
         now = self._reactor.seconds()
         live = {member.name for member in self.membership.live(now)}
         for name in self._reported_live - live:
-            logs.warning("member-lost", member=name, reason="silent")
+            logs.warning("member-lost", member=name, reason=reason)
             self._sync.remove(name, now)
             self._callbacks.on_lost(name)
         if live != self._reported_live:
@@ -170,7 +174,7 @@
         if name == self._own or not self._sync.has_direct_heartbeat(name, now):
             return
         self._sync.remove(name, now)
-        self._remove_dead()
+        self._remove_dead("stream-ended")
 
     def _send_initial_state(self, address: str) -> None:
         """Send this instance's heartbeat and all other live instances on a new stream."""
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -139,6 +139,17 @@
         self._live_names = live_names
         self._visible_share = visible_share
         self._shards: dict[Shard, _ShardState] = {}
+        self._dispatch_s = 0.0
+
+    @property
+    def dispatch_s(self) -> float:
+        """Return the seconds that the dispatchers took for their decisions since the start."""
+        return self._dispatch_s
+
+    @property
+    def queued_count(self) -> int:
+        """Return the number of queued slot requests."""
+        return sum(state.dispatcher.queue_length for state in self._shards.values())
 
     # Slot requests.
 
@@ -166,7 +177,7 @@
         )
         state = self.get_or_create(shard)
         state.requesters[request.id] = sender
-        self._send_decisions(state, state.dispatcher.submit(request, now))
+        self._send_decisions(state, self._timed(state.dispatcher.submit, request, now))
 
     def handle_withdrawal(self, message: slot_messages.SlotRequestWithdrawn) -> None:
         """Remove a slot request from the queue, or free its slot if it was granted one."""
@@ -191,7 +202,9 @@
             return
         state.granted.pop(message.id, None)
         now = self._reactor.seconds()
-        decisions = state.dispatcher.release_slot(message.id, message.server, message.end, now)
+        decisions = self._timed(
+            state.dispatcher.release_slot, message.id, message.server, message.end, now
+        )
         self._send_decisions(state, decisions)
 
     def handle_held_slots(
@@ -219,14 +232,24 @@
         The instance died or restarted, so its requests have ended.
         """
         now = self._reactor.seconds()
-        for state in self._shards.values():
+        for shard, state in self._shards.items():
             state.unreported.discard(name)
-            for request_id in [r for r, sender in state.requesters.items() if sender == name]:
+            queued_ids = [r for r, sender in state.requesters.items() if sender == name]
+            for request_id in queued_ids:
                 del state.requesters[request_id]
                 state.dispatcher.withdraw(request_id)
             granted_ids = [
                 request_id for request_id, entry in state.granted.items() if entry[0] == name
             ]
+            if queued_ids or granted_ids:
+                logs.event(
+                    "slots-freed",
+                    member=name,
+                    region=shard[0],
+                    service=shard[1],
+                    queued=len(queued_ids),
+                    slots=len(granted_ids),
+                )
             for request_id in granted_ids:
                 server = state.granted.pop(request_id)[1]
                 decisions = state.dispatcher.release_slot(
@@ -237,7 +260,16 @@
 
     def _decide(self, state: _ShardState, now: float) -> None:
         state.dispatcher.paused = bool(state.unreported) and now < state.paused_until
-        self._send_decisions(state, state.dispatcher.decide(now))
+        self._send_decisions(state, self._timed(state.dispatcher.decide, now))
+
+    def _timed(
+        self, decide: Callable[..., list[dispatcher.Decision]], *args: typing.Any
+    ) -> list[dispatcher.Decision]:
+        """Return the result of a dispatcher's method, and add the time that it took."""
+        started_at = self._reactor.seconds()
+        decisions = decide(*args)
+        self._dispatch_s += self._reactor.seconds() - started_at
+        return decisions
 
     def _send_decisions(
         self, state: _ShardState, decisions: Iterable[dispatcher.Decision]
--- a/src/carobhook/transport/slot_allocator.py
+++ b/src/carobhook/transport/slot_allocator.py
@@ -83,6 +83,16 @@
         """Return the number of this instance's pending slot requests."""
         return self._client.pending_count
 
+    @property
+    def queued_count(self) -> int:
+        """Return the number of slot requests in the queues of this instance's dispatchers."""
+        return self._dispatchers.queued_count
+
+    @property
+    def dispatch_s(self) -> float:
+        """Return the seconds that the dispatchers took for their decisions since the start."""
+        return self._dispatchers.dispatch_s
+
     def request_slot(
         self, request: allocation.SlotRequest, region: ids.Region
     ) -> defer.Deferred:
