Bound the dispatcher's work for each event

Cause: on each arrival, release and tick, Dispatcher.decide tried to place every queued request, and each candidate added up the slots of all servers. Under overload the work of one event grew with queue times servers, and the instance that dispatches runs it on the event loop that also forwards answers and fires timeouts. Its heartbeats stopped too, so others took the shard over, and so on. Change: the queue is a module of its own that stays sorted; sums that each event needs are kept; the whole queue is reviewed every 50 ms at most, with 64 placements; an arrival places the new request, a free slot up to 8 that do not wait for another server. Why it works: no event's work grows with queue times servers any more, so an overload takes a bounded share of the processor. Test suite passed.

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -10,7 +10,7 @@
 
 import attrs
 
-from carobhook.coordination import retry_budget, server_pool, work_times
+from carobhook.coordination import request_queue, retry_budget, server_pool, work_times
 from carobhook.state import allocation, codes, ids
 
 Decision = allocation.SlotGrant | allocation.SlotRefusal
@@ -39,6 +39,14 @@
 # If no server is free, a new request that may miss its target is queued only while the number
 # of such requests in the queue is below this share of the number of slots, or is zero.
 _MAX_LATE_SHARE = 0.25
+# The whole queue is reviewed at most this often. It grows with the overload, so reviewing it on
+# every event would take all processor time of an instance that also has answers to forward.
+_REVIEW_INTERVAL_S = 0.05
+# Number of requests, from the head of the queue, that a review tries to place on servers.
+_MAX_PLACED_PER_REVIEW = 64
+# Number of these that are tried when a slot becomes free. An arrival concerns only the new
+# request, as the others had their choice of the free servers before.
+_MAX_PLACED_PER_RELEASE = 8
 
 
 @attrs.frozen
@@ -51,28 +59,6 @@
     cost: float
 
 
-@attrs.define(eq=False)
-class _QueuedRequest:
-    """A slot request in the queue.
-
-    Attributes:
-        request: The slot request.
-        queued_at: Monotonic time in seconds of its arrival.
-        expected_work_s: Expected work time in seconds, as `_estimate_work_s` returned it.
-        late: Whether it may miss its target even if it starts at once. Once true, stays true.
-    """
-
-    request: allocation.SlotRequest
-    queued_at: float
-    expected_work_s: float
-    late: bool
-
-    @property
-    def sort_key(self) -> tuple[bool, int, float]:
-        """Return the queue order: requests still in time first, then by priority and target."""
-        return (self.late, self.request.priority, self.request.target_at)
-
-
 @attrs.define(eq=False)
 class Dispatcher:
     """Grants the slots of one shard, which is one service in one region.
@@ -90,7 +76,10 @@
     paused: bool = attrs.field(default=False, init=False)
     pool: server_pool.ServerPool = attrs.field(factory=server_pool.ServerPool, init=False)
     _times: work_times.WorkTimes = attrs.field(factory=work_times.WorkTimes, init=False)
-    _queue: list[_QueuedRequest] = attrs.field(factory=list, init=False)
+    _queue: request_queue.RequestQueue = attrs.field(
+        factory=request_queue.RequestQueue, init=False
+    )
+    _reviewed_at: float = attrs.field(default=-math.inf, init=False)
     _demand_s: float = attrs.field(default=0.0, init=False)
     _reserved_s: dict[ids.Server, float] = attrs.field(factory=dict, init=False)
 
@@ -121,27 +110,24 @@
         else:
             self.retry_budget.count_request(now)
             self._demand_s += expected_work_s
-        queued = _QueuedRequest(request, now, expected_work_s, late=False)
-        queued.late = self._may_miss_target(queued, now)
+        queued = request_queue.QueuedRequest(request, expected_work_s)
+        if self._may_miss_target(queued, now):
+            queued.mark_late()
         refusal = None if self.paused else self._refuse_on_arrival(queued, now)
         if refusal is not None:
             return [refusal]
-        self._queue.append(queued)
-        return self.decide(now)
+        self._queue.add(queued)
+        if self.paused:
+            return []
+        return self._decide_some([queued], now)
 
     def withdraw(self, request_id: ids.RequestId) -> bool:
         """Remove a request from the queue; return False if it is not queued."""
-        for queued in self._queue:
-            if queued.request.id == request_id:
-                self._queue.remove(queued)
-                return True
-        return False
+        return self._queue.remove(request_id)
 
     def clear_queue(self) -> list[allocation.SlotRequest]:
         """Remove all requests from the queue and return them."""
-        removed = [queued.request for queued in self._queue]
-        self._queue.clear()
-        return removed
+        return self._queue.clear()
 
     def register_running(
         self, request: allocation.SlotRequest, server: ids.Server, now: float
@@ -167,52 +153,98 @@
             now: Monotonic time in seconds.
         """
         pooled = self.pool.get(server)
-        run = pooled.running.pop(request_id, None) if pooled is not None else None
+        run = pooled.finish(request_id) if pooled is not None else None
         if pooled is not None and run is not None:
             has_samples = self._times.has_samples(run.route, run.depth)
             if outcome is allocation.AttemptOutcome.ANSWERED:
                 elapsed_s = now - run.started_at
                 self._times.observe(run.route, run.depth, elapsed_s / pooled.slowness(now))
             pooled.record_outcome(run, outcome, now, has_samples)
-        return self.decide(now)
+        if not self._queue or self.paused:
+            return []
+        return self._decide_some(self._candidates_for(server), now)
 
     def decide(self, now: float) -> list[Decision]:
-        """Grant or refuse the queued requests that can be decided now; return the decisions.
+        """Review the whole queue: grant or refuse the requests that can be decided now.
 
         Args:
             now: Monotonic time in seconds.
         """
-        decisions: list[Decision] = []
+        self._reviewed_at = now
         if not self._queue or self.paused:
-            return decisions
-        for queued in self._queue:
+            return []
+        self._mark_late(self._queue, now)
+        decisions = self._place(self._queue.head(_MAX_PLACED_PER_REVIEW), now)
+        return decisions + self._drop_late(self._queue, now)
+
+    def _candidates_for(self, server: ids.Server) -> list[request_queue.QueuedRequest]:
+        """Return requests near the head of the queue that may use a free slot of a server.
+
+        Requests that wait for another server are left to the next review.
+        """
+        head = self._queue.head(_MAX_PLACED_PER_REVIEW)
+        candidates = [queued for queued in head if queued.awaited in (None, server)]
+        return candidates[:_MAX_PLACED_PER_RELEASE]
+
+    def _decide_some(
+        self, candidates: list[request_queue.QueuedRequest], now: float
+    ) -> list[Decision]:
+        """Decide on some queued requests after an event, or on all if a review is due.
+
+        Args:
+            candidates: Requests to decide on, in queue order.
+            now: Monotonic time in seconds.
+        """
+        if now - self._reviewed_at >= _REVIEW_INTERVAL_S:
+            return self.decide(now)
+        self._mark_late(candidates, now)
+        in_order = sorted(candidates, key=request_queue.sort_key)
+        return self._place(in_order, now) + self._drop_late(candidates, now)
+
+    def _mark_late(self, candidates: Iterable[request_queue.QueuedRequest], now: float) -> None:
+        """Mark the candidates that may miss their targets by now."""
+        for queued in candidates:
             if not queued.late and self._may_miss_target(queued, now):
-                queued.late = True
-        self._queue.sort(key=lambda queued: queued.sort_key)
+                self._queue.mark_late(queued)
+
+    def _place(
+        self, candidates: Iterable[request_queue.QueuedRequest], now: float
+    ) -> list[Decision]:
+        """Grant slots to queued requests as long as servers are free; return the grants.
+
+        Args:
+            candidates: Queued requests, in queue order.
+            now: Monotonic time in seconds.
+        """
+        free = self.pool.free_servers(now)
         self._reserved_s.clear()
-        # Requests that stay queued, in queue order: if any can meet its target, the first can.
-        remaining: list[_QueuedRequest] = []
-        free = [
-            server
-            for server in self.pool.servers
-            if server.free_slots(now) > 0 and server.cold_rate_allows(now)
-        ]
-        for queued in self._queue:
-            chosen = self._choose_server(queued, free, now) if free else None
+        grants: list[Decision] = []
+        for queued in candidates:
+            if not free:
+                break
+            chosen = self._choose_server(queued, free, now)
             if chosen is None:
-                others_in_time = bool(remaining) and not remaining[0].late
-                if queued.late and self._should_drop(queued, others_in_time, now):
-                    decisions.append(
-                        self._refusal(queued.request, codes.Code.DEADLINE_UNMEETABLE, now)
-                    )
-                else:
-                    remaining.append(queued)
                 continue
-            decisions.append(self._grant(queued, chosen, now))
-            if chosen.server.free_slots(now) <= 0 or not chosen.server.cold_rate_allows(now):
+            grants.append(self._grant(queued, chosen, now))
+            if not chosen.server.is_free(now):
                 free.remove(chosen.server)
-        self._queue = remaining
-        return decisions
+        # The queue's length weighs in the choices above, so all leave it together.
+        for grant in grants:
+            self._queue.remove(grant.ask_id)
+        return grants
+
+    def _drop_late(
+        self, candidates: Iterable[request_queue.QueuedRequest], now: float
+    ) -> list[Decision]:
+        """Remove the late candidates that must not stay in the queue; return their refusals."""
+        others_in_time = self._queue.has_request_in_time
+        return [
+            self._refusal(queued.request, codes.Code.DEADLINE_UNMEETABLE, now)
+            for queued in candidates
+            if queued.late
+            and self._should_drop(queued, others_in_time, now)
+            and self._queue.remove(queued.request.id)
+        ]
 
     def _estimate_work_s(self, request: allocation.SlotRequest) -> float:
         """Return the expected work time in seconds, without the slowness of any server.
@@ -228,20 +260,18 @@
         return self._times.estimate_s(request.route, depth, _DEFAULT_WORK_S)
 
     def _refuse_on_arrival(
-        self, queued: _QueuedRequest, now: float
+        self, queued: request_queue.QueuedRequest, now: float
     ) -> allocation.SlotRefusal | None:
         """Return a refusal if no server is eligible or the wait is too long, else None."""
         request = queued.request
         eligible = [s for s in self.pool.servers if _is_eligible(s, request)]
         if not eligible:
             return self._refusal(request, codes.Code.NO_BACKEND, now)
-        if any(server.free_slots(now) and server.cold_rate_allows(now) for server in eligible):
+        if any(server.is_free(now) for server in eligible):
             return None
-        ahead = [other for other in self._queue if other.sort_key <= queued.sort_key]
-        wait_s = self._expected_wait_s(ahead, eligible, now)
+        wait_s = self._expected_wait_s(queued, eligible, now)
         if queued.late:
-            late_count = sum(1 for other in self._queue if other.late)
-            below_limit = late_count < max(1, _MAX_LATE_SHARE * self.pool.slots)
+            below_limit = self._queue.late_count < max(1, _MAX_LATE_SHARE * self.pool.slots)
             accepted = (
                 below_limit and now + wait_s + queued.expected_work_s <= request.deadline_at
             )
@@ -253,14 +283,14 @@
 
     def _expected_wait_s(
         self,
-        ahead: Iterable[_QueuedRequest],
+        queued: request_queue.QueuedRequest,
         eligible: list[server_pool.PooledServer],
         now: float,
     ) -> float:
-        """Return the expected wait of a request in seconds.
+        """Return the expected wait of a new request in seconds.
 
         Args:
-            ahead: Queued requests that are served before it.
+            queued: The request.
             eligible: Servers that may run it.
             now: Monotonic time in seconds.
         """
@@ -268,20 +298,22 @@
         if slots <= 0:
             return math.inf
         first_s = min(server.next_free_s(now) for server in eligible)
-        return first_s + sum(other.expected_work_s for other in ahead) / slots
+        return first_s + self._queue.work_ahead_s(queued) / slots
 
-    def _high_work_s(self, queued: _QueuedRequest) -> float:
+    def _high_work_s(self, queued: request_queue.QueuedRequest) -> float:
         """Return a work time in seconds that few requests of this kind exceed."""
         return queued.expected_work_s * self._times.high_ratio(queued.request.route)
 
-    def _may_miss_target(self, queued: _QueuedRequest, now: float) -> bool:
+    def _may_miss_target(self, queued: request_queue.QueuedRequest, now: float) -> bool:
         """Return whether the request may miss its target even if it starts now.
 
         This assumes a work time that few requests exceed, not the expected one.
         """
         return now + self._high_work_s(queued) > queued.request.target_at
 
-    def _should_drop(self, queued: _QueuedRequest, others_in_time: bool, now: float) -> bool:
+    def _should_drop(
+        self, queued: request_queue.QueuedRequest, others_in_time: bool, now: float
+    ) -> bool:
         """Return whether a late request must be refused instead of staying in the queue.
 
         It is refused if requests that can still meet their targets stay queued, or if it would
@@ -290,7 +322,10 @@
         return others_in_time or now + queued.expected_work_s > queued.request.deadline_at
 
     def _choose_server(
-        self, queued: _QueuedRequest, free: list[server_pool.PooledServer], now: float
+        self,
+        queued: request_queue.QueuedRequest,
+        free: list[server_pool.PooledServer],
+        now: float,
     ) -> _Candidate | None:
         """Return the server to start a request on now, or None if it must wait.
 
@@ -307,7 +342,8 @@
         holders = self.pool.holders(key) if key is not None else []
         holders = [server for server in holders if _is_eligible(server, request)]
         candidates = [self._evaluate(request, server, key, now) for server in holders]
-        others = [server for server in eligible if server not in holders]
+        holder_names = {server.name for server in holders}
+        others = [server for server in eligible if server.name not in holder_names]
         if others:
             best_other = min(
                 others,
@@ -330,18 +366,19 @@
         # requests need them, so use only one that is likely to respond in time.
         high_ratio = self._times.high_ratio(request.route)
         if now + best.wait_s + best.work_s * high_ratio <= request.target_at:
-            self._reserve(best)
+            self._reserve(queued, best)
             return None
         ready = [candidate for candidate in candidates if candidate.wait_s <= 0]
         if len(free) <= len(self._queue):
             ready = [c for c in ready if now + c.work_s * high_ratio <= request.target_at]
         if not ready:
-            self._reserve(best)
+            self._reserve(queued, best)
             return None
         return min(ready, key=lambda candidate: candidate.cost)
 
-    def _reserve(self, candidate: _Candidate) -> None:
+    def _reserve(self, queued: request_queue.QueuedRequest, candidate: _Candidate) -> None:
         """Record that a request waits for this server, so that others expect a longer wait."""
+        queued.awaited = candidate.server.name
         reserved_s = self._reserved_s.get(candidate.server.name, 0.0)
         self._reserved_s[candidate.server.name] = reserved_s + candidate.work_s
 
@@ -356,7 +393,7 @@
         depth = server.recent_objects.depth(key) if key is not None else None
         work_s = self._times.estimate_s(request.route, depth, _DEFAULT_WORK_S)
         work_s *= server.slowness(now)
-        is_free = server.free_slots(now) > 0 and server.cold_rate_allows(now)
+        is_free = server.is_free(now)
         reserved_s = self._reserved_s.get(server.name, 0.0) / max(1, server.slots)
         # A wait of 0 means that the server can start the request now, so a busy one has more.
         wait_s = 0.0 if is_free else max(0.005, server.next_free_s(now)) + reserved_s
@@ -373,7 +410,7 @@
         return (server.slowness(now) - 1.0) + server.failure_share * _FAILURE_PENALTY
 
     def _grant(
-        self, queued: _QueuedRequest, candidate: _Candidate, now: float
+        self, queued: request_queue.QueuedRequest, candidate: _Candidate, now: float
     ) -> allocation.SlotGrant:
         """Occupy a slot of a server with a request, and return the grant."""
         request = queued.request
@@ -394,7 +431,7 @@
         This is the expected time to empty the present queue, within fixed limits.
         """
         slots = max(1, self.pool.slots)
-        backlog_s = sum(queued.expected_work_s for queued in self._queue) / slots
+        backlog_s = self._queue.work_s / slots
         retry_after_s = min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, backlog_s))
         return allocation.SlotRefusal(
             request.id, code, retry_after_s, self._describe_state(request, now)
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -82,6 +82,11 @@
     expected_s: float
     slowness: float
 
+    @property
+    def expected_end_at(self) -> float:
+        """Return the monotonic time in seconds at which it is expected to end."""
+        return self.started_at + self.expected_s
+
 
 @attrs.define(eq=False)
 class PooledServer:
@@ -113,6 +118,8 @@
     _failure_share: float = attrs.field(default=0.0, init=False)
     _slowness: float = attrs.field(default=1.0, init=False)
     _slowness_at: float = attrs.field(default=0.0, init=False)
+    # Expected end of the running request that is expected to end first.
+    _first_end_at: float = attrs.field(default=math.inf, init=False)
 
     @property
     def name(self) -> ids.Server:
@@ -168,6 +175,14 @@
             return True
         return self.cold_bucket.wait_s(now) <= 0
 
+    def is_free(self, now: float) -> bool:
+        """Return whether the server can start a request now."""
+        return (
+            len(self.running) < self.slots
+            and self.free_slots(now) > 0
+            and self.cold_rate_allows(now)
+        )
+
     def slowness(self, now: float) -> float:
         """Return the factor by which its work takes longer than expected."""
         age_s = max(0.0, now - self._slowness_at)
@@ -185,8 +200,7 @@
         """
         if now < self._paused_until:
             return self._paused_until - now
-        ends = [run.started_at + run.expected_s - now for run in self.running.values()]
-        return max(0.005, min(ends)) if ends else 0.0
+        return max(0.005, self._first_end_at - now) if self.running else 0.0
 
     def start(
         self, request: allocation.SlotRequest, expected_s: float, now: float
@@ -197,13 +211,21 @@
         if key is not None:
             depth = self.recent_objects.depth(key)
             self.recent_objects.touch(key)
-        self.running[request.id] = RunningRequest(
-            request.route, depth, now, expected_s, self.slowness(now)
-        )
+        run = RunningRequest(request.route, depth, now, expected_s, self.slowness(now))
+        self.running[request.id] = run
+        self._first_end_at = min(self._first_end_at, run.expected_end_at)
         if self.cold_bucket is not None and now < self.view.cold_until:
             self.cold_bucket.try_consume(now)
         return depth
 
+    def finish(self, request_id: ids.RequestId) -> RunningRequest | None:
+        """Free the slot of a request and return it, or None if it occupies none."""
+        run = self.running.pop(request_id, None)
+        if run is not None and run.expected_end_at <= self._first_end_at:
+            ends = (other.expected_end_at for other in self.running.values())
+            self._first_end_at = min(ends, default=math.inf)
+        return run
+
     def record_outcome(
         self,
         run: RunningRequest,
@@ -264,12 +286,17 @@
 
     _servers: dict[ids.Server, PooledServer] = attrs.field(factory=dict, init=False)
     _holders: dict[str, set[ids.Server]] = attrs.field(factory=dict, init=False)
+    _slots: int = attrs.field(default=0, init=False)
 
     @property
     def servers(self) -> list[PooledServer]:
         """Return the servers."""
         return list(self._servers.values())
 
+    def free_servers(self, now: float) -> list[PooledServer]:
+        """Return the servers that can start a request now."""
+        return [server for server in self._servers.values() if server.is_free(now)]
+
     def get(self, name: ids.Server) -> PooledServer | None:
         """Return a server by name, or None."""
         return self._servers.get(name)
@@ -277,9 +304,7 @@
     @property
     def slots(self) -> int:
         """Return the number of slots that may be granted, including those in use."""
-        return sum(
-            max(0, server.slots - server.unavailable_slots) for server in self._servers.values()
-        )
+        return self._slots
 
     @property
     def running(self) -> int:
@@ -326,6 +351,7 @@
             pooled.update(offer, now)
             servers[pooled.name] = pooled
         self._servers = servers
+        self._count_slots()
 
     def set_unavailable_slots(self, counts: Mapping[ids.Server, int]) -> None:
         """Set how many slots of each server must not be granted.
@@ -335,6 +361,12 @@
         """
         for server in self._servers.values():
             server.unavailable_slots = counts.get(server.name, 0)
+        self._count_slots()
+
+    def _count_slots(self) -> None:
+        self._slots = sum(
+            max(0, server.slots - server.unavailable_slots) for server in self._servers.values()
+        )
 
 
 def _restarted(old: catalog.ServerView, new: catalog.ServerView) -> bool:
--- a/src/carobhook/coordination/work_times.py
+++ b/src/carobhook/coordination/work_times.py
@@ -28,38 +28,46 @@
 class RecentObjects:
     """The objects that a server handled most recently, in LRU order with the latest last."""
 
-    _order: collections.OrderedDict[str, None] = attrs.field(
+    # Number of the latest touch of each object, and all these numbers in ascending order.
+    _touches: collections.OrderedDict[str, int] = attrs.field(
         factory=collections.OrderedDict, init=False
     )
+    _order: list[int] = attrs.field(factory=list, init=False)
+    _touch_count: int = attrs.field(default=0, init=False)
 
     def __contains__(self, key: str) -> bool:
-        return key in self._order
+        return key in self._touches
 
     def __len__(self) -> int:
-        return len(self._order)
+        return len(self._touches)
 
     def touch(self, key: str) -> str | None:
         """Make an object the latest; return the object evicted for it, if any."""
-        self._order[key] = None
-        self._order.move_to_end(key)
-        if len(self._order) <= MAX_OBJECTS:
+        previous = self._touches.get(key)
+        if previous is not None:
+            del self._order[bisect.bisect_left(self._order, previous)]
+        self._touch_count += 1
+        self._touches[key] = self._touch_count
+        self._touches.move_to_end(key)
+        self._order.append(self._touch_count)
+        if len(self._touches) <= MAX_OBJECTS:
             return None
-        return self._order.popitem(last=False)[0]
+        del self._order[0]
+        return self._touches.popitem(last=False)[0]
 
     def depth(self, key: str) -> int | None:
         """Return how many other objects were handled since, or None if it is not recorded."""
-        if key not in self._order:
+        touch = self._touches.get(key)
+        if touch is None:
             return None
-        for depth, other in enumerate(reversed(self._order)):
-            if other == key:
-                return depth
-        return None
+        return len(self._order) - 1 - bisect.bisect_left(self._order, touch)
 
     def __iter__(self) -> Iterator[str]:
-        return iter(self._order)
+        return iter(self._touches)
 
     def clear(self) -> None:
         """Remove all objects, as a restarted server has none in memory."""
+        self._touches.clear()
         self._order.clear()
 
 
@@ -96,6 +104,8 @@
     """
 
     _means: dict[str, list[_MovingMean]] = attrs.field(factory=dict, init=False)
+    # Results of `high_ratio` that are still valid.
+    _high_ratios: dict[str, float] = attrs.field(factory=dict, init=False)
 
     def estimate_s(self, route: str, depth: int | None, default_s: float) -> float:
         """Return the expected work time in seconds.
@@ -121,6 +131,12 @@
 
     def high_ratio(self, route: str) -> float:
         """Return the ratio of a high work time, which few requests exceed, to the mean."""
+        ratio = self._high_ratios.get(route)
+        if ratio is None:
+            ratio = self._high_ratios[route] = self._compute_high_ratio(route)
+        return ratio
+
+    def _compute_high_ratio(self, route: str) -> float:
         means = self._means.get(route, ())
         known = [mean for mean in means if mean.samples and mean.value > 0]
         if not known:
@@ -146,6 +162,7 @@
             route, [_MovingMean() for _ in range(_UNKNOWN_DEPTH + 1)]
         )
         means[_depth_class(depth)].add(elapsed_s)
+        self._high_ratios.pop(route, None)
 
 
 def _depth_class(depth: int | None) -> int:
