Stop reconnecting peer streams that were dropped while connecting

Cause: set_addresses drops a connector whose first attempt is still in progress. stopTrying could not stop it, as the base class knows the attempt only after a failure; when it succeeded, resetDelay set continueTrying again. The stream of a dropped connector gets no heartbeats, is aborted as silent after 2 s and opened again, for good. Each end of such a stream counts as the loss of its sender: dispatchers drop its queued requests and free the slots that it still uses. Change: the connector learns of its attempt when it starts, and a closed one accepts no connection. Why it works: nothing sets continueTrying again once a connector is closed. Measured: the new test fails without the change (another attempt is made) and passes with it.

--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -220,8 +220,25 @@
         self.address = address
         self.on_ready = on_ready
         self.stream: _OutgoingStream | None = None
+        self._closed = False
 
-    def buildProtocol(self, addr: typing.Any) -> _OutgoingStream:
+    def startedConnecting(self, connector: typing.Any) -> None:
+        # The base class learns of the connector only when an attempt fails, and could not stop
+        # the first attempt.
+        self.connector = connector
+
+    def close(self) -> None:
+        """Close the stream, and stop the attempts to open it."""
+        self._closed = True
+        self.stopTrying()
+        if self.stream is not None and self.stream.transport is not None:
+            self.stream.close()
+
+    def buildProtocol(self, addr: typing.Any) -> _OutgoingStream | None:
+        if self._closed:
+            # The attempt succeeded before it could be stopped. Resetting the delay would start
+            # the attempts again, for a stream on which nothing is ever sent.
+            return None
         self.resetDelay()
         self.stream = _OutgoingStream(self.clock, self._codec, self._identity)
         self.stream.factory = self
@@ -331,19 +348,15 @@
         """Open the missing streams to these addresses, and close streams to all others."""
         for address in [a for a in self._connectors if a not in addresses]:
             connector = self._connectors.pop(address)
-            connector.stopTrying()
-            if connector.stream is not None and connector.stream.transport is not None:
-                if connector.stream.ready:
-                    connector.stream.send(membership_messages.StreamClosing())
-                connector.stream.close()
+            if connector.stream is not None and connector.stream.ready:
+                connector.stream.send(membership_messages.StreamClosing())
+            connector.close()
         for address in addresses:
             self.connect(address)
 
     async def stop(self) -> None:
         """Close all outgoing streams, and stop accepting."""
         for connector in self._connectors.values():
-            connector.stopTrying()
-            if connector.stream is not None and connector.stream.transport is not None:
-                connector.stream.close()
+            connector.close()
         if self._port is not None:
             await self._port.stopListening()
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -1,8 +1,11 @@
 """Streams between instances: authentication of the sender, and invalid data."""
 
+from unittest import mock
+
 import pytest
-from twisted.internet import task
-from twisted.internet.testing import StringTransport
+from twisted.internet import error, task
+from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.python import failure
 
 from carobhook import logs
 from carobhook.protocol import membership_messages, peer_codec, slot_messages
@@ -114,3 +117,25 @@
         accepted.stream.dataReceived(accepted.hello(accepted.nonce))
         accepted.stream.dataReceived(b"\xc1\xc1\xc1")
         assert (accepted.abort_count, len(accepted.warnings)) == (1, 1)
+
+
+class TestClosedWhileConnecting:
+    """A stream that is no longer needed before it is open."""
+
+    def test_stream_nobody_wants_is_not_opened_again_and_again(self):
+        """Its connection is closed and never opened anew, or its end would count as a loss."""
+        reactor = MemoryReactorClock()
+        identity = peers.Identity(NAME, INCARNATION, KEY)
+        streams = peers.PeerStreams(reactor, identity, lambda *_: None, peer_codec.CODEC)
+        streams.connect("10.0.0.1:5")
+        factory = reactor.tcpClients[0][2]
+        attempt = mock.Mock()
+        # The attempt has just succeeded when it is to be stopped.
+        attempt.stopConnecting.side_effect = error.NotConnectingError
+        factory.startedConnecting(attempt)
+        streams.set_addresses(())
+        stream = factory.buildProtocol(None)
+        factory.clientConnectionLost(attempt, failure.Failure(error.ConnectionDone()))
+        reactor.advance(60.0)
+        assert attempt.connect.call_count == 0
+        assert stream is None
