--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -1,6 +1,5 @@
 """Streams of msgpack frames between instances, with one connection for each direction."""
 
-import collections
 import hmac
 import secrets
 import typing
@@ -99,31 +98,6 @@
         raise NotImplementedError
 
 
-class _OpenSenders:
-    """Counts the open streams from each instance, and reports when the last one has ended.
-
-    A stream that broke may end here long after the one that replaced it was opened.
-
-    Args:
-        on_lost: Called with the sender's name when the last stream from it has ended.
-    """
-
-    def __init__(self, on_lost: Callable[[ids.InstanceId], None]) -> None:
-        self._on_lost = on_lost
-        self._counts: collections.Counter[ids.InstanceId] = collections.Counter()
-
-    def add(self, name: ids.InstanceId) -> None:
-        """Count a stream whose sender has authenticated itself."""
-        self._counts[name] += 1
-
-    def remove(self, name: ids.InstanceId) -> None:
-        """Count the end of a stream."""
-        self._counts[name] -= 1
-        if not self._counts[name]:
-            del self._counts[name]
-            self._on_lost(name)
-
-
 class _IncomingStream(_FramedProtocol):
     """Accepting side: authenticates the sender, then receives its messages."""
 
@@ -133,12 +107,12 @@
         codec: Codec,
         key: bytes,
         handler: Handler,
-        senders: _OpenSenders,
+        on_lost: Callable[[ids.InstanceId], None],
     ) -> None:
         super().__init__(reactor, codec)
         self._key = key
         self._handler = handler
-        self._senders = senders
+        self._on_lost = on_lost
         self._nonce = secrets.token_bytes(_NONCE_BYTES)
         self._sender: ids.InstanceId | None = None
         # An unauthenticated client must not make this instance buffer more than a hello.
@@ -153,13 +127,12 @@
         if self._timer.active():
             self._timer.cancel()
         if self._sender is not None:
-            self._senders.remove(self._sender)
+            self._on_lost(self._sender)
 
     def handle_message(self, message: typing.Any) -> None:
         self._timer.reset(_SILENCE_TIMEOUT_S)
         if self._sender is None:
             self._sender = self._authenticate(message)
-            self._senders.add(self._sender)
             # The connecting side gets no answer to its hello and sends messages right after it.
             # Those that the old unpacker has buffered already go to the new one, whose limit is
             # that of any message.
@@ -289,11 +262,11 @@
         self._codec = codec
         self._key = key
         self._handler = handler
-        self._senders = _OpenSenders(on_lost)
+        self._on_lost = on_lost
 
     def buildProtocol(self, addr: typing.Any) -> _IncomingStream:
         stream = _IncomingStream(
-            self._reactor, self._codec, self._key, self._handler, self._senders
+            self._reactor, self._codec, self._key, self._handler, self._on_lost
         )
         stream.factory = self
         return stream
@@ -309,7 +282,7 @@
         codec: Encodes and decodes the messages.
         on_ready: Called with the address when messages may be sent on the stream to it.
         context: TLS context of both sides, None for plain TCP.
-        on_lost: Called with the sender's name when the last authenticated stream from it ends.
+        on_lost: Called with the sender's name when an authenticated stream from it ends.
     """
 
     def __init__(
