End exchanges with servers that send bytes without end

What callers would see: memory of an instance filled until it is killed, with all requests on it, or an event loop that parses interim responses for as long as the server sends them. Cause: only one body was limited, to 64 MiB, which is a third of the memory of a small machine; three of them filled it. Interim responses and responses to other requests were not limited at all, and were parsed by recursion. Change: bytes besides the body are limited for each exchange; the bodies that are being received share a limit for the instance, and the largest is ended first, so that short answers beside it go on. Recursion became a loop.

--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -46,6 +46,9 @@
 _RESERVED_DESCRIPTORS = 600
 # Share of the instance's memory that buffered request bodies may use.
 _BODY_MEMORY_RATIO = 0.25
+# Share that the bodies of responses may use while they are being received. A complete one is
+# copied twice when it is forwarded.
+_RESPONSE_MEMORY_RATIO = 0.15
 # The setting ``shift_most`` limits how much traffic changes region within two seconds. Loans of
 # slots between regions are updated every half second. Four updates fit into this time, so
 # each may use a quarter of the limit; with larger steps, they could exceed it together.
@@ -102,7 +105,11 @@
         self._streams = self._create_member_streams()
         self._store_sync = self._create_store_sync(rng or random.Random())
         self._allocator = self._create_slot_allocator()
-        self._servers = server_connections.ServerConnections(reactor, _CONNECT_TIMEOUT_S)
+        self._servers = server_connections.ServerConnections(
+            reactor,
+            _CONNECT_TIMEOUT_S,
+            int(settings.capacity.memory_mb * _RESPONSE_MEMORY_RATIO * 1024 * 1024),
+        )
         self._metrics = entry_metrics.EntryMetrics(self._gauges(omitted))
         self._requests = self._create_entry_requests()
         self._loop_monitor = event_loop.EventLoopMonitor(
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -22,7 +22,15 @@
 # that connection is lost. A request that must not run twice could not be retried then, so it
 # uses only connections that were idle for at most this long.
 _MAX_FRESH_IDLE_S = 1.0
+# Memory that the bodies of all responses which are being received may use together, unless
+# stated otherwise. A single body may use all of it.
 _MAX_RESPONSE_BYTES = 64 * 1024 * 1024
+# Bytes of an exchange that are no part of the response's body: heads, interim responses,
+# responses to other requests and the framing of chunks. A server that sends more does not send
+# a response.
+_MAX_OTHER_BYTES = 1024 * 1024
+# Chunks of one byte have five bytes of framing, which do not count toward that limit.
+_FRAMING_PER_BODY_BYTE = 5
 _KEEP_ALIVE_PATTERN = re.compile(r"timeout=(\d+)")
 
 
@@ -80,16 +88,51 @@
     closing: bool
 
 
+class ResponseMemory:
+    """Limits the memory of the response bodies that are being received.
+
+    If they exceed it, the exchange with the largest body fails, because a body without end
+    outgrows all others.
+
+    Args:
+        max_bytes: Largest size of all bodies together.
+    """
+
+    def __init__(self, max_bytes: int) -> None:
+        self._max_bytes = max_bytes
+        self._used_bytes = 0
+        self._receiving: dict[_ServerConnection, int] = {}
+
+    @property
+    def used_bytes(self) -> int:
+        """Return the size of all bodies that are being received."""
+        return self._used_bytes
+
+    def reserve(self, connection: "_ServerConnection", size: int) -> None:
+        """Add bytes to the body of a connection's response; fail the largest if needed."""
+        self._receiving[connection] = self._receiving.get(connection, 0) + size
+        self._used_bytes += size
+        if self._used_bytes > self._max_bytes:
+            largest = max(self._receiving, key=lambda other: self._receiving[other])
+            largest.fail_too_large()
+
+    def release(self, connection: "_ServerConnection") -> None:
+        """Remove the body of a connection's response."""
+        self._used_bytes -= self._receiving.pop(connection, 0)
+
+
 class _ServerConnection(protocol.Protocol):
     """One connection to a server."""
 
-    def __init__(self, seconds: Callable[[], float]) -> None:
+    def __init__(self, seconds: Callable[[], float], memory: ResponseMemory) -> None:
         self._seconds = seconds
+        self._memory = memory
         self._parser: h11.Connection | None = None
         self._pending: defer.Deferred | None = None
         self._response_head: typing.Any = None
         self._body_chunks: list[bytes] = []
         self._body_size = 0
+        self._received_size = 0
         self._matches: ResponseMatcher = _match_any
         self._method = b"GET"
         self._had_unmatched_response = False
@@ -111,27 +154,35 @@
         """
         self._matches = matches
         self._method = head.method
+        self._received_size = 0
         self._expect_response()
         self._pending = defer.Deferred(lambda _: self.abort())
         self.exchange_count += 1
         self.transport.write(http1.encode_request(head, body))
         return self._pending
 
-    def _expect_response(self) -> None:
-        self._parser = http1.response_parser()
+    def _expect_response(self) -> h11.Connection:
+        """Return a new parser for the next response, which is also the parser in use now."""
+        parser = self._parser = http1.response_parser()
         # The parser only needs the method; `http1.encode_request` encodes the actual request.
         request = h11.Request(method=self._method, target="/", headers=[("Host", "x")])
-        self._parser.send(request)
-        self._parser.send(h11.EndOfMessage())
+        parser.send(request)
+        parser.send(h11.EndOfMessage())
         self._response_head = None
+        self._clear_body()
+        return parser
+
+    def _clear_body(self) -> None:
         self._body_chunks = []
         self._body_size = 0
+        self._memory.release(self)
 
     def abort(self) -> None:
         """Close the connection at once, which makes the server cancel a running request."""
         self.is_reusable = False
         self._parser = None
         self._pending = None
+        self._clear_body()
         if self.transport is not None:
             self.transport.abortConnection()
 
@@ -140,11 +191,20 @@
             # There is no request that this data can respond to.
             self.abort()
             return
+        self._received_size += len(data)
         try:
             self._parser.receive_data(data)
             self._process_events()
         except h11.RemoteProtocolError as failure:
             self._fail(Fault.GARBLED, str(failure))
+            return
+        other_size = self._received_size - self._body_size * (1 + _FRAMING_PER_BODY_BYTE)
+        if self._parser is not None and other_size > _MAX_OTHER_BYTES:
+            self._fail(Fault.GARBLED, "too many bytes besides the body of an answer")
+
+    def fail_too_large(self) -> None:
+        """Fail the exchange, because its response needs too much memory."""
+        self._fail(Fault.GARBLED, "answer is too large")
 
     def connectionLost(self, reason: typing.Any = protocol.connectionDone) -> None:
         self.is_reusable = False
@@ -170,13 +230,10 @@
                 self._response_head = event
             elif isinstance(event, h11.Data):
                 self._body_size += len(event.data)
-                if self._body_size > _MAX_RESPONSE_BYTES:
-                    self._fail(Fault.GARBLED, "answer is too large")
-                    return
                 self._body_chunks.append(bytes(event.data))
+                self._memory.reserve(self, len(event.data))
             elif isinstance(event, h11.EndOfMessage):
                 self._complete_response()
-                return
             elif isinstance(event, h11.ConnectionClosed):
                 self._fail(Fault.RESET, "closed without an answer")
                 return
@@ -199,12 +256,12 @@
             if at_eof or parser.their_state is not h11.DONE:
                 self._fail(Fault.GARBLED, "the answer belongs to another request")
                 return
-            self._expect_response()
+            parser = self._expect_response()
             if extra:
-                self.dataReceived(extra)
+                parser.receive_data(extra)
             return
         close = close or self._had_unmatched_response
-        self._body_chunks = []
+        self._clear_body()
         self.idle_since = self._seconds()
         self.idle_limit_s = _idle_limit_s(raw_headers)
         self.is_reusable = self.is_reusable and not close
@@ -239,10 +296,17 @@
     Args:
         reactor: Source of time, timers and connections.
         connect_timeout_s: Seconds after which opening a connection fails.
+        max_response_bytes: Largest size of all response bodies that are being received.
     """
 
-    def __init__(self, reactor: typing.Any, connect_timeout_s: float) -> None:
+    def __init__(
+        self,
+        reactor: typing.Any,
+        connect_timeout_s: float,
+        max_response_bytes: int = _MAX_RESPONSE_BYTES,
+    ) -> None:
         self._reactor = reactor
+        self._memory = ResponseMemory(max_response_bytes)
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, collections.deque[_ServerConnection]] = {}
         self._opened_count = 0
@@ -324,7 +388,7 @@
     async def _connect(self, address: str) -> _ServerConnection:
         host, _, port = address.rpartition(":")
         creator = protocol.ClientCreator(
-            self._reactor, _ServerConnection, self._reactor.seconds
+            self._reactor, _ServerConnection, self._reactor.seconds, self._memory
         )
         try:
             connection = await creator.connectTCP(host, int(port), self._connect_timeout_s)
