Stop waiting for the result of work long after its deadline

What callers would see: slots of a service that are never used again, and a stop of the instance that lasts its whole grace period. Cause: a request that must not run twice is not cancelled at its deadline, as a server may be running it. If the server's answer never ends, or it never answers, the exchange and its slot stayed in use for good. Change: the exchange is cancelled 5 s after the deadline that the server was sent, and work-abandoned is logged. Why it works: the server stops its work at that deadline itself, so no result is lost, and cancelling closes the connection. Measured: both new tests fail without the change and pass with it; test suite passed.

--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -113,6 +113,10 @@
         "work-ended-late",
         "Work that may run once ended after its client had got another answer or had left.",
     )
+    WORK_ABANDONED = EventInfo(
+        "work-abandoned",
+        "A server sent no whole result long after the deadline; its connection is closed.",
+    )
     REQUEST_REFUSED = EventInfo(
         "request-refused", "A request was refused before it asked for a slot."
     )
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -24,6 +24,9 @@
 # attempts do not count toward the route's limit on attempts, so without a limit of their own a
 # request would be sent to one unreachable server after another until its deadline.
 _MAX_UNREACHABLE = 4
+# A server stops its work at the deadline that it was sent. After the deadline of work that must
+# not run twice, its result is awaited for this long, for the log and the use of the slot only.
+_LATE_RESULT_WAIT_S = 5.0
 
 
 class Stage(enum.Enum):
@@ -221,8 +224,10 @@
         """Refuse the request at its deadline, and cancel it where that is safe.
 
         A request that must not run twice is not cancelled while a server may be running it;
-        its slot is released when the attempt ends.
+        its slot is released when the attempt ends, or a while after the deadline.
         """
+        if self._stage is Stage.RUNNING:
+            self._timer = self._reactor.callLater(_LATE_RESULT_WAIT_S, self._abandon)
         if self._responded:
             return
         if self._stage is Stage.WAITING:
@@ -234,6 +239,16 @@
             if self._accepted.route.repeatable:
                 self._cancel()
 
+    def _abandon(self) -> None:
+        """Stop waiting for the result of an attempt whose deadline has long passed."""
+        logs.warning(
+            "work-abandoned",
+            request=self._accepted.client_request_id,
+            server=self._last_server,
+        )
+        self._end()
+        self._cancel()
+
     def _cancel(self) -> None:
         if self._task is not None:
             self._task.cancel()
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -237,3 +237,27 @@
             frozenset(),
             frozenset({"s1"}),
         ]
+
+
+class TestEndlessResults:
+    """Work that runs once, at a server whose response never ends."""
+
+    def test_endless_result_frees_its_slot(self):
+        """After the deadline and a wait, the exchange is cancelled and the slot released."""
+        case = FlowCase(ONCE)
+        case.allocator.grant()
+        case.clock.advance(1.0)
+        assert case.result == (504, codes.Code.DEADLINE_PASSED_RUNNING)
+        assert case.finished == []
+        case.clock.advance(5.0)
+        assert case.finished == [True]
+        assert case.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED]
+
+    def test_endless_result_for_a_client_that_left(self):
+        """The same holds if the client has disconnected before."""
+        case = FlowCase(ONCE)
+        case.allocator.grant()
+        case.flow.client_disconnected()
+        case.clock.pump([1.0, 5.0])
+        assert case.finished == [True]
+        assert case.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED]
