--- a/tests/test_outer_interface.py
+++ b/tests/test_outer_interface.py
@@ -14,17 +14,15 @@
 import pytest
 import typer.main
 
-import carobhook
+import log_calls
 from carobhook import cli, entry_metrics, entry_settings, events
 from carobhook.cli import operator
 from carobhook.protocol import order_codec, peer_codec
 from carobhook.state import codes
 
-_SOURCE = pathlib.Path(carobhook.__file__).parent
 _EXPECTED = json.loads(
     (pathlib.Path(__file__).parent / "outer_interface.json").read_text("utf-8")
 )
-_LOG_CALLS = {"event", "warning", "error", "debug"}
 
 
 def commands(command, path=()):
@@ -41,19 +39,11 @@
 def logged_fields():
     """Return the field names that calls pass with each event, by event name."""
     found = {}
-    for path in _SOURCE.rglob("*.py"):
-        for node in ast.walk(ast.parse(path.read_text("utf-8"))):
-            if (
-                isinstance(node, ast.Call)
-                and isinstance(node.func, ast.Attribute)
-                and node.func.attr in _LOG_CALLS
-                and isinstance(node.func.value, ast.Name)
-                and node.func.value.id == "logs"
-            ):
-                name = node.args[0]
-                text = name.value if isinstance(name, ast.Constant) else ast.unparse(name)
-                fields = {keyword.arg or "**" for keyword in node.keywords}
-                found.setdefault(text, set()).update(fields)
+    for call in log_calls.find():
+        name = call.args[0]
+        text = name.value if isinstance(name, ast.Constant) else ast.unparse(name)
+        fields = {keyword.arg or "**" for keyword in call.keywords}
+        found.setdefault(text, set()).update(fields)
     return {name: sorted(fields) for name, fields in found.items()}
 
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -3,8 +3,7 @@
 from unittest import mock
 
 import pytest
-from twisted.internet import error, task
-from twisted.internet.testing import MemoryReactorClock, StringTransport
+from twisted.internet import error, task, testing
 from twisted.python import failure
 
 from carobhook import logs
@@ -33,7 +32,7 @@
             lambda sender, message: self.handled.append((sender, message)),
             self.lost.append,
         )
-        self.transport = StringTransport()
+        self.transport = testing.StringTransport()
         self.transport.setTcpNoDelay = lambda on: None
         self.transport.abortConnection = self.abort
         self.abort_count = 0
@@ -124,7 +123,7 @@
 
     def test_stream_nobody_wants_is_not_opened_again_and_again(self):
         """Its connection is closed and never opened anew, or its end would count as a loss."""
-        reactor = MemoryReactorClock()
+        reactor = testing.MemoryReactorClock()
         identity = peers.Identity(NAME, INCARNATION, KEY)
         streams = peers.PeerStreams(reactor, identity, lambda *_: None, peer_codec.CODEC)
         streams.connect("10.0.0.1:5")
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -1,8 +1,7 @@
 """Tests of carobhook.transport.server_connections with servers that send bytes without end."""
 
 import pytest
-from twisted.internet import defer, task
-from twisted.internet.testing import StringTransport
+from twisted.internet import defer, task, testing
 
 from carobhook.protocol import http1
 from carobhook.transport import server_connections
@@ -29,7 +28,7 @@
     def __init__(self, memory=None):
         memory = memory or server_connections.ResponseMemory(MEMORY_BYTES)
         self.connection = server_connections._ServerConnection(task.Clock().seconds, memory)
-        self.transport = StringTransport()
+        self.transport = testing.StringTransport()
         self.transport.setTcpNoDelay = lambda on: None
         self.connection.makeConnection(self.transport)
         self.errors = []
