--- a/tests/test_cli.py
+++ b/tests/test_cli.py
@@ -157,6 +157,8 @@
         process = start("serve", "--settings", file)
         line = process.stdout.readline()
         while "instance-started" not in line:
+            # At the end of the output, the loop would go on forever.
+            assert line, process.stderr.read()
             line = process.stdout.readline()
         process.send_signal(signal.SIGTERM)
         code, out, err = finish(process)
