Log the limits that servers name in their answers

Change: the codec of the platform reads the header; an instance remembers the limits of the answers that it got, logs each change as server-limit, and counts them as carobhook_servers_limited. A value that is no decimal number logs server-limit-malformed. Nothing acts on a limit yet. The stand-in of a server can name one.

--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -88,6 +88,12 @@
     SERVERS = MetricInfo(
         "carobhook_servers_usable", Kind.GAUGE, (), "Backend servers that may get requests."
     )
+    SERVERS_LIMITED = MetricInfo(
+        "carobhook_servers_limited",
+        Kind.GAUGE,
+        (),
+        "Backend servers whose answers to this instance name a limit of requests a second.",
+    )
     MEMBERS = MetricInfo(
         "carobhook_instances_serving", Kind.GAUGE, (), "Instances heard lately that serve."
     )
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -129,6 +129,13 @@
     EXCHANGE_BROKEN = EventInfo(
         "exchange-broken", "A connection to a backend server brought no whole answer."
     )
+    SERVER_LIMIT = EventInfo(
+        "server-limit",
+        "A server's answer named another limit of requests a second than before, or none.",
+    )
+    SERVER_LIMIT_MALFORMED = EventInfo(
+        "server-limit-malformed", "A server's answer names a limit that cannot be read."
+    )
     EVENT_LOOP_LATE = EventInfo(
         "event-loop-late",
         "The event loop was busy; everything of this instance was late by this much.",
--- a/src/carobhook/platform/names.py
+++ b/src/carobhook/platform/names.py
@@ -17,6 +17,9 @@
 SERVER_ID = "x-instance-id"
 # Present in a response if the backend server did not run the request.
 NOT_EXECUTED = "x-not-executed"
+# Requests a second that the backend server takes from all entry instances together. Present in
+# a response for as long as the server limits them.
+SERVER_LIMIT = "server-limit"
 
 RESOLVE_PATH = "/-/resolve"
 OBJECTS_PATH = "/-/objects/"
--- a/src/carobhook/platform/requests.py
+++ b/src/carobhook/platform/requests.py
@@ -1,6 +1,7 @@
 """Codec of the headers and directory lookups of the platform's clients and servers."""
 
 import json
+import re
 
 from carobhook.platform import names
 from carobhook.protocol import client_api, http1
@@ -8,6 +9,7 @@
 from carobhook.transport import client_connections
 
 _MAX_TIME_LEFT_MS = 24 * 3600 * 1000
+_DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 # Headers of the client's request that are set anew in the request to the server.
 _REPLACED_HEADERS = frozenset(
     name.encode() for name in (names.TIME_LEFT_MS, names.EXPECTED_SERVER, "content-length")
@@ -81,6 +83,25 @@
             return allocation.AttemptOutcome.FAILED
         return allocation.AttemptOutcome.ANSWERED
 
+    def rate_statement(self, response: http1.Response) -> allocation.RateStatement | None:
+        """Return what a response says about the rate of requests that its server takes.
+
+        None means that it says nothing: it is the response of another server at the address, or
+        rejects a request without naming a limit.
+
+        Raises:
+            ValueError: The limit is not a decimal number of at least 0.
+        """
+        if response.status == 421:
+            return None
+        text = response.get(names.SERVER_LIMIT)
+        if text is None:
+            is_rejection = response.get(names.NOT_EXECUTED) is not None
+            return None if is_rejection else allocation.RateStatement(None)
+        if _DECIMAL.fullmatch(text.strip()) is None:
+            raise ValueError(f"limit must be a decimal number, got {text!r:.40}")
+        return allocation.RateStatement(float(text))
+
 
 def parse_directory_query(target: bytes) -> client_api.Lookup | None:
     """Parse the target of a request to the directory.
--- a/src/carobhook/standins/platform_server.py
+++ b/src/carobhook/standins/platform_server.py
@@ -33,6 +33,8 @@
         shed: Whether requests are refused with 503 and the header `names.NOT_EXECUTED`.
         body: Body of the responses.
         echo_id: Whether the body is the id of the attempt instead of ``body``.
+        limit: Value of the header `names.SERVER_LIMIT` of the responses, or None to send none;
+            not enforced.
     """
 
     slots: int = 4
@@ -44,6 +46,7 @@
     shed: bool = False
     body: bytes = b"served"
     echo_id: bool = False
+    limit: str | None = None
 
 
 @attrs.define(eq=False)
@@ -161,6 +164,8 @@
         headers: tuple[tuple[bytes, bytes], ...] = (),
     ) -> http1.Response:
         attempt_id = (head.get(names.REQUEST_ID) or "").encode()
+        if self.behaviour.limit is not None:
+            headers += ((names.SERVER_LIMIT.encode(), self.behaviour.limit.encode()),)
         all_headers = (
             (names.REQUEST_ID.encode(), attempt_id),
             (names.SERVER_ID.encode(), self.name.encode()),
--- a/src/carobhook/state/allocation.py
+++ b/src/carobhook/state/allocation.py
@@ -33,6 +33,18 @@
     CANCELLED = "cancelled"
 
 
+@attrs.frozen
+class RateStatement:
+    """What an answer of a backend server says about the rate of requests that it takes.
+
+    Attributes:
+        max_per_s: Requests a second that it takes from all instances together, or None if it
+            names no limit.
+    """
+
+    max_per_s: float | None
+
+
 @attrs.frozen
 class SlotRequest:
     """Asks a dispatcher for a slot in which to run one request.
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -225,6 +225,7 @@
             metric.STORE_CALLS: lambda: self._store.calls,
             metric.STORE_LOST: lambda: float(server_catalog.store_lost_at is not None),
             metric.SERVERS: lambda: len(server_catalog.servers(seconds())),
+            metric.SERVERS_LIMITED: lambda: self._allocator.limited_count,
             metric.MEMBERS: lambda: len(self._streams.membership.serving(seconds())),
             metric.CONFIG_VERSION: lambda: (
                 server_catalog.config.version if server_catalog.config else 0
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -53,6 +53,13 @@
     def attempt_outcome(self, response: http1.Response) -> allocation.AttemptOutcome:
         """Return the outcome of an attempt that a server responded to."""
 
+    def rate_statement(self, response: http1.Response) -> allocation.RateStatement | None:
+        """Return what a response says about the rate of requests that its server takes.
+
+        Raises:
+            ValueError: The limit that it names cannot be read.
+        """
+
     def matches_attempt(self, response: http1.Response, client_request_id: str | None) -> bool:
         """Return whether a response belongs to a client's attempt."""
 
@@ -72,9 +79,12 @@
         """
 
     def release_slot(
-        self, request_id: ids.RequestId, outcome: allocation.AttemptOutcome
+        self,
+        request_id: ids.RequestId,
+        outcome: allocation.AttemptOutcome,
+        rate: allocation.RateStatement | None = None,
     ) -> None:
-        """Release a granted slot with the outcome of the attempt."""
+        """Release a granted slot with the outcome of the attempt, and what the server said."""
 
 
 @attrs.frozen
@@ -336,20 +346,32 @@
         self._stage = Stage.RUNNING
         require_fresh = not accepted.route.repeatable
         outcome = allocation.AttemptOutcome.CANCELLED
+        rate: allocation.RateStatement | None = None
         try:
             received = await self._servers.exchange(
                 grant.address, head, accepted.request.body, require_fresh, self._matches_attempt
             )
             outcome = self._codec.attempt_outcome(received.response)
+            rate = self._rate_statement(received.response, grant.server)
         except server_connections.ExchangeError as error:
             outcome = self._failed_outcome(error, grant)
             received = None
         finally:
-            self._allocator.release_slot(accepted.id, outcome)
+            self._allocator.release_slot(accepted.id, outcome, rate)
         if self._stage is Stage.ENDED:
             return False
         return self._handle_outcome(outcome, received, grant)
 
+    def _rate_statement(
+        self, response: http1.Response, server: ids.Server
+    ) -> allocation.RateStatement | None:
+        """Return what a response says about its server's limit, or None if it is unreadable."""
+        try:
+            return self._codec.rate_statement(response)
+        except ValueError as error:
+            logs.warning("server-limit-malformed", server=server, error=error)
+            return None
+
     def _matches_attempt(self, response: http1.Response) -> bool:
         return self._codec.matches_attempt(response, self._accepted.client_request_id)
 
--- a/src/carobhook/transport/slot_allocator.py
+++ b/src/carobhook/transport/slot_allocator.py
@@ -88,6 +88,11 @@
         """Return the number of slot requests in the queues of this instance's dispatchers."""
         return self._dispatchers.queued_count
 
+    @property
+    def limited_count(self) -> int:
+        """Return the number of servers whose answers to this instance name a limit."""
+        return self._client.limited_count
+
     @property
     def dispatch_s(self) -> float:
         """Return the seconds that the dispatchers took for their decisions since the start."""
@@ -107,15 +112,20 @@
         return self._client.request_slot(request, region)
 
     def release_slot(
-        self, request_id: ids.RequestId, outcome: allocation.AttemptOutcome
+        self,
+        request_id: ids.RequestId,
+        outcome: allocation.AttemptOutcome,
+        rate: allocation.RateStatement | None = None,
     ) -> None:
         """Release a granted slot, and send the outcome of the attempt to its dispatcher.
 
         Args:
             request_id: Id of the slot request.
             outcome: How the attempt ended.
+            rate: What the server's answer says about the rate of requests that it takes, or
+                None if there is no answer or it says nothing.
         """
-        self._client.release_slot(request_id, outcome)
+        self._client.release_slot(request_id, outcome, rate)
 
     def loads(self) -> list[slot_messages.ShardLoad]:
         """Return the loads of the shards that this instance owns."""
--- a/src/carobhook/transport/slot_client.py
+++ b/src/carobhook/transport/slot_client.py
@@ -6,7 +6,8 @@
 import attrs
 from twisted.internet import defer
 
-from carobhook.coordination import dispatcher
+from carobhook import logs
+from carobhook.coordination import dispatcher, server_limits
 from carobhook.protocol import slot_messages
 from carobhook.state import allocation, codes, ids
 
@@ -93,6 +94,12 @@
         self._update_owners = update_owners
         self._pending: dict[ids.RequestId, _PendingRequest] = {}
         self._held: dict[ids.RequestId, _HeldSlot] = {}
+        self._limits = server_limits.ServerLimits()
+
+    @property
+    def limited_count(self) -> int:
+        """Return the number of servers whose answers to this instance name a limit."""
+        return len(self._limits.in_force(self._reactor.seconds()))
 
     @property
     def pending_count(self) -> int:
@@ -117,17 +124,24 @@
         return result
 
     def release_slot(
-        self, request_id: ids.RequestId, outcome: allocation.AttemptOutcome
+        self,
+        request_id: ids.RequestId,
+        outcome: allocation.AttemptOutcome,
+        rate: allocation.RateStatement | None = None,
     ) -> None:
         """Release a granted slot, and send the outcome of the attempt to its dispatcher.
 
         Args:
             request_id: Id of the slot request.
             outcome: How the attempt ended.
+            rate: What the server's answer says about the rate of requests that it takes, or
+                None if there is no answer or it says nothing.
         """
         held = self._held.pop(request_id, None)
         if held is None:
             return
+        if rate is not None and self._limits.record(held.server, rate, self._reactor.seconds()):
+            logs.event("server-limit", server=held.server, max_per_s=rate.max_per_s)
         owner = self._owner_of(held.shard) or held.owner
         self._send(
             owner, slot_messages.SlotReleased(request_id, *held.shard, held.server, outcome)
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -18,7 +18,7 @@
     """Allocator whose decisions the test makes; records slot requests and outcomes."""
 
     def __init__(self):
-        self.requests, self.outcomes, self.pending = [], [], []
+        self.requests, self.outcomes, self.pending, self.rates = [], [], [], []
 
     def request_slot(self, request, region):
         """Record a slot request, which the test grants or refuses later."""
@@ -41,9 +41,10 @@
             allocation.SlotRefusal(request.id, code, 0.7, "running=4/4")
         )
 
-    def release_slot(self, request_id, outcome):
-        """Record the outcome with which a slot is released."""
+    def release_slot(self, request_id, outcome, rate=None):
+        """Record the outcome with which a slot is released, and what the server said."""
         self.outcomes.append(outcome)
+        self.rates.append(rate)
 
 
 class FakeServers:
