Let fields be added to the messages between instances

Change: a field made by framing.added_field is left out of the frame while it has its default, and may be missing in frames received. All frames of today are unchanged. Measured: the golden frames and the tests of framing and of peers pass.

--- a/src/carobhook/protocol/framing.py
+++ b/src/carobhook/protocol/framing.py
@@ -1,6 +1,8 @@
 """Encodes typed messages as msgpack frames: a pair of the type tag and the field values.
 
 Fields are identified by their position, so their order and number are part of the protocol.
+Only fields that `added_field` creates may be added to a message: a frame leaves them out while
+they have their defaults, so builds that do not know them yet understand it.
 """
 
 import enum
@@ -18,12 +20,22 @@
 _INITIAL_BUFFER_BYTES = 4 * 1024
 
 _Decoder = Callable[[typing.Any], typing.Any]
+_IS_ADDED = "carobhook.added"
 
 
 class CodecError(Exception):
     """A frame does not encode a valid message of a known type."""
 
 
+def added_field(default: typing.Any) -> typing.Any:
+    """Return an attrs field that was added to the end of a message later.
+
+    Args:
+        default: Value of the field in frames that leave it out.
+    """
+    return attrs.field(default=default, metadata={_IS_ADDED: True})
+
+
 def unpacker(limit: int = MAX_FRAME_BYTES) -> msgpack.Unpacker:
     """Return an unpacker for a stream of frames.
 
@@ -84,7 +96,7 @@
 def _encode_value(value: typing.Any) -> typing.Any:
     cls: typing.Any = type(value)
     if attrs.has(cls):
-        return [_encode_value(getattr(value, name)) for name in _field_names(cls)]
+        return [_encode_value(item) for item in _sent_values(value)]
     if isinstance(value, enum.Enum):
         return value.name
     if isinstance(value, (tuple, list, frozenset)):
@@ -92,9 +104,21 @@
     return value
 
 
+def _sent_values(value: typing.Any) -> list[typing.Any]:
+    """Return the field values of a message, without added ones at the end that are default."""
+    cls: typing.Any = type(value)
+    fields = _fields(cls)
+    values = [getattr(value, field.name) for field in fields]
+    for field in reversed(fields):
+        if not field.metadata.get(_IS_ADDED) or values[-1] != field.default:
+            break
+        values.pop()
+    return values
+
+
 @functools.cache
-def _field_names(cls: type) -> tuple[str, ...]:
-    return tuple(field.name for field in attrs.fields(cls))
+def _fields(cls: type) -> tuple[typing.Any, ...]:
+    return tuple(attrs.fields(cls))
 
 
 @functools.cache
@@ -118,13 +142,15 @@
 
 def _attrs_decoder(type_: typing.Any) -> _Decoder:
     hints = typing.get_type_hints(type_)
-    decoders = [_decoder(hints[name]) for name in _field_names(type_)]
+    fields = _fields(type_)
+    decoders = [_decoder(hints[field.name]) for field in fields]
+    required = sum(not field.metadata.get(_IS_ADDED) for field in fields)
 
     def decode(raw: typing.Any) -> typing.Any:
-        if not isinstance(raw, list) or len(raw) != len(decoders):
-            raise ValueError(f"{type_.__name__} must have {len(decoders)} fields")
+        if not isinstance(raw, list) or not required <= len(raw) <= len(decoders):
+            raise ValueError(f"{type_.__name__} must have {required} to {len(decoders)} fields")
         return type_(
-            *(decode_item(item) for decode_item, item in zip(decoders, raw, strict=True))
+            *(decode_item(item) for decode_item, item in zip(decoders, raw, strict=False))
         )
 
     return decode
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -1,5 +1,6 @@
 """Tests of carobhook.protocol.framing and carobhook.protocol.peer_codec."""
 
+import attrs
 import hypothesis
 import msgpack
 import pytest
@@ -42,6 +43,15 @@
 ]
 
 
+@attrs.frozen
+class AddedFields:
+    """Message with two fields that were added later."""
+
+    first: int
+    second: int | None = framing.added_field(None)
+    third: str = framing.added_field("")
+
+
 def round_trip(message):
     """Return a message after encoding and decoding it."""
     unpacker = peer_codec.CODEC.unpacker()
@@ -63,6 +73,20 @@
         )
         assert round_trip(message) == message
 
+    def test_added_fields_are_left_out_while_they_are_default(self):
+        """Builds that do not know an added field can decode the frame, and be decoded."""
+        codec = framing.MessageCodec({"Added": AddedFields})
+        assert msgpack.unpackb(codec.encode(AddedFields(1))) == ["Added", [1]]
+        assert msgpack.unpackb(codec.encode(AddedFields(1, 2))) == ["Added", [1, 2]]
+        assert msgpack.unpackb(codec.encode(AddedFields(1, None, "x"))) == [
+            "Added",
+            [1, None, "x"],
+        ]
+        assert codec.decode(["Added", [1]]) == AddedFields(1)
+        for values in ([], [1, 2, "x", 4]):
+            with pytest.raises(framing.CodecError):
+                codec.decode(["Added", values])
+
     @pytest.mark.parametrize(
         "frame", [None, [], ["Nothing", []], ["SlotMoved", []], ["SlotMoved", [7]], ["Alive"]]
     )
