Keep every server within the limit that it names

The dispatchers counted slots only, and a server's slots say nothing of how many requests a second it takes. Change: an answer's limit travels with the release of its slot to the dispatcher that granted it. That one paces the server by a bucket, counting what the server got in the last second. Who may send besides, so that the sum holds: - another region on borrowed slots: a limited server is lent no longer, like a cold one; a borrower stops at once and reports the limit to the dispatcher of the server's region; - a dispatcher that takes the shard over: instances report the limits that they have seen with the slots they hold; - a dispatcher on the other side of a partition: each uses the part of the limit that is its part of the instances. Expected waits, refusals with Retry-After and the loads for loans count what the limit lets through, not the slots. Why it works: each server has one counter, before anything is sent, and the same counter decides who waits.

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -31,6 +31,8 @@
 _MAX_RETRY_AFTER_S = 5.0
 # Work time assumed while there are no samples to estimate it from.
 _DEFAULT_WORK_S = 0.2
+# Weight of the latest request in the moving average of expected work times.
+_MEAN_WORK_WEIGHT = 0.05
 # Cost added for a server whose responses all report failures, as a multiple of the work time.
 _FAILURE_PENALTY = 4.0
 # Traffic between failure domains is billed, so a caller waits up to this much longer for a
@@ -81,6 +83,7 @@
     )
     _reviewed_at: float = attrs.field(default=-math.inf, init=False)
     _demand_s: float = attrs.field(default=0.0, init=False)
+    _mean_work_s: float = attrs.field(default=_DEFAULT_WORK_S, init=False)
     _reserved_s: dict[ids.Server, float] = attrs.field(factory=dict, init=False)
 
     @property
@@ -88,6 +91,11 @@
         """Return the number of queued requests."""
         return len(self._queue)
 
+    @property
+    def mean_work_s(self) -> float:
+        """Return the moving average of the requests' expected work times in seconds."""
+        return self._mean_work_s
+
     def collect_demand(self) -> float:
         """Return and reset the expected work, in slot-seconds, requested since the last call.
 
@@ -104,6 +112,7 @@
             now: Monotonic time in seconds.
         """
         expected_work_s = self._estimate_work_s(request)
+        self._mean_work_s += _MEAN_WORK_WEIGHT * (expected_work_s - self._mean_work_s)
         if request.repeat:
             if not self.retry_budget.try_consume(now):
                 return [self._refusal(request, codes.Code.RETRIES_USED_UP, now)]
@@ -294,7 +303,14 @@
             eligible: Servers that may run it.
             now: Monotonic time in seconds.
         """
-        slots = sum(max(0, server.slots - server.unavailable_slots) for server in eligible)
+        work_s = queued.expected_work_s
+        slots = sum(
+            max(
+                0.0,
+                min(server.slots - server.unavailable_slots, server.throughput_slots(work_s)),
+            )
+            for server in eligible
+        )
         if slots <= 0:
             return math.inf
         first_s = min(server.next_free_s(now) for server in eligible)
@@ -394,7 +410,7 @@
         work_s = self._times.estimate_s(request.route, depth, _DEFAULT_WORK_S)
         work_s *= server.slowness(now)
         is_free = server.is_free(now)
-        reserved_s = self._reserved_s.get(server.name, 0.0) / max(1, server.slots)
+        reserved_s = self._reserved_s.get(server.name, 0.0) / server.throughput_slots(work_s)
         # A wait of 0 means that the server can start the request now, so a busy one has more.
         wait_s = 0.0 if is_free else max(0.005, server.next_free_s(now)) + reserved_s
         queue_ratio = min(1.0, len(self._queue) / max(1, self.pool.slots))
@@ -430,8 +446,8 @@
 
         This is the expected time to empty the present queue, within fixed limits.
         """
-        slots = max(1, self.pool.slots)
-        backlog_s = self._queue.work_s / slots
+        slots = self.pool.throughput_slots(self._mean_work_s)
+        backlog_s = self._queue.work_s / slots if slots > 0 else self._queue.work_s
         retry_after_s = min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, backlog_s))
         return allocation.SlotRefusal(
             request.id, code, retry_after_s, self._describe_state(request, now)
--- a/src/carobhook/coordination/server_limits.py
+++ b/src/carobhook/coordination/server_limits.py
@@ -37,13 +37,17 @@
             return False
         before = self.max_per_s(server, now)
         if statement.max_per_s is None:
-            self._limits.pop(server, None)
-            self._named_at.pop(server, None)
+            self.forget(server)
         else:
             self._limits[server] = statement.max_per_s
             self._named_at[server] = now
         return before != statement.max_per_s
 
+    def forget(self, server: ids.Server) -> None:
+        """Forget the limit of a server, if there is one."""
+        self._limits.pop(server, None)
+        self._named_at.pop(server, None)
+
     def max_per_s(self, server: ids.Server, now: float) -> float | None:
         """Return the requests a second that a server takes, or None if it named no limit.
 
@@ -63,5 +67,5 @@
         """
         for server, named_at in list(self._named_at.items()):
             if now - named_at > LIFETIME_S:
-                del self._limits[server], self._named_at[server]
+                self.forget(server)
         return dict(self._limits)
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -1,5 +1,6 @@
 """Slots and health of the backend servers whose slots one dispatcher grants."""
 
+import collections
 import math
 from collections.abc import Iterable, Mapping
 
@@ -24,6 +25,15 @@
 _SHED_PAUSE_S = 0.15
 # Requests that one dispatcher may send to a cold server at once.
 _COLD_BURST = 2.0
+# A server that limits its rate may get the requests of this many seconds at once.
+_LIMIT_BURST_S = 0.5
+# A server gets this many requests a second even if it names a lower limit; only its answers can
+# tell that it takes more again.
+_MIN_LIMIT_PER_S = 0.2
+# Requests that a server got within this time before it named a limit count toward the limit.
+_LIMIT_LOOKBACK_S = 1.0
+# No requests before the limit keep a server idle for longer than this.
+_MAX_LIMIT_PAUSE_S = 3.0
 
 
 def cold_rate_limit(configured_per_s: float, max_per_s: float, visible_share: float) -> float:
@@ -55,12 +65,15 @@
         slots: Number of its slots that the pool may use.
         cold_rate: Requests a second that the pool may send it while it is cold, or None for no
             limit.
+        max_per_s: Requests a second that the pool may send it, as the server named a limit, or
+            None for no limit.
     """
 
     view: catalog.ServerView
     region: ids.Region
     slots: int
     cold_rate: float | None = None
+    max_per_s: float | None = None
 
 
 @attrs.frozen
@@ -98,6 +111,7 @@
         slots: Number of its slots that the pool may use, before `unavailable_slots` are
             subtracted.
         cold_bucket: Limits requests while the server is cold; None for no limit.
+        limit_bucket: Limits requests while the server names a limit; None for no limit.
         running: Requests that occupy a slot, by id.
         recent_objects: Objects of the requests that it got most recently.
         unavailable_slots: Number of `slots` that must not be granted for now, because other
@@ -108,6 +122,7 @@
     region: ids.Region
     slots: int
     cold_bucket: token_bucket.TokenBucket | None = None
+    limit_bucket: token_bucket.TokenBucket | None = attrs.field(default=None, init=False)
     running: dict[ids.RequestId, RunningRequest] = attrs.field(factory=dict, init=False)
     recent_objects: work_times.RecentObjects = attrs.field(
         factory=work_times.RecentObjects, init=False
@@ -120,6 +135,8 @@
     _slowness_at: float = attrs.field(default=0.0, init=False)
     # Expected end of the running request that is expected to end first.
     _first_end_at: float = attrs.field(default=math.inf, init=False)
+    # Times of the latest starts, none older than `_LIMIT_LOOKBACK_S` at the last start.
+    _starts: collections.deque[float] = attrs.field(factory=collections.deque, init=False)
 
     @property
     def name(self) -> ids.Server:
@@ -147,6 +164,7 @@
         """
         self.view = offer.view
         self.slots = offer.slots
+        self.limit_rate(offer.max_per_s, now)
         if offer.cold_rate is None:
             return
         if self.cold_bucket is None:
@@ -155,6 +173,47 @@
             self.cold_bucket.clear(now)
         self.cold_bucket.rate = offer.cold_rate
 
+    def limit_rate(self, max_per_s: float | None, now: float) -> None:
+        """Limit the requests that the server gets, or end the limit.
+
+        What it got just before counts, so that it gets a rest if that was more than it takes.
+
+        Args:
+            max_per_s: Requests a second that the pool may send it, or None for no limit.
+            now: Monotonic time in seconds.
+        """
+        if max_per_s is None:
+            self.limit_bucket = None
+            return
+        rate = max(_MIN_LIMIT_PER_S, max_per_s)
+        burst = max(1.0, rate * _LIMIT_BURST_S)
+        bucket = self.limit_bucket
+        if bucket is not None and bucket.rate == rate:
+            return
+        is_lower = bucket is None or rate < bucket.rate
+        if bucket is None:
+            bucket = self.limit_bucket = token_bucket.TokenBucket(rate, burst)
+        bucket.rate, bucket.burst = rate, burst
+        if is_lower:
+            self._forget_starts(now)
+            # No burst at first: another dispatcher may have used it a moment ago.
+            balance = min(0.0, rate * _LIMIT_LOOKBACK_S - len(self._starts))
+            bucket.reduce_to(max(balance, -rate * _MAX_LIMIT_PAUSE_S), now)
+
+    def _forget_starts(self, now: float) -> None:
+        while self._starts and self._starts[0] <= now - _LIMIT_LOOKBACK_S:
+            self._starts.popleft()
+
+    def throughput_slots(self, work_s: float) -> float:
+        """Return how many slots requests of a length can keep busy within the server's limit.
+
+        Args:
+            work_s: Work time of each request in seconds.
+        """
+        if self.limit_bucket is None:
+            return float(self.slots)
+        return min(float(self.slots), self.limit_bucket.rate * work_s)
+
     def free_slots(self, now: float) -> int:
         """Return the number of free slots.
 
@@ -169,6 +228,12 @@
         slots = 1 if self._connection_failures else self.slots - self.unavailable_slots
         return max(0, slots - len(self.running))
 
+    def rate_allows(self, now: float) -> bool:
+        """Return whether its rate limits allow one more request, without counting one."""
+        if self.limit_bucket is not None and self.limit_bucket.wait_s(now) > 0:
+            return False
+        return self.cold_rate_allows(now)
+
     def cold_rate_allows(self, now: float) -> bool:
         """Return whether the cold rate allows one more request, without counting one."""
         if self.cold_bucket is None or now >= self.view.cold_until:
@@ -180,7 +245,7 @@
         return (
             len(self.running) < self.slots
             and self.free_slots(now) > 0
-            and self.cold_rate_allows(now)
+            and self.rate_allows(now)
         )
 
     def slowness(self, now: float) -> float:
@@ -190,17 +255,21 @@
         return 1.0 + (self._slowness - 1.0) * decay
 
     def next_free_s(self, now: float) -> float:
-        """Return the expected seconds until its pause ends or, if not paused, a request ends.
+        """Return the expected seconds until it can start a request.
 
-        This is 0 if it is neither paused nor running a request. A request that runs longer than
-        expected is assumed to end in a moment.
+        That is when its pause ends or, if not paused, when a request ends, and when its limit
+        allows one more. This is 0 if it is neither paused nor limited nor running a request. A
+        request that runs longer than expected is assumed to end in a moment.
 
         Args:
             now: Monotonic time in seconds.
         """
+        limit_s = self.limit_bucket.wait_s(now) if self.limit_bucket is not None else 0.0
         if now < self._paused_until:
-            return self._paused_until - now
-        return max(0.005, self._first_end_at - now) if self.running else 0.0
+            return max(limit_s, self._paused_until - now)
+        if not self.running or (limit_s > 0 and self.free_slots(now) > 0):
+            return limit_s
+        return max(limit_s, 0.005, self._first_end_at - now)
 
     def start(
         self, request: allocation.SlotRequest, expected_s: float, now: float
@@ -216,6 +285,10 @@
         self._first_end_at = min(self._first_end_at, run.expected_end_at)
         if self.cold_bucket is not None and now < self.view.cold_until:
             self.cold_bucket.try_consume(now)
+        if self.limit_bucket is not None:
+            self.limit_bucket.try_consume(now)
+        self._forget_starts(now)
+        self._starts.append(now)
         return depth
 
     def finish(self, request_id: ids.RequestId) -> RunningRequest | None:
@@ -287,6 +360,7 @@
     _servers: dict[ids.Server, PooledServer] = attrs.field(factory=dict, init=False)
     _holders: dict[str, set[ids.Server]] = attrs.field(factory=dict, init=False)
     _slots: int = attrs.field(default=0, init=False)
+    _limited: dict[ids.Server, PooledServer] = attrs.field(factory=dict, init=False)
 
     @property
     def servers(self) -> list[PooledServer]:
@@ -306,6 +380,18 @@
         """Return the number of slots that may be granted, including those in use."""
         return self._slots
 
+    def throughput_slots(self, work_s: float) -> float:
+        """Return how many slots requests of a length can keep busy within all servers' limits.
+
+        Args:
+            work_s: Work time of each request in seconds.
+        """
+        unused = sum(
+            max(0.0, server.slots - server.unavailable_slots - server.throughput_slots(work_s))
+            for server in self._limited.values()
+        )
+        return max(0.0, self._slots - unused)
+
     @property
     def running(self) -> int:
         """Return the number of requests that occupy a slot."""
@@ -351,8 +437,28 @@
             pooled.update(offer, now)
             servers[pooled.name] = pooled
         self._servers = servers
+        self._limited = {
+            name: server for name, server in servers.items() if server.limit_bucket is not None
+        }
         self._count_slots()
 
+    def limit_rate(self, name: ids.Server, max_per_s: float | None, now: float) -> None:
+        """Limit the requests that a server gets, or end its limit.
+
+        Args:
+            name: The server; one that is not in the pool is ignored.
+            max_per_s: Requests a second that the pool may send it, or None for no limit.
+            now: Monotonic time in seconds.
+        """
+        server = self._servers.get(name)
+        if server is None:
+            return
+        server.limit_rate(max_per_s, now)
+        if max_per_s is None:
+            self._limited.pop(name, None)
+        else:
+            self._limited[name] = server
+
     def set_unavailable_slots(self, counts: Mapping[ids.Server, int]) -> None:
         """Set how many slots of each server must not be granted.
 
--- a/src/carobhook/coordination/token_bucket.py
+++ b/src/carobhook/coordination/token_bucket.py
@@ -25,6 +25,16 @@
         """Remove all tokens, so that a burst is allowed only after they are gained again."""
         self._tokens, self._refilled_at = 0.0, now
 
+    def reduce_to(self, tokens: float, now: float) -> None:
+        """Reduce the tokens to a number, which may be negative, if there are more.
+
+        Args:
+            tokens: Largest number of tokens to keep.
+            now: Current time in seconds.
+        """
+        self._refill(now)
+        self._tokens = min(self._tokens, tokens)
+
     def try_consume(self, now: float) -> bool:
         """Remove one token if there is one; return whether there was.
 
--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -19,6 +19,7 @@
     "SlotRefused": slot_messages.SlotRefused,
     "SlotMoved": slot_messages.NotDispatcher,
     "SlotEnded": slot_messages.SlotReleased,
+    "ServerLimited": slot_messages.ServerLimitReport,
     "SlotsWanted": slot_messages.HeldSlotsQuery,
     "SlotsHeld": slot_messages.HeldSlotsReport,
     "RegionReport": slot_messages.RegionReport,
--- a/src/carobhook/protocol/slot_messages.py
+++ b/src/carobhook/protocol/slot_messages.py
@@ -7,6 +7,7 @@
 
 import attrs
 
+from carobhook.protocol import framing
 from carobhook.state import allocation, ids
 
 
@@ -108,6 +109,8 @@
         service: Service of the shard.
         server: Server of the slot.
         end: Outcome of the attempt.
+        rate: What the server's answer says about the rate of requests that it takes, or None if
+            there is no answer or it says nothing.
     """
 
     id: ids.RequestId
@@ -115,6 +118,35 @@
     service: ids.Service
     server: ids.Server
     end: allocation.AttemptOutcome
+    rate: allocation.RateStatement | None = framing.added_field(None)
+
+
+@attrs.frozen
+class ServerLimit:
+    """Limit that a server named in its answers.
+
+    Attributes:
+        server: The server.
+        max_per_s: Requests a second that it takes from all instances together.
+    """
+
+    server: ids.Server
+    max_per_s: float
+
+
+@attrs.frozen
+class ServerLimitReport:
+    """Tells the dispatcher of a server's own region of a limit that another region has seen.
+
+    Attributes:
+        region: Region of the server.
+        service: Service of the server.
+        limit: The limit.
+    """
+
+    region: ids.Region
+    service: ids.Service
+    limit: ServerLimit
 
 
 @attrs.frozen
@@ -158,11 +190,13 @@
         region: Region of the shard.
         service: Service of the shard.
         held: Slots that the sender's requests hold.
+        limits: Limits that servers of the service named in answers to the sender.
     """
 
     region: ids.Region
     service: ids.Service
     held: tuple[HeldSlot, ...]
+    limits: tuple[ServerLimit, ...] = framing.added_field(())
 
 
 @attrs.frozen
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -10,6 +10,7 @@
     catalog,
     dispatcher,
     retry_budget,
+    server_limits,
     server_pool,
     slot_loans,
     steering,
@@ -73,6 +74,7 @@
         lent: Slots of each server that are lent to each other region.
         withheld: Slots of each server that orders withhold.
         recalled: Recalled slots that their borrowers may still be using.
+        limits: Limits that servers named, as far as this dispatcher was told.
     """
 
     dispatcher: dispatcher.Dispatcher
@@ -88,6 +90,7 @@
     lent: dict[ids.Region, dict[ids.Server, int]] = attrs.field(factory=dict)
     withheld: Mapping[ids.Server, int] = attrs.field(factory=dict)
     recalled: slot_loans.RecalledSlots = attrs.field(factory=slot_loans.RecalledSlots)
+    limits: server_limits.ServerLimits = attrs.field(factory=server_limits.ServerLimits)
 
     def recent_reports(self, now: float) -> dict[ids.Region, slot_messages.RegionReport]:
         """Return the reports of other regions that are not too old."""
@@ -207,11 +210,65 @@
             return
         state.granted.pop(message.id, None)
         now = self._reactor.seconds()
+        if message.rate is not None:
+            self._record_rate(
+                (message.region, message.service), state, message.server, message.rate, now
+            )
         decisions = self._timed(
             state.dispatcher.release_slot, message.id, message.server, message.end, now
         )
         self._send_decisions(state, decisions)
 
+    def handle_limit_report(self, message: slot_messages.ServerLimitReport) -> None:
+        """Apply a limit that a server of this region named in an answer to another region."""
+        shard = (message.region, message.service)
+        state = self._shards.get(shard)
+        if state is None:
+            return
+        rate = allocation.RateStatement(message.limit.max_per_s)
+        self._record_rate(shard, state, message.limit.server, rate, self._reactor.seconds())
+
+    def _record_rate(
+        self,
+        shard: Shard,
+        state: _ShardState,
+        server: ids.Server,
+        rate: allocation.RateStatement,
+        now: float,
+    ) -> None:
+        """Apply what a server's answer says about the rate of requests that it takes.
+
+        A limited server has one dispatcher, that of its own region, so that one counter limits
+        its rate. It is lent no longer, and a dispatcher that borrowed it reports the limit.
+        """
+        has_changed = state.limits.record(server, rate, now)
+        pooled = state.dispatcher.pool.get(server)
+        if pooled is not None and pooled.region != shard[0]:
+            if has_changed:
+                self._update_pool(shard, state)
+            self._report_limit((pooled.region, shard[1]), server, rate)
+        elif has_changed:
+            max_per_s = self._own_share(shard, rate.max_per_s)
+            state.dispatcher.pool.limit_rate(server, max_per_s, now)
+            if max_per_s is not None:
+                self._stop_lending(shard, state, server, now)
+
+    def _report_limit(
+        self, shard: Shard, server: ids.Server, rate: allocation.RateStatement
+    ) -> None:
+        """Report the limit of a borrowed server to the dispatcher of its own region."""
+        owner = self._owner_of(shard)
+        if owner is not None and rate.max_per_s is not None:
+            limit = slot_messages.ServerLimit(server, rate.max_per_s)
+            self._send(owner, slot_messages.ServerLimitReport(*shard, limit))
+
+    def _own_share(self, shard: Shard, max_per_s: float | None) -> float | None:
+        """Return the part of a server's limit that this dispatcher may use.
+
+        Instances that it does not see may have a dispatcher of their own, which uses the rest.
+        """
+        return None if max_per_s is None else max_per_s * self._visible_share(shard[0])
+
     def handle_held_slots(
         self, sender: ids.InstanceId, message: slot_messages.HeldSlotsReport
     ) -> None:
@@ -228,6 +285,9 @@
             )
             state.dispatcher.register_running(request, slot.server, now)
             state.granted[slot.id] = (sender, slot.server)
+        for limit in message.limits:
+            rate = allocation.RateStatement(limit.max_per_s)
+            self._record_rate(shard, state, limit.server, rate, now)
         state.unreported.discard(sender)
         self._decide(state, now)
 
@@ -387,6 +447,7 @@
         own_servers = []
         visible_share = self._visible_share(region)
         cold_rate = self._cold_rate(service, visible_share)
+        limits = state.limits.in_force(now)
         for view in self._catalog.servers_of(service, now):
             entry = view.entry
             server_region = self._regions.get(entry.failure_domain)
@@ -394,10 +455,13 @@
                 continue
             if server_region == region:
                 own_servers.append(view)
+                max_per_s = self._own_share(shard, limits.get(entry.name))
                 offers.append(
-                    server_pool.ServerOffer(view, server_region, entry.slots, cold_rate)
+                    server_pool.ServerOffer(
+                        view, server_region, entry.slots, cold_rate, max_per_s
+                    )
                 )
-            elif entry.name in borrowed and now >= view.cold_until:
+            elif entry.name in borrowed and entry.name not in limits and now >= view.cold_until:
                 slots = borrowed[entry.name]
                 offers.append(server_pool.ServerOffer(view, server_region, slots, cold_rate))
         state.withheld = self._orders.withheld_slots(service, region, own_servers)
@@ -458,18 +522,12 @@
     ) -> None:
         region = shard[0]
         self._update_demand(state, elapsed_s)
-        own_slots = {
-            pooled.name: max(0, pooled.slots - state.withheld.get(pooled.name, 0))
-            for pooled in state.dispatcher.pool.servers
-            if pooled.region == region
-            and not pooled.is_suspect
-            and now >= pooled.view.cold_until
-        }
+        own_slots = _lendable_slots(region, state, now)
         region_loads = {
             other: slot_loans.RegionLoad(report.slots, report.demand)
             for other, report in state.recent_reports(now).items()
         }
-        region_loads[region] = slot_loans.RegionLoad(sum(own_slots.values()), state.demand)
+        region_loads[region] = _region_load(region, state, now)
         state.loans.update(slot_loans.target_loans(region, region_loads), region_loads)
         previous = state.lent
         state.recalled.expire(now)
@@ -484,6 +542,24 @@
         for other in set(self._regions.values()) - {region}:
             self._send_region_report(shard, state, other, region_loads[region])
 
+    def _stop_lending(
+        self, shard: Shard, state: _ShardState, server: ids.Server, now: float
+    ) -> None:
+        """Recall all lent slots of a server at once."""
+        borrowers = [region for region, lent in state.lent.items() if server in lent]
+        if not borrowers:
+            return
+        previous = state.lent
+        state.lent = {
+            region: {name: count for name, count in lent.items() if name != server}
+            for region, lent in previous.items()
+        }
+        state.recalled.recall(previous, state.lent, now)
+        self._update_unavailable_slots(state, now)
+        load = _region_load(shard[0], state, now)
+        for region in borrowers:
+            self._send_region_report(shard, state, region, load)
+
     def _update_demand(self, state: _ShardState, elapsed_s: float) -> None:
         # The first interval starts at time 0 of the clock, not at an update, so without the
         # upper limit the first sample would be close to 0.
@@ -524,12 +600,45 @@
         now = self._reactor.seconds()
         previous = state.reports.get(report.region)
         state.reports[report.region] = (report, now)
+        if previous is not None:
+            # The lender knows of the limits of its servers, and lends them again after these.
+            for server in dict(previous[0].lent).keys() - dict(report.lent).keys():
+                state.limits.forget(server)
         if previous is None or previous[0].lent != report.lent:
             self._update_pool(shard, state)
         elif previous[0].used != report.used:
             self._update_unavailable_slots(state, now)
 
 
+def _lendable_slots(
+    region: ids.Region, state: _ShardState, now: float
+) -> dict[ids.Server, int]:
+    """Return the slots of each server of the region that other regions may use.
+
+    Servers whose rate is limited, because they are cold or named a limit, are not lent, so
+    that one dispatcher counts their requests.
+    """
+    return {
+        pooled.name: max(0, pooled.slots - state.withheld.get(pooled.name, 0))
+        for pooled in state.dispatcher.pool.servers
+        if pooled.region == region
+        and not pooled.is_suspect
+        and pooled.limit_bucket is None
+        and now >= pooled.view.cold_until
+    }
+
+
+def _region_load(region: ids.Region, state: _ShardState, now: float) -> slot_loans.RegionLoad:
+    """Return the load of the region: its demand, and what its own servers can bear."""
+    limited_slots = sum(
+        pooled.throughput_slots(state.dispatcher.mean_work_s)
+        for pooled in state.dispatcher.pool.servers
+        if pooled.region == region and pooled.limit_bucket is not None
+    )
+    slots = sum(_lendable_slots(region, state, now).values()) + limited_slots
+    return slot_loans.RegionLoad(slots, state.demand)
+
+
 def _log_loans(
     shard: Shard,
     lent: Mapping[ids.Region, Mapping[ids.Server, int]],
--- a/src/carobhook/transport/slot_allocator.py
+++ b/src/carobhook/transport/slot_allocator.py
@@ -179,6 +179,8 @@
             self._dispatchers.handle_held_slots(sender, message)
         elif isinstance(message, slot_messages.RegionReport):
             self._dispatchers.handle_region_report(message)
+        elif isinstance(message, slot_messages.ServerLimitReport):
+            self._dispatchers.handle_limit_report(message)
 
     def _send(self, to: ids.InstanceId, message: typing.Any) -> bool:
         """Send a message to an instance, which may be this one."""
--- a/src/carobhook/transport/slot_client.py
+++ b/src/carobhook/transport/slot_client.py
@@ -94,12 +94,13 @@
         self._update_owners = update_owners
         self._pending: dict[ids.RequestId, _PendingRequest] = {}
         self._held: dict[ids.RequestId, _HeldSlot] = {}
-        self._limits = server_limits.ServerLimits()
+        self._limits: dict[ids.Service, server_limits.ServerLimits] = {}
 
     @property
     def limited_count(self) -> int:
         """Return the number of servers whose answers to this instance name a limit."""
-        return len(self._limits.in_force(self._reactor.seconds()))
+        now = self._reactor.seconds()
+        return sum(len(limits.in_force(now)) for limits in self._limits.values())
 
     @property
     def pending_count(self) -> int:
@@ -140,13 +141,20 @@
         held = self._held.pop(request_id, None)
         if held is None:
             return
-        if rate is not None and self._limits.record(held.server, rate, self._reactor.seconds()):
-            logs.event("server-limit", server=held.server, max_per_s=rate.max_per_s)
+        if rate is not None:
+            self._record_rate(held, rate)
         owner = self._owner_of(held.shard) or held.owner
         self._send(
-            owner, slot_messages.SlotReleased(request_id, *held.shard, held.server, outcome)
+            owner,
+            slot_messages.SlotReleased(request_id, *held.shard, held.server, outcome, rate),
         )
 
+    def _record_rate(self, held: _HeldSlot, rate: allocation.RateStatement) -> None:
+        service = held.request.service
+        limits = self._limits.setdefault(service, server_limits.ServerLimits())
+        if limits.record(held.server, rate, self._reactor.seconds()):
+            logs.event("server-limit", server=held.server, max_per_s=rate.max_per_s)
+
     def handle_grant(self, owner: ids.InstanceId, grant: allocation.SlotGrant) -> None:
         """Record a granted slot, and fire the result of its request."""
         pending = self._pending.get(grant.ask_id)
@@ -177,14 +185,17 @@
     def switch_owner(self, shard: Shard, owner: ids.InstanceId) -> None:
         """Report held slots to a shard's new owner, and send it the pending requests."""
         message = self.held_slots(shard)
-        if message.held:
+        if message.held or message.limits:
             self._send(owner, message)
         for pending in list(self._pending.values()):
             if pending.shard == shard and pending.owner != owner:
                 self._send_request(pending)
 
     def held_slots(self, shard: Shard) -> slot_messages.HeldSlotsReport:
-        """Return a report of the slots of a shard that requests of this instance hold."""
+        """Return a report of the slots of a shard that requests of this instance hold.
+
+        It also holds the limits that servers of the shard's service named to this instance.
+        """
         held = tuple(
             slot_messages.HeldSlot(
                 request_id, slot.request.route, slot.request.object_key, slot.server
@@ -192,7 +203,14 @@
             for request_id, slot in self._held.items()
             if slot.shard == shard
         )
-        return slot_messages.HeldSlotsReport(*shard, held)
+        return slot_messages.HeldSlotsReport(*shard, held, self._limits_of(shard[1]))
+
+    def _limits_of(self, service: ids.Service) -> tuple[slot_messages.ServerLimit, ...]:
+        limits = self._limits.get(service)
+        if limits is None:
+            return ()
+        in_force = limits.in_force(self._reactor.seconds())
+        return tuple(slot_messages.ServerLimit(*item) for item in sorted(in_force.items()))
 
     def _send_request(self, pending: _PendingRequest) -> None:
         """Send a request to the dispatcher of its shard."""
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -29,6 +29,7 @@
     ("SlotRefused", slot_messages.SlotRefused, 4),
     ("SlotMoved", slot_messages.NotDispatcher, 1),
     ("SlotEnded", slot_messages.SlotReleased, 5),
+    ("ServerLimited", slot_messages.ServerLimitReport, 3),
     ("SlotsWanted", slot_messages.HeldSlotsQuery, 2),
     ("SlotsHeld", slot_messages.HeldSlotsReport, 3),
     ("RegionReport", slot_messages.RegionReport, 7),
--- a/tests/test_global_limits.py
+++ b/tests/test_global_limits.py
@@ -1,6 +1,7 @@
 """Limits on the sum over all instances, tested while network partitions come and go."""
 
 import collections
+import math
 import os
 import random
 
@@ -14,6 +15,11 @@
 COLD_PER_S = 5.0
 # Requests that a cold server may get within one second: 1.5 times its rate plus 5.
 MAX_COLD_PER_S = 1.5 * COLD_PER_S + 5.0
+# Limit that servers name, the window in which it is measured, and the time after which an
+# instance that has passed on an answer with it is bound by it.
+MAX_NAMED_PER_S = 3.0
+LIMIT_WINDOW_S = 4.0
+LIMIT_NOTICE_S = 0.5
 STEPS = 120
 SIMULATIONS = int(os.environ.get("CAROBHOOK_HISTORIES", "30"))
 
@@ -138,6 +144,63 @@
         return max_per_s
 
 
+class LimitSimulation(PartitionSimulation):
+    """Simulates servers that name a limit in every answer, while partitions come and go."""
+
+    def __init__(self, seed, max_partitions):
+        super().__init__(seed, max_partitions)
+        self.told_at, self.sends = {}, collections.defaultdict(list)
+        for allocator in self.allocators.values():
+            for view in allocator._catalog.servers(0.0):
+                warm = attrs.evolve(view.entry, cold_s=0.0, started_at_ms=2)
+                allocator._catalog.put(warm, 0.0)
+            allocator.update_servers()
+
+    def record_grant(self, decision):
+        """Record a grant, and release its slot with an answer that names the limit."""
+        if not isinstance(decision, allocation.SlotGrant):
+            return
+        name = decision.ask_id.split("-")[0]
+        self.sends[decision.server].append((self.clock.seconds(), name))
+        self.clock.callLater(0.2, self.answer, name, decision)
+
+    def answer(self, name, decision):
+        """Pass on an answer, after which the instance knows the limit."""
+        self.told_at.setdefault((name, decision.server), self.clock.seconds())
+        self.allocators[name].release_slot(
+            decision.ask_id,
+            allocation.AttemptOutcome.ANSWERED,
+            allocation.RateStatement(MAX_NAMED_PER_S),
+        )
+
+    def max_in_window(self):
+        """Return the most requests that a server got in a window from instances that knew."""
+        worst = 0
+        for server, sends in self.sends.items():
+            known = [
+                at
+                for at, name in sends
+                if at >= self.told_at.get((name, server), math.inf) + LIMIT_NOTICE_S
+            ]
+            for start in known:
+                worst = max(worst, sum(start <= at < start + LIMIT_WINDOW_S for at in known))
+        return worst
+
+
+class TestNamedLimits:
+    """Requests that a server gets from all instances after it named a limit."""
+
+    @pytest.mark.parametrize("max_partitions", [1, 2, 3, 4])
+    def test_partitions_keep_the_limit(self, max_partitions):
+        """The limit holds while shards move, and while partitions form and heal."""
+        worst = 0
+        for seed in range(SIMULATIONS):
+            simulation = LimitSimulation(seed, max_partitions)
+            simulation.run()
+            worst = max(worst, simulation.max_in_window())
+        assert worst <= 1.5 * MAX_NAMED_PER_S * LIMIT_WINDOW_S + 5
+
+
 class TestRetries:
     """Retries of a service's requests within a window, from all instances."""
 
