Let the soak limit servers

Change: a fault in which a server names a limit, and a check of what it got, with the users' bound. A fault that changes a server's behaviour restores what it changed only, as faults may overlap.

--- a/src/carobhook/soak/checks.py
+++ b/src/carobhook/soak/checks.py
@@ -16,6 +16,14 @@
 # A connection that ends this soon after a request was sent may have been closed by its peer
 # before the request arrived, so that no instance read the request.
 CLOSE_RACE_S = 0.2
+# Requests a second that a limited server names. Within each `LIMIT_WINDOW_S`, from
+# `LIMIT_SETTLE_S` after it first named the limit, it may get `_LIMIT_FACTOR` times as many and
+# `_LIMIT_SLACK` more.
+LIMIT_PER_S = 0.5
+LIMIT_WINDOW_S = 4.0
+LIMIT_SETTLE_S = 4.0
+_LIMIT_FACTOR = 1.5
+_LIMIT_SLACK = 5
 # Statuses that guarantee that the request was not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -119,6 +127,31 @@
     ]
 
 
+def find_over_limit(
+    runs: Iterable[Run], limited_periods: Iterable[tuple[str, float, float]]
+) -> list[str]:
+    """Return one line for each period in which a server got more than its limit allows.
+
+    Args:
+        runs: All runs on all servers.
+        limited_periods: Server, start and end of each period in which it named `LIMIT_PER_S`.
+    """
+    allowed = _LIMIT_FACTOR * LIMIT_PER_S * LIMIT_WINDOW_S + _LIMIT_SLACK
+    violations = []
+    for server, start, end in limited_periods:
+        starts = sorted(run.started_at for run in runs if run.server == server)
+        ends = [at for at in starts if start + LIMIT_SETTLE_S <= at <= end]
+        most = max(
+            (sum(at - LIMIT_WINDOW_S < s <= at for s in starts) for at in ends), default=0
+        )
+        if most > allowed:
+            violations.append(
+                f"{server} got {most} requests in {LIMIT_WINDOW_S:.0f} s at a limit of "
+                f"{LIMIT_PER_S:g} a second"
+            )
+    return violations
+
+
 def check_recovery(served: int, sent: int) -> list[str]:
     """Return a violation if too few of the requests sent after the recovery were served.
 
--- a/src/carobhook/soak/faults.py
+++ b/src/carobhook/soak/faults.py
@@ -28,6 +28,8 @@
     SERVER_FAILS = "server-fails"
     # The server sends bytes that are not an HTTP response.
     SERVER_GARBLES = "server-garbles"
+    # The server names a limit of requests a second in its answers.
+    SERVER_LIMITS = "server-limits"
     SERVER_DRAINS = "server-drains"
     CONFIG_CHANGES = "config-changes"
 
@@ -35,6 +37,19 @@
 # Planned work: what operators do on purpose.
 PLANNED = frozenset({Fault.TERM, Fault.RELOAD, Fault.SERVER_DRAINS, Fault.CONFIG_CHANGES})
 
+# After these, instances may not know the limit that a server has named: they were restarted or
+# paused, or its answers did not reach them in time.
+EXCUSES_FROM_LIMITS = frozenset(
+    {
+        Fault.TERM,
+        Fault.KILL,
+        Fault.KILL_ALL,
+        Fault.PAUSE,
+        Fault.SERVER_SILENT,
+        Fault.SERVER_DELAYED,
+    }
+)
+
 
 @attrs.frozen
 class Step:
--- a/src/carobhook/soak/run.py
+++ b/src/carobhook/soak/run.py
@@ -92,6 +92,7 @@
         self._rng = random.Random(seed)
         self._injections: list[defer.Deferred] = []
         self._draining_periods: list[tuple[str, float, float]] = []
+        self._limited_periods: list[tuple[str, float, float]] = []
         self._clients: list[platform_client.PlatformClient] = []
 
     async def run(self) -> Verdict:
@@ -167,6 +168,8 @@
             system.store.compact()
         elif fault is faults.Fault.SERVER_DRAINS:
             await self._drain(server_index, step.duration_s)
+        elif fault is faults.Fault.SERVER_LIMITS:
+            await self._limit(system.servers[server_index], step.duration_s)
         elif fault is faults.Fault.SERVER_RESETS:
             system.server_proxies[server_index].reset()
         elif fault in _BEHAVIOURS:
@@ -197,13 +200,25 @@
         self._draining_periods.append((plan.name, started_at, self._reactor.seconds()))
         self._deployment.set_state(server_index, "ready")
 
+    async def _limit(self, server: platform_server.PlatformBackend, duration_s: float) -> None:
+        """Let a server name a limit until its rate has settled, and for a while after that."""
+        if server.behaviour.limit is not None:
+            return
+        started_at = self._reactor.seconds()
+        server.behaviour = attrs.evolve(server.behaviour, limit=str(checks.LIMIT_PER_S))
+        await task.deferLater(self._reactor, checks.LIMIT_SETTLE_S + duration_s)
+        self._limited_periods.append((server.name, started_at, self._reactor.seconds()))
+        server.behaviour = attrs.evolve(server.behaviour, limit=None)
+
     async def _change_behaviour(
         self, server: platform_server.PlatformBackend, fault: faults.Fault, duration_s: float
     ) -> None:
-        previous = server.behaviour
-        server.behaviour = attrs.evolve(previous, **_BEHAVIOURS[fault])
+        changes = _BEHAVIOURS[fault]
+        # Only these are restored, as other faults may have changed more in between.
+        previous = {name: getattr(server.behaviour, name) for name in changes}
+        server.behaviour = attrs.evolve(server.behaviour, **changes)
         await task.deferLater(self._reactor, duration_s)
-        server.behaviour = previous
+        server.behaviour = attrs.evolve(server.behaviour, **previous)
 
     async def _change_proxy_mode(
         self, changed_proxy: proxy.Proxy, mode: proxy.Mode, duration_s: float
@@ -251,5 +266,7 @@
         # During a fault of the store, instances may learn too late that a server drains.
         if not store_faults:
             violations += checks.find_late_sends(runs, self._draining_periods)
+        if not {step.fault for step in steps} & faults.EXCUSES_FROM_LIMITS:
+            violations += checks.find_over_limit(runs, self._limited_periods)
         violations += checks.check_recovery(served - served_before, sent - sent_before)
         return Verdict(self._seed, tuple(steps), sent, served, tuple(violations))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -83,6 +83,15 @@
             checks.find_late_sends(runs_of("d", server="s2", at=15.0), draining_periods) == []
         )
 
+    def test_server_over_its_limit(self):
+        """Requests beyond the limit count from when the rate must have settled."""
+        period = [("s1", 10.0, 20.0)]
+        steady = [run for n in range(40) for run in runs_of(f"a{n}", at=10.0 + n / 2)]
+        fast = [run for n in range(40) for run in runs_of(f"b{n}", at=10.0 + n / 4)]
+        assert checks.find_over_limit(steady, period) == []
+        assert len(checks.find_over_limit(fast, period)) == 1
+        assert checks.find_over_limit(fast, [("s1", 30.0, 40.0), ("s2", 10.0, 20.0)]) == []
+
     def test_low_served_share_is_found(self):
         """A share of 0.95 must be served, and at least one request sent."""
         assert checks.check_recovery(96, 100) == []
