Log the era of the store, and let its stand-in be restored from a copy

Change: the store's client keeps the latest era; store-restored and carobhook_store_era tell of it. The stand-in of the store can be restored from a copy: later writes are gone, revisions are given out again, watches expire, and all its answers name the era. Nothing acts on the era yet.

--- a/src/carobhook/coordination/objects.py
+++ b/src/carobhook/coordination/objects.py
@@ -34,17 +34,22 @@
 class StoredObject:
     """An object and the version of its latest write.
 
+    Whenever the object API comes back from an older copy, it loses its latest writes and starts
+    a new era. Versions and revisions can be compared within one era only.
+
     Attributes:
         kind: Kind of object, such as ``change`` or ``lease``.
         name: Name within the kind.
         version: Store-wide revision of the latest write; every write increases it.
         value: Content as msgpack- and JSON-representable values.
+        era: Era in which it was read.
     """
 
     kind: str
     name: str
     version: int
     value: typing.Any
+    era: int = 0
 
 
 @attrs.frozen
@@ -59,18 +64,20 @@
 
 @attrs.frozen
 class Listing:
-    """All objects of a kind and the store revision at which they were read."""
+    """All objects of a kind, and the store revision and era at which they were read."""
 
     revision: int
     items: tuple[StoredObject, ...]
+    era: int = 0
 
 
 @attrs.frozen
 class WatchBatch:
-    """Events after the requested revision, and the revision to resume the watch from."""
+    """Events after the requested revision, and the revision and era to resume from."""
 
     revision: int
     events: tuple[WatchEvent, ...]
+    era: int = 0
 
 
 class ObjectStore(typing.Protocol):
--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -85,6 +85,12 @@
     STORE_LOST = MetricInfo(
         "carobhook_store_lost", Kind.GAUGE, (), "1 while the store does not answer, else 0."
     )
+    STORE_ERA = MetricInfo(
+        "carobhook_store_era",
+        Kind.GAUGE,
+        (),
+        "Era of the store, which rises when it comes back from an older copy; 0 if unknown.",
+    )
     SERVERS = MetricInfo(
         "carobhook_servers_usable", Kind.GAUGE, (), "Backend servers that may get requests."
     )
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -91,6 +91,10 @@
         "slots-lent", "The slots that a region lends to others have changed; slots/demand."
     )
     STORE_ANSWERS = EventInfo("store-answers", "The store answers again after a failure.")
+    STORE_RESTORED = EventInfo(
+        "store-restored",
+        "The object API has come back from an older copy; revisions are those known here.",
+    )
     STORE_FOLLOWED_DIRECTLY = EventInfo(
         "store-followed-directly", "This instance watches the store itself from now on."
     )
--- a/src/carobhook/platform/names.py
+++ b/src/carobhook/platform/names.py
@@ -20,6 +20,8 @@
 # Requests a second that the backend server takes from all entry instances together. Present in
 # a response for as long as the server limits them.
 SERVER_LIMIT = "server-limit"
+# Number in all responses of the store, which rises when it comes back from an older copy.
+STORE_ERA = "store-era"
 
 RESOLVE_PATH = "/-/resolve"
 OBJECTS_PATH = "/-/objects/"
--- a/src/carobhook/platform/store.py
+++ b/src/carobhook/platform/store.py
@@ -17,6 +17,7 @@
 # The store answers a watch at the latest when its wait time is over. If the answer is this much
 # later, the connection is considered dead and the watch fails.
 _WATCH_MARGIN_S = 0.7
+_MAX_ERA_DIGITS = 15
 # No object of this name exists, so that a probe costs the store only a short 404.
 _PROBE_KIND = "probes"
 _PROBE_NAME = "none"
@@ -50,6 +51,12 @@
         self._connections = server_connections.ServerConnections(reactor, timeout_s)
         self._calls = 0
         self._answered_at = -math.inf
+        self._era = 0
+
+    @property
+    def era(self) -> int:
+        """Return the latest era of the store that a response named, 0 before."""
+        return self._era
 
     @property
     def answered_at(self) -> float:
@@ -195,7 +202,9 @@
         finally:
             if timer.active():
                 timer.cancel()
-        return typing.cast(server_connections.ReceivedResponse, received).response
+        response = typing.cast(server_connections.ReceivedResponse, received).response
+        self._era = max(self._era, _era_of(response))
+        return response
 
     def _decode_object(self, kind: str, raw: typing.Any) -> objects.StoredObject:
         meta = raw["Metadata"]
@@ -217,6 +226,14 @@
     return path if name is None else f"{path}/{urllib.parse.quote(name, safe='')}"
 
 
+def _era_of(response: http1.Response) -> int:
+    """Return the era that a response names, or 0 if it names none that can be read."""
+    text = response.get(names.STORE_ERA) or ""
+    return (
+        int(text) if text.isascii() and text.isdigit() and len(text) <= _MAX_ERA_DIGITS else 0
+    )
+
+
 def _decode_body(response: http1.Response) -> typing.Any:
     """Return the decoded JSON body of a response.
 
--- a/src/carobhook/standins/memory_store.py
+++ b/src/carobhook/standins/memory_store.py
@@ -3,7 +3,7 @@
 import collections
 import json
 import typing
-from collections.abc import Callable, Sequence
+from collections.abc import Callable, Mapping, Sequence
 
 import attrs
 
@@ -36,6 +36,19 @@
     """A call exceeded the rate limit of the store; it had no effect."""
 
 
+@attrs.frozen
+class SavedCopy:
+    """Copy of the objects of a store, to which it can be restored.
+
+    Attributes:
+        objects: Objects by kind and name.
+        revision: Version of the latest write.
+    """
+
+    objects: Mapping[str, Mapping[str, objects.StoredObject]]
+    revision: int
+
+
 @attrs.define
 class Stats:
     """Counts of all calls by operation, and of the calls refused by the rate limit."""
@@ -58,6 +71,7 @@
         self._limits = limits or Limits()
         self._objects: dict[str, dict[str, objects.StoredObject]] = {}
         self._revision = 0
+        self._era = 1
         self._events: collections.deque[objects.WatchEvent] = collections.deque()
         self._compacted_revision = 0
         self._listeners: list[Listener] = []
@@ -70,6 +84,11 @@
         """Return the version of the latest write."""
         return self._revision
 
+    @property
+    def era(self) -> int:
+        """Return the era, which rises each time that the store is restored."""
+        return self._era
+
     @property
     def stats(self) -> Stats:
         """Return the call counts."""
@@ -82,7 +101,8 @@
             RateLimitedError: Too many reads.
         """
         self._admit("get", self._reads, now)
-        return self._objects.get(kind, {}).get(name)
+        found = self._objects.get(kind, {}).get(name)
+        return None if found is None else attrs.evolve(found, era=self._era)
 
     def list(self, kind: str, now: float) -> objects.Listing:
         """Return all objects of one kind, by name.
@@ -92,7 +112,7 @@
         """
         self._admit("list", self._reads, now)
         items = sorted(self._objects.get(kind, {}).items())
-        return objects.Listing(self._revision, tuple(item for _, item in items))
+        return objects.Listing(self._revision, tuple(item for _, item in items), self._era)
 
     def create(self, kind: str, name: str, value: typing.Any, now: float) -> int:
         """Create an object; return its version.
@@ -158,7 +178,22 @@
                 break
             if event.kind in kinds:
                 events.append(event)
-        return objects.WatchBatch(self._revision, tuple(reversed(events)))
+        return objects.WatchBatch(self._revision, tuple(reversed(events)), self._era)
+
+    def save(self) -> SavedCopy:
+        """Return a copy of all objects, to which `restore` returns."""
+        copied = {kind: dict(by_name) for kind, by_name in self._objects.items()}
+        return SavedCopy(copied, self._revision)
+
+    def restore(self, saved: SavedCopy) -> None:
+        """Return to an older copy: later writes are lost, and their revisions given out again.
+
+        Watches from any other revision than the copy's expire.
+        """
+        self._objects = {kind: dict(by_name) for kind, by_name in saved.objects.items()}
+        self._revision = saved.revision
+        self._era += 1
+        self.compact()
 
     def compact(self) -> None:
         """Drop the event history, so that every watch from an earlier revision expires."""
--- a/src/carobhook/standins/platform_store.py
+++ b/src/carobhook/standins/platform_store.py
@@ -103,6 +103,11 @@
         if existing is not None:
             self._engine.delete(kind, name, existing.version, now)
 
+    def restore(self, saved: memory_store.SavedCopy) -> None:
+        """Return to an older copy of the objects, and close all connections."""
+        self._engine.restore(saved)
+        self.abort()
+
     def compact(self) -> None:
         """Drop the event history, so that older watches expire and their callers list again."""
         self._engine.compact()
@@ -110,6 +115,7 @@
     def _handle(
         self, inbound: client_connections.ClientRequest, respond: Respond
     ) -> client_connections.ActiveRequest | None:
+        respond = self._with_era(respond)
         target = inbound.head.target.decode("latin-1")
         self.calls.append(f"{inbound.head.method.decode()} {target}")
         if self.mode.silent:
@@ -139,6 +145,15 @@
             )
         return None
 
+    def _with_era(self, respond: Respond) -> Respond:
+        """Return a responder that adds the era of the store to each response."""
+
+        def respond_with_era(response: http1.Response) -> None:
+            era = (names.STORE_ERA.encode(), str(self._engine.era).encode())
+            respond(attrs.evolve(response, headers=(*response.headers, era)))
+
+        return respond_with_era
+
     def _execute(
         self,
         inbound: client_connections.ClientRequest,
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -224,6 +224,7 @@
             metric.SERVER_CONNECTIONS: lambda: self._servers.opened_count,
             metric.STORE_CALLS: lambda: self._store.calls,
             metric.STORE_LOST: lambda: float(server_catalog.store_lost_at is not None),
+            metric.STORE_ERA: lambda: self._store.era,
             metric.SERVERS: lambda: len(server_catalog.servers(seconds())),
             metric.SERVERS_LIMITED: lambda: self._allocator.limited_count,
             metric.MEMBERS: lambda: len(self._streams.membership.serving(seconds())),
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -102,6 +102,7 @@
         self._subscribers = store_feed.Subscribers()
         self._running_probe: defer.Deferred | None = None
         self._probed_at = 0.0
+        self._logged_era = 0
 
     @property
     def is_complete(self) -> bool:
@@ -130,6 +131,7 @@
         long as it answers.
         """
         now = self._reactor.seconds()
+        self._log_era()
         decision = self._source_selector.decide(
             self._peers.candidates(), self._peers.relays(), self.is_complete, now
         )
@@ -149,6 +151,15 @@
                 for name in self._subscribers.due(now):
                     self._peers.send(name, progress)
 
+    def _log_era(self) -> None:
+        """Log that the store has come back from an older copy."""
+        era = self._store.era
+        if era > self._logged_era > 0:
+            logs.warning(
+                "store-restored", era=era, before=self._logged_era, revisions=self._revisions
+            )
+        self._logged_era = max(era, self._logged_era)
+
     def remove_subscriber(self, name: ids.InstanceId) -> None:
         """Remove an instance that is gone from the subscribers.
 
--- a/tests/store_access.py
+++ b/tests/store_access.py
@@ -24,6 +24,11 @@
         self.lost_answers = 0
         self.before_write = lambda: None
 
+    @property
+    def era(self):
+        """Return the era of the store."""
+        return self.engine.era
+
     def _check_available(self):
         if self.down:
             raise objects.UnavailableError("down")
