--- a/tests/store_access.py
+++ b/tests/store_access.py
@@ -23,6 +23,7 @@
         self.down = False
         self.lost_answers = 0
         self.before_write = lambda: None
+        self._waiting = set()
 
     @property
     def era(self):
@@ -67,6 +68,12 @@
         """Raise UnavailableError if the store is down."""
         self._check_available()
 
+    def cut_watches(self):
+        """Fail all watches that wait for an event."""
+        for event_received in list(self._waiting):
+            if not event_received.called:
+                event_received.errback(objects.UnavailableError("cut"))
+
     async def watch(self, kinds, since, wait_s):
         """Return the events after ``since`` once there are some, or none after ``wait_s``."""
         self._check_available()
@@ -84,9 +91,11 @@
         timer = self.clock.callLater(
             wait_s, lambda: event_received.called or event_received.callback(None)
         )
+        self._waiting.add(event_received)
         try:
             await event_received
         finally:
+            self._waiting.discard(event_received)
             unsubscribe()
             if timer.active():
                 timer.cancel()
