Tell the eras of the store apart in every position

Callers would see: an instance that follows an older configuration, misses a server or keeps a zone evacuated for good, after the store came back from an older copy. After a restore the same number means something else: a watch that asks late gets no 410 and misses what lies between; a subscriber drops the relay's listing as older and counts its progress messages as current; pages of a listing and conditional writes may mix two histories. Evidence: test_restored_store: both instances stay at the older configuration after a late return; a subscriber keeps servers and evacuations that are gone for as long as it runs. Change: a position is an era and a revision, and is compared as both. A watch whose answer names another era lists anew; a listing is of one era; a conditional write is refused if its version was read in an era that has ended, and of unknown outcome if an era began with it; answers of an era that has ended are not used. Feed messages carry the era; a relay confirms its feed only when all kinds were read in the latest one. Any answer, a probe's too, that names a new era makes the watches that wait list at once. Why it works: the store names the era in each answer, so two revisions are compared only if they mean the same.

--- a/src/carobhook/coordination/object_watch.py
+++ b/src/carobhook/coordination/object_watch.py
@@ -18,10 +18,12 @@
     Attributes:
         items: The objects by kind.
         revision: Store revision up to which the objects are complete.
+        era: Era of the revision.
     """
 
     items: Mapping[str, tuple[objects.StoredObject, ...]]
     revision: int
+    era: int = 0
 
 
 @attrs.frozen
@@ -32,11 +34,13 @@
         events: The changes.
         since: Store revision after which the changes were made.
         revision: Store revision up to which the changes are complete.
+        era: Era of both revisions.
     """
 
     events: tuple[objects.WatchEvent, ...]
     since: int
     revision: int
+    era: int = 0
 
 
 @attrs.frozen
@@ -71,7 +75,8 @@
 
     The handler gets all objects, then each change once, in the order of versions. After a
     failure the watch resumes at the revision that it had reached; the objects are listed again
-    only if the object API no longer keeps the events after that revision.
+    only if the object API no longer keeps the events after that revision, or has begun a new
+    era, in which the revision means something else.
 
     Args:
         store: The object API.
@@ -80,7 +85,7 @@
         kinds: Kinds to watch.
         handler: Called with every update; must not raise.
         options: Waits and delays.
-        resume_at: Revision up to which the caller has the objects already, or None to list
+        resume_at: Position up to which the caller has the objects already, or None to list
             them first.
     """
 
@@ -93,7 +98,7 @@
         handler: Handler,
         *,
         options: WatchOptions | None = None,
-        resume_at: int | None = None,
+        resume_at: objects.Position | None = None,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -101,8 +106,10 @@
         self._kinds = tuple(kinds)
         self._handler = handler
         self._options = options or WatchOptions()
-        self._since = resume_at
-        self._listed_revisions: dict[str, int] = dict.fromkeys(self._kinds, resume_at or 0)
+        start = resume_at or objects.Position(0, 0)
+        self._since = None if resume_at is None else start.revision
+        self._era = start.era
+        self._listed_revisions: dict[str, int] = dict.fromkeys(self._kinds, start.revision)
         self._failures = 0
         self._running: defer.Deferred[None] | None = None
 
@@ -111,6 +118,11 @@
         """Return the revision up to which all changes were handled, or None if unknown."""
         return self._since
 
+    @property
+    def era(self) -> int:
+        """Return the era of the latest objects, 0 before."""
+        return self._era
+
     def start(self) -> defer.Deferred[None]:
         """Start watching; the Deferred fires on `stop`, or fails if the handler raises."""
         self._running = defer.ensureDeferred(self._run())
@@ -142,6 +154,8 @@
             await self._list()
             return
         batch = await self._store.watch(self._kinds, self._since, self._options.wait_s)
+        if batch.era != self._era:
+            raise objects.ExpiredError(f"era {self._era} has ended; it is {batch.era} now")
         # Kinds are listed one after another, and the watch resumes at the lowest of their
         # revisions. The later listings hold some of the events already.
         new = [
@@ -150,7 +164,7 @@
             if event.version > self._listed_revisions[event.kind]
         ]
         if new:
-            self._handler(Changes(tuple(new), self._since, batch.revision))
+            self._handler(Changes(tuple(new), self._since, batch.revision, self._era))
         self._since = batch.revision
         if new and self._options.batch_delay_s:
             await task.deferLater(self._clock, self._options.batch_delay_s)
@@ -159,7 +173,11 @@
         listings = {}
         for kind in self._kinds:
             listings[kind] = await self._store.list(kind)
+        eras = {listing.era for listing in listings.values()}
+        if len(eras) > 1:
+            raise objects.UnavailableError("a new era began while objects were listed")
+        self._era = eras.pop()
         self._listed_revisions = {kind: listings[kind].revision for kind in self._kinds}
         self._since = min(self._listed_revisions.values())
         items = {kind: listing.items for kind, listing in listings.items()}
-        self._handler(Snapshot(items, self._since))
+        self._handler(Snapshot(items, self._since, self._era))
--- a/src/carobhook/coordination/objects.py
+++ b/src/carobhook/coordination/objects.py
@@ -52,6 +52,19 @@
     era: int = 0
 
 
+@attrs.frozen(order=True)
+class Position:
+    """A point in the history of the object API; a later era is later, whatever the revision.
+
+    Attributes:
+        era: Era of the revision.
+        revision: Store-wide revision.
+    """
+
+    era: int
+    revision: int
+
+
 @attrs.frozen
 class WatchEvent:
     """A change that a watch returned; ``value`` is None if the object was deleted."""
@@ -100,11 +113,20 @@
             ConflictError: An object of that kind and name exists.
         """
 
-    def update(self, kind: str, name: str, value: typing.Any, version: int) -> Awaitable[int]:
+    def update(
+        self, kind: str, name: str, value: typing.Any, version: int, era: int | None = None
+    ) -> Awaitable[int]:
         """Replace an object whose version is still ``version``, and return its new version.
 
+        Args:
+            kind: Kind of the object.
+            name: Name of the object.
+            value: Its new content.
+            version: Version that was read.
+            era: Era in which it was read, None to accept any.
+
         Raises:
-            ConflictError: The object has another version or is gone.
+            ConflictError: The object has another version or is gone, or a new era has begun.
         """
 
     def delete(self, kind: str, name: str, version: int) -> Awaitable[None]:
--- a/src/carobhook/coordination/order_store.py
+++ b/src/carobhook/coordination/order_store.py
@@ -49,12 +49,12 @@
             if attempt:
                 await self._pause()
             try:
-                current, object_version = await self._read()
+                current, stored = await self._read()
                 if current.change_of(context.order) is not None:
                     return current
                 _require_latest_base(current, base)
                 changed = order_commands.apply(command, current, context)
-                await self._write(changed, object_version)
+                await self._write(changed, stored)
                 return changed
             except objects.ConflictError:
                 # Another write came first. If the answer to an earlier attempt was lost, that
@@ -75,25 +75,26 @@
         text = f"other orders came first {_MAX_ATTEMPTS} times"
         raise order_commands.OrderError(codes.Code.ORDER_CONFLICT, text)
 
-    async def _read(self) -> tuple[orders.OrderState, int | None]:
-        """Return the stored orders and the store's version of the object that holds them.
+    async def _read(self) -> tuple[orders.OrderState, objects.StoredObject | None]:
+        """Return the stored orders and the object that holds them, None if there is none.
 
-        The second is None if the object does not exist yet. It is not the version of the
-        orders, which each accepted order raises by one.
+        The object's version is not that of the orders, which each accepted order raises by one.
         """
         stored = await self._store.get(orders.STORE_KIND, orders.STORE_NAME)
         if stored is None:
             return orders.OrderState(), None
-        return order_codec.decode(stored.value), stored.version
+        return order_codec.decode(stored.value), stored
 
-    async def _write(self, changed: orders.OrderState, object_version: int | None) -> None:
+    async def _write(
+        self, changed: orders.OrderState, stored: objects.StoredObject | None
+    ) -> None:
+        """Write orders, on condition that the stored object is still the one that was read."""
         encoded = order_codec.encode(changed)
-        if object_version is None:
-            await self._store.create(orders.STORE_KIND, orders.STORE_NAME, encoded)
+        kind, name = orders.STORE_KIND, orders.STORE_NAME
+        if stored is None:
+            await self._store.create(kind, name, encoded)
         else:
-            await self._store.update(
-                orders.STORE_KIND, orders.STORE_NAME, encoded, object_version
-            )
+            await self._store.update(kind, name, encoded, stored.version, stored.era)
 
 
 def _require_latest_base(current: orders.OrderState, base: ids.Version | None) -> None:
--- a/src/carobhook/platform/store.py
+++ b/src/carobhook/platform/store.py
@@ -6,6 +6,7 @@
 import urllib.parse
 from collections.abc import Collection, Sequence
 
+import attrs
 from twisted.internet import defer
 
 from carobhook.coordination import objects
@@ -73,23 +74,28 @@
         response = await self._read(_object_path(kind, name), self._timeout_s)
         if response.status == 404:
             return None
-        return self._decode_object(kind, _decode_body(response))
+        found = self._decode_object(kind, _decode_body(response))
+        return attrs.evolve(found, era=self._era)
 
     async def list(self, kind: str) -> objects.Listing:
-        """Return all objects of one kind, from all pages."""
+        """Return all objects of one kind, from all pages, which are of one era."""
         items: list[objects.StoredObject] = []
         revision: int | None = None
+        era: int | None = None
         after = ""
         while True:
             query = f"?after={urllib.parse.quote(after, safe='')}" if after else ""
             page = _decode_body(await self._read(_object_path(kind) + query, self._timeout_s))
+            era = self._era if era is None else era
+            if era != self._era:
+                raise objects.UnavailableError(f"a new era began while {kind} were listed")
             page_items = [self._decode_object(kind, raw) for raw in page.get("items") or ()]
             items += page_items
             # The listing has the revision of its first page, so that the watch that follows
             # reports the changes made while the other pages were read.
             revision = page["CurrentRev"] if revision is None else revision
             if not page.get("More") or not page_items:
-                return objects.Listing(revision, tuple(items))
+                return objects.Listing(revision, tuple(items), era)
             after = page_items[-1].name
 
     async def create(self, kind: str, name: str, value: typing.Any) -> int:
@@ -97,10 +103,19 @@
         payload = {"Metadata": {"Name": name}, "Spec": value}
         return await self._write(b"POST", _object_path(kind), payload)
 
-    async def update(self, kind: str, name: str, value: typing.Any, version: int) -> int:
+    async def update(
+        self, kind: str, name: str, value: typing.Any, version: int, era: int | None = None
+    ) -> int:
         """Replace an object whose version is still ``version``; return its new version."""
+        path = _object_path(kind, name)
+        if era not in (None, self._era):
+            raise objects.ConflictError(f"{path}: read in era {era}, which has ended")
         payload = {"Metadata": {"Name": name, "Revision": version}, "Spec": value}
-        return await self._write(b"PUT", _object_path(kind, name), payload)
+        new_version = await self._write(b"PUT", path, payload)
+        if era not in (None, self._era):
+            # The version may have been given out again to another content.
+            raise objects.OutcomeUnknownError(f"{path}: a new era began with the write")
+        return new_version
 
     async def delete(self, kind: str, name: str, version: int) -> None:
         """Delete an object whose version is still ``version``."""
@@ -119,7 +134,7 @@
         path = f"{_object_path(kinds[0])}?Watch={since}&WaitMs={round(wait_s * 1000)}"
         body = _decode_body(await self._read(path, wait_s + _WATCH_MARGIN_S))
         events = tuple(self._decode_event(kinds[0], since, event) for event in body["events"])
-        return objects.WatchBatch(body["CurrentRev"], events)
+        return objects.WatchBatch(body["CurrentRev"], events, self._era)
 
     async def probe(self, timeout_s: float) -> None:
         """Check by the cheapest call whether the store is available.
@@ -145,6 +160,8 @@
             response = await self._call(b"GET", path, None, timeout_s)
         except (server_connections.ExchangeError, TimeoutError) as error:
             raise objects.UnavailableError(f"GET {path}: {error}") from error
+        if not self._record_era(response):
+            raise objects.UnavailableError(f"GET {path}: answer of an era that has ended")
         if response.status == 410:
             raise objects.ExpiredError(path)
         if response.status not in (200, 404):
@@ -161,6 +178,8 @@
             if error.fault is server_connections.Fault.CONNECT:
                 raise objects.UnavailableError(f"{path}: {error}") from error
             raise objects.OutcomeUnknownError(f"{path}: {error}") from error
+        if not self._record_era(response):
+            raise objects.OutcomeUnknownError(f"{path}: answer of an era that has ended")
         if response.status == 409 or (response.status == 404 and method != b"POST"):
             raise objects.ConflictError(f"{path}: status {response.status}")
         if response.status == 413:
@@ -202,9 +221,16 @@
         finally:
             if timer.active():
                 timer.cancel()
-        response = typing.cast(server_connections.ReceivedResponse, received).response
-        self._era = max(self._era, _era_of(response))
-        return response
+        return typing.cast(server_connections.ReceivedResponse, received).response
+
+    def _record_era(self, response: http1.Response) -> bool:
+        """Record the era of a response; return False if a later era has begun since."""
+        era = _era_of(response)
+        if era is None:
+            return True
+        is_latest = era >= self._era
+        self._era = max(self._era, era)
+        return is_latest
 
     def _decode_object(self, kind: str, raw: typing.Any) -> objects.StoredObject:
         meta = raw["Metadata"]
@@ -226,12 +252,12 @@
     return path if name is None else f"{path}/{urllib.parse.quote(name, safe='')}"
 
 
-def _era_of(response: http1.Response) -> int:
-    """Return the era that a response names, or 0 if it names none that can be read."""
+def _era_of(response: http1.Response) -> int | None:
+    """Return the era that a response names, or None if it names none that can be read."""
     text = response.get(names.STORE_ERA) or ""
-    return (
-        int(text) if text.isascii() and text.isdigit() and len(text) <= _MAX_ERA_DIGITS else 0
-    )
+    if not (text.isascii() and text.isdigit()) or len(text) > _MAX_ERA_DIGITS:
+        return None
+    return int(text)
 
 
 def _decode_body(response: http1.Response) -> typing.Any:
--- a/src/carobhook/protocol/feed_messages.py
+++ b/src/carobhook/protocol/feed_messages.py
@@ -2,11 +2,14 @@
 
 Normally one instance of a region watches the store, and the region's other instances subscribe
 to it. A revision is a number that the store increases with each change. An instance records
-the revision that it has reached for each kind of object separately.
+the revision that it has reached for each kind of object separately. Revisions can be compared
+within one era only: a new one begins when the store comes back from an older copy.
 """
 
 import attrs
 
+from carobhook.protocol import framing
+
 
 @attrs.frozen
 class FeedRequest:
@@ -40,11 +43,13 @@
         kind: Kind of the objects.
         revision: Revision of the store at which the snapshot was taken.
         items: All objects of the kind.
+        era: Era of the revision.
     """
 
     kind: str
     revision: int
     items: tuple[FeedObject, ...]
+    era: int = framing.added_field(0)
 
 
 @attrs.frozen
@@ -57,12 +62,14 @@
             ignore the message, as it lacks earlier changes.
         revision: Revision that the receiver has reached once it has applied the changes.
         items: Changed and removed objects.
+        era: Era of both revisions.
     """
 
     kind: str
     since: int
     revision: int
     items: tuple[FeedObject, ...]
+    era: int = framing.added_field(0)
 
 
 @attrs.frozen
@@ -71,14 +78,11 @@
 
     Attributes:
         revisions: Pairs of a kind and the revision up to which all changes to it were sent.
+        era: Era of the revisions.
     """
 
     revisions: tuple[tuple[str, int], ...]
-
-
-def revision_pairs(by_kind: dict[str, int]) -> tuple[tuple[str, int], ...]:
-    """Return revisions by kind as the sorted pairs of a message."""
-    return tuple(sorted(by_kind.items()))
+    era: int = framing.added_field(0)
 
 
 Message = FeedRequest | FeedSnapshot | FeedEvents | FeedProgress
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -35,6 +35,7 @@
     names.EVACUATIONS_KIND: _WATCH_OPTIONS,
     orders.STORE_KIND: _ORDERS_WATCH_OPTIONS,
 }
+_NO_POSITION = objects.Position(0, 0)
 _T = typing.TypeVar("_T")
 
 # A watch call may wait for seconds until the store answers. The store is probed in between;
@@ -95,19 +96,19 @@
         self._on_change = on_change
         self._peers = peers
         self._objects: dict[str, dict[str, feed_messages.FeedObject]] = {}
-        self._revisions: dict[str, int] = {}
+        self._positions: dict[str, objects.Position] = {}
         self._evacuated: set[ids.FailureDomain] = set()
-        self._watchers: list[object_watch.ObjectWatcher] = []
+        self._watchers: dict[str, object_watch.ObjectWatcher] = {}
         self._source_selector = store_feed.SourceSelector(peers.own)
         self._subscribers = store_feed.Subscribers()
         self._running_probe: defer.Deferred | None = None
         self._probed_at = 0.0
-        self._logged_era = 0
+        self._era = 0
 
     @property
     def is_complete(self) -> bool:
         """Return whether the objects of every kind have been received."""
-        return len(self._revisions) == len(_WATCH_OPTIONS_BY_KIND)
+        return len(self._positions) == len(_WATCH_OPTIONS_BY_KIND)
 
     @property
     def is_direct(self) -> bool:
@@ -131,7 +132,7 @@
         long as it answers.
         """
         now = self._reactor.seconds()
-        self._log_era()
+        self._record_era(self._store.era)
         decision = self._source_selector.decide(
             self._peers.candidates(), self._peers.relays(), self.is_complete, now
         )
@@ -145,20 +146,31 @@
         if self._watchers:
             self._probe(now)
             if store_feed.has_recent_answer(self._store.answered_at, now):
-                progress = feed_messages.FeedProgress(
-                    feed_messages.revision_pairs(self._revisions)
-                )
-                for name in self._subscribers.due(now):
-                    self._peers.send(name, progress)
-
-    def _log_era(self) -> None:
-        """Log that the store has come back from an older copy."""
-        era = self._store.era
-        if era > self._logged_era > 0:
-            logs.warning(
-                "store-restored", era=era, before=self._logged_era, revisions=self._revisions
-            )
-        self._logged_era = max(era, self._logged_era)
+                self._send_progress(now)
+
+    def _send_progress(self, now: float) -> None:
+        """Send progress messages, unless some objects were not read in this era yet."""
+        if any(position.era != self._era for position in self._positions.values()):
+            return
+        revisions = tuple(sorted(self._revisions().items()))
+        for name in self._subscribers.due(now):
+            self._peers.send(name, feed_messages.FeedProgress(revisions, self._era))
+
+    def _revisions(self) -> dict[str, int]:
+        return {kind: position.revision for kind, position in self._positions.items()}
+
+    def _record_era(self, era: int) -> None:
+        """Record the store's era; when a new one has begun, list the objects again at once."""
+        if era <= self._era:
+            return
+        before, self._era = self._era, era
+        if not before:
+            return
+        logs.warning("store-restored", era=era, before=before, revisions=self._revisions())
+        for kind, watcher in list(self._watchers.items()):
+            if watcher.era < era:
+                watcher.stop()
+                self._watch(kind)
 
     def remove_subscriber(self, name: ids.InstanceId) -> None:
         """Remove an instance that is gone from the subscribers.
@@ -187,46 +199,58 @@
                     self._peers.send(sender, snapshot)
         elif isinstance(message, feed_messages.FeedProgress):
             is_current = all(
-                self._revisions.get(kind, -1) >= revision
+                self._has_reached(kind, message.era, revision)
                 for kind, revision in message.revisions
             )
             self._source_selector.record_progress(sender, is_current, now)
         elif isinstance(message, feed_messages.FeedSnapshot):
-            if message.revision >= self._revisions.get(message.kind, 0):
-                self._apply_snapshot(message.kind, message.revision, message.items)
-        elif message.since <= self._revisions.get(message.kind, -1):
-            self._apply_changes(message.kind, message.revision, message.items)
+            position = objects.Position(message.era, message.revision)
+            if position >= self._positions.get(message.kind, _NO_POSITION):
+                self._apply_snapshot(message.kind, position, message.items)
+        elif self._has_reached(message.kind, message.era, message.since):
+            position = objects.Position(message.era, message.revision)
+            self._apply_changes(message.kind, position, message.items)
+
+    def _has_reached(self, kind: str, era: int, revision: int) -> bool:
+        """Return whether this instance has all changes up to a revision of an era."""
+        position = self._positions.get(kind)
+        return position is not None and position.era == era and position.revision >= revision
 
     def _snapshots(self) -> list[feed_messages.FeedSnapshot]:
         return [
             feed_messages.FeedSnapshot(
-                kind, revision, tuple(self._objects.get(kind, {}).values())
+                kind,
+                position.revision,
+                tuple(self._objects.get(kind, {}).values()),
+                position.era,
             )
-            for kind, revision in self._revisions.items()
+            for kind, position in self._positions.items()
         ]
 
     # Watch of the store.
 
     def _start_watching(self) -> None:
-        logs.event("store-followed-directly", revisions=dict(self._revisions))
-        self._watchers = [
-            object_watch.ObjectWatcher(
-                self._store,
-                self._reactor,
-                self._rng,
-                (kind,),
-                self._update_handler(kind),
-                options=options,
-                resume_at=self._revisions.get(kind),
-            )
-            for kind, options in _WATCH_OPTIONS_BY_KIND.items()
-        ]
-        for watcher in self._watchers:
-            watcher.start().addErrback(_log_failure)
+        logs.event("store-followed-directly", revisions=self._revisions())
+        for kind in _WATCH_OPTIONS_BY_KIND:
+            self._watch(kind)
+
+    def _watch(self, kind: str) -> None:
+        """Start to watch a kind where this instance has got to, unless the era has ended."""
+        position = self._positions.get(kind)
+        watcher = self._watchers[kind] = object_watch.ObjectWatcher(
+            self._store,
+            self._reactor,
+            self._rng,
+            (kind,),
+            self._update_handler(kind),
+            options=_WATCH_OPTIONS_BY_KIND[kind],
+            resume_at=position if position is not None and position.era == self._era else None,
+        )
+        watcher.start().addErrback(_log_failure)
 
     def _stop_watching(self) -> None:
-        watchers, self._watchers = self._watchers, []
-        for watcher in watchers:
+        watchers, self._watchers = self._watchers, {}
+        for watcher in watchers.values():
             watcher.stop()
         self._subscribers.clear()
 
@@ -268,32 +292,46 @@
         self._catalog.record_answer(now)
         if isinstance(update, object_watch.Snapshot):
             items = tuple(_feed_object(item) for item in update.items[kind])
-            self._apply_snapshot(kind, update.revision, items)
+            position = objects.Position(update.era, update.revision)
+            self._apply_snapshot(kind, position, items)
             feed_message: feed_messages.Message = feed_messages.FeedSnapshot(
-                kind, update.revision, items
+                kind, update.revision, items, update.era
             )
         else:
             items = tuple(_feed_object(event) for event in update.events)
             # This is not update.since: the watch also advances past changes of other kinds,
             # about which subscribers get no update. Their revision can be older than
             # update.since, and they would ignore the events.
-            since = self._revisions.get(kind, update.since)
-            self._apply_changes(kind, update.revision, items)
-            feed_message = feed_messages.FeedEvents(kind, since, update.revision, items)
+            known = self._positions.get(kind)
+            since = known.revision if known is not None else update.since
+            self._apply_changes(kind, objects.Position(update.era, update.revision), items)
+            feed_message = feed_messages.FeedEvents(
+                kind, since, update.revision, items, update.era
+            )
         for name in self._subscribers.names:
             self._peers.send(name, feed_message)
 
     # Updates of the catalog and the orders.
 
     def _apply_snapshot(
-        self, kind: str, revision: int, items: Iterable[feed_messages.FeedObject]
+        self,
+        kind: str,
+        position: objects.Position,
+        items: Iterable[feed_messages.FeedObject],
     ) -> None:
         now = self._reactor.seconds()
         current = {item.name: item for item in items}
-        logs.event("objects-listed", kind=kind, objects=len(current), revision=revision)
+        logs.event(
+            "objects-listed",
+            kind=kind,
+            objects=len(current),
+            revision=position.revision,
+            era=position.era,
+        )
         previous = self._objects.get(kind, {})
         self._objects[kind] = current
-        self._revisions[kind] = revision
+        self._positions[kind] = position
+        self._record_era(position.era)
         if kind == names.EVACUATIONS_KIND:
             self._evacuated.clear()
         if kind == names.SERVERS_KIND:
@@ -302,7 +340,10 @@
         self._on_change()
 
     def _apply_changes(
-        self, kind: str, revision: int, items: Iterable[feed_messages.FeedObject]
+        self,
+        kind: str,
+        position: objects.Position,
+        items: Iterable[feed_messages.FeedObject],
     ) -> None:
         current = self._objects.setdefault(kind, {})
         for item in items:
@@ -310,7 +351,7 @@
                 current.pop(item.name, None)
             else:
                 current[item.name] = item
-        self._revisions[kind] = max(revision, self._revisions.get(kind, 0))
+        self._positions[kind] = max(position, self._positions.get(kind, _NO_POSITION))
         self._apply(kind, items, self._reactor.seconds())
         self._on_change()
 
--- a/tests/store_access.py
+++ b/tests/store_access.py
@@ -57,9 +57,11 @@
         self.before_write()
         return self._confirm_write(self.engine.create(kind, name, value, self.clock.seconds()))
 
-    async def update(self, kind, name, value, version):
+    async def update(self, kind, name, value, version, era=None):
         """Replace an object; return its new version."""
         self._check_available()
+        if era not in (None, self.engine.era):
+            raise objects.ConflictError("read in an era that has ended")
         self.before_write()
         now = self.clock.seconds()
         return self._confirm_write(self.engine.update(kind, name, value, version, now))
