Take an older copy of the store for what it is

Callers would see: requests sent to a server that had reported draining or had left, requests to an evacuated zone, 503 as servers are dropped that run, an older configuration at an instance that starts. Evidence: test_restored_store: a server that was draining was ready again after the restore, one that had been removed came back, an evacuation ended until the operator wrote it again, and an instance that started was told configuration 2 by a relay that had 3 in force. Change: a listing of a new era that replaces objects of an earlier one is one of an older copy. Of servers, entries older than those known (start, then number of the report) say nothing; one that was removed here is used again when the server writes, or when its entry has outlived the time in which it would expire; those that the copy lacks stay for the grace period, as after an outage. A relay tells the configuration that it has in force. Why it works: what the operator and the servers wrote is written again, and until then the instances know more than the copy.

--- a/src/carobhook/coordination/catalog.py
+++ b/src/carobhook/coordination/catalog.py
@@ -9,6 +9,12 @@
 # Servers whose entries expired during an outage of the store register again within about two
 # seconds after it; until then they stay in use.
 GRACE_PERIOD_S = 2.0
+# The entry of a server that has ended expires within this time after the store came back from
+# an older copy. Until then, an entry of the copy does not tell that the server runs.
+_COPY_EXPIRY_S = 8.0
+# Removed servers are remembered for this long, in case that the store comes back from a copy
+# which has them still.
+_REMOVED_MEMORY_S = 120.0
 # No entry expires during an outage shorter than this. An entry that is missing after such an
 # outage was therefore removed on purpose, and gets no grace period.
 _MIN_OUTAGE_S = 1.0
@@ -30,6 +36,28 @@
     grace_until: float | None = None
 
 
+@attrs.frozen
+class _RemovedServer:
+    """Latest entry of a removed server, and the monotonic time in seconds of the removal."""
+
+    entry: servers.ServerEntry
+    removed_at: float
+
+
+@attrs.frozen
+class _DoubtfulServer:
+    """Entry of an older copy of the store for a server that was removed since.
+
+    Attributes:
+        entry: The entry.
+        doubted_until: Monotonic time in seconds from which the server counts as running, if
+            its entry is still there.
+    """
+
+    entry: servers.ServerEntry
+    doubted_until: float
+
+
 @attrs.frozen
 class ServerView:
     """A backend server that may get requests.
@@ -52,6 +80,9 @@
     entries expire meanwhile. Entries that are missing after an outage stay in use for a short
     time, so that the first listing after it does not remove all servers of every service.
 
+    The store may also come back from a copy that is some seconds old. What servers wrote since
+    is missing until they write it again; until then, what is known here is newer.
+
     Attributes:
         is_fully_drained: Returns whether operators drain all slots of a server, so that it must
             get no new work.
@@ -61,6 +92,8 @@
         default=lambda entry: False, init=False
     )
     _servers: dict[ids.Server, _KnownServer] = attrs.field(factory=dict, init=False)
+    _removed: dict[ids.Server, _RemovedServer] = attrs.field(factory=dict, init=False)
+    _doubtful: dict[ids.Server, _DoubtfulServer] = attrs.field(factory=dict, init=False)
     _evacuated: frozenset[ids.FailureDomain] = attrs.field(default=frozenset(), init=False)
     _config: routing.RoutingConfig | None = attrs.field(default=None, init=False)
     _store_lost_at: float | None = attrs.field(default=None, init=False)
@@ -113,6 +146,32 @@
             self._grace_until = now + GRACE_PERIOD_S
         self._store_lost_at = None
 
+    def record_older_copy(self, now: float) -> None:
+        """Record that the store came back from an older copy, and begin the grace period.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        self._grace_until = max(self._grace_until, now + GRACE_PERIOD_S)
+
+    def put_from_copy(self, entry: servers.ServerEntry, now: float) -> None:
+        """Add or replace a server's entry from an older copy of the store, unless it is older.
+
+        The entry of a server that was removed here is not used until it must have expired.
+
+        Args:
+            entry: The entry.
+            now: Monotonic time in seconds.
+        """
+        known = self._servers.get(entry.name)
+        removed = self._removed.get(entry.name)
+        if known is not None and entry.is_older_than(known.entry):
+            known.grace_until = None
+        elif known is None and removed is not None and not removed.entry.is_older_than(entry):
+            self._doubtful[entry.name] = _DoubtfulServer(entry, now + _COPY_EXPIRY_S)
+        else:
+            self.put(entry, now)
+
     def put(self, entry: servers.ServerEntry, now: float) -> None:
         """Add or replace a server's entry.
 
@@ -128,6 +187,8 @@
             is_same_start = known.entry.started_at_ms == entry.started_at_ms
             cold_until = known.cold_until if is_same_start else cold_until
         self._servers[entry.name] = _KnownServer(entry, cold_until)
+        self._doubtful.pop(entry.name, None)
+        self._removed.pop(entry.name, None)
 
     def remove(self, name: ids.Server, now: float) -> None:
         """Remove a server whose entry is missing from the store.
@@ -139,6 +200,7 @@
             name: The server.
             now: Monotonic time in seconds.
         """
+        self._doubtful.pop(name, None)
         known = self._servers.get(name)
         if known is None:
             return
@@ -147,7 +209,16 @@
             if known.grace_until is None:
                 known.grace_until = self._grace_until
             return
-        del self._servers[name]
+        self._forget(name, now)
+
+    def _forget(self, name: ids.Server, now: float) -> None:
+        """Remove a server, and remember its latest entry for a while."""
+        for other, removed in list(self._removed.items()):
+            if now - removed.removed_at <= _REMOVED_MEMORY_S:
+                # They are in the order of their removal.
+                break
+            del self._removed[other]
+        self._removed[name] = _RemovedServer(self._servers.pop(name).entry, now)
 
     def retain(self, names: frozenset[ids.Server], now: float) -> None:
         """Remove the servers whose entries the store does not list.
@@ -156,7 +227,7 @@
             names: Servers whose entries the store lists.
             now: Monotonic time in seconds.
         """
-        for name in [name for name in self._servers if name not in names]:
+        for name in [name for name in (*self._servers, *self._doubtful) if name not in names]:
             self.remove(name, now)
 
     def is_usable(self, name: ids.Server) -> bool:
@@ -178,7 +249,10 @@
         """
         for name, known in list(self._servers.items()):
             if known.grace_until is not None and now >= known.grace_until:
-                del self._servers[name]
+                self._forget(name, now)
+        for doubtful in list(self._doubtful.values()):
+            if now >= doubtful.doubted_until:
+                self.put(doubtful.entry, now)
         return [
             ServerView(known.entry, known.cold_until)
             for name, known in self._servers.items()
--- a/src/carobhook/platform/objects.py
+++ b/src/carobhook/platform/objects.py
@@ -78,7 +78,7 @@
     except ValueError as error:
         raise MalformedObjectError(f"ColdRemaining: {error}") from error
     # "born" is the Unix time of the server's start in milliseconds.
-    started_at_ms = spec.get("born", raw.get("born"))
+    started_at_ms = _int_or_none(spec.get("born", raw.get("born")))
     return servers.ServerEntry(
         name=ids.Server(object_name(raw)),
         service=ids.Service(_require(info, "Service", str)),
@@ -87,12 +87,15 @@
         slots=slots,
         state=state,
         cold_s=cold_s,
-        started_at_ms=started_at_ms
-        if isinstance(started_at_ms, int) and not isinstance(started_at_ms, bool)
-        else None,
+        started_at_ms=started_at_ms,
+        sequence=_int_or_none(status.get("SeqNo")),
     )
 
 
+def _int_or_none(value: typing.Any) -> int | None:
+    return value if isinstance(value, int) and not isinstance(value, bool) else None
+
+
 def _decode_route(raw: typing.Any) -> routing.Route:
     if raw.get("TrafficSplit"):
         shares = tuple(
--- a/src/carobhook/state/servers.py
+++ b/src/carobhook/state/servers.py
@@ -1,6 +1,7 @@
 """Entries in which backend servers register themselves in the store."""
 
 import enum
+import typing
 
 import attrs
 
@@ -27,6 +28,7 @@
         state: State that the server reports.
         cold_s: Seconds for which the server stays cold, counted from when it wrote the entry.
         started_at_ms: Unix time of the server's start in milliseconds, None if not given.
+        sequence: Number of the report, which rises while the server runs; None if not given.
     """
 
     name: ids.Server
@@ -37,3 +39,18 @@
     state: ServerState
     cold_s: float
     started_at_ms: int | None = None
+    sequence: int | None = None
+
+    def is_older_than(self, other: "ServerEntry") -> bool:
+        """Return whether the server wrote this entry before another one of the same name.
+
+        Entries that do not tell are not older.
+        """
+        if None not in (self.started_at_ms, other.started_at_ms):
+            mine = typing.cast(int, self.started_at_ms)
+            others = typing.cast(int, other.started_at_ms)
+            if mine != others:
+                return mine < others
+        if self.sequence is None or other.sequence is None:
+            return False
+        return self.sequence < other.sequence
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -12,6 +12,7 @@
 from carobhook.coordination import (
     backoff,
     catalog,
+    evacuations,
     object_watch,
     objects,
     steering,
@@ -97,7 +98,8 @@
         self._peers = peers
         self._objects: dict[str, dict[str, feed_messages.FeedObject]] = {}
         self._positions: dict[str, objects.Position] = {}
-        self._evacuated: set[ids.FailureDomain] = set()
+        self._evacuations = evacuations.Evacuations()
+        self._config_item: feed_messages.FeedObject | None = None
         self._watchers: dict[str, object_watch.ObjectWatcher] = {}
         self._source_selector = store_feed.SourceSelector(peers.own)
         self._subscribers = store_feed.Subscribers()
@@ -133,6 +135,7 @@
         """
         now = self._reactor.seconds()
         self._record_era(self._store.era)
+        self._catalog.set_evacuated(self._evacuations.in_force(now))
         decision = self._source_selector.decide(
             self._peers.candidates(), self._peers.relays(), self.is_complete, now
         )
@@ -330,13 +333,19 @@
         )
         previous = self._objects.get(kind, {})
         self._objects[kind] = current
+        known = self._positions.get(kind)
+        is_older_copy = known is not None and known.era < position.era
         self._positions[kind] = position
         self._record_era(position.era)
         if kind == names.EVACUATIONS_KIND:
-            self._evacuated.clear()
+            listed = [ids.FailureDomain(name) for name in current]
+            self._evacuations.replace(listed, is_older_copy, now)
         if kind == names.SERVERS_KIND:
+            if is_older_copy:
+                self._catalog.record_older_copy(now)
             self._catalog.retain(frozenset(ids.Server(name) for name in current), now)
-        self._apply(kind, _select_changed(kind, current, previous), now)
+        changed = [item for item in current.values() if item != previous.get(item.name)]
+        self._apply(kind, changed, now, is_older_copy)
         self._on_change()
 
     def _apply_changes(
@@ -355,18 +364,28 @@
         self._apply(kind, items, self._reactor.seconds())
         self._on_change()
 
-    def _apply(self, kind: str, items: Iterable[feed_messages.FeedObject], now: float) -> None:
+    def _apply(
+        self,
+        kind: str,
+        items: Iterable[feed_messages.FeedObject],
+        now: float,
+        is_older_copy: bool = False,
+    ) -> None:
         for item in items:
             if kind == names.CONFIG_KIND:
                 self._apply_config(item)
             elif kind == names.SERVERS_KIND:
-                self._apply_server(item, now)
+                self._apply_server(item, now, is_older_copy)
             elif kind == orders.STORE_KIND:
                 self._apply_orders(item)
             else:
                 self._apply_evacuation(item)
         if kind == names.EVACUATIONS_KIND:
-            self._catalog.set_evacuated(frozenset(self._evacuated))
+            self._catalog.set_evacuated(self._evacuations.in_force(now))
+        if kind == names.CONFIG_KIND and self._config_item is not None:
+            # Instances that start get the configuration in force, also while the store has
+            # come back with an older one.
+            self._objects[kind][names.CONFIG_NAME] = self._config_item
 
     def _apply_config(self, item: feed_messages.FeedObject) -> None:
         if item.name != names.CONFIG_NAME or item.value is None:
@@ -378,6 +397,7 @@
             platform_objects.MalformedObjectError,
         )
         if config is not None and self._catalog.replace_config_if_newer(config):
+            self._config_item = item
             logs.event(
                 "config-in-force",
                 version=f"{config.version:08x}",
@@ -400,7 +420,9 @@
         if order_state is not None and self._orders.replace_if_newer(order_state):
             logs.event("orders-in-force", version=order_state.version, revision=item.version)
 
-    def _apply_server(self, item: feed_messages.FeedObject, now: float) -> None:
+    def _apply_server(
+        self, item: feed_messages.FeedObject, now: float, is_older_copy: bool
+    ) -> None:
         name = ids.Server(item.name)
         if item.value is None:
             logs.event("server-removed", server=name, revision=item.version)
@@ -424,15 +446,18 @@
             cold_s=entry.cold_s,
             revision=item.version,
         )
-        self._catalog.put(entry, now)
+        if is_older_copy:
+            self._catalog.put_from_copy(entry, now)
+        else:
+            self._catalog.put(entry, now)
 
     def _apply_evacuation(self, item: feed_messages.FeedObject) -> None:
         zone = ids.FailureDomain(item.name)
         logs.event("evacuation", zone=zone, begun=item.value is not None, revision=item.version)
         if item.value is None:
-            self._evacuated.discard(zone)
+            self._evacuations.end(zone)
         else:
-            self._evacuated.add(zone)
+            self._evacuations.begin(zone)
 
 
 def _decode_or_warn(
@@ -456,26 +481,6 @@
         return None
 
 
-def _select_changed(
-    kind: str,
-    current: dict[str, feed_messages.FeedObject],
-    previous: dict[str, feed_messages.FeedObject],
-) -> list[feed_messages.FeedObject]:
-    """Return the objects of a snapshot that are new or changed.
-
-    For evacuations, all objects are returned, because the set of evacuated failure domains was
-    cleared before and is filled again from them.
-
-    Args:
-        kind: Kind of the objects.
-        current: Objects of the snapshot by name.
-        previous: Objects before the snapshot by name.
-    """
-    if kind == names.EVACUATIONS_KIND:
-        return list(current.values())
-    return [item for item in current.values() if item != previous.get(item.name)]
-
-
 def _feed_object(item: objects.StoredObject | objects.WatchEvent) -> feed_messages.FeedObject:
     value = None
     if item.value is not None:
--- a/tests/test_catalog.py
+++ b/tests/test_catalog.py
@@ -100,3 +100,21 @@
         assert catalog_.replace_config_if_newer(newer)
         assert not catalog_.replace_config_if_newer(routing.RoutingConfig(6, (), {}))
         assert catalog_.config is newer
+
+
+class TestEntryAge:
+    """Which of two entries of a server is older."""
+
+    def test_starts_count_before_reports(self):
+        """A server that starts again counts its reports anew."""
+        first = attrs.evolve(ENTRY, sequence=9)
+        again = attrs.evolve(ENTRY, started_at_ms=2000, sequence=1)
+        assert first.is_older_than(again)
+        assert not again.is_older_than(first)
+        assert first.is_older_than(attrs.evolve(first, sequence=10))
+        assert not first.is_older_than(first)
+
+    def test_entries_that_do_not_tell_are_not_older(self):
+        """Without a number of the report, an entry counts as news."""
+        assert not ENTRY.is_older_than(attrs.evolve(ENTRY, sequence=3))
+        assert not attrs.evolve(ENTRY, sequence=3).is_older_than(ENTRY)
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -187,6 +187,29 @@
         self.run(3.0)
         assert self.usable(OWN) == self.usable(OTHER) == ["s1"]
 
+    def test_server_that_the_copy_lacks_stays_in_use(self):
+        """It registered in the lost seconds, and does so again."""
+        saved = self.engine.save()
+        self.put(names.SERVERS_KIND, "s2", server("s2"))
+        self.run(1.0)
+        self.restore(saved)
+        for _ in range(15):
+            self.run(0.1)
+            assert self.usable(OWN) == self.usable(OTHER) == ["s1", "s2"]
+        self.put(names.SERVERS_KIND, "s2", server("s2", sequence=2))
+        self.run(4.0)
+        assert self.usable(OWN) == self.usable(OTHER) == ["s1", "s2"]
+
+    def test_server_whose_entry_stays_is_used_in_the_end(self):
+        """The entry of a server that has ended would have expired by then."""
+        self.put(names.SERVERS_KIND, "s2", server("s2"))
+        saved = self.engine.save()
+        self.remove(names.SERVERS_KIND, "s2")
+        self.run(1.0)
+        self.restore(saved)
+        self.run(9.0)
+        assert self.usable(OWN) == self.usable(OTHER) == ["s1", "s2"]
+
     def test_server_that_writes_again_is_used(self):
         """A newer entry than the one that was removed counts."""
         self.put(names.SERVERS_KIND, "s2", server("s2"))
