Do not demand that a limited server is used while others are free

Cause: test_named_limit_exceeded also asserted that the limited server got requests after its rate had settled. Trace: in three runs with the dispatcher's pool printed at the end, the other servers had had all 30 objects lately and were free; the limited one was free as well, with tokens left. Where its requests go is the placement's choice then. Change: in its place, a test of the dispatcher in which the other server is busy, so that the limited one must be used within its limit, in an exact range. The bound of the rule and the share of served requests stay.

--- a/tests/test_named_limit_exceeded.py
+++ b/tests/test_named_limit_exceeded.py
@@ -55,7 +55,6 @@
         statuses = await self.send_load(SETTLE_S + WINDOW_S)
         starts = [started_at for _, started_at in limited.starts]
         assert find_excess(starts, self.LIMIT_PER_S, named_at) <= 0
-        assert starts[-1] > named_at + SETTLE_S, "a limit leaves it some requests"
         assert statuses.count(200) >= 0.98 * len(statuses)
 
     async def send_load(self, duration_s):
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -107,6 +107,17 @@
         dispatcher_.pool.limit_rate(SERVER, None, 8.0)
         assert self.count_grants(dispatcher_, 8.0, 2.0, 3000)[SERVER] == 40
 
+    def test_it_is_used_when_the_others_are_busy(self):
+        """A limit leaves the server the requests that it takes."""
+        dispatcher_ = test_dispatcher.make_dispatcher(
+            test_dispatcher.offer("s1", 4), test_dispatcher.offer("s2", 2)
+        )
+        dispatcher_.pool.limit_rate(SERVER, 5.0, 0.0)
+        for number in range(2):
+            dispatcher_.submit(test_dispatcher.make_request(number, deadline_s=60.0), 0.0)
+        assert len(dispatcher_.pool.get(ids.Server("s2")).running) == 2
+        assert 12 <= self.count_grants(dispatcher_, 1.0, 6.0)[SERVER] <= 5 * 6 + 3
+
     def test_excess_before_the_limit_counts(self):
         """A server that got far more than it takes rests first, but not for long."""
         dispatcher_ = test_dispatcher.make_dispatcher(test_dispatcher.offer("s1", 4))
