Write orders again that the store has lost

Operators would see: an order that ctl has said is in force is gone after the store came back from an older copy: from the store at once, from the instances as they start anew; the next order is accepted and ignored by every running instance. Evidence: test_restored_store: the store held o1 of o1 and o2; an order given after the restore was version 2, like the lost one, and was ignored by both instances. Change: an instance compares the stored orders with those that it has in force. What the store lacks since their last common version is written again, under the usual condition, by whoever notices first; instances that follow the store go before the others. If another order was accepted meanwhile, the lost ones follow it, from their texts, with versions that none has had. A new order includes them too. One that cannot be accepted any more logs order-lost. Instances far behind (no common version left, and a lower one) write nothing. Why it works: the orders in the store are again those that every running instance has, with a version above all. If every instance that knew an order is gone, it stays lost (postmortem).

--- a/src/carobhook/coordination/order_store.py
+++ b/src/carobhook/coordination/order_store.py
@@ -2,7 +2,7 @@
 
 from collections.abc import Awaitable, Callable
 
-from carobhook.coordination import objects, order_commands
+from carobhook.coordination import objects, order_commands, order_recovery
 from carobhook.protocol import order_codec
 from carobhook.state import codes, ids, orders, statements
 
@@ -15,13 +15,19 @@
     Args:
         store: The store.
         pause: Waits for a short time; called before each repeated attempt.
+        in_force: Returns the orders that this instance applies. The store may have lost some of
+            them; they are written again with the next write.
     """
 
     def __init__(
-        self, store: objects.ObjectStore, pause: Callable[[], Awaitable[object]]
+        self,
+        store: objects.ObjectStore,
+        pause: Callable[[], Awaitable[object]],
+        in_force: Callable[[], orders.OrderState] = orders.OrderState,
     ) -> None:
         self._store = store
         self._pause = pause
+        self._in_force = in_force
 
     async def submit(
         self,
@@ -49,9 +55,10 @@
             if attempt:
                 await self._pause()
             try:
-                current, stored = await self._read()
-                if current.change_of(context.order) is not None:
-                    return current
+                found, stored = await self._read()
+                current = order_recovery.recover(found, self._in_force(), context.known)
+                if found.change_of(context.order) is not None:
+                    return found
                 _require_latest_base(current, base)
                 changed = order_commands.apply(command, current, context)
                 await self._write(changed, stored)
@@ -75,6 +82,21 @@
         text = f"other orders came first {_MAX_ATTEMPTS} times"
         raise order_commands.OrderError(codes.Code.ORDER_CONFLICT, text)
 
+    async def restore(self, known: order_commands.KnownNames) -> orders.OrderState:
+        """Write the orders again that the store has lost; return the stored ones.
+
+        Args:
+            known: Names that orders may refer to.
+
+        Raises:
+            objects.StoreError: They could not be written.
+        """
+        found, stored = await self._read()
+        recovered = order_recovery.recover(found, self._in_force(), known)
+        if recovered != found:
+            await self._write(recovered, stored)
+        return recovered
+
     async def _read(self) -> tuple[orders.OrderState, objects.StoredObject | None]:
         """Return the stored orders and the object that holds them, None if there is none.
 
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -34,6 +34,12 @@
     ORDERS_IN_FORCE = EventInfo(
         "orders-in-force", "A newer version of the operators' orders is in force here."
     )
+    ORDERS_RESTORED = EventInfo(
+        "orders-restored", "Orders that the object API had lost were written again."
+    )
+    ORDER_LOST = EventInfo(
+        "order-lost", "An order that the object API had lost cannot be accepted any more."
+    )
     LOADS_INCOMPLETE = EventInfo(
         "loads-incomplete", "Some instances did not tell their loads in time for a question."
     )
--- a/src/carobhook/transport/operator_api.py
+++ b/src/carobhook/transport/operator_api.py
@@ -73,6 +73,7 @@
         send_load_query: Sends a query to the other instances that can run shards; returns how
             many it was sent to.
         own_loads: Returns the loads of this instance's shards.
+        orders_in_force: Returns the orders that this instance applies.
     """
 
     store: objects.ObjectStore
@@ -80,6 +81,7 @@
     known_names: Callable[[], order_commands.KnownNames]
     send_load_query: Callable[[slot_messages.LoadQuery], int]
     own_loads: Callable[[], list[slot_messages.ShardLoad]]
+    orders_in_force: Callable[[], orders.OrderState] = orders.OrderState
 
 
 @attrs.define(eq=False)
@@ -119,7 +121,9 @@
         self._instance = instance
         self._wall = wall
         self._orders = order_store.OrderStore(
-            instance.store, lambda: task.deferLater(reactor, _STORE_RETRY_DELAY_S)
+            instance.store,
+            lambda: task.deferLater(reactor, _STORE_RETRY_DELAY_S),
+            instance.orders_in_force,
         )
         self._collections: dict[str, _LoadCollection] = {}
         self._last_query_number = 0
--- a/src/carobhook/transport/operator_view.py
+++ b/src/carobhook/transport/operator_view.py
@@ -50,6 +50,7 @@
             lambda: self._known_names(seconds()),
             lambda message: self._send_load_query(message, seconds()),
             self.allocator.loads,
+            lambda: self.orders.in_force,
         )
 
     def _instance_view(
--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -27,7 +27,9 @@
     return {
         "ConfigVersion": f"{version:08x}",
         "Routes": [],
-        "Services": [],
+        "Services": [
+            {"Name": name, "HealthPath": "/"} for name in test_order_commands.KNOWN.services
+        ],
         "Limits": limits,
     }
 
@@ -57,7 +59,8 @@
         self.put(names.CONFIG_KIND, names.CONFIG_NAME, config(2))
         self.put(names.SERVERS_KIND, "s1", server("s1"))
         self.known = {name: catalog.Catalog() for name in (OWN, OTHER)}
-        self.orders = {name: steering.Steering({}) for name in (OWN, OTHER)}
+        regions = test_order_commands.KNOWN.regions
+        self.orders = {name: steering.Steering(regions) for name in (OWN, OTHER)}
         self.syncs = {}
         for name in (OWN, OTHER):
             self.syncs[name] = self.create_sync(name)
@@ -303,6 +306,22 @@
         assert self.order_ids(self.stored()) == ["o1", "o2"]
         assert self.stored() == self.orders[OWN].in_force == self.orders[OTHER].in_force
 
+    def test_lost_orders_are_not_written_over_newer_ones(self):
+        """An instance that is far behind does not take what it lacks for lost."""
+        for number in range(1, 4):
+            self.submit(number, "set cap 20% per 10s")
+        self.run(1.0)
+        self.access[OWN].down = self.access[OTHER].down = True
+        self.run(2.0)
+        for access in self.access.values():
+            access.down = False
+        for number in range(4, 240):
+            self.submit(number, "set cap 30% per 10s")
+        before = self.stored()
+        self.run(6.0)
+        assert self.stored() == before
+        assert self.orders[OWN].in_force == self.orders[OTHER].in_force == before
+
     def test_order_after_a_restore_is_in_force_everywhere(self):
         """An order built on the copy takes no version that another order has had."""
         self.submit(1, "set cap 20% per 10s")
