--- a/src/carobhook/soak/deployment.py
+++ b/src/carobhook/soak/deployment.py
@@ -57,6 +57,7 @@
         self._ports: list[typing.Any] = []
         self._instance_ports: list[dict[str, int]] = []
         self._config_version = 1
+        self._reports = 0
         self.store = platform_store.PlatformStoreServer(reactor, memory_store.MemoryStore())
         self.servers: list[platform_server.PlatformBackend] = []
         self.server_plans: list[service_group.ServerPlan] = []
@@ -100,23 +101,39 @@
         self.servers.append(server)
         self.server_plans.append(plan)
         self.server_proxies.append(server_proxy)
-        self.store.put(names.SERVERS_KIND, name, service_group.server_spec(plan))
+        self._write_server(plan)
 
     def set_state(self, index: int, state: str) -> None:
         """Write the state of a server, ``ready`` or ``draining``, into the store."""
         plan = self.server_plans[index]
-        self.store.put(names.SERVERS_KIND, plan.name, service_group.server_spec(plan, state))
         if state == "draining":
             self.draining_since[plan.name] = self._reactor.seconds()
         else:
             self.draining_since.pop(plan.name, None)
+        self._write_server(plan)
 
     def change_config(self) -> None:
         """Write a newer version of the routing configuration into the store."""
         self._config_version += 1
+        self._write_config()
+
+    def _write_config(self) -> None:
         spec = demo.config(self._config_version)
         self.store.put(names.CONFIG_KIND, names.CONFIG_NAME, spec)
 
+    def write_again(self) -> None:
+        """Write the configuration and all servers again, after the store has lost writes."""
+        self._write_config()
+        for plan in self.server_plans:
+            self._write_server(plan)
+
+    def _write_server(self, plan: service_group.ServerPlan) -> None:
+        """Write a server's entry with its present state, as a newer report than before."""
+        self._reports += 1
+        state = "draining" if plan.name in self.draining_since else "ready"
+        spec = service_group.server_spec(plan, state, sequence=self._reports)
+        self.store.put(names.SERVERS_KIND, plan.name, spec)
+
     async def _free_ports(self) -> dict[str, int]:
         """Return one unused port number for each listener of an instance, by setting name."""
         keys = ("http", "readiness", "directory", "peers", "metrics")
--- a/src/carobhook/soak/faults.py
+++ b/src/carobhook/soak/faults.py
@@ -21,6 +21,9 @@
     STORE_LOSES_ANSWERS = "store-loses-answers"
     # The store drops its event history, so that watches expire.
     STORE_FORGETS = "store-forgets"
+    # The store is away for a moment and comes back from an older copy; servers and operators
+    # then write again what it has lost.
+    STORE_RESTORED = "store-restored"
     SERVER_RESETS = "server-resets"
     SERVER_SILENT = "server-silent"
     SERVER_DELAYED = "server-delayed"
--- a/src/carobhook/soak/run.py
+++ b/src/carobhook/soak/run.py
@@ -15,6 +15,10 @@
 _REQUESTS_PER_S = 40.0
 _RECOVERY_LOAD_S = 3.0
 _RESTART_S = 0.3
+# Outage before the store comes back from an older copy, and the time after which servers and
+# operators write again what it has lost.
+_RESTORE_OUTAGE_S = 0.5
+_REWRITE_S = 0.5
 _CLIENT_ZONES = (("addis", "addis-a"), ("kigali", "kigali-a"))
 
 _PROXY_MODES = {
@@ -166,6 +170,8 @@
             system.change_config()
         elif fault is faults.Fault.STORE_FORGETS:
             system.store.compact()
+        elif fault is faults.Fault.STORE_RESTORED:
+            await self._restore_store(step.duration_s)
         elif fault is faults.Fault.SERVER_DRAINS:
             await self._drain(server_index, step.duration_s)
         elif fault is faults.Fault.SERVER_LIMITS:
@@ -190,6 +196,16 @@
         await task.deferLater(self._reactor, _RESTART_S)
         self._deployment.start_instance(index)
 
+    async def _restore_store(self, duration_s: float) -> None:
+        """Restore the store to a copy as old as the step lasts, after a short outage."""
+        system = self._deployment
+        saved = system.store.save()
+        await task.deferLater(self._reactor, duration_s)
+        await self._change_proxy_mode(system.store_proxy, proxy.Mode.REFUSE, _RESTORE_OUTAGE_S)
+        system.store.restore(saved)
+        await task.deferLater(self._reactor, _REWRITE_S)
+        system.write_again()
+
     async def _drain(self, server_index: int, duration_s: float) -> None:
         plan = self._deployment.server_plans[server_index]
         if plan.name in self._deployment.draining_since:
--- a/src/carobhook/standins/platform_store.py
+++ b/src/carobhook/standins/platform_store.py
@@ -103,6 +103,10 @@
         if existing is not None:
             self._engine.delete(kind, name, existing.version, now)
 
+    def save(self) -> memory_store.SavedCopy:
+        """Return a copy of all objects, to which `restore` returns."""
+        return self._engine.save()
+
     def restore(self, saved: memory_store.SavedCopy) -> None:
         """Return to an older copy of the objects, and close all connections."""
         self._engine.restore(saved)
--- a/src/carobhook/standins/service_group.py
+++ b/src/carobhook/standins/service_group.py
@@ -51,7 +51,7 @@
 
 
 def server_spec(
-    plan: ServerPlan, state: str = "ready", started_at_ms: int = 1
+    plan: ServerPlan, state: str = "ready", started_at_ms: int = 1, sequence: int = 1
 ) -> dict[str, typing.Any]:
     """Return the ``Spec`` of the object by which a server registers in the store.
 
@@ -59,6 +59,7 @@
         plan: The server.
         state: State of the server, ``ready`` or ``draining``.
         started_at_ms: Time of the server's start in milliseconds.
+        sequence: Number of the report, which rises while the server runs.
     """
     info = {
         "Service": plan.service,
@@ -66,7 +67,7 @@
         "ConfigVersion": "v1",
         "Slots": plan.slots,
     }
-    status = {"State": state, "SeqNo": 1, "ColdRemaining": "0ms"}
+    status = {"State": state, "SeqNo": sequence, "ColdRemaining": "0ms"}
     return {"Address": plan.address, "Info": info, "Status": status, "born": started_at_ms}
 
 
