Give tests and the soak ports that no connection takes

Cause: the tests listened on ports of the kernel's choice, closed them, and let instances listen on them later; meanwhile an outgoing connection could take one. Change: ports come from below the kernel's range for outgoing connections, and are checked before use.

--- a/src/carobhook/soak/deployment.py
+++ b/src/carobhook/soak/deployment.py
@@ -7,7 +7,7 @@
 import sys
 import typing
 
-from twisted.internet import defer, protocol, task
+from twisted.internet import defer, task
 
 from carobhook import demo
 from carobhook.platform import names
@@ -17,6 +17,7 @@
     platform_server,
     platform_store,
     service_group,
+    unused_ports,
 )
 
 _ZONES = ("addis-a", "addis-b", "kigali-a")
@@ -80,7 +81,7 @@
                 self._start_server(service.name, number)
         self.change_config()
         for index in range(self._instance_count):
-            self._instance_ports.append(await self._free_ports())
+            self._instance_ports.append(self._unused_ports())
             self.write_settings(index)
         for index in range(self._instance_count):
             self.start_instance(index)
@@ -134,17 +135,11 @@
         spec = service_group.server_spec(plan, state, sequence=self._reports)
         self.store.put(names.SERVERS_KIND, plan.name, spec)
 
-    async def _free_ports(self) -> dict[str, int]:
+    @staticmethod
+    def _unused_ports() -> dict[str, int]:
         """Return one unused port number for each listener of an instance, by setting name."""
         keys = ("http", "readiness", "directory", "peers", "metrics")
-        listeners = [
-            self._reactor.listenTCP(0, protocol.Factory(), interface=demo.HOST) for _ in keys
-        ]
-        port_numbers = [listener.getHost().port for listener in listeners]
-        await defer.gatherResults(
-            [defer.maybeDeferred(port.stopListening) for port in listeners]
-        )
-        return dict(zip(keys, port_numbers, strict=True))
+        return dict(zip(keys, unused_ports.find(demo.HOST, len(keys)), strict=True))
 
     def write_settings(self, index: int, ttl_max_s: int = 5) -> None:
         """Write the settings file of an instance."""
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -9,7 +9,7 @@
 
 from carobhook import entry_settings
 from carobhook.protocol import http1
-from carobhook.standins import memory_store, platform_server, platform_store
+from carobhook.standins import memory_store, platform_server, platform_store, unused_ports
 from carobhook.state import members
 from carobhook.transport import entry_daemon, server_connections
 
@@ -99,15 +99,6 @@
     } | fields
 
 
-def free_ports(count):
-    """Return free loopback ports, and a Deferred that fires when they can be used."""
-    ports = [
-        reactor.listenTCP(0, protocol.Factory(), interface="127.0.0.1") for _ in range(count)
-    ]
-    numbers = [port.getHost().port for port in ports]
-    return numbers, defer.gatherResults([defer.maybeDeferred(p.stopListening) for p in ports])
-
-
 class RawClient(protocol.Protocol):
     """Collects the data received on a connection."""
 
@@ -172,8 +163,7 @@
     async def start_instance(self, name, seeds=()):
         """Start an instance on free ports."""
         keys = ("http", "readiness", "directory", "peers", "metrics", "operators")
-        numbers, closed = free_ports(len(keys))
-        await closed
+        numbers = unused_ports.find("127.0.0.1", len(keys))
         self.instance_ports[name] = dict(zip(keys, numbers, strict=True))
         text = SETTINGS.format(
             name=name,
