Keep limited servers from a division by zero

Callers would see: errors of a dispatcher, if the answers of a limited server come at once. Cause: a limited server's throughput in slots is its limit times the work time; the wait of reserved requests is divided by it, and it is 0 for work that takes no time. Change: the throughput has a least value. Measured: the new test fails before with ZeroDivisionError, and passes now.

--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -30,6 +30,8 @@
 # A server gets this many requests a second even if it names a lower limit; only its answers can
 # tell that it takes more again.
 _MIN_LIMIT_PER_S = 0.2
+# Least result of `throughput_slots` for a limited server; callers divide by it.
+_MIN_THROUGHPUT_SLOTS = 0.001
 # Requests that a server got within this time before it named a limit count toward the limit.
 _LIMIT_LOOKBACK_S = 1.0
 # No requests before the limit keep a server idle for longer than this.
@@ -212,7 +214,8 @@
         """
         if self.limit_bucket is None:
             return float(self.slots)
-        return min(float(self.slots), self.limit_bucket.rate * work_s)
+        limited_slots = min(float(self.slots), self.limit_bucket.rate * work_s)
+        return max(_MIN_THROUGHPUT_SLOTS, limited_slots)
 
     def free_slots(self, now: float) -> int:
         """Return the number of free slots.
--- a/tests/test_server_limits.py
+++ b/tests/test_server_limits.py
@@ -126,6 +126,18 @@
         assert not self.count_grants(dispatcher_, 2.0, 2.0, 2000)
         assert self.count_grants(dispatcher_, 4.0, 2.0, 3000)
 
+    def test_work_that_takes_no_time(self):
+        """A limited server whose answers came at once is still chosen without an error."""
+        dispatcher_ = test_dispatcher.make_dispatcher(test_dispatcher.offer("s1", 4))
+        dispatcher_.pool.limit_rate(SERVER, 5.0, 0.0)
+        answered = allocation.AttemptOutcome.ANSWERED
+        for number in range(4):
+            now = 1.0 + number
+            dispatcher_.submit(test_dispatcher.make_request(number, now), now)
+            dispatcher_.release_slot(ids.RequestId(f"r{number}"), SERVER, answered, now)
+        grants = dispatcher_.submit(test_dispatcher.make_request(9, 6.0, object_key="o"), 6.0)
+        assert [grant.server for grant in grants] == [SERVER]
+
     def test_limit_of_zero_leaves_a_few_requests(self):
         """Without any request, no answer could tell that the limit has ended."""
         dispatcher_ = test_dispatcher.make_dispatcher(test_dispatcher.offer("s1", 4))
