Tell of a limit in a release only if there is news

Callers would see: streams between instances that end during a rolling update, as builds that know of no limits do not read the longer frame. Found while reading the diff. Measured: the new test fails before ('RateStatement(max_per_s=None) is None'), and passes now.

--- a/src/carobhook/transport/slot_client.py
+++ b/src/carobhook/transport/slot_client.py
@@ -141,19 +141,24 @@
         held = self._held.pop(request_id, None)
         if held is None:
             return
-        if rate is not None:
-            self._record_rate(held, rate)
+        has_changed = rate is not None and self._record_rate(held, rate)
+        if rate is not None and rate.max_per_s is None and not has_changed:
+            # Nothing to tell: nearly all answers name no limit, as those before did not.
+            rate = None
         owner = self._owner_of(held.shard) or held.owner
         self._send(
             owner,
             slot_messages.SlotReleased(request_id, *held.shard, held.server, outcome, rate),
         )
 
-    def _record_rate(self, held: _HeldSlot, rate: allocation.RateStatement) -> None:
+    def _record_rate(self, held: _HeldSlot, rate: allocation.RateStatement) -> bool:
+        """Record what an answer says of its server's limit; return whether that is news."""
         service = held.request.service
         limits = self._limits.setdefault(service, server_limits.ServerLimits())
-        if limits.record(held.server, rate, self._reactor.seconds()):
+        has_changed = limits.record(held.server, rate, self._reactor.seconds())
+        if has_changed:
             logs.event("server-limit", server=held.server, max_per_s=rate.max_per_s)
+        return has_changed
 
     def handle_grant(self, owner: ids.InstanceId, grant: allocation.SlotGrant) -> None:
         """Record a granted slot, and fire the result of its request."""
--- a/tests/test_slot_allocator.py
+++ b/tests/test_slot_allocator.py
@@ -182,6 +182,35 @@
         assert isinstance(deployment.request_slot("a", 2)[0], allocation.SlotGrant)
 
 
+class TestNamedLimits:
+    """What a release tells of the limit that a server names."""
+
+    def release(self, deployment, number, max_per_s):
+        """Answer a request of an instance; return what the release says of the limit."""
+        name = next(name for name in deployment.allocators if name != deployment.owner)
+        sent = []
+        allocator = deployment.allocators[name]
+        deployment.request_slot(name, number)
+        allocator._peers.send = lambda to, message: sent.append(message) or True
+        allocator.release_slot(
+            ids.RequestId(f"{name}-{number}"),
+            allocation.AttemptOutcome.ANSWERED,
+            allocation.RateStatement(max_per_s),
+        )
+        del allocator._peers.send
+        allocator._send(deployment.owner, sent[0])
+        return sent[0].rate
+
+    def test_release_tells_limits_and_their_ends_only(self):
+        """Frames of answers without a limit stay as builds that know of no limits expect."""
+        deployment = Deployment("a", "b")
+        assert self.release(deployment, 1, None) is None
+        assert self.release(deployment, 2, 5.0) == allocation.RateStatement(5.0)
+        deployment.clock.advance(1.0)
+        assert self.release(deployment, 3, None) == allocation.RateStatement(None)
+        assert self.release(deployment, 4, None) is None
+
+
 class TestWithdrawnGrants:
     """Requests that are withdrawn while their grants are on their way."""
 
