Share the pair of instances between two test files

Cause: test_restored_store wrote again how test_store_feed creates two StoreSync of which one follows the store, and runs them. Change: FeedPair in test_store_feed serves both. All assertions are as before.

--- a/tests/test_restored_store.py
+++ b/tests/test_restored_store.py
@@ -1,7 +1,5 @@
 """After the store was restored from an older copy, what was confirmed was not in force."""
 
-import random
-
 from twisted.internet import defer, task
 
 import store_access
@@ -11,7 +9,6 @@
 from carobhook.platform import names
 from carobhook.protocol import language, order_codec
 from carobhook.state import orders
-from carobhook.transport import store_sync
 
 OWN, OTHER = test_store_feed.OWN, test_store_feed.OTHER
 
@@ -45,7 +42,7 @@
     return {"Metadata": {"Name": name}, "Spec": spec, "Status": status}
 
 
-class RestoredStoreCase:
+class RestoredStoreCase(test_store_feed.FeedPair):
     """One instance follows the store, and another subscribes to its feed."""
 
     def setup_method(self):
@@ -61,37 +58,11 @@
         self.known = {name: catalog.Catalog() for name in (OWN, OTHER)}
         regions = test_order_commands.KNOWN.regions
         self.orders = {name: steering.Steering(regions) for name in (OWN, OTHER)}
-        self.syncs = {}
-        for name in (OWN, OTHER):
-            self.syncs[name] = self.create_sync(name)
-        for sync in self.syncs.values():
+        self.sync_by_name = {name: self.create_sync(name) for name in (OWN, OTHER)}
+        for sync in self.sync_by_name.values():
             sync.start()
         self.run(3.0)
 
-    def create_sync(self, name):
-        """Return the `StoreSync` of an instance; OTHER is the only candidate and relay."""
-
-        def send(to, message):
-            self.syncs[to].handle_message(name, message)
-            return True
-
-        return store_sync.StoreSync(
-            self.clock,
-            self.access[name],
-            self.known[name],
-            self.orders[name],
-            random.Random(1),
-            lambda: None,
-            store_sync.FeedPeers(name, lambda: [OTHER], lambda: [OTHER], send),
-        )
-
-    def run(self, seconds):
-        """Simulate some seconds."""
-        for _ in range(round(seconds * 10)):
-            self.clock.advance(0.1)
-            for sync in self.syncs.values():
-                sync.tick()
-
     def put(self, kind, name, value):
         """Write an object."""
         now = self.clock.seconds()
@@ -155,7 +126,7 @@
             self.put(names.EVACUATIONS_KIND, f"z{number}", {})
             self.remove(names.EVACUATIONS_KIND, f"z{number}")
         self.run(1.0)
-        assert not self.syncs[OWN].is_direct
+        assert not self.sync_by_name[OWN].is_direct
         self.restore(saved)
         self.put(names.CONFIG_KIND, names.CONFIG_NAME, config(3))
         for number in range(9):
@@ -259,9 +230,9 @@
         self.restore(saved)
         self.run(2.0)
         self.known[OWN] = catalog.Catalog()
-        self.syncs[OWN].stop()
-        self.syncs[OWN] = self.create_sync(OWN)
-        self.syncs[OWN].start()
+        self.sync_by_name[OWN].stop()
+        self.sync_by_name[OWN] = self.create_sync(OWN)
+        self.sync_by_name[OWN].start()
         self.run(2.0)
         assert self.config_versions == [3, 3]
 
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -118,20 +118,8 @@
         return await super().watch(kinds, since, wait_s)
 
 
-class TestFeed:
-    """One instance follows the store, and another subscribes to its feed."""
-
-    def setup_method(self):
-        """Start both, until the second has all objects from the first."""
-        self.clock = task.Clock()
-        engine = store_access.create_access(self.clock).engine
-        self.access = {name: Access(engine, self.clock) for name in (OWN, OTHER)}
-        self.engine = engine
-        self.known = {name: catalog.Catalog() for name in (OWN, OTHER)}
-        self.sync_by_name = {name: self.create_sync(name) for name in (OWN, OTHER)}
-        for follower in self.sync_by_name.values():
-            follower.start()
-        self.run(3.0)
+class FeedPair:
+    """Two instances on the clock of a test, of which OTHER follows the store for both."""
 
     def create_sync(self, name):
         """Return the `StoreSync` of an instance; OTHER is the only candidate and relay."""
@@ -144,7 +132,7 @@
             self.clock,
             self.access[name],
             self.known[name],
-            steering.Steering({}),
+            self.orders[name],
             random.Random(1),
             lambda: None,
             store_sync.FeedPeers(name, lambda: [OTHER], lambda: [OTHER], send),
@@ -157,6 +145,23 @@
             for follower in self.sync_by_name.values():
                 follower.tick()
 
+
+class TestFeed(FeedPair):
+    """One instance follows the store, and another subscribes to its feed."""
+
+    def setup_method(self):
+        """Start both, until the second has all objects from the first."""
+        self.clock = task.Clock()
+        engine = store_access.create_access(self.clock).engine
+        self.access = {name: Access(engine, self.clock) for name in (OWN, OTHER)}
+        self.engine = engine
+        self.known = {name: catalog.Catalog() for name in (OWN, OTHER)}
+        self.orders = {name: steering.Steering({}) for name in (OWN, OTHER)}
+        self.sync_by_name = {name: self.create_sync(name) for name in (OWN, OTHER)}
+        for follower in self.sync_by_name.values():
+            follower.start()
+        self.run(3.0)
+
     def test_subscriber_makes_no_calls_when_objects_change(self):
         """The feed stays complete when objects of several kinds change in turn."""
         assert self.sync_by_name[OTHER].is_direct and not self.sync_by_name[OWN].is_direct
