Log the homes of a configuration, and look-ups that name other regions only

Without them, logs can't tell an old configuration from a grant outside the homes, nor which directory sent a client abroad. No logic changes.

--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -111,6 +111,10 @@
     CONFIG_IN_FORCE = EventInfo(
         "config-in-force", "A newer configuration of the store is in force here."
     )
+    LOOKUP_OUTSIDE_REGION = EventInfo(
+        "lookup-outside-region",
+        "A client is sent to other regions, as no instance of its own is known to serve.",
+    )
     SERVER_SEEN = EventInfo("server-seen", "A backend server's entry is new or has changed.")
     SERVER_REMOVED = EventInfo("server-removed", "A backend server's entry is gone.")
     EVACUATION = EventInfo(
--- a/src/carobhook/transport/entry_endpoints.py
+++ b/src/carobhook/transport/entry_endpoints.py
@@ -3,7 +3,7 @@
 import typing
 from collections.abc import Callable
 
-from carobhook import entry_metrics
+from carobhook import entry_metrics, logs
 from carobhook.coordination import directory, membership
 from carobhook.platform import requests
 from carobhook.protocol import client_api, http1
@@ -93,4 +93,13 @@
         serving = self._known_members.serving(now)
         nearest = directory.nearest(serving, lookup.region, lookup.failure_domain)
         chosen = directory.choose_weighted(nearest, client, now)
+        if chosen and all(member.region != lookup.region for member in chosen):
+            logs.event(
+                "lookup-outside-region",
+                region=lookup.region,
+                zone=lookup.failure_domain,
+                ready=self._is_ready(),
+                serving=len(serving),
+                known=len(self._known_members.live(now)),
+            )
         return [member.http for member in chosen[:_MAX_ADDRESSES]]
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -412,6 +412,11 @@
                 version=f"{config.version:08x}",
                 revision=item.version,
                 routes=len(config.routes),
+                homes=[
+                    f"{route.name}:{'+'.join(sorted(route.homes))}"
+                    for route in config.routes
+                    if route.homes
+                ],
             )
 
     def _apply_orders(self, item: feed_messages.FeedObject) -> None:
