--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -134,10 +134,13 @@
             self.known[name],
             self.orders[name],
             random.Random(1),
-            lambda: None,
+            lambda: self.on_change(name),
             store_sync.FeedPeers(name, lambda: [OTHER], lambda: [OTHER], send),
         )
 
+    def on_change(self, name):
+        """Do nothing after a change of the catalog or the orders of an instance."""
+
     def run(self, seconds):
         """Simulate some seconds."""
         for _ in range(round(seconds * 10)):
