Log what a stop aborts, and how late and how long

The lines of an instance that stops didn't tell whether the stop ended because nothing was in flight or at its limit, what was queued then, and how long the closing of sockets took. instance-closing says so, and instance-stopped gets took_ms.

--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -23,6 +23,10 @@
 
     INSTANCE_STARTED = EventInfo("instance-started", "The daemon listens on all its ports.")
     INSTANCE_LEAVING = EventInfo("instance-leaving", "A graceful stop has begun.")
+    INSTANCE_CLOSING = EventInfo(
+        "instance-closing",
+        "A graceful stop ends: what is still in flight, queued or open is aborted.",
+    )
     INSTANCE_STOPPED = EventInfo("instance-stopped", "Nothing is in flight any more.")
     START_FAILED = EventInfo("start-failed", "The daemon could not start.")
     ORDER_ACCEPTED = EventInfo(
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -348,9 +348,17 @@
                     break
                 self._request_listener.close_idle()
             await task.deferLater(self._reactor, _STOP_POLL_INTERVAL_S)
+        logs.event(
+            "instance-closing",
+            requests=self._requests.in_flight,
+            queued=self._allocator.pending_count,
+            connections=self._request_listener.open_connections,
+            late_ms=round((now - deadline_at) * 1000, 1),
+        )
         await self._shut_down()
 
     async def _shut_down(self) -> None:
+        began_at = self._clocks.boot()
         self._store_sync.stop()
         for loop in self._loops:
             loop.stop()
@@ -366,7 +374,8 @@
             listener.abort()
         self._servers.stop()
         self._store.stop()
-        logs.event("instance-stopped", requests=self._requests.in_flight)
+        took_ms = round((self._clocks.boot() - began_at) * 1000, 1)
+        logs.event("instance-stopped", requests=self._requests.in_flight, took_ms=took_ms)
 
     def _start_loop(self, call: Callable[[], object], interval_s: float) -> None:
         loop = task.LoopingCall(call)
