--- /dev/null
+++ b/tests/test_late_stop.py
@@ -0,0 +1,130 @@
+"""A stopping instance took requests that it could not answer any more, and dropped them."""
+
+from twisted.internet import defer, protocol, reactor, task
+
+import test_entry
+from carobhook.state import members
+from carobhook.transport import server_connections
+
+# Of the grace period of `test_entry.SETTINGS`, in which requests are aborted after 1.7 s.
+GRACE_S = 2.0
+# A request that is sent in the first half of the grace period may still run at its end.
+LATE_S = 0.6 * GRACE_S
+
+
+class StopCase(test_entry.EntryCase):
+    """The instance `one` stops; `two`, which stays, dispatches for both."""
+
+    server_count = 1
+
+    async def join(self):
+        """Start the second instance, and give the route a long timeout."""
+        self.daemons.append(await self.start_instance("two", seeds=("one",)))
+        times = {"TargetLatency": "4s", "Timeout": "5s", "MaxAttempts": 1}
+        self.store.put("config", "main", test_entry.config(2, test_entry.route(**times)))
+        await self.wait_until(
+            lambda: all(
+                daemon.phase is members.Phase.READY
+                and daemon._catalog.config.version == 2
+                and len(daemon._streams.membership.serving(reactor.seconds())) == 2
+                for daemon in self.daemons
+            )
+        )
+
+    async def status(self, name, instance="one", deadline_ms=6000):
+        """Send a request; return its status and Retry-After, or how its connection ended."""
+        try:
+            response = await self.request(
+                instance=instance, X_Attempt_Id=name, X_Deadline_Ms=str(deadline_ms)
+            )
+        except server_connections.ExchangeError as error:
+            return error.fault.value, None
+        return response.status, response.get("retry-after")
+
+
+class TestRequestLateInAStop(StopCase):
+    """A request came late in a stop."""
+
+    async def test_request_that_outlasts_the_stop_is_refused_as_not_run(self):
+        """A request whose work ends after the abort is refused before a server gets it."""
+        await self.join()
+        self.set_behaviour(work_s=1.2)
+        stopping = defer.ensureDeferred(self.daemons[0].stop())
+        await task.deferLater(reactor, LATE_S, lambda: None)
+        status, retry_after = await self.status("late")
+        await stopping
+
+        assert (status, self.started_ids) == (503, [])
+        assert float(retry_after) > 0
+
+    async def test_request_that_ends_in_time_is_served(self):
+        """A request whose own deadline lies before the abort is still passed on."""
+        await self.join()
+        stopping = defer.ensureDeferred(self.daemons[0].stop())
+        await task.deferLater(reactor, LATE_S, lambda: None)
+        status, _ = await self.status("short", deadline_ms=300)
+        await stopping
+
+        assert status == 200
+
+
+class TestQueuedAtTheEnd(StopCase):
+    """Requests waited for a slot when the grace period ended."""
+
+    async def test_queued_requests_are_refused_as_not_run(self):
+        """They get a 503 before their connections are closed."""
+        await self.join()
+        self.set_behaviour(work_s=4.0)
+        running = [
+            defer.ensureDeferred(self.status(f"running-{number}", "two")) for number in range(4)
+        ]
+        await self.wait_until(lambda: len(self.started_ids) == 4)
+        queued = [defer.ensureDeferred(self.status(f"queued-{number}")) for number in range(3)]
+        await self.wait_until(lambda: self.daemons[0]._allocator.pending_count == 3)
+        await self.daemons[0].stop()
+        results = await defer.gatherResults(queued)
+        await defer.gatherResults(running)
+
+        assert [status for status, _ in results] == [503] * 3
+        assert all(float(retry_after) > 0 for _, retry_after in results)
+        assert not [name for name in self.started_ids if name.startswith("queued")]
+
+
+class TestReadWhileClosing(StopCase):
+    """A request was read and started after the time of the abort, while ports closed."""
+
+    async def test_no_request_starts_once_the_stop_ends(self):
+        """A request whose last bytes come when sockets are closed is not started."""
+        await self.join()
+        daemon = self.daemons[0]
+        creator = protocol.ClientCreator(reactor, test_entry.RawClient)
+        client = await creator.connectTCP("127.0.0.1", self.instance_ports["one"]["http"])
+        head = f"GET /a/x HTTP/1.1\r\nHost: {test_entry.HOST}\r\nContent-Length: 1\r\n\r\n"
+        client.transport.write(head.encode())
+        await task.deferLater(reactor, 0.1, lambda: None)
+        shut_down = daemon._shut_down
+
+        async def send_the_rest():
+            client.transport.write(b"x")
+            await shut_down()
+
+        daemon._shut_down = send_the_rest
+        await daemon.stop()
+
+        assert daemon._requests.in_flight == 0
+
+
+class TestAbortedConnections(StopCase):
+    """A connection stayed open, without an answer, until the process had ended."""
+
+    async def test_all_connections_are_closed_when_the_stop_returns(self):
+        """The reactor stops right after it, so what is open or unsent then is lost."""
+        await self.join()
+        self.set_behaviour(work_s=4.0)
+        running = defer.ensureDeferred(self.status("running"))
+        await self.wait_until(lambda: self.started_ids == ["running"])
+        await self.daemons[0].stop()
+        open_connections = self.daemons[0]._request_listener.open_connections
+        await running
+
+        assert open_connections == 0
