Reproduce configurations that come into force nowhere after one error

An error of dispatching that rises through on_change ends the watch of a kind; LoopingCall ends with the first error of a tick or heartbeat; a source whose watch is silent tells subscribers that they are current, as a probe was answered. No assertion of another test changed.

--- a/tests/store_access.py
+++ b/tests/store_access.py
@@ -5,6 +5,9 @@
 from carobhook.coordination import objects
 from carobhook.standins import memory_store
 
+# A watch without an answer fails this long after the end of its wait, as in `platform.store`.
+WATCH_MARGIN_S = 0.7
+
 
 class StoreAccess:
     """Calls an in-memory engine directly; implements `objects.ObjectStore`.
@@ -24,6 +27,7 @@
         self.lost_answers = 0
         self.before_write = lambda: None
         self._waiting = set()
+        self._silenced = set()
 
     @property
     def era(self):
@@ -76,6 +80,10 @@
             if not event_received.called:
                 event_received.errback(objects.UnavailableError("cut"))
 
+    def silence_watches(self):
+        """Lose the answers of all watches that wait for an event; other calls get theirs."""
+        self._silenced |= self._waiting
+
     async def watch(self, kinds, since, wait_s):
         """Return the events after ``since`` once there are some, or none after ``wait_s``."""
         self._check_available()
@@ -83,24 +91,32 @@
         if batch.events:
             return batch
         event_received = defer.Deferred()
+
+        def answer():
+            if not event_received.called and event_received not in self._silenced:
+                event_received.callback(None)
+
+        def fail():
+            if not event_received.called:
+                event_received.errback(objects.UnavailableError("no answer"))
+
         unsubscribe = self.engine.subscribe(
-            lambda event: (
-                event_received.called or event_received.callback(None)
-                if event.kind in kinds
-                else 0
-            )
-        )
-        timer = self.clock.callLater(
-            wait_s, lambda: event_received.called or event_received.callback(None)
+            lambda event: answer() if event.kind in kinds else None
         )
+        timers = [
+            self.clock.callLater(wait_s, answer),
+            self.clock.callLater(wait_s + WATCH_MARGIN_S, fail),
+        ]
         self._waiting.add(event_received)
         try:
             await event_received
         finally:
             self._waiting.discard(event_received)
+            self._silenced.discard(event_received)
             unsubscribe()
-            if timer.active():
-                timer.cancel()
+            for timer in timers:
+                if timer.active():
+                    timer.cancel()
         self._check_available()
         return self.engine.events_since(kinds, since)
 
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -446,8 +446,8 @@
         )
 
 
-class TestTwoInstances(EntryCase):
-    """Two instances with streams to each other."""
+class TwoInstancesCase(EntryCase):
+    """Base class of tests with two instances with streams to each other."""
 
     server_count = 1
 
@@ -462,6 +462,15 @@
             )
         )
 
+    def serving_counts(self):
+        """Return how many serving instances each instance knows."""
+        now = reactor.seconds()
+        return [len(d._streams.membership.serving(now)) for d in self.daemons]
+
+
+class TestTwoInstances(TwoInstancesCase):
+    """Two instances with streams to each other."""
+
     async def test_slots_are_shared_by_both_instances(self):
         """Two instances together start no more requests at once than a server has slots."""
         await self.join()
--- a/tests/test_receiver_errors.py
+++ b/tests/test_receiver_errors.py
@@ -159,7 +159,7 @@
             follower.start()
         self.run(3.0)
 
-    def on_change(self, name):
+    def handle_change(self, name):
         """Raise an error at OTHER while there are failures left."""
         if name == OTHER and self.failures:
             self.failures -= 1
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -134,12 +134,12 @@
             self.known[name],
             self.orders[name],
             random.Random(1),
-            lambda: self.on_change(name),
+            lambda: self.handle_change(name),
             store_sync.FeedPeers(name, lambda: [OTHER], lambda: [OTHER], send),
         )
 
-    def on_change(self, name):
-        """Do nothing after a change of the catalog or the orders of an instance."""
+    def handle_change(self, name):
+        """Receive the call that an instance makes after each change; does nothing here."""
 
     def run(self, seconds):
         """Simulate some seconds."""
