--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -160,12 +160,12 @@
         status = {"State": state, "SeqNo": 1, "ColdRemaining": cold}
         self.store.put("servers", name, {"Address": address, "Info": info}, status)
 
-    async def start_instance(self, name, seeds=()):
-        """Start an instance on free ports."""
+    def settings_of(self, name, seeds=()):
+        """Return the text of the settings of a new instance on free ports."""
         keys = ("http", "readiness", "directory", "peers", "metrics", "operators")
         numbers = unused_ports.find("127.0.0.1", len(keys))
         self.instance_ports[name] = dict(zip(keys, numbers, strict=True))
-        text = SETTINGS.format(
+        return SETTINGS.format(
             name=name,
             store=self.store_port.getHost().port,
             seeds=", ".join(
@@ -175,6 +175,10 @@
             reader_hash=hashlib.sha256(b"reader").hexdigest(),
             **self.instance_ports[name],
         )
+
+    async def start_instance(self, name, seeds=()):
+        """Start an instance on free ports."""
+        text = self.settings_of(name, seeds)
         daemon = entry_daemon.EntryDaemon(entry_settings.loads(text), reactor, random.Random(1))
         await daemon.start()
         return daemon
