Reproduce servers that a source's late events bring back

A subscriber that had followed the store itself used a draining server again: handle_message takes events that begin before its position and applies all of them, also those older than its own objects.

--- a/tests/test_frozen_instance.py
+++ b/tests/test_frozen_instance.py
@@ -1,5 +1,7 @@
 """One error, or one lost answer, froze a part of an instance that went on to serve."""
 
+import json
+
 import pytest
 from twisted.internet import reactor, task
 
@@ -7,6 +9,7 @@
 import test_restored_store
 import test_store_feed
 from carobhook.platform import names
+from carobhook.protocol import feed_messages
 
 OWN, OTHER = test_store_feed.OWN, test_store_feed.OTHER
 CONFIG_PROPAGATION_S = 2.5
@@ -78,6 +81,27 @@
         assert self.known[instance].config.version == 4
 
 
+class TestSourceBehind(test_restored_store.RestoredStoreCase):
+    """A source knows less than its subscriber, which followed the store itself meanwhile."""
+
+    def test_older_events_do_not_bring_a_server_back(self):
+        """Events of the source that are older than the subscriber's own change nothing."""
+        self.put(names.SERVERS_KIND, "s1", test_restored_store.server("s1", sequence=2))
+        older = self.engine.get(names.SERVERS_KIND, "s1", self.clock.seconds())
+        draining = test_restored_store.server("s1", "draining", 3)
+        self.put(names.SERVERS_KIND, "s1", draining)
+        self.run(1.0)
+        assert self.usable(OWN) == []
+        item = feed_messages.FeedObject("s1", older.version, json.dumps(older.value).encode())
+        self.sync_by_name[OWN].handle_message(
+            OTHER,
+            feed_messages.FeedEvents(
+                names.SERVERS_KIND, older.version - 1, older.version, (item,), self.engine.era
+            ),
+        )
+        assert self.usable(OWN) == []
+
+
 def raise_once(call):
     """Return a function that raises an error once when called, and then does as ``call``."""
     errors = [_ReceiverError("once")]
