--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -97,6 +97,10 @@
         "dispatcher-changed",
         "Another instance gives out the slots of a service in a region from now on.",
     )
+    GRANTS_MOVED = EventInfo(
+        "grants-moved",
+        "Requests run in other regions than 2 s before; with free slots and slowness.",
+    )
     SLOTS_LENT = EventInfo(
         "slots-lent", "The slots that a region lends to others have changed; slots/demand."
     )
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -1,5 +1,6 @@
 """Runs the dispatchers of the shards that this instance owns."""
 
+import collections
 import typing
 from collections.abc import Callable, Collection, Iterable, Mapping
 
@@ -33,6 +34,10 @@
 # otherwise it would grant slots that are in use. It waits at most this long, because instances
 # that it can't reach do not report.
 _TAKEOVER_WAIT_S = 0.25
+# The regions in which a shard's requests run are compared between windows of this length.
+_GRANT_WINDOW_S = 2.0
+# A change is logged if it concerns at least this share of the grants of a window.
+_LOGGED_SHIFT = 0.15
 
 
 @attrs.frozen
@@ -75,6 +80,9 @@
         withheld: Slots of each server that orders withhold.
         recalled: Recalled slots that their borrowers may still be using.
         limits: Limits that servers named, as far as this dispatcher was told.
+        grants: Grants in this window by region of the server.
+        last_grants: Grants in the window before.
+        window_started_at: Monotonic time in seconds at which this window began.
     """
 
     dispatcher: dispatcher.Dispatcher
@@ -91,6 +99,9 @@
     withheld: Mapping[ids.Server, int] = attrs.field(factory=dict)
     recalled: slot_loans.RecalledSlots = attrs.field(factory=slot_loans.RecalledSlots)
     limits: server_limits.ServerLimits = attrs.field(factory=server_limits.ServerLimits)
+    grants: collections.Counter[ids.Region] = attrs.field(factory=collections.Counter)
+    last_grants: collections.Counter[ids.Region] = attrs.field(factory=collections.Counter)
+    window_started_at: float = 0.0
 
     def recent_reports(self, now: float) -> dict[ids.Region, slot_messages.RegionReport]:
         """Return the reports of other regions that are not too old."""
@@ -343,6 +354,9 @@
             requester = state.requesters.pop(decision.ask_id, self._own)
             if isinstance(decision, allocation.SlotGrant):
                 state.granted[decision.ask_id] = (requester, decision.server)
+                pooled = state.dispatcher.pool.get(decision.server)
+                if pooled is not None:
+                    state.grants[pooled.region] += 1
                 message: typing.Any = slot_messages.SlotGranted(decision)
             else:
                 message = slot_messages.SlotRefused(
@@ -513,6 +527,7 @@
             now: Monotonic time in seconds.
         """
         for shard, state in list(self._shards.items()):
+            _log_moved_grants(shard, state, now)
             if self._owner_of(shard) == self._own:
                 self._update_loans(shard, state, elapsed_s, now)
             self._update_pool(shard, state)
@@ -651,3 +666,35 @@
         lent=[f"{to}:{sum(lent[to].values())}" for to in lent],
         loads=[f"{name}:{load.slots:g}/{load.demand or 0:.1f}" for name, load in loads.items()],
     )
+
+
+def _log_moved_grants(shard: Shard, state: _ShardState, now: float) -> None:
+    """Log a change of the regions in which requests run, with the reasons to choose them."""
+    if now - state.window_started_at < _GRANT_WINDOW_S:
+        return
+    before, grants = state.last_grants, state.grants
+    state.last_grants, state.grants = grants, collections.Counter()
+    state.window_started_at = now
+    if not before or not grants:
+        return
+    moved = sum(
+        abs(before[region] / before.total() - grants[region] / grants.total())
+        for region in {*before, *grants}
+    )
+    if moved / 2 <= _LOGGED_SHIFT:
+        return
+    slowness = collections.defaultdict(list)
+    free: collections.Counter[ids.Region] = collections.Counter()
+    for pooled in state.dispatcher.pool.servers:
+        slowness[pooled.region].append(pooled.slowness(now))
+        free[pooled.region] += pooled.free_slots(now)
+    logs.event(
+        "grants-moved",
+        region=shard[0],
+        service=shard[1],
+        before=dict(before),
+        now=dict(grants),
+        free=dict(free),
+        slowness={name: round(sum(all_) / len(all_), 2) for name, all_ in slowness.items()},
+        demand=state.demand,
+    )
