Add tests that fail: calm traffic changes its region

Loans before demand, slowness from assumed work times, noise in the choice, slow recalls and slots that two dispatchers grant.

--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -88,6 +88,13 @@
         dispatcher_.register_running(make_request(1), ids.Server("a"), 0.0)
         assert dispatcher_.submit(make_request(2), 0.0) == []
 
+    def test_request_counts_after_its_loan_ended(self):
+        """The lender learns of a borrowed slot that is still in use from the borrower only."""
+        dispatcher_ = make_dispatcher(offer("a", region=FAR))
+        dispatcher_.submit(make_request(1), 0.0)
+        dispatcher_.pool.replace([], 1.0)
+        assert dispatcher_.pool.running == 1
+
     def test_request_without_usable_server_is_refused_at_once(self):
         """A request that no server may run is refused, not queued."""
         decisions = make_dispatcher().submit(make_request(1), 0.0)
@@ -203,6 +210,49 @@
         assert max_per_s <= 5 + 2 + 1
 
 
+class TestSlowness:
+    """What says that a server is slow."""
+
+    def end(self, dispatcher_, number, server, now):
+        """Release the slot of a request that was answered."""
+        dispatcher_.release_slot(
+            ids.RequestId(f"r{number}"), server, allocation.AttemptOutcome.ANSWERED, now
+        )
+
+    def test_assumed_work_time_says_nothing(self):
+        """Requests of 2 s, granted before any end, don't make equal servers look slow."""
+        dispatcher_ = make_dispatcher(*[offer(f"s{n}") for n in range(4)])
+        grants = [dispatcher_.submit(make_request(n, target_s=4.0), 0.0)[0] for n in range(8)]
+        for number, grant in enumerate(grants):
+            self.end(dispatcher_, number, grant.server, 2.0)
+        assert [s.slowness(2.0) for s in dispatcher_.pool.servers] == [1.0] * 4
+
+    def test_request_taken_over_says_nothing(self):
+        """It began before this dispatcher, so the time since then isn't its work time."""
+        dispatcher_ = make_dispatcher(*[offer(f"s{n}") for n in range(4)])
+        for number in range(8):
+            server = ids.Server(f"s{number % 4}")
+            dispatcher_.register_running(make_request(number), server, 0.0)
+        for number in range(8):
+            now = 0.25 * (number + 1)
+            self.end(dispatcher_, number, ids.Server(f"s{number % 4}"), now)
+        assert [s.slowness(2.0) for s in dispatcher_.pool.servers] == [1.0] * 4
+
+    def test_noise_sends_no_request_to_another_region(self):
+        """A free server at home that was 3 % slower is preferred to an untested one."""
+        dispatcher_ = make_dispatcher(offer("home"), offer("far", region=FAR))
+        server = ids.Server("home")
+        for number, work_s in enumerate([1.0, 1.12]):
+            now = 10.0 * number
+            request = make_request(number, now=now, target_s=4.0, avoided={ids.Server("far")})
+            dispatcher_.submit(request, now)
+            self.end(dispatcher_, number, server, now + work_s)
+        domain = ids.FailureDomain(f"{HOME}-a")
+        assert 1.0 < dispatcher_.pool.get(server).slowness(11.2) < 1.05
+        request = make_request(9, now=11.2, target_s=4.0, domain=domain)
+        assert dispatcher_.submit(request, 11.2)[0].server == server
+
+
 class TestObjectAffinity:
     """Servers work faster on objects that they handled recently."""
 
--- a/tests/test_slot_loans.py
+++ b/tests/test_slot_loans.py
@@ -48,6 +48,11 @@
                 slots_after_loans[borrower] += count
         assert max(slots_after_loans.values()) - min(slots_after_loans.values()) < 1.0
 
+    def test_region_without_demand_borrows_nothing(self):
+        """A region that has slots needs no more of them before its first request."""
+        loads = {A: load(20, None), B: load(80, None), C: load(100, None)}
+        assert [slot_loans.target_loans(lender, loads) for lender in loads] == [{}, {}, {}]
+
     @hypothesis.given(LOADS)
     def test_loans_do_not_exceed_the_lenders_slots(self, loads):
         """A region never lends more slots than it has, nor to itself."""
