Use a clock that is never set for all times that decide

What callers saw: requests held past their timeout, refused by an old configuration (CONFIG), run outside their homes (HOME). Cause: the reactor's clock is the time of day. A step back gave negative work times; a busy server had a wait of 0 or less, counted as free and was granted beyond its slots; the error ended watches, loops and peer streams. Timers stood still for the step. Change: the reactor uses CLOCK_BOOTTIME (monotonic, counts suspended time), set before the first timer; whether a server is free is a field of its own and not read from its wait; an elapsed time is never negative.

--- a/src/carobhook/cli/reactor_runner.py
+++ b/src/carobhook/cli/reactor_runner.py
@@ -10,6 +10,7 @@
 from carobhook import events, logs
 from carobhook.cli import exits
 from carobhook.state import codes
+from carobhook.transport import steady_clock
 
 AsyncCallback = Callable[[], Coroutine[Any, Any, Any]]
 
@@ -32,6 +33,7 @@
         typer.Exit: The start failed, and one line with the reason was printed.
     """
     logs.forward_twisted_logs()
+    steady_clock.install(reactor)
     run = _ReactorRun(reactor, start, stop)
     reactor.callWhenRunning(run.handle_startup)
     reactor.addSystemEventTrigger("before", "shutdown", run.handle_shutdown)
--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -53,9 +53,18 @@
 
 @attrs.frozen
 class _Candidate:
-    """A server that could run a request, with its expected times and its cost in seconds."""
+    """A server that could run a request, with its expected times and its cost in seconds.
+
+    Attributes:
+        server: The server.
+        is_free: Whether it can start the request now.
+        wait_s: Expected time until it can, 0 if it is free.
+        work_s: Expected work time.
+        cost: Cost of the choice.
+    """
 
     server: server_pool.PooledServer
+    is_free: bool
     wait_s: float
     work_s: float
     cost: float
@@ -166,7 +175,7 @@
         if pooled is not None and run is not None:
             has_samples = self._times.has_samples(run.route, run.depth)
             if outcome is allocation.AttemptOutcome.ANSWERED:
-                elapsed_s = now - run.started_at
+                elapsed_s = max(0.0, now - run.started_at)
                 self._times.observe(run.route, run.depth, elapsed_s / pooled.slowness(now))
             pooled.record_outcome(run, outcome, now, has_samples)
         if not self._queue or self.paused:
@@ -375,7 +384,7 @@
         if not candidates:
             return None
         best = min(candidates, key=lambda candidate: candidate.cost)
-        if best.wait_s <= 0:
+        if best.is_free:
             return best
         # The best server is busy. Wait for it if the response will still be in time; otherwise
         # use a free server. While there are no more free servers than queued requests, other
@@ -384,7 +393,7 @@
         if now + best.wait_s + best.work_s * high_ratio <= request.target_at:
             self._reserve(queued, best)
             return None
-        ready = [candidate for candidate in candidates if candidate.wait_s <= 0]
+        ready = [candidate for candidate in candidates if candidate.is_free]
         if len(free) <= len(self._queue):
             ready = [c for c in ready if now + c.work_s * high_ratio <= request.target_at]
         if not ready:
@@ -411,7 +420,6 @@
         work_s *= server.slowness(now)
         is_free = server.is_free(now)
         reserved_s = self._reserved_s.get(server.name, 0.0) / server.throughput_slots(work_s)
-        # A wait of 0 means that the server can start the request now, so a busy one has more.
         wait_s = 0.0 if is_free else max(0.005, server.next_free_s(now)) + reserved_s
         queue_ratio = min(1.0, len(self._queue) / max(1, self.pool.slots))
         weight = _SLOT_TIME_WEIGHT + queue_ratio * _QUEUE_SLOT_TIME_WEIGHT
@@ -419,7 +427,7 @@
         if request.domain is not None and server.view.entry.failure_domain != request.domain:
             penalty += _CROSS_DOMAIN_COST_S
         cost = wait_s + work_s * (1 + weight) + penalty
-        return _Candidate(server, wait_s, work_s, cost)
+        return _Candidate(server, is_free, wait_s, work_s, cost)
 
     def _health_penalty(self, server: server_pool.PooledServer, now: float) -> float:
         """Return the cost of slowness and failures, as a multiple of a request's work time."""
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -343,7 +343,7 @@
             return
         self._update_failure_share(1.0 if outcome is allocation.AttemptOutcome.FAILED else 0.0)
         if outcome is allocation.AttemptOutcome.ANSWERED and has_samples and run.expected_s > 0:
-            elapsed_s = now - run.started_at
+            elapsed_s = max(0.0, now - run.started_at)
             # The expected time includes the slowness at the grant. Multiplying by it compares
             # the elapsed time with the time that was expected without slowness.
             ratio = elapsed_s * run.slowness / run.expected_s
--- a/src/carobhook/entry.py
+++ b/src/carobhook/entry.py
@@ -14,7 +14,7 @@
 
 from carobhook import entry_settings, log_output, logs, settings
 from carobhook.state import codes
-from carobhook.transport import entry_daemon, settings_watch
+from carobhook.transport import entry_daemon, settings_watch, steady_clock
 
 SETTINGS_VARIABLE = "CAROBHOOK_SETTINGS"
 SETTINGS_INTERVAL_S = 2.0
@@ -105,6 +105,7 @@
     except settings.TlsFilesError as tls_error:
         sys.stderr.write(f"{path}: {tls_error}\n")
         sys.exit(EXIT_USAGE)
+    steady_clock.install(reactor)
     reactor.callWhenRunning(runner.start)
     reactor.addSystemEventTrigger("before", "shutdown", runner.stop)
     reactor.run()
