Let no error end a task that keeps an instance up to date

What callers saw: requests refused with 404 by an old configuration (CONFIG), run outside their homes (HOME), sent to leaving servers (DRAIN), on an instance that everything outside took for healthy. Cause: nobody owned the tasks that keep what an instance believes. An error in dispatching rose through on_change into the watch of the configuration, or out of the tick and the heartbeat, and ended it for the life of the process; the last errback only logged. Change: a Supervisor runs each part, logs and counts its failures (task-failed, carobhook_task_failures_total), and goes on. A watch that fails lists its objects anew; what it took down goes to subscribers before it is acted upon, and acting is repeated until it succeeds; an object that no decoder can read is malformed. A dispatcher that fails is replaced by a new one that asks all instances which slots they hold. An error in handling a message no longer ends the stream of a healthy peer.

--- a/src/carobhook/entry.py
+++ b/src/carobhook/entry.py
@@ -9,12 +9,12 @@
 import signal
 import sys
 
-from twisted.internet import defer, error, reactor, task
+from twisted.internet import defer, error, reactor
 from twisted.python import failure
 
 from carobhook import entry_settings, log_output, logs, settings
 from carobhook.state import codes
-from carobhook.transport import entry_daemon, settings_watch, steady_clock
+from carobhook.transport import entry_daemon, settings_watch, steady_clock, supervision
 
 SETTINGS_VARIABLE = "CAROBHOOK_SETTINGS"
 SETTINGS_INTERVAL_S = 2.0
@@ -51,8 +51,9 @@
         defer.ensureDeferred(self._daemon.start()).addErrback(self._handle_start_failure)
         # The reactor installs its own signal handlers when it starts, but none for SIGHUP.
         signal.signal(signal.SIGHUP, self._handle_sighup)
-        task.LoopingCall(self._watch.check).start(SETTINGS_INTERVAL_S, now=False)
-        task.LoopingCall(self._flush_output).start(OUTPUT_INTERVAL_S, now=False)
+        supervisor = supervision.Supervisor(reactor)
+        supervisor.start_loop("settings", self._watch.check, SETTINGS_INTERVAL_S, now=False)
+        supervisor.start_loop("log-output", self._flush_output, OUTPUT_INTERVAL_S, now=False)
 
     def stop(self) -> defer.Deferred:
         """Stop the daemon, unless its start failed.
--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -128,6 +128,12 @@
         (),
         "Slot requests in the queues of this instance's dispatchers.",
     )
+    TASK_FAILURES = MetricInfo(
+        "carobhook_task_failures_total",
+        Kind.COUNTER,
+        ("part",),
+        "Unexpected errors in parts of the instance, which went on or were started again.",
+    )
     LINES_OMITTED = MetricInfo(
         "carobhook_log_lines_omitted",
         Kind.GAUGE,
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -165,5 +165,13 @@
     LINES_OMITTED = EventInfo(
         "lines-omitted", "Lines were left out, as more came than the budget or reader bears."
     )
+    TASK_FAILED = EventInfo(
+        "task-failed",
+        "A part of the instance raised an error; it goes on or is started again. Report it.",
+    )
+    DISPATCHER_FAILED = EventInfo(
+        "dispatcher-failed",
+        "A dispatcher raised an error, and is replaced by a new one. Report it.",
+    )
     UNHANDLED_ERROR = EventInfo("unhandled-error", "An error that nothing expected; report it.")
     LIBRARY = EventInfo("library", "A warning of a library.")
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -26,6 +26,7 @@
     slot_allocator,
     sockets,
     store_sync,
+    supervision,
 )
 
 _HEARTBEAT_INTERVAL_S = 0.4
@@ -102,6 +103,7 @@
             reactor, settings.store.address, settings.store.timeout_s, (names.SERVERS_KIND,)
         )
         self._tls = _load_tls_contexts(settings)
+        self._supervisor = supervision.Supervisor(reactor, self._count_failure)
         self._streams = self._create_member_streams()
         self._store_sync = self._create_store_sync(rng or random.Random())
         self._allocator = self._create_slot_allocator()
@@ -128,7 +130,6 @@
         self._metrics_listener = self._create_listener(endpoints.handle_metrics)
         self._operator_api: typing.Any = None
         self._ports: list[typing.Any] = []
-        self._loops: list[task.LoopingCall] = []
 
     def _create_member_streams(self) -> member_streams.MemberStreams:
         place = self._settings.place
@@ -138,7 +139,9 @@
             peers.Identity(place.name, self._incarnation, key),
             self._own_member,
             member_streams.MembershipCallbacks(
-                self._handle_message, self._on_member_lost, self._on_members_change
+                self._supervisor.isolate("message", self._handle_message),
+                self._supervisor.isolate("member-lost", self._on_member_lost),
+                self._supervisor.isolate("members", self._on_members_change),
             ),
             self._tls.peers if self._tls is not None else None,
         )
@@ -157,6 +160,7 @@
                 self._region_relays,
                 self._streams.send,
             ),
+            self._supervisor,
         )
 
     def _create_slot_allocator(self) -> slot_allocator.SlotAllocator:
@@ -271,9 +275,9 @@
             self._listen(place.operators, self._create_operator_listener(), context)
         self._streams.start(place.peers, place.seeds)
         self._store_sync.start()
-        self._start_loop(self._heartbeat, _HEARTBEAT_INTERVAL_S)
-        self._start_loop(self._tick, _TICK_INTERVAL_S)
-        self._start_loop(self._close_idle, _CLOSE_IDLE_INTERVAL_S)
+        self._supervisor.start_loop("heartbeat", self._heartbeat, _HEARTBEAT_INTERVAL_S)
+        self._supervisor.start_loop("tick", self._tick, _TICK_INTERVAL_S)
+        self._supervisor.start_loop("close-idle", self._close_idle, _CLOSE_IDLE_INTERVAL_S)
         logs.event("instance-started", region=place.region, zone=place.failure_domain)
 
     def _listen(self, address: str, listener: typing.Any, context: typing.Any = None) -> None:
@@ -337,8 +341,8 @@
         logs.event("instance-leaving", requests=self._requests.in_flight)
         self._phase = members.Phase.LEAVING
         self._request_listener.closes_after_response = True
-        self._heartbeat()
-        self._allocator.update_owners()
+        self._supervisor.run("heartbeat", self._heartbeat)
+        self._supervisor.run("members", self._allocator.update_owners)
         self._request_listener.close_idle()
         # The grace period also passes while the machine is suspended. The reactor's clock stops
         # then, so it would end the period too late.
@@ -360,8 +364,7 @@
     async def _shut_down(self) -> None:
         began_at = self._clocks.boot()
         self._store_sync.stop()
-        for loop in self._loops:
-            loop.stop()
+        self._supervisor.stop()
         for port in self._ports:
             await defer.maybeDeferred(port.stopListening)
         await self._streams.stop()
@@ -377,13 +380,8 @@
         took_ms = round((self._clocks.boot() - began_at) * 1000, 1)
         logs.event("instance-stopped", requests=self._requests.in_flight, took_ms=took_ms)
 
-    def _start_loop(self, call: Callable[[], object], interval_s: float) -> None:
-        loop = task.LoopingCall(call)
-        loop.clock = self._reactor
-        loop.start(interval_s).addErrback(
-            lambda reason: logs.error("unhandled-error", trace=reason.getTraceback())
-        )
-        self._loops.append(loop)
+    def _count_failure(self, part: str) -> None:
+        self._metrics.count(entry_metrics.EntryMetric.TASK_FAILURES, part)
 
     # Messages to and from other instances.
 
@@ -452,12 +450,15 @@
 
     def _tick(self) -> None:
         self._loop_monitor.record_call(self._reactor.seconds())
-        self._store_sync.tick()
+        self._supervisor.run("store-sync", self._store_sync.tick)
+        self._supervisor.run("orders", self._advance_orders)
+        self._supervisor.run("slots", self._allocator.tick)
+
+    def _advance_orders(self) -> None:
         config = self._catalog.config
         services = tuple(config.services) if config is not None else ()
         if self._orders.advance(services, self._reactor.seconds(), self._clocks.wall()):
             self._allocator.update_servers()
-        self._allocator.tick()
 
     def _feed_candidates(self) -> list[ids.InstanceId]:
         serving = self._streams.membership.serving(self._reactor.seconds())
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -1,10 +1,12 @@
 """Runs the dispatchers of the shards that this instance owns."""
 
 import collections
+import math
 import typing
 from collections.abc import Callable, Collection, Iterable, Mapping
 
 import attrs
+from twisted.python import failure
 
 from carobhook import logs
 from carobhook.coordination import (
@@ -17,7 +19,7 @@
     steering,
 )
 from carobhook.protocol import slot_messages
-from carobhook.state import allocation, ids
+from carobhook.state import allocation, codes, ids
 from carobhook.transport import slot_client
 
 Shard = slot_client.Shard
@@ -38,6 +40,9 @@
 _GRANT_WINDOW_S = 2.0
 # A change is logged if it concerns at least this share of the grants of a window.
 _LOGGED_SHIFT = 0.15
+# A dispatcher that failed is replaced at most this often. Each replacement asks every instance
+# which slots it holds.
+_REPLACE_INTERVAL_S = 1.0
 
 
 @attrs.frozen
@@ -68,6 +73,7 @@
 
     Attributes:
         dispatcher: Decides on the slot requests of the shard.
+        shard: The shard.
         loans: Decides how many slots are lent to each other region.
         requesters: Instance that sent each undecided slot request.
         granted: Instance and server of each granted slot.
@@ -83,8 +89,11 @@
         grants: Grants in this window by region of the server.
         last_grants: Grants in the window before.
         window_started_at: Monotonic time in seconds at which this window began.
+        has_failed: Whether the dispatcher raised an error and is to be replaced.
+        replaced_at: Monotonic time in seconds at which it was replaced last.
     """
 
+    shard: Shard
     dispatcher: dispatcher.Dispatcher
     loans: slot_loans.LoanController
     requesters: dict[ids.RequestId, ids.InstanceId] = attrs.field(factory=dict)
@@ -102,6 +111,8 @@
     grants: collections.Counter[ids.Region] = attrs.field(factory=collections.Counter)
     last_grants: collections.Counter[ids.Region] = attrs.field(factory=collections.Counter)
     window_started_at: float = 0.0
+    has_failed: bool = False
+    replaced_at: float = -math.inf
 
     def recent_reports(self, now: float) -> dict[ids.Region, slot_messages.RegionReport]:
         """Return the reports of other regions that are not too old."""
@@ -191,7 +202,11 @@
         )
         state = self.get_or_create(shard)
         state.requesters[request.id] = sender
-        self._send_decisions(state, self._timed(state.dispatcher.submit, request, now))
+        decisions = self._run(state, state.dispatcher.submit, request, now)
+        if decisions is None:
+            # A request that fails its dispatcher would fail the next one too.
+            decisions = [allocation.SlotRefusal(request.id, codes.Code.NO_BACKEND, 1.0)]
+        self._send_decisions(state, decisions)
 
     def handle_withdrawal(self, message: slot_messages.SlotRequestWithdrawn) -> None:
         """Remove a slot request from the queue, or free its slot if it was granted one."""
@@ -204,15 +219,8 @@
         granted = state.granted.pop(message.id, None)
         if granted is not None:
             # The grant was still on its way, so the request was not sent to the server.
-            now = self._reactor.seconds()
-            decisions = self._timed(
-                state.dispatcher.release_slot,
-                message.id,
-                granted[1],
-                allocation.AttemptOutcome.CANCELLED,
-                now,
-            )
-            self._send_decisions(state, decisions)
+            outcome = allocation.AttemptOutcome.CANCELLED
+            self._release(state, message.id, granted[1], outcome, self._reactor.seconds())
 
     def handle_release(self, message: slot_messages.SlotReleased) -> None:
         """Free a slot, and send the decisions that this makes possible."""
@@ -225,10 +233,7 @@
             self._record_rate(
                 (message.region, message.service), state, message.server, message.rate, now
             )
-        decisions = self._timed(
-            state.dispatcher.release_slot, message.id, message.server, message.end, now
-        )
-        self._send_decisions(state, decisions)
+        self._release(state, message.id, message.server, message.end, now)
 
     def handle_limit_report(self, message: slot_messages.ServerLimitReport) -> None:
         """Apply a limit that a server of this region named in an answer to another region."""
@@ -328,24 +333,69 @@
                 )
             for request_id in granted_ids:
                 server = state.granted.pop(request_id)[1]
-                decisions = state.dispatcher.release_slot(
-                    request_id, server, allocation.AttemptOutcome.CANCELLED, now
-                )
-                self._send_decisions(state, decisions)
+                outcome = allocation.AttemptOutcome.CANCELLED
+                self._release(state, request_id, server, outcome, now)
             self._decide(state, now)
 
     def _decide(self, state: _ShardState, now: float) -> None:
-        state.dispatcher.paused = bool(state.unreported) and now < state.paused_until
-        self._send_decisions(state, self._timed(state.dispatcher.decide, now))
+        is_taking_over = bool(state.unreported) and now < state.paused_until
+        state.dispatcher.paused = state.has_failed or is_taking_over
+        self._send_decisions(state, self._run(state, state.dispatcher.decide, now) or [])
+
+    def _release(
+        self,
+        state: _ShardState,
+        request_id: ids.RequestId,
+        server: ids.Server,
+        outcome: allocation.AttemptOutcome,
+        now: float,
+    ) -> None:
+        """Free a slot, and send the decisions that this makes possible."""
+        release = state.dispatcher.release_slot
+        decisions = self._run(state, release, request_id, server, outcome, now)
+        self._send_decisions(state, decisions or [])
+
+    def _run(
+        self,
+        state: _ShardState,
+        decide: Callable[..., list[dispatcher.Decision]],
+        *args: typing.Any,
+    ) -> list[dispatcher.Decision] | None:
+        """Return the result of a dispatcher's method, and add the time that it took.
 
-    def _timed(
-        self, decide: Callable[..., list[dispatcher.Decision]], *args: typing.Any
-    ) -> list[dispatcher.Decision]:
-        """Return the result of a dispatcher's method, and add the time that it took."""
+        None is returned if the method raised. What the dispatcher holds may be inconsistent
+        then, so it grants nothing more, and `tick` replaces it.
+        """
         started_at = self._reactor.seconds()
-        decisions = decide(*args)
-        self._dispatch_s += self._reactor.seconds() - started_at
-        return decisions
+        try:
+            return decide(*args)
+        except Exception:
+            state.has_failed = state.dispatcher.paused = True
+            logs.error(
+                "dispatcher-failed",
+                region=state.shard[0],
+                service=state.shard[1],
+                trace=failure.Failure().getTraceback(),
+            )
+            return None
+        finally:
+            self._dispatch_s += self._reactor.seconds() - started_at
+
+    def _replace_failed(self, state: _ShardState, now: float) -> None:
+        """Replace a dispatcher that failed by a new one, which knows of no slots in use.
+
+        Instances send undecided requests again, and tell which slots they hold.
+        """
+        if not state.has_failed or now - state.replaced_at < _REPLACE_INTERVAL_S:
+            return
+        requesters, state.requesters = state.requesters, {}
+        state.granted.clear()
+        state.dispatcher = dispatcher.Dispatcher(state.dispatcher.retry_budget)
+        state.has_failed, state.replaced_at = False, now
+        self._update_pool(state.shard, state)
+        self._query_held_slots(state.shard, state)
+        for request_id, requester in requesters.items():
+            self._send(requester, slot_messages.NotDispatcher(request_id))
 
     def _send_decisions(
         self, state: _ShardState, decisions: Iterable[dispatcher.Decision]
@@ -382,7 +432,9 @@
             self._reactor.seconds(),
         )
         state = _ShardState(
-            dispatcher.Dispatcher(budget), slot_loans.LoanController(self._limits.loan_step)
+            shard,
+            dispatcher.Dispatcher(budget),
+            slot_loans.LoanController(self._limits.loan_step),
         )
         self._shards[shard] = state
         self._update_pool(shard, state)
@@ -418,6 +470,7 @@
     def tick(self, now: float) -> None:
         """Decide on the queued requests of all shards."""
         for state in list(self._shards.values()):
+            self._replace_failed(state, now)
             self._decide(state, now)
 
     def loads(self) -> list[slot_messages.ShardLoad]:
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -22,19 +22,20 @@
 from carobhook.platform import objects as platform_objects
 from carobhook.protocol import feed_messages
 from carobhook.state import ids, orders
+from carobhook.transport import supervision
 
 _RETRY_DELAYS = backoff.Backoff(first_s=0.2, cap_s=1.0)
-_WATCH_OPTIONS = object_watch.WatchOptions(wait_s=4.0, delays=_RETRY_DELAYS, batch_delay_s=0.2)
 # A watch call returns without a change when its wait ends, and is then repeated. Orders change
 # rarely, so a longer wait saves calls, each of which has a cost.
-_ORDERS_WATCH_OPTIONS = object_watch.WatchOptions(
-    wait_s=15.0, delays=_RETRY_DELAYS, batch_delay_s=0.2
-)
+_WAIT_S_BY_KIND = {
+    names.CONFIG_KIND: 4.0,
+    names.SERVERS_KIND: 4.0,
+    names.EVACUATIONS_KIND: 4.0,
+    orders.STORE_KIND: 15.0,
+}
 _WATCH_OPTIONS_BY_KIND = {
-    names.CONFIG_KIND: _WATCH_OPTIONS,
-    names.SERVERS_KIND: _WATCH_OPTIONS,
-    names.EVACUATIONS_KIND: _WATCH_OPTIONS,
-    orders.STORE_KIND: _ORDERS_WATCH_OPTIONS,
+    kind: object_watch.WatchOptions(wait_s=wait_s, delays=_RETRY_DELAYS, batch_delay_s=0.2)
+    for kind, wait_s in _WAIT_S_BY_KIND.items()
 }
 _NO_POSITION = objects.Position(0, 0)
 _T = typing.TypeVar("_T")
@@ -48,6 +49,8 @@
 _RESTORE_WAIT_S = 0.2
 _FOLLOWER_RESTORE_WAIT_S = 1.5
 _PROBE_TIMEOUT_S = 0.5
+# A watch that failed for a reason other than the store lists its objects anew after a delay.
+_RESTART_DELAYS = backoff.Backoff(first_s=0.2, cap_s=5.0)
 
 
 @attrs.frozen
@@ -79,8 +82,10 @@
         server_catalog: Catalog to update.
         order_steering: Steering that gets the operators' orders.
         rng: Source of the jitter of delays.
-        on_change: Called after each update of the catalog or the orders.
+        on_change: Called after each update of the catalog or the orders; called again if it
+            raises.
         peers: Access to the other instances.
+        supervisor: Runs the calls whose failure must not end a watch.
     """
 
     def __init__(
@@ -92,6 +97,7 @@
         rng: random.Random,
         on_change: Callable[[], object],
         peers: FeedPeers,
+        supervisor: supervision.Supervisor,
     ) -> None:
         self._reactor = reactor
         self._store = platform_store
@@ -100,11 +106,17 @@
         self._rng = rng
         self._on_change = on_change
         self._peers = peers
+        self._supervisor = supervisor
         self._objects: dict[str, dict[str, feed_messages.FeedObject]] = {}
         self._positions: dict[str, objects.Position] = {}
         self._evacuations = evacuations.Evacuations()
         self._config_item: feed_messages.FeedObject | None = None
         self._watchers: dict[str, object_watch.ObjectWatcher] = {}
+        # Number of failures of each kind's watch in a row, and the monotonic time in seconds at
+        # which a failed one is started again.
+        self._watch_failures: dict[str, int] = {}
+        self._restart_at: dict[str, float] = {}
+        self._has_unhandled_change = False
         self._source_selector = store_feed.SourceSelector(peers.own)
         self._subscribers = store_feed.Subscribers()
         self._running_probe: defer.Deferred | None = None
@@ -154,12 +166,18 @@
             logs.event("store-followed-by", instance=decision.source)
             self._stop_watching()
         if self._watchers:
+            self._restart_failed_watches(now)
             self._probe(now)
-            if store_feed.has_recent_answer(self._store.answered_at, now):
-                self._send_progress(now)
+            self._send_progress(now)
+        if self._has_unhandled_change:
+            self._notify_change()
 
     def _send_progress(self, now: float) -> None:
-        """Send progress messages, unless some objects were not read in this era yet."""
+        """Send progress messages, if the objects of every kind are known to be up to date."""
+        if not store_feed.has_recent_answer(self._store.answered_at, now):
+            return
+        if not self.is_complete:
+            return
         if any(position.era != self._era for position in self._positions.values()):
             return
         revisions = tuple(sorted(self._revisions().items()))
@@ -216,10 +234,31 @@
         elif isinstance(message, feed_messages.FeedSnapshot):
             position = objects.Position(message.era, message.revision)
             if position >= self._positions.get(message.kind, _NO_POSITION):
-                self._apply_snapshot(message.kind, position, message.items)
+                self._apply_message(self._apply_snapshot, message.kind, position, message.items)
         elif self._has_reached(message.kind, message.era, message.since):
             position = objects.Position(message.era, message.revision)
-            self._apply_changes(message.kind, position, message.items)
+            self._apply_message(self._apply_changes, message.kind, position, message.items)
+
+    def _apply_message(
+        self,
+        apply: Callable[..., object],
+        kind: str,
+        position: objects.Position,
+        items: Iterable[feed_messages.FeedObject],
+    ) -> None:
+        """Apply objects of a feed; if that fails, forget their kind, to receive it anew."""
+        if not self._supervisor.run("feed", apply, kind, position, items):
+            self._forget(kind)
+        self._notify_change()
+
+    def _forget(self, kind: str) -> None:
+        """Forget up to where the objects of a kind were received; what is in force stays."""
+        self._positions.pop(kind, None)
+        self._objects.pop(kind, None)
+
+    def _notify_change(self) -> None:
+        """Report a change of the catalog or the orders; a report that fails is repeated."""
+        self._has_unhandled_change = not self._supervisor.run("store-change", self._on_change)
 
     def _has_reached(self, kind: str, era: int, revision: int) -> bool:
         """Return whether this instance has all changes up to a revision of an era."""
@@ -246,6 +285,7 @@
 
     def _watch(self, kind: str) -> None:
         """Start to watch a kind where this instance has got to, unless the era has ended."""
+        self._restart_at.pop(kind, None)
         position = self._positions.get(kind)
         watcher = self._watchers[kind] = object_watch.ObjectWatcher(
             self._store,
@@ -256,9 +296,32 @@
             options=_WATCH_OPTIONS_BY_KIND[kind],
             resume_at=position if position is not None and position.era == self._era else None,
         )
-        watcher.start().addErrback(_log_failure)
+        watcher.start().addErrback(lambda reason: self._watch_failed(kind, watcher, reason))
+
+    def _watch_failed(
+        self, kind: str, watcher: object_watch.ObjectWatcher, reason: typing.Any
+    ) -> None:
+        """Schedule the next start of a watch that ended because its objects were not applied.
+
+        It lists them anew, as it is not known how many of them were applied.
+        """
+        self._supervisor.record(f"watch-{kind}", reason)
+        self._forget(kind)
+        if self._watchers.get(kind) is not watcher:
+            return
+        failures = self._watch_failures.get(kind, 0)
+        self._watch_failures[kind] = failures + 1
+        self._restart_at[kind] = self._reactor.seconds() + _RESTART_DELAYS.delay_s(
+            failures, self._rng
+        )
+
+    def _restart_failed_watches(self, now: float) -> None:
+        for kind, restart_at in list(self._restart_at.items()):
+            if now >= restart_at:
+                self._watch(kind)
 
     def _stop_watching(self) -> None:
+        self._restart_at.clear()
         watchers, self._watchers = self._watchers, {}
         for watcher in watchers.values():
             watcher.stop()
@@ -318,8 +381,10 @@
             feed_message = feed_messages.FeedEvents(
                 kind, since, update.revision, items, update.era
             )
+        self._watch_failures.pop(kind, None)
         for name in self._subscribers.names:
             self._peers.send(name, feed_message)
+        self._notify_change()
 
     # Updates of the catalog and the orders.
 
@@ -353,7 +418,6 @@
             self._catalog.retain(frozenset(ids.Server(name) for name in current), now)
         changed = [item for item in current.values() if item != previous.get(item.name)]
         self._apply(kind, changed, now, is_older_copy)
-        self._on_change()
 
     def _apply_changes(
         self,
@@ -369,7 +433,6 @@
                 current[item.name] = item
         self._positions[kind] = max(position, self._positions.get(kind, _NO_POSITION))
         self._apply(kind, items, self._reactor.seconds())
-        self._on_change()
 
     def _apply(
         self,
@@ -403,7 +466,6 @@
             f"{names.CONFIG_KIND}/{item.name}",
             item.value,
             platform_objects.decode_config,
-            platform_objects.MalformedObjectError,
         )
         if config is not None and self._catalog.replace_config_if_newer(config):
             self._config_item = item
@@ -429,7 +491,6 @@
             f"{orders.STORE_KIND}/{item.name}",
             item.value,
             order_codec.decode,
-            order_codec.MalformedOrdersError,
         )
         if order_state is not None and self._orders.replace_if_newer(order_state):
             logs.event("orders-in-force", version=order_state.version, revision=item.version)
@@ -505,7 +566,6 @@
             f"{names.SERVERS_KIND}/{item.name}",
             item.value,
             platform_objects.decode_server,
-            platform_objects.MalformedObjectError,
         )
         if entry is None:
             self._catalog.remove(name, now)
@@ -533,24 +593,21 @@
             self._evacuations.begin(zone)
 
 
-def _decode_or_warn(
-    name: str,
-    value: bytes,
-    decode: Callable[[typing.Any], _T],
-    malformed: type[Exception],
-) -> _T | None:
+def _decode_or_warn(name: str, value: bytes, decode: Callable[[typing.Any], _T]) -> _T | None:
     """Return an object's decoded value, or None for a malformed one, which logs a warning.
 
+    Any error counts as malformed: other programs write the objects, so no decoder can foresee
+    every value.
+
     Args:
         name: Kind and name of the object.
         value: Value of the object in JSON.
         decode: Decodes the value that the JSON parser returns.
-        malformed: Exception that ``decode`` raises for a malformed value.
     """
     try:
         return decode(json.loads(value))
-    except malformed as error:
-        logs.warning("object-malformed", object=name, error=error)
+    except Exception as error:
+        logs.warning("object-malformed", object=name, error=repr(error))
         return None
 
 
--- a/tests/test_receiver_errors.py
+++ b/tests/test_receiver_errors.py
@@ -10,7 +10,7 @@
 from carobhook import entry_settings
 from carobhook.coordination import catalog, steering
 from carobhook.platform import names
-from carobhook.transport import entry_daemon, store_sync
+from carobhook.transport import entry_daemon, store_sync, supervision
 
 OWN, OTHER = test_store_feed.OWN, test_store_feed.OTHER
 PROPAGATION_S = 2.5
@@ -74,6 +74,7 @@
             random.Random(1),
             self.on_change,
             store_sync.FeedPeers(OWN, lambda: [], lambda: [OWN], lambda to, message: True),
+            supervision.Supervisor(self.clock),
         )
         self.sync.start()
         self.run(3.0)
@@ -207,6 +208,6 @@
             if len(calls) == 3:
                 raise ValueError("list.remove(x): x not in list")
 
-        daemon._start_loop(call, 0.1)
+        daemon._supervisor.start_loop("call", call, 0.1)
         reactor.pump([0.1] * 10)
         assert len(calls) >= 10
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -8,7 +8,7 @@
 from carobhook.coordination import catalog, steering, store_feed
 from carobhook.platform import names
 from carobhook.state import ids
-from carobhook.transport import store_sync
+from carobhook.transport import store_sync, supervision
 
 OWN, OTHER, THIRD = ids.InstanceId("own"), ids.InstanceId("other"), ids.InstanceId("third")
 RELAYS = [OWN, OTHER]
@@ -136,6 +136,7 @@
             random.Random(1),
             lambda: self.handle_change(name),
             store_sync.FeedPeers(name, lambda: [OTHER], lambda: [OTHER], send),
+            supervision.Supervisor(self.clock),
         )
 
     def handle_change(self, name):
