Count an instance as up to date only as far as its watches have confirmed

What callers saw: a configuration or a drain in force too late, on an instance and all that follow it (CONFIG, DRAIN). Cause: any answer of the store, also that of a stale probe, was taken for the evidence that a watch had missed nothing. A watch whose answer is lost is noticed only when its wait has ended, after 4.9 s (orders: 15.9 s), while changes have to be in force after 2.5 s. Late events of a source brought back what its subscriber knew to be gone. Change: each watch records when it was answered last; progress messages need a recent answer of every watch. Waits are 1.4 s (configuration, servers), 3 s (evacuations) and 5 s (orders). Events that end before the own position are ignored. Evidence: test_frozen_instance::TestLostAnswer and TestSourceBehind failed before and pass now. Cost by calculation: about one call a second more for each instance that follows the store directly.

--- a/src/carobhook/coordination/object_watch.py
+++ b/src/carobhook/coordination/object_watch.py
@@ -111,8 +111,17 @@
         self._era = start.era
         self._listed_revisions: dict[str, int] = dict.fromkeys(self._kinds, start.revision)
         self._failures = 0
+        self._confirmed_at = clock.seconds()
         self._running: defer.Deferred[None] | None = None
 
+    @property
+    def confirmed_at(self) -> float:
+        """Return the monotonic time in seconds of the store's last answer, or of the creation.
+
+        At that time all changes up to `since` had been received.
+        """
+        return self._confirmed_at
+
     @property
     def since(self) -> int | None:
         """Return the revision up to which all changes were handled, or None if unknown."""
@@ -140,6 +149,7 @@
         while True:
             try:
                 await self._list_or_watch()
+                self._confirmed_at = self._clock.seconds()
                 self._failures = 0
             except objects.ExpiredError:
                 self._since = None
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -25,13 +25,14 @@
 from carobhook.transport import supervision
 
 _RETRY_DELAYS = backoff.Backoff(first_s=0.2, cap_s=1.0)
-# A watch call returns without a change when its wait ends, and is then repeated. Orders change
-# rarely, so a longer wait saves calls, each of which has a cost.
+# A watch call returns without a change when its wait ends, and is then repeated. If its answer
+# is lost, that is noticed only when the wait has ended, so the wait must be shorter than the
+# time within which a change has to be in force. A longer wait saves calls, which have a cost.
 _WAIT_S_BY_KIND = {
-    names.CONFIG_KIND: 4.0,
-    names.SERVERS_KIND: 4.0,
-    names.EVACUATIONS_KIND: 4.0,
-    orders.STORE_KIND: 15.0,
+    names.CONFIG_KIND: 1.4,
+    names.SERVERS_KIND: 1.4,
+    names.EVACUATIONS_KIND: 3.0,
+    orders.STORE_KIND: 5.0,
 }
 _WATCH_OPTIONS_BY_KIND = {
     kind: object_watch.WatchOptions(wait_s=wait_s, delays=_RETRY_DELAYS, batch_delay_s=0.2)
@@ -51,6 +52,9 @@
 _PROBE_TIMEOUT_S = 0.5
 # A watch that failed for a reason other than the store lists its objects anew after a delay.
 _RESTART_DELAYS = backoff.Backoff(first_s=0.2, cap_s=5.0)
+# A watch confirms its position with each answer. One that has confirmed none for this much
+# longer than a call may wait has stopped, or its call has lost its connection.
+_CONFIRMATION_MARGIN_S = 1.0
 
 
 @attrs.frozen
@@ -176,7 +180,7 @@
         """Send progress messages, if the objects of every kind are known to be up to date."""
         if not store_feed.has_recent_answer(self._store.answered_at, now):
             return
-        if not self.is_complete:
+        if not self.is_complete or not self._is_confirmed(now):
             return
         if any(position.era != self._era for position in self._positions.values()):
             return
@@ -184,6 +188,14 @@
         for name in self._subscribers.due(now):
             self._peers.send(name, feed_messages.FeedProgress(revisions, self._era))
 
+    def _is_confirmed(self, now: float) -> bool:
+        """Return whether the watch of each kind has confirmed its position lately."""
+        return all(
+            now - watcher.confirmed_at
+            <= _WATCH_OPTIONS_BY_KIND[kind].wait_s + _CONFIRMATION_MARGIN_S
+            for kind, watcher in self._watchers.items()
+        )
+
     def _revisions(self) -> dict[str, int]:
         return {kind: position.revision for kind, position in self._positions.items()}
 
@@ -212,8 +224,9 @@
         """Handle a message of the feed protocol.
 
         A request is ignored unless this instance watches the store and has all objects. A
-        snapshot is ignored if it is older than the objects of this instance. Events are ignored
-        if they begin after the revision of this instance, as changes in between would be lost.
+        snapshot is ignored if it is older than the objects of this instance, and so are events
+        that end before its revision. Events are also ignored if they begin after the revision
+        of this instance, as changes in between would be lost.
 
         Args:
             sender: Instance that sent it.
@@ -236,6 +249,8 @@
             if position >= self._positions.get(message.kind, _NO_POSITION):
                 self._apply_message(self._apply_snapshot, message.kind, position, message.items)
         elif self._has_reached(message.kind, message.era, message.since):
+            if self._has_reached(message.kind, message.era, message.revision):
+                return
             position = objects.Position(message.era, message.revision)
             self._apply_message(self._apply_changes, message.kind, position, message.items)
 
