Refuse what a stopping instance could not finish

What callers saw: a request that was read long after SIGTERM was sent to a server, cut, and ended without an answer (LOST). Cause: the stop knew when it would abort all requests, and told nobody. Admission, grants, attempts and retries knew only the times of route and client. What waited at the end was closed without an answer, requests were read while ports closed, and the reactor ended before aborted connections were closed. Change: after 2.3 s of a stop (0.45 of a shorter grace period), a request is accepted only if its own deadline comes before the abort; others get 503 (code 1055, not run, Retry-After 0.05 s) before a slot is asked. Before the abort, what waits is refused. Requests that run are ended through their flows, so they are neither marked nor retried; clients' connections are closed first, and awaited.

--- a/src/carobhook/state/codes.py
+++ b/src/carobhook/state/codes.py
@@ -76,6 +76,13 @@
         True,
         "The instance that gives out the slots did not answer.",
     )
+    INSTANCE_LEAVING = CodeInfo(
+        1055,
+        503,
+        RunStatus.NOT_RUN,
+        True,
+        "The instance stops, and might end before the request does.",
+    )
     NO_ROUTE = CodeInfo(1054, 404, RunStatus.NOT_RUN, False, "No route serves the request.")
     BACKEND_LOST = CodeInfo(
         1020,
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -1,5 +1,6 @@
 """Entry instance: creates and connects its parts, starts them and stops them."""
 
+import math
 import random
 import secrets
 import time
@@ -38,7 +39,15 @@
 # that looked up this instance just before still connect to it; their connections would be
 # refused if it closed its sockets at once.
 _MIN_STOP_S = entry_endpoints.DIRECTORY_TTL_S + 0.3
+# After this share of the grace period at the latest, it refuses requests that might not end
+# before it does; other instances can serve them.
+_ACCEPT_RATIO = 0.45
 _STOP_POLL_INTERVAL_S = 0.05
+# Requests that no server runs are refused this long before all others are aborted, so that the
+# responses are sent before the connections are closed.
+_REFUSE_WAITING_S = 0.2
+# A stop waits at most this long until the connections of clients are closed.
+_MAX_CLOSE_S = 0.3
 # Share of the grace period, at its end, that is kept for the exit. Requests are aborted when it
 # begins, so that the last responses can be sent and the process exits before it is killed.
 _GRACE_MARGIN_RATIO = 0.15
@@ -64,12 +73,9 @@
 
     Attributes:
         wall: Returns the time of day in seconds.
-        boot: Returns a monotonic time in seconds that also advances while the machine is
-            suspended.
     """
 
     wall: Callable[[], float] = time.time
-    boot: Callable[[], float] = lambda: time.clock_gettime(time.CLOCK_BOOTTIME)
 
 
 class EntryDaemon:
@@ -329,14 +335,16 @@
     async def stop(self) -> None:
         """Leave the deployment: finish the requests in progress, then close all sockets.
 
-        Connections are accepted for a minimum time even if no request is in progress. Requests
-        that still run shortly before the end of the grace period are aborted. Calls after the
-        first return at once.
+        Connections are accepted for a minimum time even if no request is in progress. From some
+        time on, requests that might not end in time are refused. Shortly before the end of the
+        grace period, requests that wait are refused, and those that run are aborted. Calls
+        after the first return at once.
         """
         if self._phase is members.Phase.LEAVING:
             return
-        started_at = self._clocks.boot()
-        deadline_at = started_at + self._settings.bounds.grace_s * (1 - _GRACE_MARGIN_RATIO)
+        grace_s = self._settings.bounds.grace_s
+        started_at = self._reactor.seconds()
+        deadline_at = started_at + grace_s * (1 - _GRACE_MARGIN_RATIO)
         earliest_end_at = started_at + _MIN_STOP_S
         logs.event("instance-leaving", requests=self._requests.in_flight)
         self._phase = members.Phase.LEAVING
@@ -344,40 +352,63 @@
         self._supervisor.run("heartbeat", self._heartbeat)
         self._supervisor.run("members", self._allocator.update_owners)
         self._request_listener.close_idle()
-        # The grace period also passes while the machine is suspended. The reactor's clock stops
-        # then, so it would end the period too late.
-        while (now := self._clocks.boot()) < deadline_at:
-            if now >= earliest_end_at:
-                if not self._requests.in_flight and not self._request_listener.open_connections:
-                    break
-                self._request_listener.close_idle()
-            await task.deferLater(self._reactor, _STOP_POLL_INTERVAL_S)
+        await self._wait_until(started_at + min(_MIN_STOP_S, grace_s * _ACCEPT_RATIO))
+        self._requests.limit_to(deadline_at)
+        await self._wait_until(deadline_at - _REFUSE_WAITING_S, earliest_end_at)
+        self._requests.refuse_waiting()
+        await self._wait_until(deadline_at, earliest_end_at)
         logs.event(
             "instance-closing",
             requests=self._requests.in_flight,
             queued=self._allocator.pending_count,
             connections=self._request_listener.open_connections,
-            late_ms=round((now - deadline_at) * 1000, 1),
+            late_ms=round((self._reactor.seconds() - deadline_at) * 1000, 1),
         )
         await self._shut_down()
 
+    async def _wait_until(self, end_at: float, idle_end_at: float = math.inf) -> None:
+        """Wait until a time, or until there are no requests and no connections.
+
+        Args:
+            end_at: Monotonic time in seconds.
+            idle_end_at: Monotonic time in seconds from which the wait ends as soon as there are
+                none; idle connections are closed from then on.
+        """
+        while (now := self._reactor.seconds()) < end_at:
+            if now >= idle_end_at:
+                if not self._requests.in_flight and not self._request_listener.open_connections:
+                    return
+                self._request_listener.close_idle()
+            await task.deferLater(self._reactor, _STOP_POLL_INTERVAL_S)
+
     async def _shut_down(self) -> None:
-        began_at = self._clocks.boot()
-        self._store_sync.stop()
-        self._supervisor.stop()
-        for port in self._ports:
-            await defer.maybeDeferred(port.stopListening)
-        await self._streams.stop()
-        for listener in (
+        """Close all sockets: first the clients', so that no request starts any more."""
+        began_at = self._reactor.seconds()
+        self._requests.refuse_waiting()
+        self._requests.abort()
+        listeners = (
             self._request_listener,
             self._readiness_listener,
             self._directory_listener,
             self._metrics_listener,
-        ):
+        )
+        for listener in listeners:
             listener.abort()
+        for port in self._ports:
+            await defer.maybeDeferred(port.stopListening)
+        # The reactor ends with this call. Connections that it has not closed by then stay open
+        # until the process ends.
+        while (
+            any(listener.open_connections for listener in listeners)
+            and self._reactor.seconds() - began_at < _MAX_CLOSE_S
+        ):
+            await task.deferLater(self._reactor, 0)
+        self._store_sync.stop()
+        self._supervisor.stop()
+        await self._streams.stop()
         self._servers.stop()
         self._store.stop()
-        took_ms = round((self._clocks.boot() - began_at) * 1000, 1)
+        took_ms = round((self._reactor.seconds() - began_at) * 1000, 1)
         logs.event("instance-stopped", requests=self._requests.in_flight, took_ms=took_ms)
 
     def _count_failure(self, part: str) -> None:
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -1,5 +1,6 @@
 """Handles the requests of clients: routes, runs or refuses them, and records the outcomes."""
 
+import math
 import secrets
 import typing
 from collections.abc import Callable
@@ -20,6 +21,8 @@
 
 # Time after which a client may repeat a quarantined request, sent as Retry-After.
 _QUARANTINE_RETRY_S = 10.0
+# A client that a stopping instance refuses can send its request to another one at once.
+_LEAVING_RETRY_S = 0.05
 
 Responder = Callable[[http1.Response], None]
 
@@ -75,6 +78,7 @@
         self._quarantine = poison.Quarantine(own)
         self._active_flows: set[request_flow.RequestFlow] = set()
         self._accepted_count = 0
+        self._ends_at = math.inf
 
     @property
     def in_flight(self) -> int:
@@ -104,6 +108,8 @@
         if call is not None:
             request = attrs.evolve(request, head=call.head)
             respond = _with_ok_headers(respond)
+        if not isinstance(decision, refusals.Refusal) and decision.deadline_at > self._ends_at:
+            decision = _leaving_refusal()
         if not isinstance(decision, refusals.Refusal) and self._is_quarantined(request):
             decision = refusals.Refusal(codes.Code.POISONED, retry_after_s=_QUARANTINE_RETRY_S)
         if isinstance(decision, refusals.Refusal):
@@ -121,6 +127,25 @@
         flow.start()
         return flow
 
+    def limit_to(self, ends_at: float) -> None:
+        """Refuse all further requests that might not end before this instance does.
+
+        Args:
+            ends_at: Monotonic time in seconds at which requests are aborted.
+        """
+        self._ends_at = ends_at
+
+    def refuse_waiting(self) -> None:
+        """Refuse all further requests, and those that no server runs."""
+        self._ends_at = -math.inf
+        for flow in list(self._active_flows):
+            flow.refuse_if_waiting(_leaving_refusal())
+
+    def abort(self) -> None:
+        """End all requests, as their connections are about to be closed."""
+        for flow in list(self._active_flows):
+            flow.abort()
+
     def apply_mark(self, message: slot_messages.RequestMarked) -> None:
         """Add another instance's mark of a request that broke a server's connection.
 
@@ -260,6 +285,10 @@
             self._context.broadcast(slot_messages.RequestCleared(fingerprint))
 
 
+def _leaving_refusal() -> refusals.Refusal:
+    return refusals.Refusal(codes.Code.INSTANCE_LEAVING, retry_after_s=_LEAVING_RETRY_S)
+
+
 def _with_ok_headers(respond: Responder) -> Responder:
     """Return a responder that adds the headers of the OK code to responses without a code.
 
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -230,6 +230,24 @@
                 self._end()
                 self._cancel()
 
+    def refuse_if_waiting(self, refusal: refusals.Refusal) -> None:
+        """Refuse the request if it waits for a slot, as this instance stops.
+
+        Args:
+            refusal: The refusal, unless an earlier attempt may have run the request.
+        """
+        if self._stage is not Stage.WAITING or self._responded:
+            return
+        self._refuse(attrs.evolve(refusal, may_have_run=self._may_have_run))
+        self._cancel()
+
+    def abort(self) -> None:
+        """End the request without an answer, as this instance ends; its server is told."""
+        self._responded = True
+        self._report_outcome(0, refusals.Refusal(codes.Code.INSTANCE_LEAVING, True))
+        self._end()
+        self._cancel()
+
     def _on_deadline(self) -> None:
         """Refuse the request at its deadline, and cancel it where that is safe.
 
