Judge a request by the configuration in force when its bytes leave

Cause: what was decided on arrival counted until the end of a request, and the last look at a server came before its connection opened. Change: each request for a slot is routed by the configuration in force, its times stay; whether a server may be used is asked with the connection in hand, right before the bytes leave.

--- a/src/carobhook/coordination/catalog.py
+++ b/src/carobhook/coordination/catalog.py
@@ -230,6 +230,11 @@
         for name in [name for name in (*self._servers, *self._doubtful) if name not in names]:
             self.remove(name, now)
 
+    def entry(self, name: ids.Server) -> servers.ServerEntry | None:
+        """Return the entry of a server, or None if it is not known."""
+        known = self._servers.get(name)
+        return known.entry if known is not None else None
+
     def is_usable(self, name: ids.Server) -> bool:
         """Return whether a server is known and may get requests."""
         known = self._servers.get(name)
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -11,7 +11,7 @@
 from carobhook.coordination import catalog, poison, refusals, request_routing, steering
 from carobhook.platform import requests
 from carobhook.protocol import client_api, http1, slot_messages
-from carobhook.state import codes, ids
+from carobhook.state import codes, ids, routing
 from carobhook.transport import (
     client_connections,
     request_flow,
@@ -179,10 +179,9 @@
         if call is not None:
             return self._router.route_call(config, call, request.received_at)
         head = request.head
-        path = head.target.partition(b"?")[0].decode("latin-1")
         time_left_s = requests.time_left_s(head)
         return self._router.route_request(
-            config, head.get("host") or "", path, time_left_s, request.received_at
+            config, head.get("host") or "", _path(head), time_left_s, request.received_at
         )
 
     def _accept(
@@ -221,10 +220,59 @@
             self._record_outcome,
             lambda: self._active_flows.discard(flow),
             self._mark_broken,
-            self._context.server_catalog.is_usable,
+            self._may_use,
+            self._reroute,
         )
         return flow
 
+    def _may_use(self, accepted: request_flow.AcceptedRequest, server: ids.Server) -> bool:
+        """Return whether a request may be sent to a server, by what is in force at present."""
+        known = self._context.server_catalog
+        entry = known.entry(server)
+        if entry is None or not known.is_usable(server):
+            return False
+        config = known.config
+        if config is None or config.version == accepted.config_version:
+            return True
+        route = self._current_route(accepted, config)
+        if route is None or not route.homes:
+            return True
+        return self._context.orders.regions.get(entry.failure_domain) in route.homes
+
+    def _current_route(
+        self, accepted: request_flow.AcceptedRequest, config: routing.RoutingConfig
+    ) -> routing.Route | None:
+        """Return the route that a configuration has for a request; None if it has none."""
+        if not accepted.route.host:
+            # The request named its service, so it has no route.
+            return None
+        head = accepted.request.head
+        return config.match(head.get("host") or "", _path(head))
+
+    def _reroute(self, accepted: request_flow.AcceptedRequest) -> request_flow.AcceptedRequest:
+        """Return a request as the configuration in force routes it.
+
+        Its times stay as they are. A request whose route is gone was accepted before that, and
+        is still served.
+        """
+        config = self._context.server_catalog.config
+        if config is None or config.version == accepted.config_version:
+            return accepted
+        if self._current_route(accepted, config) is None:
+            return accepted
+        decision = self._route(accepted.request, None)
+        if isinstance(decision, refusals.Refusal):
+            return accepted
+        return attrs.evolve(
+            accepted,
+            route=decision.route,
+            service=decision.service,
+            region=decision.region,
+            fallback=decision.fallback,
+            priority=decision.priority,
+            config_version=config.version,
+        )
+
     def _record_outcome(self, outcome: request_flow.RequestOutcome) -> None:
         """Record an outcome in metrics and log; clear the marks of an answered request."""
         accepted, refusal = outcome.accepted, outcome.refusal
@@ -285,6 +333,11 @@
             self._context.broadcast(slot_messages.RequestCleared(fingerprint))
 
 
+def _path(head: http1.RequestHead) -> str:
+    """Return the path of a request, without its query."""
+    return head.target.partition(b"?")[0].decode("latin-1")
+
+
 def _leaving_refusal() -> refusals.Refusal:
     return refusals.Refusal(codes.Code.INSTANCE_LEAVING, retry_after_s=_LEAVING_RETRY_S)
 
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -162,7 +162,9 @@
         on_finished: Called once when nothing more is done for the request.
         on_broken_connection: Called after each attempt in which the server's connection broke
             or its response was invalid.
-        is_usable: Returns whether a server may get requests, as far as this instance knows.
+        may_use: Returns whether a request may be sent to a server, by what is in force at the
+            time of the call.
+        reroute: Returns a request as the configuration in force routes it.
     """
 
     def __init__(
@@ -176,7 +178,8 @@
         on_outcome: Callable[[RequestOutcome], None],
         on_finished: Callable[[], None],
         on_broken_connection: Callable[[AcceptedRequest], None] = lambda accepted: None,
-        is_usable: Callable[[ids.Server], bool] = lambda server: True,
+        may_use: Callable[[AcceptedRequest, ids.Server], bool] = lambda accepted, server: True,
+        reroute: Callable[[AcceptedRequest], AcceptedRequest] = lambda accepted: accepted,
     ) -> None:
         self._reactor = reactor
         self._accepted = accepted
@@ -187,7 +190,8 @@
         self._on_outcome = on_outcome
         self._on_finished = on_finished
         self._on_broken_connection = on_broken_connection
-        self._is_usable = is_usable
+        self._may_use = may_use
+        self._reroute = reroute
         self._stage = Stage.WAITING
         self._region = accepted.region
         self._task: defer.Deferred | None = None
@@ -296,6 +300,7 @@
     async def _run(self) -> None:
         """Request slots and make attempts until the request has a response or a refusal."""
         while True:
+            self._apply_configuration()
             decision = await self._allocator.request_slot(self._slot_request(), self._region)
             if isinstance(decision, allocation.SlotRefusal):
                 if self._switch_to_fallback():
@@ -311,8 +316,9 @@
                 return
             if self._first_slot_at is None:
                 self._first_slot_at = self._reactor.seconds()
-            if not self._is_usable(decision.server):
-                # The dispatcher's information on the server can be older than this instance's.
+            if not self._may_use(self._accepted, decision.server):
+                # The dispatcher's information on the server can be older than this instance's,
+                # and a configuration may have come into force since the request was routed.
                 self._allocator.release_slot(
                     self._accepted.id, allocation.AttemptOutcome.CANCELLED
                 )
@@ -321,6 +327,13 @@
             if not await self._attempt(decision):
                 return
 
+    def _apply_configuration(self) -> None:
+        """Route the request anew if another configuration is in force than on its arrival."""
+        before = self._accepted
+        self._accepted = self._reroute(before)
+        if (self._accepted.service, self._accepted.region) != (before.service, before.region):
+            self._region = self._accepted.region
+
     def _switch_to_fallback(self) -> bool:
         """Switch to the fallback region; return whether there is one that was not asked yet.
 
@@ -367,7 +380,12 @@
         rate: allocation.RateStatement | None = None
         try:
             received = await self._servers.exchange(
-                grant.address, head, accepted.request.body, require_fresh, self._matches_attempt
+                grant.address,
+                head,
+                accepted.request.body,
+                require_fresh,
+                self._matches_attempt,
+                lambda: self._may_use(accepted, grant.server),
             )
             outcome = self._codec.attempt_outcome(received.response)
             rate = self._rate_statement(received.response, grant.server)
@@ -405,6 +423,9 @@
             reused=error.reused,
             error=error,
         )
+        if error.fault is server_connections.Fault.WITHDRAWN:
+            self._attempts -= 1
+            return allocation.AttemptOutcome.CANCELLED
         if error.fault is server_connections.Fault.CONNECT:
             # The request reached no server, so this attempt counts neither toward the limit
             # on attempts nor toward the retry budget.
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -41,17 +41,23 @@
     return True
 
 
+def _may_always_send() -> bool:
+    return True
+
+
 class Fault(enum.Enum):
     """How an exchange with a server failed.
 
-    CONNECT: No connection could be opened, so the request was not sent. After any other fault,
-        the request may have run.
+    CONNECT: No connection could be opened, so the request was not sent.
+    WITHDRAWN: When the connection was open, the request might not be sent to this server any
+        more, so it was not. After any other fault, the request may have run.
     RESET: The connection was closed before the head of a response arrived.
     GARBLED: The response is invalid or too large, or belongs to another request.
     CUT_SHORT: The connection was closed before the response was complete.
     """
 
     CONNECT = "connect"
+    WITHDRAWN = "withdrawn"
     RESET = "reset"
     GARBLED = "garbled"
     CUT_SHORT = "cut-short"
@@ -323,6 +329,7 @@
         body: bytes,
         require_fresh: bool,
         matches: ResponseMatcher = _match_any,
+        may_send: Callable[[], bool] = _may_always_send,
     ) -> ReceivedResponse:
         """Send a request to a server and return its complete response.
 
@@ -333,6 +340,8 @@
             require_fresh: Whether to use only a new connection or one that was idle only
                 briefly, as for a request that must not run twice.
             matches: Returns whether a response belongs to this request.
+            may_send: Returns whether the request may still be sent; called right before that,
+                as opening a connection takes time.
 
         Raises:
             ExchangeError: The exchange failed without a complete response.
@@ -340,10 +349,16 @@
                 is closed.
         """
         connection = self._pop_idle(address, require_fresh) or await self._connect(address)
+        if not may_send():
+            self._keep_idle(address, connection)
+            raise ExchangeError(Fault.WITHDRAWN, "not sent", False, False)
         received = await connection.exchange(head, body, matches)
+        self._keep_idle(address, connection)
+        return received
+
+    def _keep_idle(self, address: str, connection: _ServerConnection) -> None:
         if connection.is_reusable:
             self._idle.setdefault(address, collections.deque()).append(connection)
-        return received
 
     def close_idle(self, now: float) -> None:
         """Close the connections that were idle for too long to be reused.
