--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -128,7 +128,7 @@
             reactor,
             self._streams.membership,
             self._metrics,
-            lambda: self._phase is members.Phase.READY,
+            lambda: self._phase,
             lambda: self._settings.bounds.ttl_max_s,
         )
         self._readiness_listener = self._create_listener(endpoints.handle_readiness)
--- a/src/carobhook/transport/entry_endpoints.py
+++ b/src/carobhook/transport/entry_endpoints.py
@@ -7,6 +7,7 @@
 from carobhook.coordination import directory, membership
 from carobhook.platform import requests
 from carobhook.protocol import client_api, http1
+from carobhook.state import members
 from carobhook.transport import client_connections
 
 METRICS_PATH = b"/metrics"
@@ -25,7 +26,7 @@
         reactor: Source of time.
         known_members: Instances that this instance knows.
         metrics: Counters and histograms.
-        is_ready: Returns whether this instance accepts requests of clients.
+        phase: Returns the phase of this instance.
         ttl_max_s: Returns the configured upper limit, in seconds, on how long clients may cache
             a response to a directory lookup.
     """
@@ -35,13 +36,13 @@
         reactor: typing.Any,
         known_members: membership.Membership,
         metrics: entry_metrics.EntryMetrics,
-        is_ready: Callable[[], bool],
+        phase: Callable[[], members.Phase],
         ttl_max_s: Callable[[], float],
     ) -> None:
         self._reactor = reactor
         self._known_members = known_members
         self._metrics = metrics
-        self._is_ready = is_ready
+        self._phase = phase
         self._ttl_max_s = ttl_max_s
 
     def handle_metrics(
@@ -58,7 +59,8 @@
         self, request: client_connections.ClientRequest, respond: _Responder
     ) -> None:
         """Respond with status 200 if this instance accepts requests of clients, else 503."""
-        respond(client_connections.local_response(200 if self._is_ready() else 503))
+        is_ready = self._phase() is members.Phase.READY
+        respond(client_connections.local_response(200 if is_ready else 503))
 
     def handle_directory(
         self, request: client_connections.ClientRequest, respond: _Responder
@@ -85,6 +87,9 @@
     def _addresses(self, lookup: client_api.Lookup, client: str) -> list[str]:
         """Return the addresses of the instances that a client should use.
 
+        An instance that starts may have heard of no other in the client's region yet. It then
+        names none, so that the client asks another directory, which knows more.
+
         Args:
             lookup: The client's region and failure domain.
             client: Address of the client's host.
@@ -94,11 +99,13 @@
         nearest = directory.nearest(serving, lookup.region, lookup.failure_domain)
         chosen = directory.choose_weighted(nearest, client, now)
         if chosen and all(member.region != lookup.region for member in chosen):
+            if self._phase() is members.Phase.STARTING:
+                return []
             logs.event(
                 "lookup-outside-region",
                 region=lookup.region,
                 zone=lookup.failure_domain,
-                ready=self._is_ready(),
+                ready=self._phase() is members.Phase.READY,
                 serving=len(serving),
                 known=len(self._known_members.live(now)),
             )
--- a/tests/test_young_directory.py
+++ b/tests/test_young_directory.py
@@ -35,7 +35,7 @@
     known.record_heartbeat(member("s1", "south", members.Phase.READY), 0.0)
     metrics = entry_metrics.EntryMetrics(dict.fromkeys(entry_metrics.EntryMetric, float))
     endpoints = entry_endpoints.EntryEndpoints(
-        clock, known, metrics, lambda: phase is members.Phase.READY, lambda: 2.0
+        clock, known, metrics, lambda: phase, lambda: 2.0
     )
     responses = []
     head = http1.RequestHead(b"GET", LOOKUP, ())
