Lend for measured demand only, and recall at once what is not used

Cause: a demand that nobody had measured was taken for the need of an equal share of all slots, so a region with 189 slots was lent 541; and such a loan shrank by one or two slots an update, as if traffic moved with it. Change: a region with slots of its own borrows nothing before its demand is known, and a loan stays as it is while the demand is not known (a new dispatcher); slots that the borrower does not use are recalled at once.

--- a/src/carobhook/coordination/slot_loans.py
+++ b/src/carobhook/coordination/slot_loans.py
@@ -70,9 +70,13 @@
 
 
 def _needed_slots(load: RegionLoad, equal_share: float) -> float:
-    """Return the slots that a region needs; an equal share of all before its first request."""
+    """Return the slots that a region needs.
+
+    Before its first request that is not known. A region with slots of its own keeps up to an
+    equal share of all and borrows nothing until then. One without needs slots for that request.
+    """
     if load.demand is None:
-        return equal_share
+        return min(load.slots, equal_share) if load.slots > 0 else equal_share
     return load.demand / _TARGET_UTILIZATION + _EXTRA_SLOTS
 
 
@@ -84,7 +88,8 @@
 
     Attributes:
         step: Largest change of the loan to one region per update, as a share of the borrower's
-            demand. A change of one slot is always allowed.
+            demand. A change of one slot is always allowed, and slots that the borrower does not
+            use are recalled at once, because no load shifts with them.
     """
 
     step: float
@@ -96,31 +101,36 @@
         return self._lent
 
     def update(
-        self, targets: Mapping[ids.Region, float], loads: Mapping[ids.Region, RegionLoad]
+        self,
+        targets: Mapping[ids.Region, float],
+        loads: Mapping[ids.Region, RegionLoad],
+        used: Mapping[ids.Region, int] | None = None,
     ) -> None:
         """Move each loan one step toward its target.
 
-        Before a borrower's first request its loan is set to the target at once, because no
-        load shifts with it.
+        While a borrower's demand is not known its loan stays as it is. A region without slots
+        of its own gets its first loan at once, because no load shifts with it.
 
         Args:
             targets: Result of `target_loans`.
             loads: Loads of the regions with a recent report. A loan to any other region ends.
+            used: Slots of its loan that each region uses; all of them if it is not given.
         """
+        used = used or {}
         updated: dict[ids.Region, int] = {}
         for region in {*targets, *self._lent} & set(loads):
             current = self._lent.get(region, 0)
             target = targets.get(region, 0.0)
             demand = loads[region].demand
             if demand is None:
-                updated[region] = round(target)
+                updated[region] = current if loads[region].slots > 0 else round(target)
                 continue
             if abs(target - current) <= _HYSTERESIS_SLOTS:
                 updated[region] = current
                 continue
             max_step = max(1, round(self.step * demand))
-            change = round(target) - current
-            updated[region] = current + max(-max_step, min(max_step, change))
+            lowest = min(current - max_step, used.get(region, current))
+            updated[region] = max(lowest, min(current + max_step, round(target)))
         self._lent = {region: count for region, count in updated.items() if count > 0}
 
 
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -596,7 +596,11 @@
             for other, report in state.recent_reports(now).items()
         }
         region_loads[region] = _region_load(region, state, now)
-        state.loans.update(slot_loans.target_loans(region, region_loads), region_loads)
+        used = {
+            other: sum(count for _, count in report.used)
+            for other, report in state.recent_reports(now).items()
+        }
+        state.loans.update(slot_loans.target_loans(region, region_loads), region_loads, used)
         previous = state.lent
         state.recalled.expire(now)
         lendable = {
