Count a borrowed slot until its request has ended

Cause: when a loan ended, the borrower forgot the server with the requests that it still ran there; the lender, which learns of slots in use from the borrower only, granted them again after 0.7 s. And a slot could be lent while a request of the lender ran on it. Change: a pool keeps a server that it may not use any more until its requests have ended; only free slots are lent.

--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -358,9 +358,14 @@
 
 @attrs.define
 class ServerPool:
-    """The servers whose slots one dispatcher grants."""
+    """The servers whose slots one dispatcher grants.
+
+    A server that the pool may not use any more is kept while it runs requests of the pool. A
+    lender that gets such a server back learns from the borrower which slots are still in use.
+    """
 
     _servers: dict[ids.Server, PooledServer] = attrs.field(factory=dict, init=False)
+    _ended: dict[ids.Server, PooledServer] = attrs.field(factory=dict, init=False)
     _holders: dict[str, set[ids.Server]] = attrs.field(factory=dict, init=False)
     _slots: int = attrs.field(default=0, init=False)
     _limited: dict[ids.Server, PooledServer] = attrs.field(factory=dict, init=False)
@@ -375,8 +380,8 @@
         return [server for server in self._servers.values() if server.is_free(now)]
 
     def get(self, name: ids.Server) -> PooledServer | None:
-        """Return a server by name, or None."""
-        return self._servers.get(name)
+        """Return a server that the pool may use or that still runs its requests, or None."""
+        return self._servers.get(name) or self._ended.get(name)
 
     @property
     def slots(self) -> int:
@@ -395,10 +400,16 @@
         )
         return max(0.0, self._slots - unused)
 
+    @property
+    def busy_servers(self) -> list[PooledServer]:
+        """Return the servers that run requests, also those not offered any more."""
+        known = (*self._servers.values(), *self._ended.values())
+        return [server for server in known if server.running]
+
     @property
     def running(self) -> int:
         """Return the number of requests that occupy a slot."""
-        return sum(len(server.running) for server in self._servers.values())
+        return sum(len(server.running) for server in self.busy_servers)
 
     def holders(self, key: str) -> list[PooledServer]:
         """Return the servers that got requests for an object.
@@ -426,7 +437,8 @@
     def replace(self, offers: Iterable[ServerOffer], now: float) -> None:
         """Replace the servers of the pool.
 
-        Servers that remain keep their state, unless they were restarted.
+        Servers that remain, or that come back while they still run requests, keep their state
+        unless they were restarted.
 
         Args:
             offers: Servers with their slots.
@@ -434,11 +446,16 @@
         """
         servers: dict[ids.Server, PooledServer] = {}
         for offer in offers:
-            pooled = self._servers.get(offer.view.entry.name)
+            pooled = self.get(offer.view.entry.name)
             if pooled is None or _restarted(pooled.view, offer.view):
                 pooled = PooledServer(offer.view, offer.region, offer.slots)
             pooled.update(offer, now)
             servers[pooled.name] = pooled
+        self._ended = {
+            server.name: server for server in self.busy_servers if server.name not in servers
+        }
+        for server in self._ended.values():
+            server.slots = 0
         self._servers = servers
         self._limited = {
             name: server for name, server in servers.items() if server.limit_bucket is not None
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -604,7 +604,7 @@
         previous = state.lent
         state.recalled.expire(now)
         lendable = {
-            server: max(0, own_slots[server] - state.recalled.count(server))
+            server: self._lendable_count(state, server, own_slots[server])
             for server in sorted(own_slots)
         }
         state.lent = slot_loans.place_loans(state.loans.lent, lendable, state.lent)
@@ -614,6 +614,14 @@
         for other in set(self._regions.values()) - {region}:
             self._send_region_report(shard, state, other, region_loads[region])
 
+    def _lendable_count(self, state: _ShardState, server: ids.Server, slots: int) -> int:
+        """Return how many slots of a server may be lent: those lent already, and free ones."""
+        pooled = state.dispatcher.pool.get(server)
+        running = len(pooled.running) if pooled is not None else 0
+        lent = sum(loaned.get(server, 0) for loaned in state.lent.values())
+        recalled = state.recalled.count(server)
+        return max(0, min(slots - recalled, max(lent, slots - recalled - running)))
+
     def _stop_lending(
         self, shard: Shard, state: _ShardState, server: ids.Server, now: float
     ) -> None:
@@ -654,8 +662,8 @@
             return
         used = tuple(
             (pooled.name, len(pooled.running))
-            for pooled in state.dispatcher.pool.servers
-            if pooled.region == receiver and pooled.running
+            for pooled in state.dispatcher.pool.busy_servers
+            if pooled.region == receiver
         )
         lent = tuple(state.lent.get(receiver, {}).items())
         report = slot_messages.RegionReport(
