Compare servers by measured work times only

What callers saw: requests left a region whose servers were idle (SHIFT), as those looked five times too slow. Cause: an assumed work time was kept like a measured one. Whether there were samples was asked when a request ended, while what was expected of it was fixed when it started, so all requests of the first wave counted as slow; a server that had never been used was exactly healthy, and a difference of 3 % decided before failure domain and load. Change: a run keeps whether its expected time was measured, and whether it began under another dispatcher; only the rest tells slowness. Health is compared in steps of a quarter of a work time. Late requests give way only while fewer slots, not servers, are free than requests wait. The longest queue is 0.42 of what can be borne in place of 0.45, as expected times are shorter now. Evidence: mean slowness 5.33 in pannon at 4.44 s with 180 of 189 slots free.

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -19,7 +19,7 @@
 # share of the longest wait that it can afford: the time until its target, less a high work
 # time. With a larger share, requests would miss their targets whenever the estimated work times
 # are too low, and no more requests would be served in time.
-_MAX_QUEUE_SHARE = 0.45
+_MAX_QUEUE_SHARE = 0.42
 # Cost of a second of slot time, as a multiple of the cost of a second that the caller waits.
 # Slot time costs more while other requests queue for it. `_QUEUE_SLOT_TIME_WEIGHT` is therefore
 # added in proportion to the queue's length, and in full once the queue has as many requests as
@@ -35,6 +35,8 @@
 _MEAN_WORK_WEIGHT = 0.05
 # Cost added for a server whose responses all report failures, as a multiple of the work time.
 _FAILURE_PENALTY = 4.0
+# Differences of health that are smaller than this, as a multiple of the work time, are noise.
+_HEALTH_STEP = 0.25
 # Traffic between failure domains is billed, so a caller waits up to this much longer for a
 # server in its own failure domain.
 _CROSS_DOMAIN_COST_S = 0.015
@@ -153,7 +155,8 @@
         """Occupy the slot that the shard's previous dispatcher granted to a request."""
         pooled = self.pool.get(server)
         if pooled is not None and request.id not in pooled.running:
-            pooled.start(request, self._estimate_work_s(request) * pooled.slowness(now), now)
+            expected_s = self._estimate_work_s(request) * pooled.slowness(now)
+            pooled.start(request, expected_s, now, is_taken_over=True)
 
     def release_slot(
         self,
@@ -173,11 +176,10 @@
         pooled = self.pool.get(server)
         run = pooled.finish(request_id) if pooled is not None else None
         if pooled is not None and run is not None:
-            has_samples = self._times.has_samples(run.route, run.depth)
-            if outcome is allocation.AttemptOutcome.ANSWERED:
+            if outcome is allocation.AttemptOutcome.ANSWERED and not run.is_taken_over:
                 elapsed_s = max(0.0, now - run.started_at)
                 self._times.observe(run.route, run.depth, elapsed_s / pooled.slowness(now))
-            pooled.record_outcome(run, outcome, now, has_samples)
+            pooled.record_outcome(run, outcome, now)
         if not self._queue or self.paused:
             return []
         return self._decide_some(self._candidates_for(server), now)
@@ -373,7 +375,7 @@
             best_other = min(
                 others,
                 key=lambda s: (
-                    self._health_penalty(s, now),
+                    round(self._health_penalty(s, now) / _HEALTH_STEP),
                     s.view.entry.failure_domain != request.domain,
                     len(s.running) / max(1, s.slots),
                     len(s.recent_objects),
@@ -387,14 +389,14 @@
         if best.is_free:
             return best
         # The best server is busy. Wait for it if the response will still be in time; otherwise
-        # use a free server. While there are no more free servers than queued requests, other
+        # use a free server. While there are no more free slots than queued requests, other
         # requests need them, so use only one that is likely to respond in time.
         high_ratio = self._times.high_ratio(request.route)
         if now + best.wait_s + best.work_s * high_ratio <= request.target_at:
             self._reserve(queued, best)
             return None
         ready = [candidate for candidate in candidates if candidate.is_free]
-        if len(free) <= len(self._queue):
+        if sum(server.free_slots(now) for server in free) <= len(self._queue):
             ready = [c for c in ready if now + c.work_s * high_ratio <= request.target_at]
         if not ready:
             self._reserve(queued, best)
@@ -439,8 +441,10 @@
         """Occupy a slot of a server with a request, and return the grant."""
         request = queued.request
         server = candidate.server
-        server.start(request, candidate.work_s, now)
         key = work_times.qualified_key(request.route, request.object_key)
+        depth = server.recent_objects.depth(key) if key is not None else None
+        is_measured = self._times.has_samples(request.route, depth)
+        server.start(request, candidate.work_s, now, is_measured=is_measured)
         if key is not None:
             self.pool.record_object(server, key)
         return allocation.SlotGrant(
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -89,6 +89,10 @@
         started_at: Monotonic time in seconds of the grant.
         expected_s: Seconds that the server was expected to work.
         slowness: Slowness of the server at the grant, a factor that `expected_s` includes.
+        is_measured: Whether `expected_s` is an average of observed times. An assumed time says
+            nothing about the server's slowness.
+        is_taken_over: Whether a previous dispatcher granted the slot, so that the work began
+            before `started_at`.
     """
 
     route: str
@@ -96,6 +100,8 @@
     started_at: float
     expected_s: float
     slowness: float
+    is_measured: bool
+    is_taken_over: bool
 
     @property
     def expected_end_at(self) -> float:
@@ -275,15 +281,37 @@
         return max(limit_s, 0.005, self._first_end_at - now)
 
     def start(
-        self, request: allocation.SlotRequest, expected_s: float, now: float
+        self,
+        request: allocation.SlotRequest,
+        expected_s: float,
+        now: float,
+        *,
+        is_measured: bool = False,
+        is_taken_over: bool = False,
     ) -> int | None:
-        """Occupy a slot with a request; return the depth that its object had before."""
+        """Occupy a slot with a request; return the depth that its object had before.
+
+        Args:
+            request: The request.
+            expected_s: Expected work time in seconds.
+            now: Monotonic time in seconds.
+            is_measured: Whether the expected time is an average of observed times.
+            is_taken_over: Whether a previous dispatcher granted the slot.
+        """
         key = work_times.qualified_key(request.route, request.object_key)
         depth = None
         if key is not None:
             depth = self.recent_objects.depth(key)
             self.recent_objects.touch(key)
-        run = RunningRequest(request.route, depth, now, expected_s, self.slowness(now))
+        run = RunningRequest(
+            request.route,
+            depth,
+            now,
+            expected_s,
+            self.slowness(now),
+            is_measured,
+            is_taken_over,
+        )
         self.running[request.id] = run
         self._first_end_at = min(self._first_end_at, run.expected_end_at)
         if self.cold_bucket is not None and now < self.view.cold_until:
@@ -303,11 +331,7 @@
         return run
 
     def record_outcome(
-        self,
-        run: RunningRequest,
-        outcome: allocation.AttemptOutcome,
-        now: float,
-        has_samples: bool = True,
+        self, run: RunningRequest, outcome: allocation.AttemptOutcome, now: float
     ) -> None:
         """Update health and slowness from the outcome of a request.
 
@@ -315,8 +339,6 @@
             run: The request, whose slot is free again.
             outcome: How the attempt ended.
             now: Monotonic time in seconds.
-            has_samples: Whether its expected time is an average of observed times. An assumed
-                time says nothing about the server's slowness.
         """
         if outcome is allocation.AttemptOutcome.CANCELLED:
             return
@@ -342,7 +364,8 @@
             self._update_failure_share(1.0)
             return
         self._update_failure_share(1.0 if outcome is allocation.AttemptOutcome.FAILED else 0.0)
-        if outcome is allocation.AttemptOutcome.ANSWERED and has_samples and run.expected_s > 0:
+        is_comparable = run.is_measured and not run.is_taken_over and run.expected_s > 0
+        if outcome is allocation.AttemptOutcome.ANSWERED and is_comparable:
             elapsed_s = max(0.0, now - run.started_at)
             # The expected time includes the slowness at the grant. Multiplying by it compares
             # the elapsed time with the time that was expected without slowness.
