Bound the change of regions where servers are chosen

What callers saw: more than 15 in 100 of a region's requests ran in other regions two seconds later (SHIFT). Cause: the bound was kept for slots lent, on the belief that traffic follows slots; nobody counted where requests run. A borrowed server looked as near as an own one, so the emptier one won. Change: RegionShares counts the grants of each region in windows of two seconds; another region may grow by 6 in 100 of the requests in a window, home is left only while its own share grows faster and others have room. Own servers come first; the way to another region has a cost.

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -6,11 +6,17 @@
 """
 
 import math
-from collections.abc import Iterable
+from collections.abc import Callable, Iterable
 
 import attrs
 
-from carobhook.coordination import request_queue, retry_budget, server_pool, work_times
+from carobhook.coordination import (
+    region_shares,
+    request_queue,
+    retry_budget,
+    server_pool,
+    work_times,
+)
 from carobhook.state import allocation, codes, ids
 
 Decision = allocation.SlotGrant | allocation.SlotRefusal
@@ -40,6 +46,8 @@
 # Traffic between failure domains is billed, so a caller waits up to this much longer for a
 # server in its own failure domain.
 _CROSS_DOMAIN_COST_S = 0.015
+# The way to another region and back takes longer, and its traffic is billed too.
+_CROSS_REGION_COST_S = 0.08
 # If no server is free, a new request that may miss its target is queued only while the number
 # of such requests in the queue is below this share of the number of slots, or is zero.
 _MAX_LATE_SHARE = 0.25
@@ -78,6 +86,8 @@
 
     Args:
         retry_budget: Limits the retries of the shard's requests.
+        shares: Limits how quickly the requests change the regions that run them, or None for a
+            dispatcher whose servers are all in one region.
 
     Attributes:
         paused: Whether no slot is granted, even if some appear free, because not every slot in
@@ -86,6 +96,7 @@
     """
 
     retry_budget: retry_budget.RetryBudget
+    shares: region_shares.RegionShares | None = None
     paused: bool = attrs.field(default=False, init=False)
     pool: server_pool.ServerPool = attrs.field(factory=server_pool.ServerPool, init=False)
     _times: work_times.WorkTimes = attrs.field(factory=work_times.WorkTimes, init=False)
@@ -284,7 +295,8 @@
     ) -> allocation.SlotRefusal | None:
         """Return a refusal if no server is eligible or the wait is too long, else None."""
         request = queued.request
-        eligible = [s for s in self.pool.servers if _is_eligible(s, request)]
+        may_run = self._placement_filter(request, self.pool.free_servers(now), now)
+        eligible = [server for server in self.pool.servers if may_run(server)]
         if not eligible:
             return self._refusal(request, codes.Code.NO_BACKEND, now)
         if any(server.is_free(now) for server in eligible):
@@ -362,12 +374,13 @@
             now: Monotonic time in seconds.
         """
         request = queued.request
-        eligible = [server for server in free if _is_eligible(server, request)]
+        may_run = self._placement_filter(request, free, now)
+        eligible = [server for server in free if may_run(server)]
         if not eligible:
             return None
         key = work_times.qualified_key(request.route, request.object_key)
         holders = self.pool.holders(key) if key is not None else []
-        holders = [server for server in holders if _is_eligible(server, request)]
+        holders = [server for server in holders if may_run(server)]
         candidates = [self._evaluate(request, server, key, now) for server in holders]
         holder_names = {server.name for server in holders}
         others = [server for server in eligible if server.name not in holder_names]
@@ -376,6 +389,7 @@
                 others,
                 key=lambda s: (
                     round(self._health_penalty(s, now) / _HEALTH_STEP),
+                    self._is_abroad(s),
                     s.view.entry.failure_domain != request.domain,
                     len(s.running) / max(1, s.slots),
                     len(s.recent_objects),
@@ -403,6 +417,39 @@
             return None
         return min(ready, key=lambda candidate: candidate.cost)
 
+    def _placement_filter(
+        self,
+        request: allocation.SlotRequest,
+        free: Iterable[server_pool.PooledServer],
+        now: float,
+    ) -> Callable[[server_pool.PooledServer], bool]:
+        """Return a function that tells whether a request may run on a server.
+
+        The server must be eligible, and in a region to which the request may move now. If no
+        server of its own region may run it, the request may move to any.
+
+        Args:
+            request: The request.
+            free: Servers that can start a request now.
+            now: Monotonic time in seconds.
+        """
+        has_borrowed = self.shares is not None and len(self.pool.regions) > 1
+        if self.shares is None or not has_borrowed or not self._has_home_server(request):
+            return lambda server: _is_eligible(server, request)
+        regions = self.shares.allowed({server.region for server in free}, now)
+        return lambda server: server.region in regions and _is_eligible(server, request)
+
+    def _has_home_server(self, request: allocation.SlotRequest) -> bool:
+        """Return whether a server of the shard's own region may run a request."""
+        return any(
+            not self._is_abroad(server) and _is_eligible(server, request)
+            for server in self.pool.servers
+        )
+
+    def _is_abroad(self, server: server_pool.PooledServer) -> bool:
+        """Return whether a server is borrowed from another region."""
+        return self.shares is not None and server.region != self.shares.home
+
     def _reserve(self, queued: request_queue.QueuedRequest, candidate: _Candidate) -> None:
         """Record that a request waits for this server, so that others expect a longer wait."""
         queued.awaited = candidate.server.name
@@ -428,6 +475,8 @@
         penalty = server.failure_share * _FAILURE_PENALTY * work_s
         if request.domain is not None and server.view.entry.failure_domain != request.domain:
             penalty += _CROSS_DOMAIN_COST_S
+        if self._is_abroad(server):
+            penalty += _CROSS_REGION_COST_S
         cost = wait_s + work_s * (1 + weight) + penalty
         return _Candidate(server, is_free, wait_s, work_s, cost)
 
@@ -445,6 +494,8 @@
         depth = server.recent_objects.depth(key) if key is not None else None
         is_measured = self._times.has_samples(request.route, depth)
         server.start(request, candidate.work_s, now, is_measured=is_measured)
+        if self.shares is not None:
+            self.shares.record(server.region, now)
         if key is not None:
             self.pool.record_object(server, key)
         return allocation.SlotGrant(
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -392,6 +392,12 @@
     _holders: dict[str, set[ids.Server]] = attrs.field(factory=dict, init=False)
     _slots: int = attrs.field(default=0, init=False)
     _limited: dict[ids.Server, PooledServer] = attrs.field(factory=dict, init=False)
+    _regions: frozenset[ids.Region] = attrs.field(default=frozenset(), init=False)
+
+    @property
+    def regions(self) -> frozenset[ids.Region]:
+        """Return the regions that have servers in the pool."""
+        return self._regions
 
     @property
     def servers(self) -> list[PooledServer]:
@@ -480,6 +486,7 @@
         for server in self._ended.values():
             server.slots = 0
         self._servers = servers
+        self._regions = frozenset(server.region for server in servers.values())
         self._limited = {
             name: server for name, server in servers.items() if server.limit_bucket is not None
         }
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -63,6 +63,9 @@
 # slots between regions are updated every half second. Four updates fit into this time, so
 # each may use a quarter of the limit; with larger steps, they could exceed it together.
 _LOAN_STEPS_PER_BOUND = 4
+# Share of that limit by which one region may grow. Two regions may grow while the third one
+# shrinks, and requests reach their servers some time after the choice.
+_REGION_CHANGE_SHARE = 0.4
 # Traffic in Mbit/s that one processor core can carry.
 _MBPS_PER_CORE = 100.0
 
@@ -191,6 +194,7 @@
             bounds.cold_over,
             bounds.cold_slack,
             bounds.shift_most / _LOAN_STEPS_PER_BOUND,
+            bounds.shift_most * _REGION_CHANGE_SHARE,
         )
 
     def _create_entry_requests(self) -> entry_requests.EntryRequests:
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -12,6 +12,7 @@
 from carobhook.coordination import (
     catalog,
     dispatcher,
+    region_shares,
     retry_budget,
     server_limits,
     server_pool,
@@ -57,6 +58,8 @@
         cold_slack: Requests a second that a cold server may get beyond that multiple.
         loan_step: Largest change of the loan to one region per update, as a share of the
             borrower's demand.
+        region_change: Largest change of one region's share of a shard's requests within two
+            seconds.
     """
 
     budget_ratio: float
@@ -65,6 +68,7 @@
     cold_factor: float
     cold_slack: float
     loan_step: float
+    region_change: float = 1.0
 
 
 @attrs.define(eq=False)
@@ -390,7 +394,8 @@
             return
         requesters, state.requesters = state.requesters, {}
         state.granted.clear()
-        state.dispatcher = dispatcher.Dispatcher(state.dispatcher.retry_budget)
+        budget = state.dispatcher.retry_budget
+        state.dispatcher = self._create_dispatcher(state.shard, budget)
         state.has_failed, state.replaced_at = False, now
         self._update_pool(state.shard, state)
         self._query_held_slots(state.shard, state)
@@ -433,7 +438,7 @@
         )
         state = _ShardState(
             shard,
-            dispatcher.Dispatcher(budget),
+            self._create_dispatcher(shard, budget),
             slot_loans.LoanController(self._limits.loan_step),
         )
         self._shards[shard] = state
@@ -441,6 +446,12 @@
         self._query_held_slots(shard, state)
         return state
 
+    def _create_dispatcher(
+        self, shard: Shard, budget: retry_budget.RetryBudget
+    ) -> dispatcher.Dispatcher:
+        shares = region_shares.RegionShares(shard[0], self._limits.region_change)
+        return dispatcher.Dispatcher(budget, shares)
+
     def _query_held_slots(self, shard: Shard, state: _ShardState) -> None:
         """Ask every live instance which slots of the shard its requests hold."""
         state.unreported = set(self._live_names()) - {self._own}
