Lend no slot at the moment at which it is taken back

What callers saw: as before, requests that waited inside a server. Cause: a slot that was recalled from one region was lent to another in the same update; the hold of 0.7 s began only afterwards. Change: what a change of the loans takes back is left out of the slots that it lends.

--- a/src/carobhook/coordination/slot_loans.py
+++ b/src/carobhook/coordination/slot_loans.py
@@ -193,7 +193,8 @@
     """Return how many slots of each server are lent to each region.
 
     Slots that are lent already are lent to the same region again first, and each loan uses few
-    servers, because a server works faster on objects that it handled recently.
+    servers, because a server works faster on objects that it handled recently. A slot that is
+    taken back from one region is lent to no other at the same time, as it may be in use.
 
     Args:
         lent: Slots lent to each region.
@@ -205,6 +206,10 @@
     missing = dict(lent)
     for region, loaned in placed.items():
         _lend(available, missing, region, loaned, before.get(region, {}))
+    for server in slots:
+        was_lent = sum(loaned.get(server, 0) for loaned in before.values())
+        is_lent = sum(loaned.get(server, 0) for loaned in placed.values())
+        available[server] -= max(0, was_lent - is_lent)
     for region, loaned in placed.items():
         _lend(available, missing, region, loaned, slots)
     return placed
