Let requests leave a region that has lost most of its servers

Cause: the bound on the change of regions also held while a region's own servers were paused, cold, drained or suspect, so that requests would have waited for servers that could not run them. Change: the bound holds while servers with half of the region's own slots can serve, beside those that the request avoids. Measured: the tests of dispatchers, loans and calm regions pass.

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -46,6 +46,9 @@
 # Traffic between failure domains is billed, so a caller waits up to this much longer for a
 # server in its own failure domain.
 _CROSS_DOMAIN_COST_S = 0.015
+# Share of a region's own slots whose servers must be able to serve, so that the movement of its
+# requests to other regions is bounded.
+_MIN_HEALTHY_SHARE = 0.5
 # The way to another region and back takes longer, and its traffic is billed too.
 _CROSS_REGION_COST_S = 0.08
 # If no server is free, a new request that may miss its target is queued only while the number
@@ -107,6 +110,9 @@
     _demand_s: float = attrs.field(default=0.0, init=False)
     _mean_work_s: float = attrs.field(default=_DEFAULT_WORK_S, init=False)
     _reserved_s: dict[ids.Server, float] = attrs.field(factory=dict, init=False)
+    # Result of `_healthy_home_servers`, and the time for which it was computed.
+    _home_count: int = attrs.field(default=0, init=False)
+    _home_counted_at: float = attrs.field(default=-math.inf, init=False)
 
     @property
     def queue_length(self) -> int:
@@ -425,26 +431,50 @@
     ) -> Callable[[server_pool.PooledServer], bool]:
         """Return a function that tells whether a request may run on a server.
 
-        The server must be eligible, and in a region to which the request may move now. If no
-        server of its own region may run it, the request may move to any.
+        The server must be eligible, and in a region to which the request may move now. If the
+        servers of its own region cannot run it, the request may move to any.
 
         Args:
             request: The request.
             free: Servers that can start a request now.
             now: Monotonic time in seconds.
         """
-        has_borrowed = self.shares is not None and len(self.pool.regions) > 1
-        if self.shares is None or not has_borrowed or not self._has_home_server(request):
+        if self.shares is None or not self._can_stay_home(request, self.shares.home, now):
             return lambda server: _is_eligible(server, request)
         regions = self.shares.allowed({server.region for server in free}, now)
         return lambda server: server.region in regions and _is_eligible(server, request)
 
-    def _has_home_server(self, request: allocation.SlotRequest) -> bool:
-        """Return whether a server of the shard's own region may run a request."""
-        return any(
-            not self._is_abroad(server) and _is_eligible(server, request)
-            for server in self.pool.servers
-        )
+    def _can_stay_home(
+        self, request: allocation.SlotRequest, home: ids.Region, now: float
+    ) -> bool:
+        """Return whether servers of the shard's own region can run a request now or later.
+
+        Args:
+            request: The request.
+            home: The region.
+            now: Monotonic time in seconds.
+        """
+        if self.pool.regions <= {home} or (request.homes and home not in request.homes):
+            return False
+        return self._healthy_home_servers(home, now) > len(request.avoided)
+
+    def _healthy_home_servers(self, home: ids.Region, now: float) -> int:
+        """Return how many servers of a region can serve, 0 if most of its slots cannot.
+
+        While a region has lost most of its servers, its requests move without a bound.
+
+        Args:
+            home: The region.
+            now: Monotonic time in seconds.
+        """
+        if self._home_counted_at != now:
+            own = [server for server in self.pool.servers if server.region == home]
+            healthy = [server for server in own if server.can_serve(now)]
+            healthy_slots = sum(server.slots for server in healthy)
+            is_able = healthy_slots >= _MIN_HEALTHY_SHARE * sum(s.slots for s in own)
+            self._home_counted_at = now
+            self._home_count = len(healthy) if is_able else 0
+        return self._home_count
 
     def _is_abroad(self, server: server_pool.PooledServer) -> bool:
         """Return whether a server is borrowed from another region."""
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -237,6 +237,11 @@
         slots = 1 if self._connection_failures else self.slots - self.unavailable_slots
         return max(0, slots - len(self.running))
 
+    def can_serve(self, now: float) -> bool:
+        """Return whether the server takes requests, although it may be busy at the moment."""
+        is_healthy = not self._connection_failures and now >= self._paused_until
+        return is_healthy and self.slots > self.unavailable_slots and self.rate_allows(now)
+
     def rate_allows(self, now: float) -> bool:
         """Return whether its rate limits allow one more request, without counting one."""
         if self.limit_bucket is not None and self.limit_bucket.wait_s(now) > 0:
