Give the state of a shard a module of its own

Cause: shard_dispatchers.py had grown to 776 lines, of which a quarter computes from the state of one shard. Change: shard_state.py holds the state, its loads, its lendable slots and its log lines; no behaviour changes. Measured: the tests of allocators, limits, calm regions, operators and of the outer interface pass.

--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -1,7 +1,5 @@
 """Runs the dispatchers of the shards that this instance owns."""
 
-import collections
-import math
 import typing
 from collections.abc import Callable, Collection, Iterable, Mapping
 
@@ -14,33 +12,23 @@
     dispatcher,
     region_shares,
     retry_budget,
-    server_limits,
     server_pool,
     slot_loans,
     steering,
 )
 from carobhook.protocol import slot_messages
 from carobhook.state import allocation, codes, ids
-from carobhook.transport import slot_client
+from carobhook.transport import shard_state
 
-Shard = slot_client.Shard
+Shard = shard_state.Shard
 
 # Fraction of the configured retry limits that dispatchers apply. Requests on their way are not
 # counted yet; without this margin, all instances together could exceed the configured limits.
 APPLIED_LIMIT_SHARE = 0.8
-# Reports of other regions are ignored when they are older than this. Otherwise a region that no
-# longer sends reports would keep its loans, and its slots would be used without its knowledge.
-_REPORT_LIFETIME_S = 1.6
-# Weight of the latest sample in the moving average of demand.
-_DEMAND_WEIGHT = 0.2
 # A new dispatcher grants nothing until all instances have reported which slots they hold;
 # otherwise it would grant slots that are in use. It waits at most this long, because instances
 # that it can't reach do not report.
 _TAKEOVER_WAIT_S = 0.25
-# The regions in which a shard's requests run are compared between windows of this length.
-_GRANT_WINDOW_S = 2.0
-# A change is logged if it concerns at least this share of the grants of a window.
-_LOGGED_SHIFT = 0.15
 # A dispatcher that failed is replaced at most this often. Each replacement asks every instance
 # which slots it holds.
 _REPLACE_INTERVAL_S = 1.0
@@ -71,62 +59,6 @@
     region_change: float = 1.0
 
 
-@attrs.define(eq=False)
-class _ShardState:
-    """Dispatcher of a shard, with the requesters, the granted slots and the loans to regions.
-
-    Attributes:
-        dispatcher: Decides on the slot requests of the shard.
-        shard: The shard.
-        loans: Decides how many slots are lent to each other region.
-        requesters: Instance that sent each undecided slot request.
-        granted: Instance and server of each granted slot.
-        unreported: Instances that have not reported yet which slots they hold.
-        paused_until: Monotonic time in seconds at which the dispatcher stops waiting for these
-            reports.
-        demand: Moving average of the slots that requests need, None before the first request.
-        reports: Latest report of each other region's dispatcher, and when it arrived.
-        lent: Slots of each server that are lent to each other region.
-        withheld: Slots of each server that orders withhold.
-        recalled: Recalled slots that their borrowers may still be using.
-        limits: Limits that servers named, as far as this dispatcher was told.
-        grants: Grants in this window by region of the server.
-        last_grants: Grants in the window before.
-        window_started_at: Monotonic time in seconds at which this window began.
-        has_failed: Whether the dispatcher raised an error and is to be replaced.
-        replaced_at: Monotonic time in seconds at which it was replaced last.
-    """
-
-    shard: Shard
-    dispatcher: dispatcher.Dispatcher
-    loans: slot_loans.LoanController
-    requesters: dict[ids.RequestId, ids.InstanceId] = attrs.field(factory=dict)
-    granted: dict[ids.RequestId, tuple[ids.InstanceId, ids.Server]] = attrs.field(factory=dict)
-    unreported: set[ids.InstanceId] = attrs.field(factory=set)
-    paused_until: float = 0.0
-    demand: float | None = None
-    reports: dict[ids.Region, tuple[slot_messages.RegionReport, float]] = attrs.field(
-        factory=dict
-    )
-    lent: dict[ids.Region, dict[ids.Server, int]] = attrs.field(factory=dict)
-    withheld: Mapping[ids.Server, int] = attrs.field(factory=dict)
-    recalled: slot_loans.RecalledSlots = attrs.field(factory=slot_loans.RecalledSlots)
-    limits: server_limits.ServerLimits = attrs.field(factory=server_limits.ServerLimits)
-    grants: collections.Counter[ids.Region] = attrs.field(factory=collections.Counter)
-    last_grants: collections.Counter[ids.Region] = attrs.field(factory=collections.Counter)
-    window_started_at: float = 0.0
-    has_failed: bool = False
-    replaced_at: float = -math.inf
-
-    def recent_reports(self, now: float) -> dict[ids.Region, slot_messages.RegionReport]:
-        """Return the reports of other regions that are not too old."""
-        return {
-            region: report
-            for region, (report, received_at) in self.reports.items()
-            if now - received_at <= _REPORT_LIFETIME_S
-        }
-
-
 class ShardDispatchers:
     """Dispatchers of the shards that this instance owns, and the loans of their slots.
 
@@ -167,7 +99,7 @@
         self._send = send
         self._live_names = live_names
         self._visible_share = visible_share
-        self._shards: dict[Shard, _ShardState] = {}
+        self._shards: dict[Shard, shard_state.ShardState] = {}
         self._dispatch_s = 0.0
 
     @property
@@ -251,7 +183,7 @@
     def _record_rate(
         self,
         shard: Shard,
-        state: _ShardState,
+        state: shard_state.ShardState,
         server: ids.Server,
         rate: allocation.RateStatement,
         now: float,
@@ -341,14 +273,14 @@
                 self._release(state, request_id, server, outcome, now)
             self._decide(state, now)
 
-    def _decide(self, state: _ShardState, now: float) -> None:
+    def _decide(self, state: shard_state.ShardState, now: float) -> None:
         is_taking_over = bool(state.unreported) and now < state.paused_until
         state.dispatcher.paused = state.has_failed or is_taking_over
         self._send_decisions(state, self._run(state, state.dispatcher.decide, now) or [])
 
     def _release(
         self,
-        state: _ShardState,
+        state: shard_state.ShardState,
         request_id: ids.RequestId,
         server: ids.Server,
         outcome: allocation.AttemptOutcome,
@@ -361,7 +293,7 @@
 
     def _run(
         self,
-        state: _ShardState,
+        state: shard_state.ShardState,
         decide: Callable[..., list[dispatcher.Decision]],
         *args: typing.Any,
     ) -> list[dispatcher.Decision] | None:
@@ -385,7 +317,7 @@
         finally:
             self._dispatch_s += self._reactor.seconds() - started_at
 
-    def _replace_failed(self, state: _ShardState, now: float) -> None:
+    def _replace_failed(self, state: shard_state.ShardState, now: float) -> None:
         """Replace a dispatcher that failed by a new one, which knows of no slots in use.
 
         Instances send undecided requests again, and tell which slots they hold.
@@ -403,7 +335,7 @@
             self._send(requester, slot_messages.NotDispatcher(request_id))
 
     def _send_decisions(
-        self, state: _ShardState, decisions: Iterable[dispatcher.Decision]
+        self, state: shard_state.ShardState, decisions: Iterable[dispatcher.Decision]
     ) -> None:
         for decision in decisions:
             requester = state.requesters.pop(decision.ask_id, self._own)
@@ -424,7 +356,7 @@
 
     # Shards.
 
-    def get_or_create(self, shard: Shard) -> _ShardState:
+    def get_or_create(self, shard: Shard) -> shard_state.ShardState:
         """Return the state of a shard; start its dispatcher if there is none yet."""
         state = self._shards.get(shard)
         if state is not None:
@@ -436,7 +368,7 @@
             self._limits.budget_window_s,
             self._reactor.seconds(),
         )
-        state = _ShardState(
+        state = shard_state.ShardState(
             shard,
             self._create_dispatcher(shard, budget),
             slot_loans.LoanController(self._limits.loan_step),
@@ -452,7 +384,7 @@
         shares = region_shares.RegionShares(shard[0], self._limits.region_change)
         return dispatcher.Dispatcher(budget, shares)
 
-    def _query_held_slots(self, shard: Shard, state: _ShardState) -> None:
+    def _query_held_slots(self, shard: Shard, state: shard_state.ShardState) -> None:
         """Ask every live instance which slots of the shard its requests hold."""
         state.unreported = set(self._live_names()) - {self._own}
         state.paused_until = self._reactor.seconds() + _TAKEOVER_WAIT_S
@@ -511,7 +443,7 @@
 
     # Servers and loans.
 
-    def _update_pool(self, shard: Shard, state: _ShardState) -> None:
+    def _update_pool(self, shard: Shard, state: shard_state.ShardState) -> None:
         """Update the pool to the servers of the shard's region and the borrowed servers.
 
         Withheld slots and the share of the retry budget are updated too.
@@ -565,7 +497,7 @@
         )
         return server_pool.cold_rate_limit(policy.cold_requests_per_s, max_per_s, visible_share)
 
-    def _update_unavailable_slots(self, state: _ShardState, now: float) -> None:
+    def _update_unavailable_slots(self, state: shard_state.ShardState, now: float) -> None:
         """Update how many slots of each server the dispatcher must not grant.
 
         These are the slots that orders withhold, that are lent, that were recalled a moment
@@ -591,50 +523,36 @@
             now: Monotonic time in seconds.
         """
         for shard, state in list(self._shards.items()):
-            _log_moved_grants(shard, state, now)
+            state.log_moved_grants(now)
             if self._owner_of(shard) == self._own:
                 self._update_loans(shard, state, elapsed_s, now)
             self._update_pool(shard, state)
 
     def _update_loans(
-        self, shard: Shard, state: _ShardState, elapsed_s: float, now: float
+        self, shard: Shard, state: shard_state.ShardState, elapsed_s: float, now: float
     ) -> None:
         region = shard[0]
-        self._update_demand(state, elapsed_s)
-        own_slots = _lendable_slots(region, state, now)
+        state.update_demand(elapsed_s)
         region_loads = {
             other: slot_loans.RegionLoad(report.slots, report.demand)
             for other, report in state.recent_reports(now).items()
         }
-        region_loads[region] = _region_load(region, state, now)
-        used = {
-            other: sum(count for _, count in report.used)
-            for other, report in state.recent_reports(now).items()
-        }
-        state.loans.update(slot_loans.target_loans(region, region_loads), region_loads, used)
+        region_loads[region] = state.load(now)
+        targets = slot_loans.target_loans(region, region_loads)
+        state.loans.update(targets, region_loads, state.used_slots(now))
         previous = state.lent
         state.recalled.expire(now)
-        lendable = {
-            server: self._lendable_count(state, server, own_slots[server])
-            for server in sorted(own_slots)
-        }
-        state.lent = slot_loans.place_loans(state.loans.lent, lendable, state.lent)
+        state.lent = slot_loans.place_loans(
+            state.loans.lent, state.lendable_slots(now), state.lent
+        )
         state.recalled.recall(previous, state.lent, now)
         if state.lent != previous:
-            _log_loans(shard, state.lent, region_loads)
+            state.log_loans(region_loads)
         for other in set(self._regions.values()) - {region}:
             self._send_region_report(shard, state, other, region_loads[region])
 
-    def _lendable_count(self, state: _ShardState, server: ids.Server, slots: int) -> int:
-        """Return how many slots of a server may be lent: those lent already, and free ones."""
-        pooled = state.dispatcher.pool.get(server)
-        running = len(pooled.running) if pooled is not None else 0
-        lent = sum(loaned.get(server, 0) for loaned in state.lent.values())
-        recalled = state.recalled.count(server)
-        return max(0, min(slots - recalled, max(lent, slots - recalled - running)))
-
     def _stop_lending(
-        self, shard: Shard, state: _ShardState, server: ids.Server, now: float
+        self, shard: Shard, state: shard_state.ShardState, server: ids.Server, now: float
     ) -> None:
         """Recall all lent slots of a server at once."""
         borrowers = [region for region, lent in state.lent.items() if server in lent]
@@ -647,23 +565,14 @@
         }
         state.recalled.recall(previous, state.lent, now)
         self._update_unavailable_slots(state, now)
-        load = _region_load(shard[0], state, now)
+        load = state.load(now)
         for region in borrowers:
             self._send_region_report(shard, state, region, load)
 
-    def _update_demand(self, state: _ShardState, elapsed_s: float) -> None:
-        # The first interval starts at time 0 of the clock, not at an update, so without the
-        # upper limit the first sample would be close to 0.
-        sample = state.dispatcher.collect_demand() / max(0.05, min(elapsed_s, 2.0))
-        if state.demand is not None:
-            state.demand += _DEMAND_WEIGHT * (sample - state.demand)
-        elif sample > 0:
-            state.demand = sample
-
     def _send_region_report(
         self,
         shard: Shard,
-        state: _ShardState,
+        state: shard_state.ShardState,
         receiver: ids.Region,
         load: slot_loans.RegionLoad,
     ) -> None:
@@ -699,78 +608,3 @@
             self._update_pool(shard, state)
         elif previous[0].used != report.used:
             self._update_unavailable_slots(state, now)
-
-
-def _lendable_slots(
-    region: ids.Region, state: _ShardState, now: float
-) -> dict[ids.Server, int]:
-    """Return the slots of each server of the region that other regions may use.
-
-    Servers whose rate is limited, because they are cold or named a limit, are not lent, so
-    that one dispatcher counts their requests.
-    """
-    return {
-        pooled.name: max(0, pooled.slots - state.withheld.get(pooled.name, 0))
-        for pooled in state.dispatcher.pool.servers
-        if pooled.region == region
-        and not pooled.is_suspect
-        and pooled.limit_bucket is None
-        and now >= pooled.view.cold_until
-    }
-
-
-def _region_load(region: ids.Region, state: _ShardState, now: float) -> slot_loans.RegionLoad:
-    """Return the load of the region: its demand, and what its own servers can bear."""
-    limited_slots = sum(
-        pooled.throughput_slots(state.dispatcher.mean_work_s)
-        for pooled in state.dispatcher.pool.servers
-        if pooled.region == region and pooled.limit_bucket is not None
-    )
-    slots = sum(_lendable_slots(region, state, now).values()) + limited_slots
-    return slot_loans.RegionLoad(slots, state.demand)
-
-
-def _log_loans(
-    shard: Shard,
-    lent: Mapping[ids.Region, Mapping[ids.Server, int]],
-    loads: Mapping[ids.Region, slot_loans.RegionLoad],
-) -> None:
-    logs.event(
-        "slots-lent",
-        region=shard[0],
-        service=shard[1],
-        lent=[f"{to}:{sum(lent[to].values())}" for to in lent],
-        loads=[f"{name}:{load.slots:g}/{load.demand or 0:.1f}" for name, load in loads.items()],
-    )
-
-
-def _log_moved_grants(shard: Shard, state: _ShardState, now: float) -> None:
-    """Log a change of the regions in which requests run, with the reasons to choose them."""
-    if now - state.window_started_at < _GRANT_WINDOW_S:
-        return
-    before, grants = state.last_grants, state.grants
-    state.last_grants, state.grants = grants, collections.Counter()
-    state.window_started_at = now
-    if not before or not grants:
-        return
-    moved = sum(
-        abs(before[region] / before.total() - grants[region] / grants.total())
-        for region in {*before, *grants}
-    )
-    if moved / 2 <= _LOGGED_SHIFT:
-        return
-    slowness = collections.defaultdict(list)
-    free: collections.Counter[ids.Region] = collections.Counter()
-    for pooled in state.dispatcher.pool.servers:
-        slowness[pooled.region].append(pooled.slowness(now))
-        free[pooled.region] += pooled.free_slots(now)
-    logs.event(
-        "grants-moved",
-        region=shard[0],
-        service=shard[1],
-        before=dict(before),
-        now=dict(grants),
-        free=dict(free),
-        slowness={name: round(sum(all_) / len(all_), 2) for name, all_ in slowness.items()},
-        demand=state.demand,
-    )
