Give the recovery of lost orders a module of its own

Cause: store_sync.py had grown large, and the recovery has nothing to do with watches. It also let an unreadable object of the orders raise into the watch, which would list it again and again. Change: orders_restore.py; whatever cannot be decoded counts as no orders in the store. Measured: the tests of restored stores, feeds, orders and entry instances pass.

--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -22,7 +22,7 @@
 from carobhook.platform import objects as platform_objects
 from carobhook.protocol import feed_messages
 from carobhook.state import ids, orders
-from carobhook.transport import supervision
+from carobhook.transport import orders_restore, supervision
 
 _RETRY_DELAYS = backoff.Backoff(first_s=0.2, cap_s=1.0)
 # A watch call returns without a change when its wait ends, and is then repeated. If its answer
@@ -45,10 +45,6 @@
 # otherwise its last answer would be too old to send progress messages, and subscribers would
 # watch the store themselves.
 _PROBE_INTERVAL_S = 0.5
-# Orders that the store has lost are written again after this time, or up to twice as long. An
-# instance that does not watch the store itself leaves it to those that do first.
-_RESTORE_WAIT_S = 0.2
-_FOLLOWER_RESTORE_WAIT_S = 1.5
 _PROBE_TIMEOUT_S = 0.5
 # A watch that failed for a reason other than the store lists its objects anew after a delay.
 _RESTART_DELAYS = backoff.Backoff(first_s=0.2, cap_s=5.0)
@@ -126,8 +122,15 @@
         self._running_probe: defer.Deferred | None = None
         self._probed_at = 0.0
         self._era = 0
-        self._restore_timer: typing.Any = None
-        self._running_restore: defer.Deferred | None = None
+        self._orders_restore = orders_restore.OrdersRestore(
+            reactor,
+            platform_store,
+            server_catalog,
+            order_steering,
+            rng,
+            lambda: self._objects.get(orders.STORE_KIND, {}).get(orders.STORE_NAME),
+            supervisor,
+        )
 
     @property
     def is_complete(self) -> bool:
@@ -146,9 +149,9 @@
     def stop(self) -> None:
         """Stop watching the store, and cancel the probe in progress, if there is one."""
         self._stop_watching()
-        for running in (self._running_probe, self._running_restore, self._restore_timer):
-            if running is not None:
-                running.cancel()
+        self._orders_restore.stop()
+        if self._running_probe is not None:
+            self._running_probe.cancel()
 
     def tick(self) -> None:
         """Select the source of changes and switch to it.
@@ -358,7 +361,7 @@
         if reason.check(defer.CancelledError):
             return
         if not reason.check(objects.StoreError):
-            _log_failure(reason)
+            self._supervisor.record("probe", reason)
             return
         if self._catalog.store_lost_at is None:
             logs.warning("store-unavailable", kind="probe", error=reason.value)
@@ -468,7 +471,7 @@
         if kind == names.EVACUATIONS_KIND:
             self._catalog.set_evacuated(self._evacuations.in_force(now))
         if kind == orders.STORE_KIND:
-            self._schedule_orders_restore()
+            self._orders_restore.schedule(self.is_direct)
         if kind == names.CONFIG_KIND and self._config_item is not None:
             # Instances that start get the configuration in force, also while the store has
             # come back with an older one.
@@ -510,65 +513,6 @@
         if order_state is not None and self._orders.replace_if_newer(order_state):
             logs.event("orders-in-force", version=order_state.version, revision=item.version)
 
-    def _stored_orders(self) -> orders.OrderState:
-        """Return the orders in the store, as far as this instance knows; none if unreadable."""
-        item = self._objects.get(orders.STORE_KIND, {}).get(orders.STORE_NAME)
-        if item is None or item.value is None:
-            return orders.OrderState()
-        from carobhook.protocol import order_codec
-
-        try:
-            return order_codec.decode(json.loads(item.value))
-        except order_codec.MalformedOrdersError:
-            return orders.OrderState()
-
-    def _schedule_orders_restore(self) -> None:
-        """Write lost orders again, unless another instance does so before."""
-        if not self._orders.in_force.version or self._restore_timer is not None:
-            return
-        if not self._lacks_orders():
-            return
-        first_s = _RESTORE_WAIT_S if self.is_direct else _FOLLOWER_RESTORE_WAIT_S
-        self._restore_timer = self._reactor.callLater(
-            first_s * self._rng.uniform(1.0, 2.0), self._restore_orders
-        )
-
-    def _lacks_orders(self) -> bool:
-        from carobhook.coordination import order_recovery
-
-        return bool(order_recovery.lost_changes(self._stored_orders(), self._orders.in_force))
-
-    def _restore_orders(self) -> None:
-        self._restore_timer = None
-        if not self._lacks_orders():
-            return
-        from carobhook.coordination import order_commands, order_store
-
-        config = self._catalog.config
-        known = order_commands.KnownNames(
-            self._orders.regions,
-            tuple(config.services) if config is not None else (),
-            tuple(route.name for route in config.routes) if config is not None else (),
-            [view.entry.name for view in self._catalog.servers(self._reactor.seconds())],
-        )
-        store_of_orders = order_store.OrderStore(
-            self._store, lambda: defer.succeed(None), lambda: self._orders.in_force
-        )
-        self._running_restore = defer.ensureDeferred(store_of_orders.restore(known))
-        self._running_restore.addCallbacks(self._orders_restored, self._restore_failed)
-
-    def _orders_restored(self, restored: orders.OrderState) -> None:
-        logs.event("orders-restored", version=restored.version)
-
-    def _restore_failed(self, reason: typing.Any) -> None:
-        """Try again later if the store did not take the orders, or another came first."""
-        if reason.check(defer.CancelledError):
-            return
-        if not reason.check(objects.StoreError):
-            _log_failure(reason)
-            return
-        self._schedule_orders_restore()
-
     def _apply_server(
         self, item: feed_messages.FeedObject, now: float, is_older_copy: bool
     ) -> None:
@@ -631,7 +575,3 @@
     if item.value is not None:
         value = json.dumps(item.value, separators=(",", ":")).encode()
     return feed_messages.FeedObject(item.name, item.version, value)
-
-
-def _log_failure(reason: typing.Any) -> None:
-    logs.error("unhandled-error", text=reason.getErrorMessage(), trace=reason.getTraceback())
