Stop listening for requests once look-ups have run out

Change: after 2.3 s of a stop new connections are refused; those clients use another instance, and this one ends when its requests have. Measured: test_late_stop, test_entry, test_demo_script pass.

--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -1,6 +1,5 @@
 """Entry instance: creates and connects its parts, starts them and stops them."""
 
-import math
 import random
 import secrets
 import time
@@ -34,11 +33,11 @@
 _CONNECT_TIMEOUT_S = 0.5
 _TICK_INTERVAL_S = 0.1
 _CLOSE_IDLE_INTERVAL_S = 1.0
-# A stopping instance accepts new connections for at least this long, unless the grace period
-# ends sooner. Clients cache the response to a directory lookup for its time to live, so those
-# that looked up this instance just before still connect to it; their connections would be
-# refused if it closed its sockets at once.
-_MIN_STOP_S = entry_endpoints.DIRECTORY_TTL_S + 0.3
+# A stopping instance accepts new connections for this long, or until its grace period ends.
+# Clients cache the response to a directory lookup for its time to live, so those that looked up
+# this instance just before still connect to it. Those that cache it for longer are refused a
+# connection and use another instance, and this one ends, and is started again, sooner.
+_ACCEPT_S = entry_endpoints.DIRECTORY_TTL_S + 0.3
 # After this share of the grace period at the latest, it refuses requests that might not end
 # before it does; other instances can serve them.
 _ACCEPT_RATIO = 0.45
@@ -139,6 +138,7 @@
         self._metrics_listener = self._create_listener(endpoints.handle_metrics)
         self._operator_api: typing.Any = None
         self._ports: list[typing.Any] = []
+        self._request_port: typing.Any = None
 
     def _create_member_streams(self) -> member_streams.MemberStreams:
         place = self._settings.place
@@ -273,8 +273,8 @@
             twisted.internet.error.CannotListenError: An address is in use.
         """
         place = self._settings.place
+        self._request_port = self._listen(place.http, self._request_listener)
         for address, listener in (
-            (place.http, self._request_listener),
             (place.readiness, self._readiness_listener),
             (place.directory, self._directory_listener),
             (place.metrics, self._metrics_listener),
@@ -290,9 +290,14 @@
         self._supervisor.start_loop("close-idle", self._close_idle, _CLOSE_IDLE_INTERVAL_S)
         logs.event("instance-started", region=place.region, zone=place.failure_domain)
 
-    def _listen(self, address: str, listener: typing.Any, context: typing.Any = None) -> None:
-        host, _, port = address.rpartition(":")
-        self._ports.append(sockets.listen(self._reactor, host, int(port), listener, context))
+    def _listen(
+        self, address: str, listener: typing.Any, context: typing.Any = None
+    ) -> typing.Any:
+        """Listen on an address until the instance stops; return the listening port."""
+        host, _, number = address.rpartition(":")
+        port = sockets.listen(self._reactor, host, int(number), listener, context)
+        self._ports.append(port)
+        return port
 
     def _create_operator_listener(self) -> client_connections.ClientListener:
         # Imported here, as the parser of orders costs memory and only instances with an address
@@ -339,28 +344,30 @@
     async def stop(self) -> None:
         """Leave the deployment: finish the requests in progress, then close all sockets.
 
-        Connections are accepted for a minimum time even if no request is in progress. From some
-        time on, requests that might not end in time are refused. Shortly before the end of the
-        grace period, requests that wait are refused, and those that run are aborted. Calls
-        after the first return at once.
+        Connections are accepted for some time even if no request is in progress. From then on,
+        requests that might not end in time are refused. Shortly before the end of the grace
+        period, requests that wait are refused, and those that run are aborted. Calls after the
+        first return at once.
         """
         if self._phase is members.Phase.LEAVING:
             return
         grace_s = self._settings.bounds.grace_s
         started_at = self._reactor.seconds()
         deadline_at = started_at + grace_s * (1 - _GRACE_MARGIN_RATIO)
-        earliest_end_at = started_at + _MIN_STOP_S
+        refuse_waiting_at = deadline_at - _REFUSE_WAITING_S
         logs.event("instance-leaving", requests=self._requests.in_flight)
         self._phase = members.Phase.LEAVING
         self._request_listener.closes_after_response = True
         self._supervisor.run("heartbeat", self._heartbeat)
         self._supervisor.run("members", self._allocator.update_owners)
         self._request_listener.close_idle()
-        await self._wait_until(started_at + min(_MIN_STOP_S, grace_s * _ACCEPT_RATIO))
+        await self._wait_until(started_at + min(_ACCEPT_S, grace_s * _ACCEPT_RATIO))
         self._requests.limit_to(deadline_at)
-        await self._wait_until(deadline_at - _REFUSE_WAITING_S, earliest_end_at)
+        await self._wait_until(min(started_at + _ACCEPT_S, refuse_waiting_at))
+        await defer.maybeDeferred(self._request_port.stopListening)
+        await self._wait_until(refuse_waiting_at, until_idle=True)
         self._requests.refuse_waiting()
-        await self._wait_until(deadline_at, earliest_end_at)
+        await self._wait_until(deadline_at, until_idle=True)
         logs.event(
             "instance-closing",
             requests=self._requests.in_flight,
@@ -370,16 +377,16 @@
         )
         await self._shut_down()
 
-    async def _wait_until(self, end_at: float, idle_end_at: float = math.inf) -> None:
-        """Wait until a time, or until there are no requests and no connections.
+    async def _wait_until(self, end_at: float, until_idle: bool = False) -> None:
+        """Wait until a time.
 
         Args:
             end_at: Monotonic time in seconds.
-            idle_end_at: Monotonic time in seconds from which the wait ends as soon as there are
-                none; idle connections are closed from then on.
+            until_idle: Whether to close idle connections meanwhile, and to wait no longer once
+                there are no requests and no connections.
         """
-        while (now := self._reactor.seconds()) < end_at:
-            if now >= idle_end_at:
+        while self._reactor.seconds() < end_at:
+            if until_idle:
                 if not self._requests.in_flight and not self._request_listener.open_connections:
                     return
                 self._request_listener.close_idle()
