Install the steady clock before any part asks for the time

What callers saw: nothing yet. Cause: the daemon was made before the clock was installed, and its gauges kept the time of day. A scrape asked the catalog for servers at that time, which drops servers in their grace period; and directories drew by a clock that differs between machines. Change: the clock is installed first, gauges ask for the time when they are read, directories draw by the time of day. Evidence: carobhook_instances_serving was 0 on a ready instance; test_overlooked_states::TestMetricsOfAProcess.

--- a/src/carobhook/coordination/directory.py
+++ b/src/carobhook/coordination/directory.py
@@ -52,7 +52,7 @@
     Args:
         nearby: Instances that can accept the client.
         client: Address of the client's host.
-        now: Monotonic time in seconds.
+        now: Time of day in seconds, so that all directories draw alike.
     """
     if len({member.weight for member in nearby}) <= 1:
         return list(nearby)
--- a/src/carobhook/entry.py
+++ b/src/carobhook/entry.py
@@ -101,12 +101,12 @@
     Raises:
         SystemExit: The instance could not start.
     """
+    steady_clock.install(reactor)
     try:
         runner = _Runner(path, instance_settings)
     except settings.TlsFilesError as tls_error:
         sys.stderr.write(f"{path}: {tls_error}\n")
         sys.exit(EXIT_USAGE)
-    steady_clock.install(reactor)
     reactor.callWhenRunning(runner.start)
     reactor.addSystemEventTrigger("before", "shutdown", runner.stop)
     reactor.run()
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -132,6 +132,7 @@
             self._metrics,
             lambda: self._phase,
             lambda: self._settings.bounds.ttl_max_s,
+            self._clocks.wall,
         )
         self._readiness_listener = self._create_listener(endpoints.handle_readiness)
         self._directory_listener = self._create_listener(endpoints.handle_directory)
@@ -230,7 +231,11 @@
     def _gauges(
         self, omitted: Callable[[], int]
     ) -> dict[entry_metrics.EntryMetric, Callable[[], float]]:
-        server_catalog, seconds = self._catalog, self._reactor.seconds
+        server_catalog = self._catalog
+
+        def seconds() -> float:
+            return self._reactor.seconds()
+
         metric = entry_metrics.EntryMetric
         return {
             metric.IN_FLIGHT: lambda: self._requests.in_flight,
--- a/src/carobhook/transport/entry_endpoints.py
+++ b/src/carobhook/transport/entry_endpoints.py
@@ -1,5 +1,6 @@
 """HTTP endpoints of an instance for readiness checks, directory lookups and metrics."""
 
+import time
 import typing
 from collections.abc import Callable
 
@@ -29,6 +30,7 @@
         phase: Returns the phase of this instance.
         ttl_max_s: Returns the configured upper limit, in seconds, on how long clients may cache
             a response to a directory lookup.
+        wall_time: Returns the time of day in seconds. All directories choose alike by it.
     """
 
     def __init__(
@@ -38,12 +40,14 @@
         metrics: entry_metrics.EntryMetrics,
         phase: Callable[[], members.Phase],
         ttl_max_s: Callable[[], float],
+        wall_time: Callable[[], float] = time.time,
     ) -> None:
         self._reactor = reactor
         self._known_members = known_members
         self._metrics = metrics
         self._phase = phase
         self._ttl_max_s = ttl_max_s
+        self._wall_time = wall_time
 
     def handle_metrics(
         self, request: client_connections.ClientRequest, respond: _Responder
@@ -97,7 +101,7 @@
         now = self._reactor.seconds()
         serving = self._known_members.serving(now)
         nearest = directory.nearest(serving, lookup.region, lookup.failure_domain)
-        chosen = directory.choose_weighted(nearest, client, now)
+        chosen = directory.choose_weighted(nearest, client, self._wall_time())
         if chosen and all(member.region != lookup.region for member in chosen):
             if self._phase() is members.Phase.STARTING:
                 return []
