Leave no request without a server by the bound on regions

What callers saw: refusals (code 1010) of requests with homes, and of retries, while their own region was idle. Cause: the bound counted a region as able to take a request that may not run there. And slots that a new dispatcher was told of before the server was lent were forgotten, and granted again. Change: only regions with a free server that the request may use count; slots taken over wait for the offer of their server.

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -170,10 +170,7 @@
         self, request: allocation.SlotRequest, server: ids.Server, now: float
     ) -> None:
         """Occupy the slot that the shard's previous dispatcher granted to a request."""
-        pooled = self.pool.get(server)
-        if pooled is not None and request.id not in pooled.running:
-            expected_s = self._estimate_work_s(request) * pooled.slowness(now)
-            pooled.start(request, expected_s, now, is_taken_over=True)
+        self.pool.take_over(request, server, self._estimate_work_s(request), now)
 
     def release_slot(
         self,
@@ -190,6 +187,7 @@
             outcome: How the attempt ended.
             now: Monotonic time in seconds.
         """
+        self.pool.forget_taken_over(request_id, server)
         pooled = self.pool.get(server)
         run = pooled.finish(request_id) if pooled is not None else None
         if pooled is not None and run is not None:
@@ -441,7 +439,8 @@
         """
         if self.shares is None or not self._can_stay_home(request, self.shares.home, now):
             return lambda server: _is_eligible(server, request)
-        regions = self.shares.allowed({server.region for server in free}, now)
+        free_regions = {server.region for server in free if _is_eligible(server, request)}
+        regions = self.shares.allowed(free_regions, now)
         return lambda server: server.region in regions and _is_eligible(server, request)
 
     def _can_stay_home(
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -394,6 +394,11 @@
 
     _servers: dict[ids.Server, PooledServer] = attrs.field(factory=dict, init=False)
     _ended: dict[ids.Server, PooledServer] = attrs.field(factory=dict, init=False)
+    # Requests that were taken over on servers which have not been offered yet, with their
+    # expected work times in seconds.
+    _taken_over: dict[ids.Server, dict[ids.RequestId, tuple[allocation.SlotRequest, float]]] = (
+        attrs.field(factory=dict, init=False)
+    )
     _holders: dict[str, set[ids.Server]] = attrs.field(factory=dict, init=False)
     _slots: int = attrs.field(default=0, init=False)
     _limited: dict[ids.Server, PooledServer] = attrs.field(factory=dict, init=False)
@@ -434,6 +439,34 @@
         )
         return max(0.0, self._slots - unused)
 
+    def take_over(
+        self,
+        request: allocation.SlotRequest,
+        server: ids.Server,
+        expected_s: float,
+        now: float,
+    ) -> None:
+        """Occupy a slot that a previous dispatcher granted; the server may be offered later.
+
+        Args:
+            request: The request that holds the slot.
+            server: The server.
+            expected_s: Expected work time in seconds, without the slowness of the server.
+            now: Monotonic time in seconds.
+        """
+        pooled = self.get(server)
+        if pooled is None:
+            self._taken_over.setdefault(server, {})[request.id] = (request, expected_s)
+        elif request.id not in pooled.running:
+            expected_s *= pooled.slowness(now)
+            pooled.start(request, expected_s, now, is_taken_over=True)
+
+    def forget_taken_over(self, request_id: ids.RequestId, server: ids.Server) -> None:
+        """Remove a request that was taken over and has ended before its server was offered."""
+        requests = self._taken_over.get(server)
+        if requests is not None:
+            requests.pop(request_id, None)
+
     @property
     def busy_servers(self) -> list[PooledServer]:
         """Return the servers that run requests, also those not offered any more."""
@@ -485,6 +518,8 @@
                 pooled = PooledServer(offer.view, offer.region, offer.slots)
             pooled.update(offer, now)
             servers[pooled.name] = pooled
+            for request, expected_s in self._taken_over.pop(pooled.name, {}).values():
+                pooled.start(request, expected_s, now, is_taken_over=True)
         self._ended = {
             server.name: server for server in self.busy_servers if server.name not in servers
         }
