Send the last refusals of a stop before connections are aborted

What callers saw: a reset in place of a 503 when the event loop was late at the end of a stop (LOST). Cause: what is written in the turn in which its connection is aborted is dropped. Change: a turn of the event loop lies between the refusals and the abort. Evidence: test_overlooked_states::TestLateLoopInAStop failed with a loop that is 0.45 s late, and passes.

--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -401,6 +401,8 @@
         """Close all sockets: first the clients', so that no request starts any more."""
         began_at = self._reactor.seconds()
         self._requests.refuse_waiting()
+        # A response that is written right before its connection is aborted is never sent.
+        await task.deferLater(self._reactor, _STOP_POLL_INTERVAL_S)
         self._requests.abort()
         listeners = (
             self._request_listener,
