List a kind anew when a message about it could not be applied

What callers saw: nothing yet. Cause: the position of a kind was forgotten while its own watch went on, so the next change made a part of the objects look like all. Change: the watch is started anew, without a position; the margin of confirmations is 0.8 s. Evidence: test_overlooked_states::TestForgottenKind.

--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -50,7 +50,7 @@
 _RESTART_DELAYS = backoff.Backoff(first_s=0.2, cap_s=5.0)
 # A watch confirms its position with each answer. One that has confirmed none for this much
 # longer than a call may wait has stopped, or its call has lost its connection.
-_CONFIRMATION_MARGIN_S = 1.0
+_CONFIRMATION_MARGIN_S = 0.8
 
 
 @attrs.frozen
@@ -264,11 +264,19 @@
         position: objects.Position,
         items: Iterable[feed_messages.FeedObject],
     ) -> None:
-        """Apply objects of a feed; if that fails, forget their kind, to receive it anew."""
+        """Apply objects of a feed; if that fails, receive all objects of their kind anew."""
         if not self._supervisor.run("feed", apply, kind, position, items):
-            self._forget(kind)
+            self._receive_anew(kind)
         self._notify_change()
 
+    def _receive_anew(self, kind: str) -> None:
+        """Forget the objects of a kind, and list them anew if this instance watches it."""
+        self._forget(kind)
+        watcher = self._watchers.get(kind)
+        if watcher is not None:
+            watcher.stop()
+            self._watch(kind)
+
     def _forget(self, kind: str) -> None:
         """Forget up to where the objects of a kind were received; what is in force stays."""
         self._positions.pop(kind, None)
@@ -324,9 +332,9 @@
         It lists them anew, as it is not known how many of them were applied.
         """
         self._supervisor.record(f"watch-{kind}", reason)
-        self._forget(kind)
         if self._watchers.get(kind) is not watcher:
             return
+        self._forget(kind)
         failures = self._watch_failures.get(kind, 0)
         self._watch_failures[kind] = failures + 1
         self._restart_at[kind] = self._reactor.seconds() + _RESTART_DELAYS.delay_s(
