Keep the part of a split when a request is routed again

Cause: a request that was routed anew drew its service anew, which moves retries between the parts of a split and skews their weights; and one that may have run could follow a route on which it must not be repeated. Found by reading in the review. Change: the service stays if the route still has it; a request that may have run keeps its routing unless the route is repeatable. Measured: the tests of routing, flows and homes pass; no test of its own.

--- a/src/carobhook/coordination/request_routing.py
+++ b/src/carobhook/coordination/request_routing.py
@@ -132,6 +132,26 @@
         deadline_at = received_at + left_s - _CLIENT_MARGIN_S
         return self._apply_orders(route, call.service, call.priority, target_at, deadline_at)
 
+    def route_again(
+        self,
+        route: routing.Route,
+        service: ids.Service,
+        target_at: float,
+        deadline_at: float,
+    ) -> RoutingDecision:
+        """Return where a request is sent by another version of its route.
+
+        Args:
+            route: The route in the configuration in force.
+            service: Service that was chosen before; it is kept if the route still has it.
+            target_at: Monotonic time in seconds after which a response is late.
+            deadline_at: Monotonic time in seconds by which the client must get its response.
+        """
+        services = {weighted.service for weighted in route.weighted_services}
+        kept = service if service in services else self.choose_service(route)
+        priority = self.orders.route_priority(route.name, route.priority)
+        return self._apply_orders(route, kept, priority, target_at, deadline_at)
+
     def choose_service(self, route: routing.Route) -> ids.Service:
         """Return the service for a route's next request.
 
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -258,11 +258,12 @@
         config = self._context.server_catalog.config
         if config is None or config.version == accepted.config_version:
             return accepted
-        if self._current_route(accepted, config) is None:
-            return accepted
-        decision = self._route(accepted.request, None)
-        if isinstance(decision, refusals.Refusal):
+        route = self._current_route(accepted, config)
+        if route is None:
             return accepted
+        decision = self._router.route_again(
+            route, accepted.service, accepted.target_at, accepted.deadline_at
+        )
         return attrs.evolve(
             accepted,
             route=decision.route,
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -330,7 +330,10 @@
     def _apply_configuration(self) -> None:
         """Route the request anew if another configuration is in force than on its arrival."""
         before = self._accepted
-        self._accepted = self._reroute(before)
+        routed = self._reroute(before)
+        if self._may_have_run and not routed.route.repeatable:
+            return
+        self._accepted = routed
         if (self._accepted.service, self._accepted.region) != (before.service, before.region):
             self._region = self._accepted.region
 
