--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -254,7 +254,7 @@
             queued_ids = [r for r, sender in state.requesters.items() if sender == name]
             for request_id in queued_ids:
                 del state.requesters[request_id]
-                state.dispatcher.withdraw(request_id)
+                self._guard(state, state.dispatcher.withdraw, request_id)
             granted_ids = [
                 request_id for request_id, entry in state.granted.items() if entry[0] == name
             ]
@@ -303,8 +303,19 @@
         then, so it grants nothing more, and `tick` replaces it.
         """
         started_at = self._reactor.seconds()
+        decisions = self._guard(state, decide, *args)
+        self._dispatch_s += self._reactor.seconds() - started_at
+        return decisions
+
+    def _guard(
+        self, state: shard_state.ShardState, call: Callable[..., typing.Any], *args: typing.Any
+    ) -> typing.Any:
+        """Return the result of a call that concerns one shard; None if it raised.
+
+        Its dispatcher is replaced then, and the other shards are not affected.
+        """
         try:
-            return decide(*args)
+            return call(*args)
         except Exception:
             state.has_failed = state.dispatcher.paused = True
             logs.error(
@@ -314,8 +325,6 @@
                 trace=failure.Failure().getTraceback(),
             )
             return None
-        finally:
-            self._dispatch_s += self._reactor.seconds() - started_at
 
     def _replace_failed(self, state: shard_state.ShardState, now: float) -> None:
         """Replace a dispatcher that failed by a new one, which knows of no slots in use.
@@ -407,7 +416,7 @@
         """Update all dispatchers after a change of servers, configuration or orders."""
         now = self._reactor.seconds()
         for shard, state in list(self._shards.items()):
-            self._update_pool(shard, state)
+            self._guard(state, self._update_pool, shard, state)
             self._decide(state, now)
 
     def tick(self, now: float) -> None:
@@ -523,10 +532,10 @@
             now: Monotonic time in seconds.
         """
         for shard, state in list(self._shards.items()):
-            state.log_moved_grants(now)
             if self._owner_of(shard) == self._own:
-                self._update_loans(shard, state, elapsed_s, now)
-            self._update_pool(shard, state)
+                self._guard(state, self._update_loans, shard, state, elapsed_s, now)
+            self._guard(state, self._update_pool, shard, state)
+            state.log_moved_grants(now)
 
     def _update_loans(
         self, shard: Shard, state: shard_state.ShardState, elapsed_s: float, now: float
