--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -231,11 +231,7 @@
     def _gauges(
         self, omitted: Callable[[], int]
     ) -> dict[entry_metrics.EntryMetric, Callable[[], float]]:
-        server_catalog = self._catalog
-
-        def seconds() -> float:
-            return self._reactor.seconds()
-
+        server_catalog, seconds = self._catalog, self._reactor.seconds
         metric = entry_metrics.EntryMetric
         return {
             metric.IN_FLIGHT: lambda: self._requests.in_flight,
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -231,18 +231,19 @@
         entry = known.entry(server)
         if entry is None or not known.is_usable(server):
             return False
-        config = known.config
-        if config is None or config.version == accepted.config_version:
-            return True
-        route = self._current_route(accepted, config)
+        route = self._changed_route(accepted)
         if route is None or not route.homes:
             return True
         return self._context.orders.regions.get(entry.failure_domain) in route.homes
 
-    def _current_route(
-        self, accepted: request_flow.AcceptedRequest, config: routing.RoutingConfig
-    ) -> routing.Route | None:
-        """Return the route that a configuration has for a request; None if it has none."""
+    def _changed_route(self, accepted: request_flow.AcceptedRequest) -> routing.Route | None:
+        """Return a request's route if another configuration is in force than it was routed by.
+
+        None is returned if that is not so, or if the configuration has no route for it.
+        """
+        config = self._context.server_catalog.config
+        if config is None or config.version == accepted.config_version:
+            return None
         if not accepted.route.host:
             # The request named its service, so it has no route.
             return None
@@ -255,11 +256,9 @@
         Its times stay as they are. A request whose route is gone was accepted before that, and
         is still served.
         """
+        route = self._changed_route(accepted)
         config = self._context.server_catalog.config
-        if config is None or config.version == accepted.config_version:
-            return accepted
-        route = self._current_route(accepted, config)
-        if route is None:
+        if route is None or config is None:
             return accepted
         decision = self._router.route_again(
             route, accepted.service, accepted.target_at, accepted.deadline_at
--- a/tests/test_late_stop.py
+++ b/tests/test_late_stop.py
@@ -41,6 +41,18 @@
             return error.fault.value, None
         return response.status, response.get("retry-after")
 
+    async def queue_requests(self):
+        """Return four requests that run at `two`, and three at `one` that wait for a slot."""
+        await self.join()
+        self.set_behaviour(work_s=4.0)
+        running = [
+            defer.ensureDeferred(self.status(f"running-{number}", "two")) for number in range(4)
+        ]
+        await self.wait_until(lambda: len(self.started_ids) == 4)
+        queued = [defer.ensureDeferred(self.status(f"queued-{number}")) for number in range(3)]
+        await self.wait_until(lambda: self.daemons[0]._allocator.pending_count == 3)
+        return running, queued
+
 
 class TestRequestLateInAStop(StopCase):
     """A request came late in a stop."""
@@ -73,14 +85,7 @@
 
     async def test_queued_requests_are_refused_as_not_run(self):
         """They get a 503 before their connections are closed."""
-        await self.join()
-        self.set_behaviour(work_s=4.0)
-        running = [
-            defer.ensureDeferred(self.status(f"running-{number}", "two")) for number in range(4)
-        ]
-        await self.wait_until(lambda: len(self.started_ids) == 4)
-        queued = [defer.ensureDeferred(self.status(f"queued-{number}")) for number in range(3)]
-        await self.wait_until(lambda: self.daemons[0]._allocator.pending_count == 3)
+        running, queued = await self.queue_requests()
         await self.daemons[0].stop()
         results = await defer.gatherResults(queued)
         await defer.gatherResults(running)
--- a/tests/test_overlooked_states.py
+++ b/tests/test_overlooked_states.py
@@ -6,6 +6,7 @@
 import sys
 import time
 
+import pytest
 from twisted.internet import defer, reactor, task
 
 import test_calm_regions
@@ -40,8 +41,13 @@
 class TestRegionLimit:
     """The limit on changes of the region left requests without any server."""
 
-    def test_request_with_homes_runs_on_a_free_server_at_home(self):
-        """Another region, where it may not run, is no reason to leave out its home."""
+    @pytest.mark.parametrize(
+        "restriction",
+        [{"homes": frozenset({HOME})}, {"avoided": frozenset({ids.Server("b")})}],
+        ids=["homes", "avoided"],
+    )
+    def test_request_that_may_not_leave_runs_on_a_free_server_at_home(self, restriction):
+        """A region or a server where it may not run is no reason to leave out its home."""
         dispatcher_ = make_dispatcher(
             {HOME: 10, FAR: 30},
             test_dispatcher.offer("a", 50),
@@ -49,21 +55,7 @@
         )
         decisions = []
         for number in range(12):
-            request = test_dispatcher.make_request(number, 2.5, homes=frozenset({HOME}))
-            decisions += dispatcher_.submit(request, 2.5)
-        assert [type(d) for d in decisions] == [allocation.SlotGrant] * 12
-
-    def test_retry_that_avoids_the_other_region_runs_at_home(self):
-        """A server that the request avoids is no reason to leave out its home."""
-        dispatcher_ = make_dispatcher(
-            {HOME: 10, FAR: 30},
-            test_dispatcher.offer("a", 50),
-            test_dispatcher.offer("b", 50, FAR),
-        )
-        decisions = []
-        for number in range(12):
-            avoided = frozenset({ids.Server("b")})
-            request = test_dispatcher.make_request(number, 2.5, avoided=avoided)
+            request = test_dispatcher.make_request(number, 2.5, **restriction)
             decisions += dispatcher_.submit(request, 2.5)
         assert [type(d) for d in decisions] == [allocation.SlotGrant] * 12
 
@@ -103,14 +95,7 @@
 
     async def test_queued_requests_are_refused_as_not_run(self):
         """Their 503 is sent although the time of the abort has come as well."""
-        await self.join()
-        self.set_behaviour(work_s=4.0)
-        running = [
-            defer.ensureDeferred(self.status(f"running-{number}", "two")) for number in range(4)
-        ]
-        await self.wait_until(lambda: len(self.started_ids) == 4)
-        queued = [defer.ensureDeferred(self.status(f"queued-{number}")) for number in range(3)]
-        await self.wait_until(lambda: self.daemons[0]._allocator.pending_count == 3)
+        running, queued = await self.queue_requests()
         reactor.callLater(1.35, time.sleep, 0.45)
         await self.daemons[0].stop()
         results = await defer.gatherResults(queued)
