--- a/src/carobhook/standins/platform_server.py
+++ b/src/carobhook/standins/platform_server.py
@@ -35,6 +35,9 @@
         echo_id: Whether the body is the id of the attempt instead of ``body``.
         limit: Value of the header `names.SERVER_LIMIT` of the responses, or None to send none;
             not enforced.
+        fatal_target: Target of the requests that end the server when they have run for
+            ``work_s``, whether or not their client still waits; None for no such requests.
+        down_s: Seconds from the end of the server to its next start.
     """
 
     slots: int = 4
@@ -47,6 +50,8 @@
     body: bytes = b"served"
     echo_id: bool = False
     limit: str | None = None
+    fatal_target: bytes | None = None
+    down_s: float = 1.5
 
 
 @attrs.define(eq=False)
@@ -55,13 +60,19 @@
 
     timer: typing.Any
     on_cancel: Callable[[], None]
+    is_fatal: bool = False
 
     def client_disconnected(self) -> None:
-        """Cancel the request."""
-        if self.timer.active():
+        """Cancel the request, unless it is one that ends the server."""
+        if self.timer.active() and not self.is_fatal:
             self.timer.cancel()
             self.on_cancel()
 
+    def stop(self) -> None:
+        """Stop the request, as its server ends."""
+        if self.timer.active():
+            self.timer.cancel()
+
 
 class PlatformBackend:
     """A backend server on a port.
@@ -77,10 +88,14 @@
         starts: The same ids, each with the monotonic time of its start in seconds.
         cancelled: Number of requests whose connection closed while they ran.
         heads: Heads of all requests received.
+        ends: Monotonic times in seconds at which a request ended the server.
     """
 
     def __init__(self, reactor: typing.Any, name: str) -> None:
         self._reactor = reactor
+        self._port: typing.Any = None
+        self._restart: typing.Any = None
+        self._running: set[_RunningRequest] = set()
         self.name = name
         self._connections: list[client_connections.ClientConnection] = []
         self.behaviour = Behaviour()
@@ -88,6 +103,7 @@
         self.starts: list[tuple[str, float]] = []
         self.cancelled = 0
         self.heads: list[http1.RequestHead] = []
+        self.ends: list[float] = []
 
     def listen(self, host: str, port: int) -> interfaces.IListeningPort:
         """Listen on an address."""
@@ -105,14 +121,35 @@
         listener = Listener(
             self._reactor, self._handle, lambda: _LIMITS, _MAX_CONNECTIONS, _MAX_BUFFERED_BYTES
         )
-        return self._reactor.listenTCP(port, listener, interface=host)
+        self._port = self._reactor.listenTCP(port, listener, interface=host)
+        return self._port
 
     def abort(self) -> None:
-        """Close all connections at once."""
+        """Close all connections at once, and start no more after an end."""
+        if self._restart is not None and self._restart.active():
+            self._restart.cancel()
+        elif self._restart is not None:
+            # The port that `listen` returned first was closed by the server's end.
+            self._port.stopListening()
+        self._close_connections()
+
+    def _close_connections(self) -> None:
         for connection in self._connections:
             if connection.connected:
                 connection.abort()
 
+    def crash(self) -> None:
+        """End the server with all that it runs; it starts again after ``down_s``."""
+        address = self._port.getHost()
+        self.ends.append(self._reactor.seconds())
+        for running in list(self._running):
+            running.stop()
+        self._port.stopListening()
+        self._close_connections()
+        self._restart = self._reactor.callLater(
+            self.behaviour.down_s, self.listen, address.host, address.port
+        )
+
     def _handle(
         self, inbound: client_connections.ClientRequest, respond: Respond
     ) -> client_connections.ActiveRequest | None:
@@ -129,8 +166,11 @@
         attempt_id = head.get(names.REQUEST_ID) or ""
         self.started_ids.append(attempt_id)
         self.starts.append((attempt_id, self._reactor.seconds()))
+        is_fatal = head.target == self.behaviour.fatal_target
         timer = self._reactor.callLater(self.behaviour.work_s, self._finish, head, respond)
-        return _RunningRequest(timer, self._count_cancelled)
+        running = _RunningRequest(timer, self._count_cancelled, is_fatal)
+        self._running = {known for known in self._running if known.timer.active()} | {running}
+        return running
 
     def _count_cancelled(self) -> None:
         self.cancelled += 1
@@ -138,6 +178,9 @@
     def _finish(self, head: http1.RequestHead, respond: Respond) -> None:
         """Send the response of a request, or the failure that ``behaviour`` sets."""
         behaviour = self.behaviour
+        if head.target == behaviour.fatal_target:
+            self.crash()
+            return
         if behaviour.reset or behaviour.raw is not None:
             for connection in self._connections:
                 if connection.connected and not connection.is_idle:
--- /dev/null
+++ b/tests/test_ended_servers.py
@@ -0,0 +1,122 @@
+"""A request that ends the servers that run it was sent on and on (issue 30)."""
+
+from twisted.internet import defer, reactor, task
+
+import test_entry
+from carobhook.coordination import poison
+from carobhook.state import members
+
+FATAL = "/u/fatal"
+FATAL_SAFE = "/a/fatal"
+
+
+class EndedServersCase(test_entry.EntryCase):
+    """Base class of tests with a request that ends its servers."""
+
+    timeout = 60
+    server_count = 8
+
+    @property
+    def ends(self):
+        """Return the number of servers that a request has ended."""
+        return sum(len(backend.ends) for backend in self.backends.values())
+
+    def make_fatal(self, target=FATAL, **fields):
+        """Let requests for a target end their servers."""
+        self.set_behaviour(fatal_target=target.encode(), **fields)
+
+    async def pause(self, seconds):
+        """Wait for some seconds."""
+        await task.deferLater(reactor, seconds, lambda: None)
+
+    async def send(self, count, target=FATAL, instance="one", pause_s=0.6):
+        """Send a request several times; return the statuses of its responses."""
+        statuses = []
+        for _ in range(count):
+            response = await self.request(target, b"POST", b"bad", instance=instance)
+            statuses.append(response.status)
+            await self.pause(pause_s)
+        return statuses
+
+    async def start_second(self):
+        """Start a second instance, which knows the first; wait until it is ready."""
+        self.daemons.append(await self.start_instance("two", ("one",)))
+        await self.wait_until(lambda: self.daemons[1].phase is members.Phase.READY)
+        await self.wait_until(
+            lambda: len(self.daemons[0]._streams.membership.serving(reactor.seconds())) == 2
+        )
+
+
+class TestFailureResponse(EndedServersCase):
+    """A server's own failure response cleared the marks of the request."""
+
+    async def test_failure_between_the_ends_proves_nothing(self):
+        """The request is refused after the third end, although it got a 500 before that."""
+        self.make_fatal()
+        assert await self.send(2) == [502, 502]
+        self.set_behaviour(status=500)
+        assert await self.send(1) == [500]
+        self.make_fatal()
+        assert await self.send(4) == [502, 503, 503, 503]
+        assert self.ends == poison.MARK_LIMIT
+
+
+class TestLateInstance(EndedServersCase):
+    """An instance that started later knew no marks."""
+
+    async def test_started_instance_refuses_at_once(self):
+        """The marks reach it when it joins."""
+        self.make_fatal()
+        await self.send(3)
+        await self.start_second()
+        await self.pause(1.0)
+        assert await self.send(2, instance="two") == [503, 503]
+        assert self.ends == poison.MARK_LIMIT
+
+
+class TestDepartedClient(EndedServersCase):
+    """A request whose client had left was not held against it."""
+
+    async def test_end_after_the_client_has_left_counts(self):
+        """The servers end 0.3 s after the client of a repeatable request has gone."""
+        self.make_fatal(FATAL_SAFE, work_s=0.6, down_s=3.0)
+        head = f"GET {FATAL_SAFE} HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: c%d\r\n\r\n"
+        for number in range(8):
+            client = await self.send_raw((head % number).encode(), wait_s=0.3)
+            client.transport.abortConnection()
+            await self.pause(1.6)
+        assert self.ends == poison.MARK_LIMIT
+
+
+class TestWaitingCopies(EndedServersCase):
+    """Copies that waited when the request became known were sent all the same."""
+
+    server_count = 3
+
+    async def test_waiting_copy_is_refused(self):
+        """Twelve copies at once: those that wait for a slot see the end of the third server."""
+        self.make_fatal(work_s=0.4, down_s=0.2)
+        for name in self.backends:
+            self.register(name, slots=1)
+        patient = test_entry.route("/u/", "unsafe", Timeout="8s", TargetLatency="7s")
+        self.store.put("config", "main", test_entry.config(2, patient))
+        await self.pause(0.8)
+        waiting = [
+            self.request(FATAL, b"POST", b"bad", X_Attempt_Id=str(number), X_Deadline_Ms="8000")
+            for number in range(12)
+        ]
+        responses = await defer.gatherResults([defer.ensureDeferred(w) for w in waiting])
+        statuses = sorted(response.status for response in responses)
+        assert self.ends == poison.MARK_LIMIT
+        assert statuses == [502] * 3 + [503] * 9
+
+
+class TestInnocentRequest(EndedServersCase):
+    """Connections that broke at servers which went on running were held against a request."""
+
+    async def test_resets_of_running_servers_quarantine_nothing(self):
+        """Five resets of the connection alone, and the request is still served after them."""
+        self.set_behaviour(reset=True)
+        assert await self.send(5) == [502] * 5
+        self.set_behaviour()
+        assert await self.send(1) == [200]
