Keep marks of requests in the store, where they outlast all instances

What callers saw: after a kill of all instances, and at an instance that is cut off from its peers but not from the store, a request that had ended three servers was sent on, as nobody there knew of it.

Cause: marks lived in the memory of the instances only. What must last belongs into the platform's store.

Change: the instance that learns of an end writes the mark as an object of its own (kind quarantine, one write for each end under a request), and deletes it when a response clears it or it has expired.

--- a/src/carobhook/standins/platform_store.py
+++ b/src/carobhook/standins/platform_store.py
@@ -103,6 +103,10 @@
         if existing is not None:
             self._engine.delete(kind, name, existing.version, now)
 
+    def names(self, kind: str) -> list[str]:
+        """Return the names of all objects of a kind."""
+        return [item.name for item in self._engine.list(kind, self._reactor.seconds()).items]
+
     def save(self) -> memory_store.SavedCopy:
         """Return a copy of all objects, to which `restore` returns."""
         return self._engine.save()
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -129,6 +129,7 @@
             settings.place.name,
             self._catalog,
             self._reach_checks,
+            request_quarantine.MarkStore(self._store, self._clocks.wall, self._is_separated),
             self._streams.broadcast,
             lambda reason: self._supervisor.record("server-check", reason),
         )
@@ -196,6 +197,10 @@
             self._streams.send,
         )
 
+    def _is_separated(self) -> bool:
+        """Return whether instances of this region that were known lately are missing."""
+        return self._streams.visible_share(self._settings.place.region) < 1.0
+
     def _other_serving(self) -> list[ids.InstanceId]:
         """Return the names of the other instances that accept new work."""
         own = self._settings.place.name
@@ -447,6 +452,7 @@
             await task.deferLater(self._reactor, 0)
         self._store_sync.stop()
         self._reach_checks.stop()
+        self._quarantine.stop()
         self._supervisor.stop()
         await self._streams.stop()
         self._servers.stop()
--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -8,19 +8,35 @@
 import typing
 from collections.abc import Callable
 
+import attrs
 from twisted.internet import defer
 
 from carobhook import logs
-from carobhook.coordination import catalog, lost_attempts, poison
+from carobhook.coordination import catalog, lost_attempts, objects, poison
 from carobhook.platform import requests
-from carobhook.protocol import slot_messages
+from carobhook.protocol import mark_codec, slot_messages
 from carobhook.state import ids, servers
-from carobhook.transport import client_connections, reach_checks
+from carobhook.transport import client_connections, reach_checks, stored_marks
 
 # Most marks that are sent to an instance on a new stream; the latest have precedence.
 _MAX_SENT_MARKS = 2_000
 
 
+@attrs.frozen
+class MarkStore:
+    """Where marks are kept so that they outlast the instances.
+
+    Attributes:
+        store: The platform's store.
+        wall: Returns the time of day in seconds.
+        is_separated: Returns whether other instances are missing.
+    """
+
+    store: objects.ObjectStore
+    wall: Callable[[], float]
+    is_separated: Callable[[], bool]
+
+
 class RequestQuarantine:
     """Marks of requests at this instance; implements `request_flow.AttemptObserver`.
 
@@ -29,6 +45,7 @@
         own: Name of this instance.
         server_catalog: Tells which run of a server is the present one.
         checks: Checks whether servers have ended.
+        mark_store: Where marks are kept.
         broadcast: Sends a message to all other instances.
         on_failure: Called with the failure of a check.
     """
@@ -39,6 +56,7 @@
         own: ids.InstanceId,
         server_catalog: catalog.Catalog,
         checks: reach_checks.ReachChecks,
+        mark_store: MarkStore,
         broadcast: Callable[[typing.Any], object],
         on_failure: Callable[[typing.Any], object],
     ) -> None:
@@ -49,6 +67,17 @@
         self._on_failure = on_failure
         self._quarantine = poison.Quarantine(own)
         self._lost_attempts = lost_attempts.LostAttempts()
+        self._stored_marks = stored_marks.StoredMarks(
+            reactor,
+            mark_store.store,
+            mark_store.wall,
+            stored_marks.MarkCallbacks(
+                self._add_stored,
+                self._remove_stored,
+                mark_store.is_separated,
+                on_failure,
+            ),
+        )
 
     def is_quarantined(self, request: client_connections.ClientRequest) -> bool:
         """Return whether a request has ended so many servers that it is refused."""
@@ -88,9 +117,11 @@
         names = self._quarantine.clear(request_fingerprint)
         if names:
             self._broadcast(slot_messages.RequestCleared(request_fingerprint, names))
+            self._stored_marks.discard(request_fingerprint, names)
 
     def tick(self) -> None:
-        """Check the servers of lost attempts."""
+        """Check the servers of lost attempts, and keep the marks in the store up to date."""
+        self._stored_marks.tick()
         if self._lost_attempts.is_empty:
             return
         for run in self._lost_attempts.ended_runs(lambda run: self._current_run(run.server)):
@@ -119,6 +150,10 @@
         if self._quarantine.remove(message.fingerprint, message.names):
             self._broadcast(message)
 
+    def stop(self) -> None:
+        """Cancel the call to the store in progress."""
+        self._stored_marks.stop()
+
     def mark_messages(self) -> list[slot_messages.RequestMarked]:
         """Return messages with the marks of this instance, for one that may not know them."""
         now = self._reactor.seconds()
@@ -149,6 +184,22 @@
                 reason=reason,
             )
             self._broadcast(_mark_message(mark, now))
+            self._stored_marks.save(mark)
+
+    def _add_stored(self, stored: mark_codec.StoredMark, remaining_s: float) -> None:
+        """Add a mark that the store holds; it is sent on like that of an instance."""
+        self.apply_mark(
+            slot_messages.RequestMarked(
+                stored.fingerprint,
+                stored.name,
+                ids.InstanceId(stored.source),
+                round(remaining_s * 1000),
+            )
+        )
+
+    def _remove_stored(self, stored: mark_codec.StoredMark) -> None:
+        """Remove a mark that another instance has cleared."""
+        self._quarantine.remove(stored.fingerprint, (stored.name,))
 
 
 def fingerprint(request: client_connections.ClientRequest) -> poison.Fingerprint:
--- a/tests/test_ended_servers.py
+++ b/tests/test_ended_servers.py
@@ -4,6 +4,7 @@
 
 import test_entry
 from carobhook.coordination import poison
+from carobhook.protocol import mark_codec
 from carobhook.state import members
 
 FATAL = "/u/fatal"
@@ -123,3 +124,31 @@
         assert await self.send(5) == [502] * 5
         self.set_behaviour()
         assert await self.send(1) == [200]
+
+
+class TestRestartOfAllInstances(EndedServersCase):
+    """The marks were forgotten when all instances ended at once."""
+
+    async def test_marks_outlast_the_instances(self):
+        """An instance that starts alone finds the marks in the store."""
+        self.make_fatal()
+        await self.send(3)
+        await self.daemons.pop().stop()
+        self.daemons.append(await self.start_instance("one"))
+        await self.wait_until(lambda: self.daemons[0].phase is members.Phase.READY)
+        await self.pause(0.5)
+        assert await self.send(2) == [503, 503]
+        assert self.ends == poison.MARK_LIMIT
+
+    async def test_served_request_leaves_no_mark_in_the_store(self):
+        """A response without a failure deletes the marks there too."""
+        self.make_fatal()
+        await self.send(2)
+        assert len(self.stored_marks()) == 2
+        self.set_behaviour()
+        assert await self.send(1) == [200]
+        await self.wait_until(lambda: not self.stored_marks())
+
+    def stored_marks(self):
+        """Return the objects of the store that hold marks."""
+        return self.store.names(mark_codec.STORE_KIND)
