Relay requests through another instance where the path to a server is broken

Cause: reach was taken for a fact about the server, where it is one about a pair of instance and server. An instance that could not connect reported the server as unreachable, and its dispatcher paused the server for everybody, 0.4 s doubled up to 3 s: arrivals at servers fell from 455 to 140 a second while most slots were free. And an instance without a path had no way around; it refused for as long as the cut lasted.

Change: an instance keeps what it knows of its own paths. A request whose server accepts no connection goes through another instance, with the slot that it holds; that one sends it straight to the server, within bounds of its own, and tells whether it was sent. Only a server that neither reaches is reported as unreachable. After three failures without a sound from any server, no direct attempt is made; broken paths are probed, and used again when one opens. A cut instance says nothing about servers, and relays for nobody. Bodies stay within the homes of their requests.

--- a/src/carobhook/coordination/catalog.py
+++ b/src/carobhook/coordination/catalog.py
@@ -235,6 +235,10 @@
         known = self._servers.get(name)
         return known.entry if known is not None else None
 
+    def has_address(self, address: str) -> bool:
+        """Return whether a known server has an address."""
+        return any(known.entry.address == address for known in self._servers.values())
+
     def is_usable(self, name: ids.Server) -> bool:
         """Return whether a server is known and may get requests."""
         known = self._servers.get(name)
--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -134,6 +134,18 @@
         ("part",),
         "Unexpected errors in parts of the instance, which went on or were started again.",
     )
+    REQUESTS_RELAYED = MetricInfo(
+        "carobhook_requests_relayed",
+        Kind.GAUGE,
+        (),
+        "Requests sent to servers through other instances since the start.",
+    )
+    PATHS_BROKEN = MetricInfo(
+        "carobhook_paths_broken",
+        Kind.GAUGE,
+        (),
+        "Backend servers that other instances reach and this one does not.",
+    )
     LINES_OMITTED = MetricInfo(
         "carobhook_log_lines_omitted",
         Kind.GAUGE,
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -55,6 +55,14 @@
         "request-marked",
         "A backend server ended while it ran a request; the request is marked.",
     )
+    PATHS_LOST = EventInfo(
+        "paths-lost",
+        "The instance seems to be cut from all backend servers; others relay its requests.",
+    )
+    PATHS_FOUND = EventInfo("paths-found", "The instance reaches backend servers again.")
+    REQUEST_RELAYED = EventInfo(
+        "request-relayed", "A request of another instance was sent to its server and answered."
+    )
     EXCHANGE_FAILED = EventInfo(
         "exchange-failed", "An exchange with a backend server ended with an unexpected error."
     )
--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -9,6 +9,7 @@
     framing,
     membership_messages,
     path_messages,
+    relay_messages,
     slot_messages,
 )
 
@@ -35,6 +36,8 @@
     "RequestCleared": slot_messages.RequestCleared,
     "ReachQuery": path_messages.ReachQuery,
     "ReachReport": path_messages.ReachReport,
+    "RelayRequest": relay_messages.RelayRequest,
+    "RelayResponse": relay_messages.RelayResponse,
     "FeedWanted": feed_messages.FeedRequest,
     "FeedSnapshot": feed_messages.FeedSnapshot,
     "FeedEvents": feed_messages.FeedEvents,
--- a/src/carobhook/state/allocation.py
+++ b/src/carobhook/state/allocation.py
@@ -15,16 +15,19 @@
     """Outcome of one attempt to run a request on a backend server.
 
     ANSWERED: The server sent a complete response that does not report a server failure.
+    RELAYED: The same, through another instance, so that its time says nothing about the server.
     FAILED: The server sent a complete response that reports a server failure.
     SHED: The server is overloaded and reported that it did not run the request.
     MISDIRECTED: The address now belongs to another server.
-    UNREACHABLE: No connection to the server could be opened.
+    UNREACHABLE: No connection to the server could be opened, from another instance neither if
+        one could be asked.
     BROKEN: The connection broke, or the server sent an invalid response.
     CANCELLED: The instance cancelled the attempt or did not use the slot, which says nothing
         about the server.
     """
 
     ANSWERED = "answered"
+    RELAYED = "relayed"
     FAILED = "failed"
     SHED = "shed"
     MISDIRECTED = "misdirected"
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -11,8 +11,8 @@
 
 from carobhook import entry_metrics, entry_settings, logs
 from carobhook.coordination import catalog, membership, steering, store_feed
-from carobhook.platform import names, store
-from carobhook.protocol import feed_messages, path_messages, slot_messages
+from carobhook.platform import names, requests, store
+from carobhook.protocol import feed_messages, path_messages, relay_messages, slot_messages
 from carobhook.state import ids, members, routing
 from carobhook.transport import (
     client_connections,
@@ -22,8 +22,11 @@
     member_streams,
     peers,
     reach_checks,
+    relay_connections,
+    relay_service,
     request_quarantine,
     server_connections,
+    server_exchange,
     shard_dispatchers,
     slot_allocator,
     sockets,
@@ -60,6 +63,8 @@
 # Share that the bodies of responses may use while they are being received. A complete one is
 # copied twice when it is forwarded.
 _RESPONSE_MEMORY_RATIO = 0.15
+# Share that the bodies of requests of other instances may use.
+_RELAY_MEMORY_RATIO = 0.1
 # The setting ``shift_most`` limits how much traffic changes region within two seconds. Loans of
 # slots between regions are updated every half second. Four updates fit into this time, so
 # each may use a quarter of the limit; with larger steps, they could exceed it together.
@@ -123,6 +128,11 @@
             _CONNECT_TIMEOUT_S,
             int(settings.capacity.memory_mb * _RESPONSE_MEMORY_RATIO * 1024 * 1024),
         )
+        self._relays = relay_connections.RelayConnections(
+            reactor, self._identity(), self._tls.peers if self._tls is not None else None
+        )
+        self._exchange = self._create_server_exchange(rng)
+        self._relay_service = self._create_relay_service()
         self._reach_checks = self._create_reach_checks(rng)
         self._quarantine = request_quarantine.RequestQuarantine(
             reactor,
@@ -155,11 +165,9 @@
         self._request_port: typing.Any = None
 
     def _create_member_streams(self) -> member_streams.MemberStreams:
-        place = self._settings.place
-        key = self._settings.security.peer_key.encode()
         return member_streams.MemberStreams(
             self._reactor,
-            peers.Identity(place.name, self._incarnation, key),
+            self._identity(),
             self._own_member,
             member_streams.MembershipCallbacks(
                 self._supervisor.isolate("message", self._handle_message),
@@ -168,8 +176,41 @@
                 self._supervisor.isolate("new-stream", self._send_marks),
             ),
             self._tls.peers if self._tls is not None else None,
+            self._relay,
+        )
+
+    def _identity(self) -> peers.Identity:
+        key = self._settings.security.peer_key.encode()
+        return peers.Identity(self._settings.place.name, self._incarnation, key)
+
+    def _create_server_exchange(self, rng: random.Random) -> server_exchange.ServerExchange:
+        return server_exchange.ServerExchange(
+            self._reactor,
+            rng,
+            self._settings.place.region,
+            self._servers,
+            self._relays,
+            self._other_serving,
+            lambda reason: self._supervisor.record("path-check", reason),
+        )
+
+    def _create_relay_service(self) -> relay_service.RelayService:
+        return relay_service.RelayService(
+            self._servers,
+            self._catalog,
+            lambda: self._phase is members.Phase.READY and not self._exchange.is_cut,
+            requests.ServerCodec().matches_attempt,
+            int(self._settings.capacity.memory_mb * _RELAY_MEMORY_RATIO * 1024 * 1024),
         )
 
+    def _relay(
+        self,
+        sender: ids.InstanceId,
+        request: relay_messages.RelayRequest,
+        respond: relay_service.Respond,
+    ) -> defer.Deferred | None:
+        return self._relay_service.handle(sender, request, respond)
+
     def _create_store_sync(self, rng: random.Random) -> store_sync.StoreSync:
         return store_sync.StoreSync(
             self._reactor,
@@ -192,8 +233,8 @@
             self._reactor,
             rng,
             self._servers.probe,
-            lambda: True,
-            self._other_serving,
+            lambda: not self._exchange.is_cut,
+            lambda: [member.name for member in self._other_serving()],
             self._streams.send,
         )
 
@@ -201,11 +242,11 @@
         """Return whether instances of this region that were known lately are missing."""
         return self._streams.visible_share(self._settings.place.region) < 1.0
 
-    def _other_serving(self) -> list[ids.InstanceId]:
-        """Return the names of the other instances that accept new work."""
+    def _other_serving(self) -> list[members.Member]:
+        """Return the other instances that accept new work."""
         own = self._settings.place.name
         serving = self._streams.membership.serving(self._reactor.seconds())
-        return [member.name for member in serving if member.name != own]
+        return [member for member in serving if member.name != own]
 
     def _create_slot_allocator(self) -> slot_allocator.SlotAllocator:
         return slot_allocator.SlotAllocator(
@@ -243,7 +284,7 @@
                 self._catalog,
                 self._orders,
                 self._allocator,
-                self._servers,
+                self._exchange,
                 self._metrics,
                 self._quarantine,
             ),
@@ -283,6 +324,8 @@
             metric.READY: lambda: float(self._phase is members.Phase.READY),
             metric.DISPATCH_TIME: lambda: self._allocator.dispatch_s,
             metric.SLOT_REQUESTS_QUEUED: lambda: self._allocator.queued_count,
+            metric.REQUESTS_RELAYED: lambda: self._exchange.relayed_count,
+            metric.PATHS_BROKEN: lambda: self._exchange.broken_paths,
             metric.LINES_OMITTED: omitted,
         }
 
@@ -421,7 +464,8 @@
         """
         while self._reactor.seconds() < end_at:
             if until_idle:
-                if not self._requests.in_flight and not self._request_listener.open_connections:
+                in_flight = self._requests.in_flight + self._relay_service.in_flight
+                if not in_flight and not self._request_listener.open_connections:
                     return
                 self._request_listener.close_idle()
             await task.deferLater(self._reactor, _STOP_POLL_INTERVAL_S)
@@ -453,6 +497,7 @@
         self._store_sync.stop()
         self._reach_checks.stop()
         self._quarantine.stop()
+        self._relays.stop()
         self._supervisor.stop()
         await self._streams.stop()
         self._servers.stop()
@@ -508,6 +553,7 @@
 
     def _on_member_lost(self, name: ids.InstanceId) -> None:
         self._allocator.remove_instance(name)
+        self._relays.remove_instance(name)
         self._store_sync.remove_subscriber(name)
 
     def _handle_message(self, sender: ids.InstanceId, message: typing.Any) -> None:
@@ -539,6 +585,7 @@
         self._loop_monitor.record_call(self._reactor.seconds())
         self._supervisor.run("store-sync", self._store_sync.tick)
         self._supervisor.run("quarantine", self._quarantine.tick)
+        self._supervisor.run("paths", self._exchange.tick, self._catalog.has_address)
         self._supervisor.run("orders", self._advance_orders)
         self._supervisor.run("slots", self._allocator.tick)
 
@@ -560,6 +607,7 @@
     def _close_idle(self) -> None:
         now = self._reactor.seconds()
         self._servers.close_idle(now)
+        self._relays.close_idle(now)
         self._store.close_idle(now)
 
 
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -15,7 +15,7 @@
     client_connections,
     request_flow,
     request_quarantine,
-    server_connections,
+    server_exchange,
     slot_allocator,
 )
 
@@ -33,7 +33,7 @@
         server_catalog: Servers and configuration.
         orders: Operators' orders in force.
         allocator: Requests and releases slots.
-        servers: Connections to backend servers.
+        servers: Exchanges with backend servers.
         metrics: Counters and histograms.
         quarantine: Requests that end the servers that run them.
     """
@@ -41,7 +41,7 @@
     server_catalog: catalog.Catalog
     orders: steering.Steering
     allocator: slot_allocator.SlotAllocator
-    servers: server_connections.ServerConnections
+    servers: server_exchange.ServerExchange
     metrics: entry_metrics.EntryMetrics
     quarantine: request_quarantine.RequestQuarantine
 
--- a/src/carobhook/transport/member_streams.py
+++ b/src/carobhook/transport/member_streams.py
@@ -43,6 +43,7 @@
         own_state: Returns the current state of this instance.
         callbacks: Functions to call for messages and for changes of the members.
         context: TLS context of the streams, None for plain TCP.
+        relay_handler: Relays the requests of other instances; None to relay none.
 
     Attributes:
         membership: Table of the live instances.
@@ -55,6 +56,7 @@
         own_state: Callable[[], members.Member],
         callbacks: MembershipCallbacks,
         context: typing.Any = None,
+        relay_handler: peers.RelayHandler | None = None,
     ) -> None:
         self._reactor = reactor
         self._own = identity.name
@@ -75,6 +77,7 @@
             self._send_initial_state,
             context=context,
             on_lost=self._handle_stream_end,
+            relay_handler=relay_handler,
         )
 
     def start(self, address: str, seeds: typing.Iterable[str]) -> None:
--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -11,7 +11,7 @@
 from twisted.python import failure
 
 from carobhook import logs
-from carobhook.protocol import framing, membership_messages
+from carobhook.protocol import framing, membership_messages, relay_messages
 from carobhook.state import ids
 from carobhook.transport import sockets
 
@@ -25,7 +25,20 @@
 _NONCE_BYTES = 16
 _MAX_HELLO_BYTES = 64 * 1024
 
+# An idle connection for relayed requests is aborted after this time.
+_RELAY_IDLE_TIMEOUT_S = 10.0
+
 Handler = Callable[[ids.InstanceId, typing.Any], None]
+# Called with the sender of a relayed request, the request and a function that answers it once.
+# Returns a deferred whose cancellation cancels the request, or None if it was answered.
+RelayHandler = Callable[
+    [
+        ids.InstanceId,
+        relay_messages.RelayRequest,
+        Callable[[relay_messages.RelayResponse], None],
+    ],
+    typing.Any,
+]
 
 
 class Codec(typing.Protocol):
@@ -61,8 +74,13 @@
     incarnation: ids.Incarnation
     key: bytes = attrs.field(repr=False)
 
+    def answer(self, nonce: bytes) -> membership_messages.Hello:
+        """Return the answer to a challenge."""
+        proof = hello_proof(self.key, nonce, self.name, self.incarnation)
+        return membership_messages.Hello(self.name, self.incarnation, proof)
+
 
-class _FramedProtocol(protocol.Protocol):
+class FramedProtocol(protocol.Protocol):
     """A connection that carries msgpack frames.
 
     It is aborted on invalid data, and if the handling of a message raises an exception.
@@ -78,6 +96,7 @@
         self.transport.write(self._codec.encode(message))
 
     def dataReceived(self, data: bytes) -> None:
+        """Handle received bytes; abort the connection if they are invalid."""
         try:
             self._handle_data(data)
         except Exception as problem:
@@ -98,8 +117,12 @@
         raise NotImplementedError
 
 
-class _IncomingStream(_FramedProtocol):
-    """Accepting side: authenticates the sender, then receives its messages."""
+class _IncomingStream(FramedProtocol):
+    """Accepting side: authenticates the sender, then receives its messages.
+
+    A connection whose sender relays requests on it carries nothing else. Its end is not the end
+    of the sender, and cancels the request that it carries.
+    """
 
     def __init__(
         self,
@@ -108,11 +131,15 @@
         key: bytes,
         handler: Handler,
         on_lost: Callable[[ids.InstanceId], None],
+        relay_handler: RelayHandler | None = None,
     ) -> None:
         super().__init__(reactor, codec)
         self._key = key
         self._handler = handler
         self._on_lost = on_lost
+        self._relay_handler = relay_handler
+        self._is_relay = False
+        self._relayed: typing.Any = None
         self._nonce = secrets.token_bytes(_NONCE_BYTES)
         self._sender: ids.InstanceId | None = None
         # An unauthenticated client must not make this instance buffer more than a hello.
@@ -126,10 +153,16 @@
     def connectionLost(self, reason: failure.Failure = protocol.connectionDone) -> None:
         if self._timer.active():
             self._timer.cancel()
-        if self._sender is not None:
+        relayed, self._relayed = self._relayed, None
+        if relayed is not None:
+            relayed.cancel()
+        if self._sender is not None and not self._is_relay:
             self._on_lost(self._sender)
 
     def handle_message(self, message: typing.Any) -> None:
+        if isinstance(message, relay_messages.RelayRequest) and self._sender is not None:
+            self._relay(self._sender, message)
+            return
         self._timer.reset(_SILENCE_TIMEOUT_S)
         if self._sender is None:
             self._sender = self._authenticate(message)
@@ -144,6 +177,26 @@
             self.send(membership_messages.HeartbeatAck())
         self._handler(self._sender, message)
 
+    def _relay(self, sender: ids.InstanceId, request: relay_messages.RelayRequest) -> None:
+        """Relay a request; the connection may be silent until it is answered."""
+        if self._relay_handler is None or self._relayed is not None:
+            raise framing.CodecError("one request at a time can be relayed on a connection")
+        self._is_relay = True
+        if self._timer.active():
+            self._timer.cancel()
+        relayed = self._relay_handler(sender, request, self._answer_relayed)
+        if relayed is not None and not relayed.called:
+            self._relayed = relayed
+
+    def _answer_relayed(self, response: relay_messages.RelayResponse) -> None:
+        self._relayed = None
+        if self.connected:
+            self.send(response)
+            self._timer = self._reactor.callLater(_RELAY_IDLE_TIMEOUT_S, self._abort_idle)
+
+    def _abort_idle(self) -> None:
+        self.transport.abortConnection()
+
     def _authenticate(self, message: typing.Any) -> ids.InstanceId:
         if not isinstance(message, membership_messages.Hello):
             raise framing.CodecError(f"first message must be Hello, got {message!r:.80}")
@@ -157,7 +210,7 @@
         self.transport.abortConnection()
 
 
-class _OutgoingStream(_FramedProtocol):
+class _OutgoingStream(FramedProtocol):
     """Connecting side: authenticates itself, then sends this instance's messages.
 
     Attributes:
@@ -181,11 +234,7 @@
     def handle_message(self, message: typing.Any) -> None:
         self._timer.reset(_SILENCE_TIMEOUT_S)
         if isinstance(message, membership_messages.Challenge) and not self.ready:
-            identity = self._identity
-            proof = hello_proof(
-                identity.key, message.nonce, identity.name, identity.incarnation
-            )
-            self.send(membership_messages.Hello(identity.name, identity.incarnation, proof))
+            self.send(self._identity.answer(message.nonce))
             self.ready = True
             self.factory.on_ready(self.factory.address)
 
@@ -257,16 +306,23 @@
         key: bytes,
         handler: Handler,
         on_lost: Callable[[ids.InstanceId], None],
+        relay_handler: RelayHandler | None,
     ) -> None:
         self._reactor = reactor
         self._codec = codec
         self._key = key
         self._handler = handler
         self._on_lost = on_lost
+        self._relay_handler = relay_handler
 
     def buildProtocol(self, addr: typing.Any) -> _IncomingStream:
         stream = _IncomingStream(
-            self._reactor, self._codec, self._key, self._handler, self._on_lost
+            self._reactor,
+            self._codec,
+            self._key,
+            self._handler,
+            self._on_lost,
+            self._relay_handler,
         )
         stream.factory = self
         return stream
@@ -283,6 +339,7 @@
         on_ready: Called with the address when messages may be sent on the stream to it.
         context: TLS context of both sides, None for plain TCP.
         on_lost: Called with the sender's name when an authenticated stream from it ends.
+        relay_handler: Relays the requests of other instances; None to relay none.
     """
 
     def __init__(
@@ -294,7 +351,9 @@
         on_ready: Callable[[str], None] = lambda address: None,
         context: typing.Any = None,
         on_lost: Callable[[ids.InstanceId], None] = lambda name: None,
+        relay_handler: RelayHandler | None = None,
     ) -> None:
+        self._relay_handler = relay_handler
         self._context = context
         self._codec = codec
         self._reactor = reactor
@@ -309,7 +368,12 @@
     def listen(self, host: str, port: int) -> int:
         """Accept streams from other instances; return the port number."""
         acceptor = _Acceptor(
-            self._reactor, self._codec, self._identity.key, self._handler, self._on_lost
+            self._reactor,
+            self._codec,
+            self._identity.key,
+            self._handler,
+            self._on_lost,
+            self._relay_handler,
         )
         self._port = sockets.listen(self._reactor, host, port, acceptor, self._context)
         number = self._port.getHost().port
--- /dev/null
+++ b/src/carobhook/transport/relay_service.py
@@ -0,0 +1,128 @@
+"""Sends requests of other instances, which have no path to a server, to that server."""
+
+import typing
+from collections.abc import Callable
+
+from twisted.internet import defer
+
+from carobhook import logs
+from carobhook.coordination import catalog
+from carobhook.protocol import http1, relay_messages
+from carobhook.state import ids
+from carobhook.transport import server_connections
+
+Outcome = relay_messages.RelayOutcome
+
+# Requests of others that are relayed at the same time.
+_MAX_RELAYED = 256
+_OUTCOME_BY_FAULT = {
+    server_connections.Fault.CONNECT: Outcome.UNREACHED,
+    server_connections.Fault.WITHDRAWN: Outcome.WITHDRAWN,
+    server_connections.Fault.RESET: Outcome.RESET,
+    server_connections.Fault.GARBLED: Outcome.GARBLED,
+    server_connections.Fault.CUT_SHORT: Outcome.CUT_SHORT,
+}
+
+Respond = Callable[[relay_messages.RelayResponse], None]
+
+
+class RelayService:
+    """Relays requests of other instances, within bounds, and only to servers themselves.
+
+    Args:
+        servers: Connections to backend servers.
+        server_catalog: Tells which servers may get requests.
+        can_relay: Returns whether this instance serves and reaches servers.
+        matches: Returns whether a response belongs to a client's attempt.
+        max_body_bytes: Largest size of the bodies of all relayed requests.
+    """
+
+    def __init__(
+        self,
+        servers: server_connections.ServerConnections,
+        server_catalog: catalog.Catalog,
+        can_relay: Callable[[], bool],
+        matches: Callable[[http1.Response, str | None], bool],
+        max_body_bytes: int,
+    ) -> None:
+        self._servers = servers
+        self._catalog = server_catalog
+        self._can_relay = can_relay
+        self._matches = matches
+        self._max_body_bytes = max_body_bytes
+        self._body_bytes = 0
+        self._count = 0
+
+    @property
+    def in_flight(self) -> int:
+        """Return the number of requests that are being relayed."""
+        return self._count
+
+    def handle(
+        self, sender: ids.InstanceId, request: relay_messages.RelayRequest, respond: Respond
+    ) -> defer.Deferred | None:
+        """Relay a request; cancelling the result cancels it.
+
+        Args:
+            sender: Instance that the request comes from.
+            request: The request.
+            respond: Sends the answer; called at most once.
+        """
+        size = len(request.body)
+        is_full = self._count >= _MAX_RELAYED or self._body_bytes + size > self._max_body_bytes
+        if is_full or not self._can_relay():
+            respond(relay_messages.RelayResponse(Outcome.BUSY, f"{self._count} in flight"))
+            return None
+        self._count += 1
+        self._body_bytes += size
+        running = defer.ensureDeferred(self._relay(sender, request))
+        running.addBoth(self._finish, size)
+        running.addCallbacks(respond, _ignore_cancellation)
+        return running
+
+    def _finish(self, result: typing.Any, size: int) -> typing.Any:
+        self._count -= 1
+        self._body_bytes -= size
+        return result
+
+    async def _relay(
+        self, sender: ids.InstanceId, request: relay_messages.RelayRequest
+    ) -> relay_messages.RelayResponse:
+        try:
+            received = await self._servers.exchange(
+                request.address,
+                http1.RequestHead(request.method, request.target, request.headers),
+                request.body,
+                request.require_fresh,
+                lambda response: self._matches(response, request.request_id),
+                lambda: self._catalog.is_usable(request.server),
+            )
+            answer = _answer(received.response)
+        except server_connections.ExchangeError as error:
+            answer = relay_messages.RelayResponse(_OUTCOME_BY_FAULT[error.fault], str(error))
+        logs.event(
+            "request-relayed",
+            request=request.request_id,
+            origin=sender,
+            server=request.server,
+            outcome=answer.outcome,
+            status=answer.status,
+        )
+        return answer
+
+
+def _answer(response: http1.Response) -> relay_messages.RelayResponse:
+    if len(response.body) > relay_messages.MAX_BODY_BYTES:
+        return relay_messages.RelayResponse(Outcome.GARBLED, "response is too large to relay")
+    return relay_messages.RelayResponse(
+        Outcome.RESPONDED,
+        "",
+        response.status,
+        response.reason,
+        response.headers,
+        response.body,
+    )
+
+
+def _ignore_cancellation(reason: typing.Any) -> None:
+    reason.trap(defer.CancelledError)
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -11,7 +11,7 @@
 from carobhook.coordination import refusals
 from carobhook.protocol import client_api, http1
 from carobhook.state import allocation, codes, ids, routing, servers
-from carobhook.transport import client_connections, server_connections
+from carobhook.transport import client_connections, server_connections, server_exchange
 
 # Time for a response to travel from the server to the client. It is subtracted from the time
 # left that is sent to a server; otherwise the server's own timeout response would reach the
@@ -112,6 +112,18 @@
         """Do nothing."""
 
 
+class ServerExchange(typing.Protocol):
+    """Sends requests to servers; `server_exchange.ServerExchange` implements this."""
+
+    async def exchange(
+        self, attempt: server_exchange.Attempt
+    ) -> server_connections.ReceivedResponse:
+        """Send a request to its server and return the complete response."""
+
+    def discard_idle(self, address: str) -> None:
+        """Close the idle connections to a server."""
+
+
 class SlotAllocator(typing.Protocol):
     """Requests slots from dispatchers and releases them.
 
@@ -203,7 +215,7 @@
         reactor: Source of time and timers.
         accepted: The request.
         allocator: Requests and releases slots.
-        servers: Connections to backend servers.
+        servers: Exchanges with backend servers.
         codec: Encodes requests for backend servers and interprets their responses.
         respond: Sends the response to the client; called at most once.
         on_outcome: Called once with the outcome for the client.
@@ -219,7 +231,7 @@
         reactor: typing.Any,
         accepted: AcceptedRequest,
         allocator: SlotAllocator,
-        servers: server_connections.ServerConnections,
+        servers: ServerExchange,
         codec: RequestCodec,
         respond: Callable[[http1.Response], None],
         on_outcome: Callable[[RequestOutcome], None],
@@ -426,36 +438,50 @@
                 refusals.Refusal(codes.Code.DEADLINE_UNMEETABLE, self._may_have_run, 1.0)
             )
             return False
-        head = self._codec.build_request_head(accepted.request.head, grant.server, time_left_s)
         self._last_server = grant.server
         self._attempts += 1
         self._stage = Stage.RUNNING
-        require_fresh = not accepted.route.repeatable
         outcome = allocation.AttemptOutcome.CANCELLED
         rate: allocation.RateStatement | None = None
         run = self._observer.run_of(grant.server)
         self._is_sent = False
+        received: server_connections.ReceivedResponse | None = None
         try:
-            received = await self._servers.exchange(
-                grant.address,
-                head,
-                accepted.request.body,
-                require_fresh,
-                self._matches_attempt,
-                lambda: self._may_send(accepted, grant.server),
-            )
+            received = await self._servers.exchange(self._build_attempt(accepted, grant))
             outcome = self._codec.attempt_outcome(received.response)
             rate = self._rate_statement(received.response, grant.server)
         except server_connections.ExchangeError as error:
             outcome = self._failed_outcome(error, grant)
-            received = None
         finally:
-            self._allocator.release_slot(accepted.id, outcome, rate)
+            is_relayed = received is not None and received.is_relayed
+            reported = _reported_outcome(outcome, is_relayed)
+            self._allocator.release_slot(accepted.id, reported, rate)
             self._observe(outcome, run, grant)
         if self._stage is Stage.ENDED:
             return False
         return self._handle_outcome(outcome, received, grant)
 
+    def _build_attempt(
+        self, accepted: AcceptedRequest, grant: allocation.SlotGrant
+    ) -> server_exchange.Attempt:
+        """Return the attempt to send a request to the server of its slot."""
+
+        def build_head() -> http1.RequestHead:
+            left_s = accepted.deadline_at - self._reactor.seconds() - _RESPONSE_MARGIN_S
+            return self._codec.build_request_head(accepted.request.head, grant.server, left_s)
+
+        return server_exchange.Attempt(
+            server=grant.server,
+            address=grant.address,
+            homes=accepted.route.homes,
+            request_id=accepted.client_request_id,
+            build_head=build_head,
+            body=accepted.request.body,
+            require_fresh=not accepted.route.repeatable,
+            matches=self._matches_attempt,
+            may_send=lambda: self._may_send(accepted, grant.server),
+        )
+
     def _may_send(self, accepted: AcceptedRequest, server: ids.Server) -> bool:
         """Return whether the request may be sent now, in which case it is."""
         self._is_sent = self._may_use(accepted, server) and not self._observer.is_quarantined(
@@ -506,6 +532,11 @@
         if error.fault is server_connections.Fault.WITHDRAWN:
             self._attempts -= 1
             return allocation.AttemptOutcome.CANCELLED
+        if error.fault is server_connections.Fault.NO_PATH:
+            # There is no other path either, so further attempts would fail as well.
+            self._attempts -= 1
+            self._unreachable_count = _MAX_UNREACHABLE + 1
+            return allocation.AttemptOutcome.CANCELLED
         if error.fault is server_connections.Fault.CONNECT:
             # The request reached no server, so this attempt counts neither toward the limit
             # on attempts nor toward the retry budget.
@@ -638,6 +669,15 @@
         )
 
 
+def _reported_outcome(
+    outcome: allocation.AttemptOutcome, is_relayed: bool
+) -> allocation.AttemptOutcome:
+    """Return the outcome of an attempt as it is reported to the dispatcher."""
+    if is_relayed and outcome is allocation.AttemptOutcome.ANSWERED:
+        return allocation.AttemptOutcome.RELAYED
+    return outcome
+
+
 def quarantine_refusal(may_have_run: bool = False) -> refusals.Refusal:
     """Return the refusal of a quarantined request.
 
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -49,6 +49,8 @@
     """How an exchange with a server failed.
 
     CONNECT: No connection could be opened, so the request was not sent.
+    NO_PATH: The same, at an instance that seems to be cut from all servers, so that it says
+        nothing about this server.
     WITHDRAWN: When the connection was open, the request might not be sent to this server any
         more, so it was not. After any other fault, the request may have run.
     RESET: The connection was closed before the head of a response arrived.
@@ -57,6 +59,7 @@
     """
 
     CONNECT = "connect"
+    NO_PATH = "no-path"
     WITHDRAWN = "withdrawn"
     RESET = "reset"
     GARBLED = "garbled"
@@ -87,11 +90,13 @@
         response: Response with its end-to-end headers.
         raw_headers: All headers, including hop-by-hop ones.
         closing: Whether the connection is closed after this response.
+        is_relayed: Whether it came through another instance.
     """
 
     response: http1.Response
     raw_headers: http1.Headers
     closing: bool
+    is_relayed: bool = False
 
 
 class ResponseMemory:
@@ -303,6 +308,9 @@
         reactor: Source of time, timers and connections.
         connect_timeout_s: Seconds after which opening a connection fails.
         max_response_bytes: Largest size of all response bodies that are being received.
+
+    Attributes:
+        on_opened: Called with the address of the server when a connection is open.
     """
 
     def __init__(
@@ -316,6 +324,7 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, collections.deque[_ServerConnection]] = {}
         self._opened_count = 0
+        self.on_opened: Callable[[str], object] = lambda address: None
 
     @property
     def opened_count(self) -> int:
@@ -356,6 +365,12 @@
         self._keep_idle(address, connection)
         return received
 
+    def has_fresh(self, address: str) -> bool:
+        """Return whether there is an idle connection that worked a moment ago."""
+        now = self._reactor.seconds()
+        idle = self._idle.get(address, ())
+        return any(_is_within_idle_limit(c, now, _MAX_FRESH_IDLE_S) for c in idle)
+
     async def probe(self, address: str) -> bool:
         """Return whether a server accepts a connection, which is then kept for requests."""
         try:
@@ -419,6 +434,7 @@
         except (error.ConnectError, OSError) as failure:
             raise ExchangeError(Fault.CONNECT, str(failure), False, False) from failure
         self._opened_count += 1
+        self.on_opened(address)
         return connection
 
 
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -12,6 +12,7 @@
     membership_messages,
     path_messages,
     peer_codec,
+    relay_messages,
     slot_messages,
 )
 from carobhook.state import allocation, ids
@@ -40,6 +41,8 @@
     ("RequestCleared", slot_messages.RequestCleared, 2),
     ("ReachQuery", path_messages.ReachQuery, 2),
     ("ReachReport", path_messages.ReachReport, 2),
+    ("RelayRequest", relay_messages.RelayRequest, 8),
+    ("RelayResponse", relay_messages.RelayResponse, 6),
     ("FeedWanted", feed_messages.FeedRequest, 0),
     ("FeedSnapshot", feed_messages.FeedSnapshot, 3),
     ("FeedEvents", feed_messages.FeedEvents, 4),
--- a/tests/test_homes_in_force.py
+++ b/tests/test_homes_in_force.py
@@ -1,5 +1,7 @@
 """Tests that a request is sent only where the configuration in force allows it by then."""
 
+import random
+
 import attrs
 import pytest
 from twisted.internet import task, testing
@@ -12,8 +14,11 @@
 from carobhook.transport import (
     client_connections,
     entry_requests,
+    peers,
+    relay_connections,
     request_flow,
     server_connections,
+    server_exchange,
 )
 
 NORTH, SOUTH = ids.Region("north"), ids.Region("south")
@@ -97,6 +102,7 @@
         assert (region, request.homes) == (SOUTH, {SOUTH})
 
 
+IDENTITY = peers.Identity(ids.InstanceId("one"), ids.Incarnation("0" * 16), b"")
 CHANGES = {
     "drain": lambda known: known.put(
         attrs.evolve(entry("n1", DOMAIN), state=servers.ServerState.DRAINING), 0.4
@@ -116,8 +122,16 @@
         known.replace_config_if_newer(config(1))
         known.put(entry("n1", DOMAIN), 0.0)
         allocator = test_request_flow.FakeSlotAllocator()
-        connections = server_connections.ServerConnections(reactor, 0.5)
-        start_request(reactor, known, allocator, connections)
+        exchange = server_exchange.ServerExchange(
+            reactor,
+            random.Random(1),
+            NORTH,
+            server_connections.ServerConnections(reactor, 0.5),
+            relay_connections.RelayConnections(reactor, IDENTITY),
+            list,
+            lambda reason: None,
+        )
+        start_request(reactor, known, allocator, exchange)
         allocator.grant("n1")
         CHANGES[change](known)
         connection = reactor.tcpClients[0][2].buildProtocol(None)
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -53,7 +53,7 @@
     def __init__(self):
         self.exchanges = []
 
-    async def exchange(self, address, head, body, require_fresh, matches, may_send):
+    async def exchange(self, attempt):
         """Wait until the test completes the exchange."""
         self.exchanges.append(defer.Deferred())
         return await self.exchanges[-1]
--- /dev/null
+++ b/tests/test_server_exchange.py
@@ -0,0 +1,186 @@
+"""Tests of carobhook.transport.server_exchange: direct and relayed exchanges."""
+
+import random
+
+import pytest
+from twisted.internet import defer, task
+
+from carobhook.protocol import http1, relay_messages
+from carobhook.state import ids, members
+from carobhook.transport import relay_connections, server_connections, server_exchange
+
+Fault = server_connections.Fault
+Outcome = relay_messages.RelayOutcome
+HEAD = http1.RequestHead(b"GET", b"/x", ())
+NORTH, SOUTH = ids.Region("north"), ids.Region("south")
+SERVED = relay_messages.RelayResponse(Outcome.RESPONDED, "", 200, b"OK", (), b"served")
+
+
+def member(name, region=NORTH):
+    """Return a ready instance."""
+    return members.Member(
+        ids.InstanceId(name),
+        ids.Incarnation("0" * 16),
+        region,
+        ids.FailureDomain(f"{region}-a"),
+        f"{name}:1",
+        f"{name}:2",
+        members.Phase.READY,
+        ids.Version(1),
+    )
+
+
+class Paths:
+    """An exchange whose direct path is broken, and instances that relay."""
+
+    def __init__(self, *peers, answers=None):
+        self.clock = task.Clock()
+        self.direct = []
+        self.asked = []
+        self.answers = answers or {}
+        self.on_opened = None
+        self.error = server_connections.ExchangeError(Fault.CONNECT, "cut", False, False)
+        self.servers = server_exchange.ServerExchange(
+            self.clock, random.Random(1), NORTH, self, self, lambda: peers, lambda reason: None
+        )
+
+    # Connections to servers.
+
+    async def exchange(self, *args):
+        """Fail a direct exchange, or answer a relayed one."""
+        if isinstance(args[0], str) and "s" in args[0]:
+            self.direct.append(args[0])
+            raise self.error
+        self.asked.append(args[0])
+        answer = self.answers.get(args[0], SERVED)
+        if isinstance(answer, Exception):
+            raise answer
+        return answer
+
+    def has_fresh(self, address):
+        """Return False, as there are no idle connections."""
+        return False
+
+    async def probe(self, address):
+        """Fail a probe."""
+        return False
+
+    # Connections to other instances.
+
+    async def open(self, peer):
+        """Open a relay connection, unless the test lets it fail."""
+        if isinstance(self.answers.get(peer.name), relay_connections.RelayNotSentError):
+            self.asked.append(peer.name)
+            raise self.answers[peer.name]
+        return peer
+
+    def keep(self, name, connection):
+        """Do nothing."""
+
+    def send(self, address="s1:1", homes=(), may_send=True):
+        """Send a request; return the status of its response or the fault."""
+        attempt = server_exchange.Attempt(
+            ids.Server("s1"),
+            address,
+            frozenset(homes),
+            "id-1",
+            lambda: HEAD,
+            b"",
+            True,
+            lambda response: True,
+            lambda: may_send,
+        )
+        found = []
+        result = defer.ensureDeferred(self.servers.exchange(attempt))
+        result.addCallbacks(
+            lambda received: found.append(received.response.status),
+            lambda reason: found.append(reason.value.fault),
+        )
+        return found[0]
+
+
+class TestRelayedExchange:
+    """Requests for servers to which no connection can be opened."""
+
+    def test_request_goes_through_another_instance(self):
+        """The slot and the request stay here; the second time nothing is tried directly."""
+        paths = Paths(member("two"))
+        assert paths.send() == 200
+        assert paths.send() == 200
+        assert (paths.direct, paths.asked) == (["s1:1"], ["two", "two"])
+
+    def test_homes_bind_the_instance_too(self):
+        """The body of a request goes to no instance outside its homes."""
+        paths = Paths(member("two"), member("far", SOUTH))
+        assert paths.send(homes=[SOUTH]) == 200
+        assert paths.asked == ["far"]
+        assert Paths(member("two")).send(homes=[SOUTH]) is Fault.CONNECT
+
+    def test_instances_of_the_own_region_come_first(self):
+        """The way is shorter, and traffic between regions is billed."""
+        paths = Paths(member("far", SOUTH), member("two"))
+        assert paths.send() == 200
+        assert paths.asked == ["two"]
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            relay_messages.RelayResponse(Outcome.BUSY),
+            relay_connections.RelayNotSentError("refused"),
+        ],
+    )
+    def test_next_instance_is_asked(self, answer):
+        """One that takes no request is left out for a while."""
+        paths = Paths(member("two"), member("far", SOUTH), answers={"two": answer})
+        assert paths.send() == 200
+        assert paths.asked == ["two", "far"]
+        assert paths.send() == 200
+        assert paths.asked == ["two", "far", "far"]
+        paths.clock.advance(1.1)
+        assert paths.send() == 200
+        assert paths.asked[3:] == ["two", "far"]
+
+    def test_lost_instance_leaves_open_whether_it_ran(self):
+        """The request is not sent through a second instance."""
+        answers = {"two": relay_connections.RelayLostError("lost")}
+        paths = Paths(member("two"), member("far", SOUTH), answers=answers)
+        assert paths.send() is Fault.RESET
+        assert paths.asked == ["two"]
+
+    @pytest.mark.parametrize(
+        ("outcome", "fault"),
+        [
+            (Outcome.UNREACHED, Fault.CONNECT),
+            (Outcome.WITHDRAWN, Fault.WITHDRAWN),
+            (Outcome.RESET, Fault.RESET),
+            (Outcome.CUT_SHORT, Fault.CUT_SHORT),
+            (Outcome.GARBLED, Fault.GARBLED),
+        ],
+    )
+    def test_failure_at_the_other_instance(self, outcome, fault):
+        """It counts as a failure here, with the same promise."""
+        paths = Paths(member("two"), answers={"two": relay_messages.RelayResponse(outcome)})
+        assert paths.send() is fault
+
+    def test_request_that_may_not_be_sent_any_more(self):
+        """A server that drains since gets nothing on this path either."""
+        paths = Paths(member("two"))
+        assert paths.send(may_send=False) is Fault.WITHDRAWN
+        assert paths.asked == []
+
+    def test_server_that_others_do_not_reach_either_is_at_fault(self):
+        """Three such servers do not make the instance take itself for cut."""
+        paths = Paths(
+            member("two"), answers={"two": relay_messages.RelayResponse(Outcome.UNREACHED)}
+        )
+        for number in range(4):
+            assert paths.send(f"s{number}:1") is Fault.CONNECT
+        assert not paths.servers.is_cut
+        assert len(paths.direct) == 4
+
+    def test_cut_instance_without_others_blames_no_server(self):
+        """After three servers it tries no more, and says that there is no path."""
+        paths = Paths()
+        faults = [paths.send(f"s{number}:1") for number in range(5)]
+        assert faults == [Fault.CONNECT] * 2 + [Fault.NO_PATH] * 3
+        assert len(paths.direct) == 3
