Keep to what servers say of themselves: Server-Leaving, and Retry-After of a 503

A server that leaves says so in all its responses: it gets no further requests from any instance until it runs anew, whatever its entry says; the news goes to all instances, and to new streams. A server that turns a request away may name a rest: this instance asks for no slot of it meanwhile, sends nothing that it was granted before, and relays nothing to it.

--- a/src/carobhook/coordination/catalog.py
+++ b/src/carobhook/coordination/catalog.py
@@ -94,6 +94,8 @@
     _servers: dict[ids.Server, _KnownServer] = attrs.field(factory=dict, init=False)
     _removed: dict[ids.Server, _RemovedServer] = attrs.field(factory=dict, init=False)
     _doubtful: dict[ids.Server, _DoubtfulServer] = attrs.field(factory=dict, init=False)
+    # Runs of servers that said that they leave, by server.
+    _leaving: dict[ids.Server, servers.ServerRun] = attrs.field(factory=dict, init=False)
     _evacuated: frozenset[ids.FailureDomain] = attrs.field(default=frozenset(), init=False)
     _config: routing.RoutingConfig | None = attrs.field(default=None, init=False)
     _store_lost_at: float | None = attrs.field(default=None, init=False)
@@ -219,6 +221,36 @@
                 break
             del self._removed[other]
         self._removed[name] = _RemovedServer(self._servers.pop(name).entry, now)
+        self._forget_left()
+
+    def _forget_left(self) -> None:
+        """Forget that servers leave which are gone for so long that they cannot come back."""
+        known = self._servers.keys() | self._removed.keys()
+        for name in [name for name in self._leaving if name not in known]:
+            del self._leaving[name]
+
+    @property
+    def leaving(self) -> list[servers.ServerRun]:
+        """Return the runs of servers that leave, as they said."""
+        return list(self._leaving.values())
+
+    def record_leaving(self, run: servers.ServerRun) -> bool:
+        """Record that a server leaves; return whether this is news.
+
+        It gets no further requests, whatever its entry says, until it runs anew.
+
+        Args:
+            run: Run of the server; any other run than the present one is ignored.
+        """
+        if self.run_of(run.server) != run or self._leaving.get(run.server) == run:
+            return False
+        self._leaving[run.server] = run
+        return True
+
+    def run_of(self, name: ids.Server) -> servers.ServerRun | None:
+        """Return the present run of a server, or None if it is not known."""
+        known = self._servers.get(name)
+        return known.entry.run if known is not None else None
 
     def retain(self, names: frozenset[ids.Server], now: float) -> None:
         """Remove the servers whose entries the store does not list.
@@ -246,6 +278,7 @@
             return False
         return (
             known.entry.state is servers.ServerState.READY
+            and self._leaving.get(name) != known.entry.run
             and known.entry.failure_domain not in self._evacuated
             and not self.is_fully_drained(known.entry)
         )
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -55,6 +55,12 @@
         "request-marked",
         "A backend server ended while it ran a request; the request is marked.",
     )
+    SERVER_LEAVING = EventInfo(
+        "server-leaving", "A backend server said that it leaves; it gets no new requests."
+    )
+    SERVER_NOTICE_MALFORMED = EventInfo(
+        "server-notice-malformed", "What a backend server says of itself cannot be read."
+    )
     PATHS_LOST = EventInfo(
         "paths-lost",
         "The instance seems to be cut from all backend servers; others relay its requests.",
--- a/src/carobhook/platform/names.py
+++ b/src/carobhook/platform/names.py
@@ -20,6 +20,10 @@
 # Requests a second that the backend server takes from all entry instances together. Present in
 # a response for as long as the server limits them.
 SERVER_LIMIT = "server-limit"
+# Present in all responses of a backend server that leaves; it wants no new requests.
+SERVER_LEAVING = "server-leaving"
+# Seconds, in a 503 of a backend server, for which it wants no requests from the receiver.
+RETRY_AFTER = "retry-after"
 # Number in all responses of the store, which rises when it comes back from an older copy.
 STORE_ERA = "store-era"
 
--- a/src/carobhook/platform/requests.py
+++ b/src/carobhook/platform/requests.py
@@ -3,6 +3,7 @@
 import json
 import re
 
+from carobhook.coordination import server_notices
 from carobhook.platform import names
 from carobhook.protocol import client_api, http1
 from carobhook.state import allocation, ids
@@ -102,6 +103,25 @@
             raise ValueError(f"limit must be a decimal number, got {text!r:.40}")
         return allocation.RateStatement(float(text))
 
+    def notice(self, response: http1.Response) -> server_notices.Notice | None:
+        """Return what a response says of its server besides the response, or None.
+
+        Raises:
+            ValueError: The time of a rest is not a decimal number of at least 0.
+        """
+        if response.status == 421:
+            return None
+        is_leaving = response.get(names.SERVER_LEAVING) == "1"
+        rest_s: float | None = None
+        text = response.get(names.RETRY_AFTER) if response.status == 503 else None
+        if text is not None:
+            if _DECIMAL.fullmatch(text.strip()) is None:
+                raise ValueError(f"Retry-After must be a decimal number, got {text!r:.40}")
+            rest_s = float(text) or None
+        if not is_leaving and rest_s is None:
+            return None
+        return server_notices.Notice(is_leaving, rest_s)
+
 
 def parse_directory_query(target: bytes) -> client_api.Lookup | None:
     """Parse the target of a request to the directory.
--- a/src/carobhook/protocol/path_messages.py
+++ b/src/carobhook/protocol/path_messages.py
@@ -1,9 +1,11 @@
-"""Messages between instances about the network paths to backend servers."""
+"""Messages between instances on what one of them finds at backend servers."""
 
 import enum
 
 import attrs
 
+from carobhook.state import ids
+
 
 class Reach(enum.Enum):
     """Whether an instance reaches a backend server.
@@ -45,4 +47,17 @@
     reach: Reach
 
 
-Message = ReachQuery | ReachReport
+@attrs.frozen
+class ServerLeaving:
+    """Reports that a server leaves, as it said in a response.
+
+    Attributes:
+        server: Id of the server.
+        started_at_ms: Unix time of the server's start in milliseconds, None if not known.
+    """
+
+    server: ids.Server
+    started_at_ms: int | None
+
+
+ReachMessage = ReachQuery | ReachReport
--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -36,6 +36,7 @@
     "RequestCleared": slot_messages.RequestCleared,
     "ReachQuery": path_messages.ReachQuery,
     "ReachReport": path_messages.ReachReport,
+    "ServerLeaving": path_messages.ServerLeaving,
     "RelayRequest": relay_messages.RelayRequest,
     "RelayResponse": relay_messages.RelayResponse,
     "FeedWanted": feed_messages.FeedRequest,
--- a/src/carobhook/standins/platform_server.py
+++ b/src/carobhook/standins/platform_server.py
@@ -35,6 +35,8 @@
         echo_id: Whether the body is the id of the attempt instead of ``body``.
         limit: Value of the header `names.SERVER_LIMIT` of the responses, or None to send none;
             not enforced.
+        is_leaving: Whether the responses have the header `names.SERVER_LEAVING`.
+        retry_after: Value of the header `names.RETRY_AFTER` of refusals, or None to send none.
         fatal_target: Target of the requests that end the server when they have run for
             ``work_s``, whether or not their client still waits; None for no such requests.
         down_s: Seconds from the end of the server to its next start.
@@ -50,6 +52,8 @@
     body: bytes = b"served"
     echo_id: bool = False
     limit: str | None = None
+    is_leaving: bool = False
+    retry_after: str | None = None
     fatal_target: bytes | None = None
     down_s: float = 1.5
 
@@ -88,6 +92,7 @@
         starts: The same ids, each with the monotonic time of its start in seconds.
         cancelled: Number of requests whose connection closed while they ran.
         heads: Heads of all requests received.
+        received_at: Monotonic times in seconds at which they were received.
         ends: Monotonic times in seconds at which a request ended the server.
     """
 
@@ -103,6 +108,7 @@
         self.starts: list[tuple[str, float]] = []
         self.cancelled = 0
         self.heads: list[http1.RequestHead] = []
+        self.received_at: list[float] = []
         self.ends: list[float] = []
 
     def listen(self, host: str, port: int) -> interfaces.IListeningPort:
@@ -155,13 +161,16 @@
     ) -> client_connections.ActiveRequest | None:
         head = inbound.head
         self.heads.append(head)
+        self.received_at.append(self._reactor.seconds())
         expected = head.get(names.EXPECTED_SERVER)
         if expected is not None and expected != self.name:
             respond(self._build_response(head, 421, b""))
             return None
         if self.behaviour.shed:
-            shed = self._build_response(head, 503, b"", ((names.NOT_EXECUTED.encode(), b"1"),))
-            respond(shed)
+            headers = [(names.NOT_EXECUTED.encode(), b"1")]
+            if self.behaviour.retry_after is not None:
+                headers.append((b"Retry-After", self.behaviour.retry_after.encode()))
+            respond(self._build_response(head, 503, b"", tuple(headers)))
             return None
         attempt_id = head.get(names.REQUEST_ID) or ""
         self.started_ids.append(attempt_id)
@@ -209,6 +218,8 @@
         attempt_id = (head.get(names.REQUEST_ID) or "").encode()
         if self.behaviour.limit is not None:
             headers += ((names.SERVER_LIMIT.encode(), self.behaviour.limit.encode()),)
+        if self.behaviour.is_leaving:
+            headers += ((names.SERVER_LEAVING.encode(), b"1"),)
         all_headers = (
             (names.REQUEST_ID.encode(), attempt_id),
             (names.SERVER_ID.encode(), self.name.encode()),
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -20,6 +20,7 @@
     entry_requests,
     event_loop,
     member_streams,
+    notice_board,
     peers,
     reach_checks,
     relay_connections,
@@ -131,6 +132,13 @@
         self._relays = relay_connections.RelayConnections(
             reactor, self._identity(), self._tls.peers if self._tls is not None else None
         )
+        self._notices = notice_board.NoticeBoard(
+            reactor,
+            requests.ServerCodec(),
+            self._catalog,
+            self._allocator.update_servers,
+            self._streams.broadcast,
+        )
         self._exchange = self._create_server_exchange(rng)
         self._relay_service = self._create_relay_service()
         self._reach_checks = self._create_reach_checks(rng)
@@ -173,7 +181,7 @@
                 self._supervisor.isolate("message", self._handle_message),
                 self._supervisor.isolate("member-lost", self._on_member_lost),
                 self._supervisor.isolate("members", self._on_members_change),
-                self._supervisor.isolate("new-stream", self._send_marks),
+                self._supervisor.isolate("new-stream", self._send_notices),
             ),
             self._tls.peers if self._tls is not None else None,
             self._relay,
@@ -191,15 +199,19 @@
             self._servers,
             self._relays,
             self._other_serving,
+            self._supervisor.isolate("notice", self._notices.record_response),
             lambda reason: self._supervisor.record("path-check", reason),
         )
 
     def _create_relay_service(self) -> relay_service.RelayService:
         return relay_service.RelayService(
             self._servers,
-            self._catalog,
+            lambda server: (
+                self._catalog.is_usable(server) and not self._notices.is_resting(server)
+            ),
             lambda: self._phase is members.Phase.READY and not self._exchange.is_cut,
             requests.ServerCodec().matches_attempt,
+            self._supervisor.isolate("notice", self._notices.record_response),
             int(self._settings.capacity.memory_mb * _RELAY_MEMORY_RATIO * 1024 * 1024),
         )
 
@@ -287,6 +299,7 @@
                 self._exchange,
                 self._metrics,
                 self._quarantine,
+                self._notices,
             ),
         )
 
@@ -546,9 +559,9 @@
     def _on_members_change(self) -> None:
         self._allocator.update_owners()
 
-    def _send_marks(self, send: Callable[[typing.Any], object]) -> None:
-        """Send the marks of this instance on a new stream, as its peer may not know them."""
-        for message in self._quarantine.mark_messages():
+    def _send_notices(self, send: Callable[[typing.Any], object]) -> None:
+        """Send what was only told once on a new stream, as its peer may not know it."""
+        for message in (*self._quarantine.mark_messages(), *self._notices.messages()):
             send(message)
 
     def _on_member_lost(self, name: ids.InstanceId) -> None:
@@ -563,7 +576,9 @@
             self._quarantine.apply_mark(message)
         elif isinstance(message, slot_messages.RequestCleared):
             self._quarantine.apply_clearing(message)
-        elif isinstance(message, path_messages.Message):
+        elif isinstance(message, path_messages.ServerLeaving):
+            self._notices.apply_leaving(message)
+        elif isinstance(message, path_messages.ReachMessage):
             self._reach_checks.handle_message(sender, message)
         elif isinstance(message, slot_messages.LoadQuery):
             loads = tuple(self._allocator.loads())
@@ -585,6 +600,7 @@
         self._loop_monitor.record_call(self._reactor.seconds())
         self._supervisor.run("store-sync", self._store_sync.tick)
         self._supervisor.run("quarantine", self._quarantine.tick)
+        self._supervisor.run("notices", self._notices.tick)
         self._supervisor.run("paths", self._exchange.tick, self._catalog.has_address)
         self._supervisor.run("orders", self._advance_orders)
         self._supervisor.run("slots", self._allocator.tick)
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -13,6 +13,7 @@
 from carobhook.state import codes, ids, routing
 from carobhook.transport import (
     client_connections,
+    notice_board,
     request_flow,
     request_quarantine,
     server_exchange,
@@ -36,6 +37,7 @@
         servers: Exchanges with backend servers.
         metrics: Counters and histograms.
         quarantine: Requests that end the servers that run them.
+        notices: What servers say of themselves in their responses.
     """
 
     server_catalog: catalog.Catalog
@@ -44,6 +46,7 @@
     servers: server_exchange.ServerExchange
     metrics: entry_metrics.EntryMetrics
     quarantine: request_quarantine.RequestQuarantine
+    notices: notice_board.NoticeBoard
 
 
 class EntryRequests:
@@ -197,6 +200,7 @@
             self._context.quarantine,
             self._may_use,
             self._reroute,
+            self._context.notices.resting,
         )
         return flow
 
@@ -206,6 +210,8 @@
         entry = known.entry(server)
         if entry is None or not known.is_usable(server):
             return False
+        if self._context.notices.is_resting(server):
+            return False
         route = self._changed_route(accepted)
         if route is None or not route.homes:
             return True
--- /dev/null
+++ b/src/carobhook/transport/notice_board.py
@@ -0,0 +1,89 @@
+"""Applies what backend servers say of themselves, here and at the other instances."""
+
+import typing
+from collections.abc import Callable
+
+from carobhook import logs
+from carobhook.coordination import catalog, server_notices
+from carobhook.protocol import http1, path_messages
+from carobhook.state import ids, servers
+
+
+class NoticeCodec(typing.Protocol):
+    """Reads notices from responses; `platform.requests.ServerCodec` implements this."""
+
+    def notice(self, response: http1.Response) -> server_notices.Notice | None:
+        """Return what a response says of its server, or None.
+
+        Raises:
+            ValueError: It cannot be read.
+        """
+
+
+class NoticeBoard:
+    """Notices of servers in force at this instance.
+
+    Args:
+        reactor: Source of time.
+        codec: Reads notices from responses.
+        server_catalog: Learns of servers that leave.
+        on_change: Called when a server may not be used any more.
+        broadcast: Sends a message to all other instances.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        codec: NoticeCodec,
+        server_catalog: catalog.Catalog,
+        on_change: Callable[[], object],
+        broadcast: Callable[[typing.Any], object],
+    ) -> None:
+        self._reactor = reactor
+        self._codec = codec
+        self._catalog = server_catalog
+        self._on_change = on_change
+        self._broadcast = broadcast
+        self._rests = server_notices.Rests()
+
+    def record_response(self, server: ids.Server, response: http1.Response) -> None:
+        """Apply what a response says of its server."""
+        try:
+            notice = self._codec.notice(response)
+        except ValueError as error:
+            logs.warning("server-notice-malformed", server=server, error=error)
+            return
+        entry = self._catalog.entry(server)
+        if notice is None or entry is None:
+            return
+        if notice.rest_s is not None:
+            self._rests.add(entry.run, notice.rest_s, self._reactor.seconds())
+        if notice.is_leaving:
+            self.apply_leaving(path_messages.ServerLeaving(server, entry.started_at_ms))
+
+    def apply_leaving(self, message: path_messages.ServerLeaving) -> None:
+        """Stop the use of a server that leaves, and tell the other instances if it is news."""
+        run = servers.ServerRun(message.server, message.started_at_ms)
+        if self._catalog.record_leaving(run):
+            logs.event("server-leaving", server=run.server)
+            self._broadcast(message)
+            self._on_change()
+
+    def messages(self) -> list[path_messages.ServerLeaving]:
+        """Return messages on all servers that leave, for an instance that may not know them."""
+        return [
+            path_messages.ServerLeaving(run.server, run.started_at_ms)
+            for run in self._catalog.leaving
+        ]
+
+    def is_resting(self, server: ids.Server) -> bool:
+        """Return whether a server wants no requests from this instance now."""
+        return self._rests.is_resting(server, self._reactor.seconds())
+
+    def resting(self) -> frozenset[ids.Server]:
+        """Return the servers that want no requests from this instance now."""
+        return self._rests.resting(self._reactor.seconds())
+
+    def tick(self) -> None:
+        """Forget what servers said that are gone or run anew."""
+        self._rests.retain(self._catalog.run_of)
--- a/src/carobhook/transport/reach_checks.py
+++ b/src/carobhook/transport/reach_checks.py
@@ -85,9 +85,7 @@
         return False
 
     def handle_message(
-        self,
-        sender: ids.InstanceId,
-        message: path_messages.ReachQuery | path_messages.ReachReport,
+        self, sender: ids.InstanceId, message: path_messages.ReachMessage
     ) -> None:
         """Answer the query of another instance, or record its answer."""
         if isinstance(message, path_messages.ReachReport):
--- a/src/carobhook/transport/relay_service.py
+++ b/src/carobhook/transport/relay_service.py
@@ -6,7 +6,6 @@
 from twisted.internet import defer
 
 from carobhook import logs
-from carobhook.coordination import catalog
 from carobhook.protocol import http1, relay_messages
 from carobhook.state import ids
 from carobhook.transport import server_connections
@@ -31,24 +30,27 @@
 
     Args:
         servers: Connections to backend servers.
-        server_catalog: Tells which servers may get requests.
+        may_use: Returns whether a server may get requests from this instance.
         can_relay: Returns whether this instance serves and reaches servers.
         matches: Returns whether a response belongs to a client's attempt.
+        on_response: Called with the server and each response.
         max_body_bytes: Largest size of the bodies of all relayed requests.
     """
 
     def __init__(
         self,
         servers: server_connections.ServerConnections,
-        server_catalog: catalog.Catalog,
+        may_use: Callable[[ids.Server], bool],
         can_relay: Callable[[], bool],
         matches: Callable[[http1.Response, str | None], bool],
+        on_response: Callable[[ids.Server, http1.Response], object],
         max_body_bytes: int,
     ) -> None:
         self._servers = servers
-        self._catalog = server_catalog
+        self._may_use = may_use
         self._can_relay = can_relay
         self._matches = matches
+        self._on_response = on_response
         self._max_body_bytes = max_body_bytes
         self._body_bytes = 0
         self._count = 0
@@ -95,8 +97,9 @@
                 request.body,
                 request.require_fresh,
                 lambda response: self._matches(response, request.request_id),
-                lambda: self._catalog.is_usable(request.server),
+                lambda: self._may_use(request.server),
             )
+            self._on_response(request.server, received.response)
             answer = _answer(received.response)
         except server_connections.ExchangeError as error:
             answer = relay_messages.RelayResponse(_OUTCOME_BY_FAULT[error.fault], str(error))
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -224,6 +224,7 @@
         may_use: Returns whether a request may be sent to a server, by what is in force at the
             time of the call.
         reroute: Returns a request as the configuration in force routes it.
+        resting: Returns the servers that want no requests from this instance for now.
     """
 
     def __init__(
@@ -239,6 +240,7 @@
         observer: AttemptObserver | None = None,
         may_use: Callable[[AcceptedRequest, ids.Server], bool] = lambda accepted, server: True,
         reroute: Callable[[AcceptedRequest], AcceptedRequest] = lambda accepted: accepted,
+        resting: Callable[[], frozenset[ids.Server]] = frozenset,
     ) -> None:
         self._reactor = reactor
         self._accepted = accepted
@@ -251,6 +253,7 @@
         self._observer = observer or NoObserver()
         self._may_use = may_use
         self._reroute = reroute
+        self._resting = resting
         self._stage = Stage.WAITING
         self._region = accepted.region
         self._task: defer.Deferred | None = None
@@ -419,7 +422,7 @@
             target_at=accepted.target_at,
             deadline_at=accepted.deadline_at,
             repeat=self._attempts > 0,
-            avoided=self._avoided_servers,
+            avoided=self._avoided_servers | self._resting(),
             homes=accepted.route.homes,
             domain=accepted.domain,
         )
--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -87,8 +87,7 @@
 
     def run_of(self, server: ids.Server) -> servers.ServerRun:
         """Return the present run of a server."""
-        entry = self._catalog.entry(server)
-        return entry.run if entry is not None else servers.ServerRun(server)
+        return self._catalog.run_of(server) or servers.ServerRun(server)
 
     def attempt_lost(
         self,
@@ -124,7 +123,7 @@
         self._stored_marks.tick()
         if self._lost_attempts.is_empty:
             return
-        for run in self._lost_attempts.ended_runs(lambda run: self._current_run(run.server)):
+        for run in self._lost_attempts.ended_runs(lambda run: self._catalog.run_of(run.server)):
             self._record_end(run, "runs-anew")
         for attempt in self._lost_attempts.due(self._reactor.seconds()):
             check = defer.ensureDeferred(self._check(attempt))
@@ -160,10 +159,6 @@
         marks = sorted(self._quarantine.marks(now), key=lambda mark: mark.expires_at)
         return [_mark_message(mark, now) for mark in marks[-_MAX_SENT_MARKS:]]
 
-    def _current_run(self, server: ids.Server) -> servers.ServerRun | None:
-        entry = self._catalog.entry(server)
-        return entry.run if entry is not None else None
-
     async def _check(self, attempt: lost_attempts.LostAttempt) -> None:
         if await self._checks.has_ended(attempt.address):
             self._record_end(attempt.run, "unreachable")
--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -75,6 +75,7 @@
         connections: Connections to servers.
         relays: Connections to instances that relay.
         peers: Returns the other instances that accept new work.
+        on_response: Called with the server and each response.
         on_failure: Called with the failure of a check.
     """
 
@@ -86,6 +87,7 @@
         connections: server_connections.ServerConnections,
         relays: relay_connections.RelayConnections,
         peers: Callable[[], Sequence[members.Member]],
+        on_response: Callable[[ids.Server, http1.Response], object],
         on_failure: Callable[[typing.Any], object],
     ) -> None:
         self._reactor = reactor
@@ -94,6 +96,7 @@
         self._connections = connections
         self._relays = relays
         self._peers = peers
+        self._on_response = on_response
         self._on_failure = on_failure
         self._paths = server_paths.ServerPaths()
         self._was_cut = False
@@ -126,6 +129,11 @@
             server_connections.ExchangeError: The exchange failed without a complete response.
             twisted.internet.defer.CancelledError: The exchange was cancelled.
         """
+        received = await self._exchange(attempt)
+        self._on_response(attempt.server, received.response)
+        return received
+
+    async def _exchange(self, attempt: Attempt) -> server_connections.ReceivedResponse:
         if self._is_direct(attempt):
             try:
                 return await self._exchange_directly(attempt)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -153,12 +153,15 @@
         self.ports[name] = self.backends[name].listen("127.0.0.1", 0)
         self.register(name, **fields)
 
-    def register(self, name, state="ready", cold="0ms", zone="north-a", slots=4):
+    def register(self, name, state="ready", cold="0ms", zone="north-a", slots=4, born=None):
         """Write the store entry of a backend server."""
         address = f"127.0.0.1:{self.ports[name].getHost().port}"
         info = {"Service": "svc", "ConfigVersion": "v1", "Zone": zone, "Slots": slots}
         status = {"State": state, "SeqNo": 1, "ColdRemaining": cold}
-        self.store.put("servers", name, {"Address": address, "Info": info}, status)
+        spec = {"Address": address, "Info": info}
+        if born is not None:
+            spec["born"] = born
+        self.store.put("servers", name, spec, status)
 
     def settings_of(self, name, seeds=()):
         """Return the text of the settings of a new instance on free ports."""
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -41,6 +41,7 @@
     ("RequestCleared", slot_messages.RequestCleared, 2),
     ("ReachQuery", path_messages.ReachQuery, 2),
     ("ReachReport", path_messages.ReachReport, 2),
+    ("ServerLeaving", path_messages.ServerLeaving, 2),
     ("RelayRequest", relay_messages.RelayRequest, 8),
     ("RelayResponse", relay_messages.RelayResponse, 6),
     ("FeedWanted", feed_messages.FeedRequest, 0),
--- a/tests/test_homes_in_force.py
+++ b/tests/test_homes_in_force.py
@@ -9,11 +9,13 @@
 import test_request_flow
 from carobhook import entry_metrics
 from carobhook.coordination import catalog, steering
+from carobhook.platform import requests
 from carobhook.protocol import http1
 from carobhook.state import allocation, ids, routing, servers
 from carobhook.transport import (
     client_connections,
     entry_requests,
+    notice_board,
     peers,
     relay_connections,
     request_flow,
@@ -63,13 +65,16 @@
         connections,
         metrics,
         request_flow.NoObserver(),
+        notice_board.NoticeBoard(
+            reactor, requests.ServerCodec(), known, lambda: None, lambda message: None
+        ),
     )
-    requests = entry_requests.EntryRequests(
+    handler = entry_requests.EntryRequests(
         reactor, NORTH, DOMAIN, ids.Incarnation("0" * 16), context
     )
     headers = ((b"Host", b"shop.example"), (b"X-Attempt-Id", b"id-1"))
     head = http1.RequestHead(b"GET", b"/a/x", headers)
-    requests.handle(client_connections.ClientRequest(head, b"", "10.0.0.1", 0.0), [].append)
+    handler.handle(client_connections.ClientRequest(head, b"", "10.0.0.1", 0.0), [].append)
 
 
 class TestHomesInForce:
@@ -129,6 +134,7 @@
             server_connections.ServerConnections(reactor, 0.5),
             relay_connections.RelayConnections(reactor, IDENTITY),
             list,
+            lambda server, response: None,
             lambda reason: None,
         )
         start_request(reactor, known, allocator, exchange)
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -32,7 +32,12 @@
         self.catalog.put(ENTRY, 0.0)
         self.exchanges, self.answers, self.cancelled = [], [], []
         self.service = relay_service.RelayService(
-            self, self.catalog, lambda: can_relay, lambda response, _: True, max_body_bytes
+            self,
+            self.catalog.is_usable,
+            lambda: can_relay,
+            lambda response, _: True,
+            lambda server, response: None,
+            max_body_bytes,
         )
 
     async def exchange(self, address, head, body, require_fresh, matches, may_send):
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -41,7 +41,14 @@
         self.on_opened = None
         self.error = server_connections.ExchangeError(Fault.CONNECT, "cut", False, False)
         self.servers = server_exchange.ServerExchange(
-            self.clock, random.Random(1), NORTH, self, self, lambda: peers, lambda reason: None
+            self.clock,
+            random.Random(1),
+            NORTH,
+            self,
+            self,
+            lambda: peers,
+            lambda server, response: None,
+            lambda reason: None,
         )
 
     # Connections to servers.
