--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -115,6 +115,10 @@
 class ServerExchange(typing.Protocol):
     """Sends requests to servers; `server_exchange.ServerExchange` implements this."""
 
+    @property
+    def is_cut(self) -> bool:
+        """Return whether this instance seems to be cut from all servers."""
+
     async def exchange(
         self, attempt: server_exchange.Attempt
     ) -> server_connections.ReceivedResponse:
@@ -457,7 +461,7 @@
             outcome = self._failed_outcome(error, grant)
         finally:
             is_relayed = received is not None and received.is_relayed
-            reported = _reported_outcome(outcome, is_relayed)
+            reported = _reported_outcome(outcome, is_relayed, self._servers.is_cut)
             self._allocator.release_slot(accepted.id, reported, rate)
             self._observe(outcome, run, grant)
         if self._stage is Stage.ENDED:
@@ -673,9 +677,18 @@
 
 
 def _reported_outcome(
-    outcome: allocation.AttemptOutcome, is_relayed: bool
+    outcome: allocation.AttemptOutcome, is_relayed: bool, is_cut: bool
 ) -> allocation.AttemptOutcome:
-    """Return the outcome of an attempt as it is reported to the dispatcher."""
+    """Return the outcome of an attempt as it is reported to the dispatcher.
+
+    Args:
+        outcome: The outcome.
+        is_relayed: Whether the response came through another instance.
+        is_cut: Whether this instance seems to be cut from all servers, so that a connection
+            that broke says nothing about the server.
+    """
+    if is_cut and outcome is allocation.AttemptOutcome.BROKEN:
+        return allocation.AttemptOutcome.CANCELLED
     if is_relayed and outcome is allocation.AttemptOutcome.ANSWERED:
         return allocation.AttemptOutcome.RELAYED
     return outcome
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -52,6 +52,7 @@
 
     def __init__(self):
         self.exchanges = []
+        self.is_cut = False
 
     async def exchange(self, attempt):
         """Wait until the test completes the exchange."""
@@ -262,3 +263,36 @@
         case.clock.pump([1.0, 5.0])
         assert case.finished == [True]
         assert case.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED]
+
+
+class TestCutInstance:
+    """What an instance without paths to servers reports of them."""
+
+    def test_broken_connection_says_nothing_of_the_server(self):
+        """The server is not paused for all instances; the client gets the same answer."""
+        case = FlowCase(ONCE)
+        case.servers.is_cut = True
+        case.allocator.grant()
+        case.servers.fail()
+        assert case.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED]
+        assert case.result == (502, codes.Code.BACKEND_LOST)
+
+    def test_no_path_is_refused_at_once_and_not_held_against_the_server(self):
+        """No second slot is requested, as it could not be used either."""
+        case = FlowCase()
+        case.allocator.grant()
+        case.servers.fail(server_connections.Fault.NO_PATH)
+        assert case.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED]
+        assert case.result == (503, codes.Code.NO_BACKEND)
+        assert len(case.allocator.requests) == 1
+
+    def test_relayed_response_tells_no_work_time(self):
+        """The dispatcher learns that the server answered, and not how long it took."""
+        case = FlowCase()
+        case.allocator.grant()
+        response = http1.Response(200, b"OK", (), b"body")
+        case.servers.exchanges.pop().callback(
+            server_connections.ReceivedResponse(response, (), False, is_relayed=True)
+        )
+        assert case.allocator.outcomes == [allocation.AttemptOutcome.RELAYED]
+        assert case.result == (200, codes.Code.OK)
