--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -11,8 +11,8 @@
 
 from carobhook import entry_metrics, entry_settings, logs
 from carobhook.coordination import catalog, membership, steering, store_feed
-from carobhook.platform import names, requests, store
-from carobhook.protocol import feed_messages, path_messages, relay_messages, slot_messages
+from carobhook.platform import names, store
+from carobhook.protocol import feed_messages, slot_messages
 from carobhook.state import ids, members, routing
 from carobhook.transport import (
     client_connections,
@@ -20,14 +20,8 @@
     entry_requests,
     event_loop,
     member_streams,
-    notice_board,
     peers,
-    reach_checks,
-    relay_connections,
-    relay_service,
-    request_quarantine,
-    server_connections,
-    server_exchange,
+    server_access,
     shard_dispatchers,
     slot_allocator,
     sockets,
@@ -36,7 +30,6 @@
 )
 
 _HEARTBEAT_INTERVAL_S = 0.4
-_CONNECT_TIMEOUT_S = 0.5
 _TICK_INTERVAL_S = 0.1
 _CLOSE_IDLE_INTERVAL_S = 1.0
 # A stopping instance accepts new connections for this long, or until its grace period ends.
@@ -61,11 +54,6 @@
 _RESERVED_DESCRIPTORS = 600
 # Share of the instance's memory that buffered request bodies may use.
 _BODY_MEMORY_RATIO = 0.25
-# Share that the bodies of responses may use while they are being received. A complete one is
-# copied twice when it is forwarded.
-_RESPONSE_MEMORY_RATIO = 0.15
-# Share that the bodies of requests of other instances may use.
-_RELAY_MEMORY_RATIO = 0.1
 # The setting ``shift_most`` limits how much traffic changes region within two seconds. Loans of
 # slots between regions are updated every half second. Four updates fit into this time, so
 # each may use a quarter of the limit; with larger steps, they could exceed it together.
@@ -124,34 +112,7 @@
         rng = rng or random.Random()
         self._store_sync = self._create_store_sync(rng)
         self._allocator = self._create_slot_allocator()
-        self._servers = server_connections.ServerConnections(
-            reactor,
-            _CONNECT_TIMEOUT_S,
-            int(settings.capacity.memory_mb * _RESPONSE_MEMORY_RATIO * 1024 * 1024),
-            settings.place.outgoing,
-        )
-        self._relays = relay_connections.RelayConnections(
-            reactor, self._identity(), self._tls.peers if self._tls is not None else None
-        )
-        self._notices = notice_board.NoticeBoard(
-            reactor,
-            requests.ServerCodec(),
-            self._catalog,
-            self._allocator.update_servers,
-            self._streams.broadcast,
-        )
-        self._exchange = self._create_server_exchange(rng)
-        self._relay_service = self._create_relay_service()
-        self._reach_checks = self._create_reach_checks(rng)
-        self._quarantine = request_quarantine.RequestQuarantine(
-            reactor,
-            settings.place.name,
-            self._catalog,
-            self._reach_checks,
-            request_quarantine.MarkStore(self._store, self._clocks.wall, self._is_separated),
-            self._streams.broadcast,
-            lambda reason: self._supervisor.record("server-check", reason),
-        )
+        self._servers = self._create_server_access(rng)
         self._metrics = entry_metrics.EntryMetrics(self._gauges(omitted))
         self._requests = self._create_entry_requests()
         self._loop_monitor = event_loop.EventLoopMonitor(
@@ -182,48 +143,38 @@
                 self._supervisor.isolate("message", self._handle_message),
                 self._supervisor.isolate("member-lost", self._on_member_lost),
                 self._supervisor.isolate("members", self._on_members_change),
-                self._supervisor.isolate("new-stream", self._send_notices),
+                self._supervisor.isolate("new-stream", self._on_new_stream),
             ),
             self._tls.peers if self._tls is not None else None,
             self._relay,
         )
 
+    def _relay(self, *relayed: typing.Any) -> defer.Deferred | None:
+        """Relay a request of another instance, as `ServerAccess.relay` does."""
+        return self._servers.relay(*relayed)
+
     def _identity(self) -> peers.Identity:
         key = self._settings.security.peer_key.encode()
         return peers.Identity(self._settings.place.name, self._incarnation, key)
 
-    def _create_server_exchange(self, rng: random.Random) -> server_exchange.ServerExchange:
-        return server_exchange.ServerExchange(
+    def _create_server_access(self, rng: random.Random) -> server_access.ServerAccess:
+        return server_access.ServerAccess(
             self._reactor,
+            self._settings,
             rng,
-            self._settings.place.region,
-            self._servers,
-            self._relays,
-            self._other_serving,
-            self._supervisor.isolate("notice", self._notices.record_response),
-            lambda reason: self._supervisor.record("path-check", reason),
-        )
-
-    def _create_relay_service(self) -> relay_service.RelayService:
-        return relay_service.RelayService(
-            self._servers,
-            lambda server: (
-                self._catalog.is_usable(server) and not self._notices.is_resting(server)
+            server_access.InstanceParts(
+                self._catalog,
+                self._streams,
+                self._store,
+                self._supervisor,
+                self._identity(),
+                self._tls.peers if self._tls is not None else None,
+                lambda: self._phase is members.Phase.READY,
+                self._allocator.update_servers,
+                self._clocks.wall,
             ),
-            lambda: self._phase is members.Phase.READY and not self._exchange.is_cut,
-            requests.ServerCodec().matches_attempt,
-            self._supervisor.isolate("notice", self._notices.record_response),
-            int(self._settings.capacity.memory_mb * _RELAY_MEMORY_RATIO * 1024 * 1024),
         )
 
-    def _relay(
-        self,
-        sender: ids.InstanceId,
-        request: relay_messages.RelayRequest,
-        respond: relay_service.Respond,
-    ) -> defer.Deferred | None:
-        return self._relay_service.handle(sender, request, respond)
-
     def _create_store_sync(self, rng: random.Random) -> store_sync.StoreSync:
         return store_sync.StoreSync(
             self._reactor,
@@ -241,26 +192,6 @@
             self._supervisor,
         )
 
-    def _create_reach_checks(self, rng: random.Random) -> reach_checks.ReachChecks:
-        return reach_checks.ReachChecks(
-            self._reactor,
-            rng,
-            self._servers.probe,
-            lambda: not self._exchange.is_cut,
-            lambda: [member.name for member in self._other_serving()],
-            self._streams.send,
-        )
-
-    def _is_separated(self) -> bool:
-        """Return whether instances of this region that were known lately are missing."""
-        return self._streams.visible_share(self._settings.place.region) < 1.0
-
-    def _other_serving(self) -> list[members.Member]:
-        """Return the other instances that accept new work."""
-        own = self._settings.place.name
-        serving = self._streams.membership.serving(self._reactor.seconds())
-        return [member for member in serving if member.name != own]
-
     def _create_slot_allocator(self) -> slot_allocator.SlotAllocator:
         return slot_allocator.SlotAllocator(
             self._reactor,
@@ -297,10 +228,10 @@
                 self._catalog,
                 self._orders,
                 self._allocator,
-                self._exchange,
+                self._servers.exchange,
                 self._metrics,
-                self._quarantine,
-                self._notices,
+                self._servers.quarantine,
+                self._servers.notices,
             ),
         )
 
@@ -338,8 +269,8 @@
             metric.READY: lambda: float(self._phase is members.Phase.READY),
             metric.DISPATCH_TIME: lambda: self._allocator.dispatch_s,
             metric.SLOT_REQUESTS_QUEUED: lambda: self._allocator.queued_count,
-            metric.REQUESTS_RELAYED: lambda: self._exchange.relayed_count,
-            metric.PATHS_BROKEN: lambda: self._exchange.broken_paths,
+            metric.REQUESTS_RELAYED: lambda: self._servers.exchange.relayed_count,
+            metric.PATHS_BROKEN: lambda: self._servers.exchange.broken_paths,
             metric.LINES_OMITTED: omitted,
         }
 
@@ -478,7 +409,7 @@
         """
         while self._reactor.seconds() < end_at:
             if until_idle:
-                in_flight = self._requests.in_flight + self._relay_service.in_flight
+                in_flight = self._requests.in_flight + self._servers.relays_in_flight
                 if not in_flight and not self._request_listener.open_connections:
                     return
                 self._request_listener.close_idle()
@@ -509,9 +440,6 @@
         ):
             await task.deferLater(self._reactor, 0)
         self._store_sync.stop()
-        self._reach_checks.stop()
-        self._quarantine.stop()
-        self._relays.stop()
         self._supervisor.stop()
         await self._streams.stop()
         self._servers.stop()
@@ -560,34 +488,24 @@
     def _on_members_change(self) -> None:
         self._allocator.update_owners()
 
-    def _send_notices(self, send: Callable[[typing.Any], object]) -> None:
-        """Send what was only told once on a new stream, as its peer may not know it."""
-        for message in (*self._quarantine.mark_messages(), *self._notices.messages()):
-            send(message)
+    def _on_new_stream(self, send: Callable[[typing.Any], object]) -> None:
+        self._servers.send_initial(send)
 
     def _on_member_lost(self, name: ids.InstanceId) -> None:
         self._allocator.remove_instance(name)
-        self._relays.remove_instance(name)
+        self._servers.remove_instance(name)
         self._store_sync.remove_subscriber(name)
 
     def _handle_message(self, sender: ids.InstanceId, message: typing.Any) -> None:
         if isinstance(message, feed_messages.Message):
             self._store_sync.handle_message(sender, message)
-        elif isinstance(message, slot_messages.RequestMarked):
-            self._quarantine.apply_mark(message)
-        elif isinstance(message, slot_messages.RequestCleared):
-            self._quarantine.apply_clearing(message)
-        elif isinstance(message, path_messages.ServerLeaving):
-            self._notices.apply_leaving(message)
-        elif isinstance(message, path_messages.ReachMessage):
-            self._reach_checks.handle_message(sender, message)
         elif isinstance(message, slot_messages.LoadQuery):
             loads = tuple(self._allocator.loads())
             self._streams.send(sender, slot_messages.LoadReport(message.id, loads))
         elif isinstance(message, slot_messages.LoadReport):
             if self._operator_api is not None:
                 self._operator_api.record_load_report(message)
-        else:
+        elif not self._servers.handle_message(sender, message):
             self._allocator.handle_message(sender, message)
 
     # Handlers of store changes, and periodic tasks.
@@ -600,9 +518,7 @@
     def _tick(self) -> None:
         self._loop_monitor.record_call(self._reactor.seconds())
         self._supervisor.run("store-sync", self._store_sync.tick)
-        self._supervisor.run("quarantine", self._quarantine.tick)
-        self._supervisor.run("notices", self._notices.tick)
-        self._supervisor.run("paths", self._exchange.tick, self._catalog.has_address)
+        self._servers.tick()
         self._supervisor.run("orders", self._advance_orders)
         self._supervisor.run("slots", self._allocator.tick)
 
@@ -624,7 +540,6 @@
     def _close_idle(self) -> None:
         now = self._reactor.seconds()
         self._servers.close_idle(now)
-        self._relays.close_idle(now)
         self._store.close_idle(now)
 
 
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -12,6 +12,7 @@
 from carobhook.protocol import client_api, http1
 from carobhook.state import codes, ids, routing
 from carobhook.transport import (
+    accepted_requests,
     client_connections,
     notice_board,
     request_flow,
@@ -166,10 +167,10 @@
         self,
         request: client_connections.ClientRequest,
         decision: request_routing.RoutingDecision,
-    ) -> request_flow.AcceptedRequest:
+    ) -> accepted_requests.AcceptedRequest:
         self._accepted_count += 1
         config = self._context.server_catalog.config
-        return request_flow.AcceptedRequest(
+        return accepted_requests.AcceptedRequest(
             request=request,
             id=ids.RequestId(f"{self._incarnation[:8]}-{self._accepted_count:x}"),
             client_request_id=requests.request_id(request.head),
@@ -186,7 +187,7 @@
         )
 
     def _create_flow(
-        self, accepted: request_flow.AcceptedRequest, respond: Responder
+        self, accepted: accepted_requests.AcceptedRequest, respond: Responder
     ) -> request_flow.RequestFlow:
         flow = request_flow.RequestFlow(
             self._reactor,
@@ -204,7 +205,7 @@
         )
         return flow
 
-    def _may_use(self, accepted: request_flow.AcceptedRequest, server: ids.Server) -> bool:
+    def _may_use(self, accepted: accepted_requests.AcceptedRequest, server: ids.Server) -> bool:
         """Return whether a request may be sent to a server, by what is in force at present."""
         known = self._context.server_catalog
         entry = known.entry(server)
@@ -217,7 +218,9 @@
             return True
         return self._context.orders.regions.get(entry.failure_domain) in route.homes
 
-    def _changed_route(self, accepted: request_flow.AcceptedRequest) -> routing.Route | None:
+    def _changed_route(
+        self, accepted: accepted_requests.AcceptedRequest
+    ) -> routing.Route | None:
         """Return a request's route if another configuration is in force than it was routed by.
 
         None is returned if that is not so, or if the configuration has no route for it.
@@ -231,7 +234,9 @@
         head = accepted.request.head
         return config.match(head.get("host") or "", _path(head))
 
-    def _reroute(self, accepted: request_flow.AcceptedRequest) -> request_flow.AcceptedRequest:
+    def _reroute(
+        self, accepted: accepted_requests.AcceptedRequest
+    ) -> accepted_requests.AcceptedRequest:
         """Return a request as the configuration in force routes it.
 
         Its times stay as they are. A request whose route is gone was accepted before that, and
@@ -254,7 +259,7 @@
             config_version=config.version,
         )
 
-    def _record_outcome(self, outcome: request_flow.RequestOutcome) -> None:
+    def _record_outcome(self, outcome: accepted_requests.RequestOutcome) -> None:
         """Record an outcome in metrics and log."""
         accepted, refusal = outcome.accepted, outcome.refusal
         self._update_metrics(outcome)
@@ -273,7 +278,7 @@
             total_ms=round(outcome.total_s * 1000, 1),
         )
 
-    def _update_metrics(self, outcome: request_flow.RequestOutcome) -> None:
+    def _update_metrics(self, outcome: accepted_requests.RequestOutcome) -> None:
         metric, service = entry_metrics.EntryMetric, outcome.accepted.service
         code = outcome.refusal.code if outcome.refusal is not None else codes.Code.OK
         metrics = self._context.metrics
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -10,8 +10,14 @@
 from carobhook import logs
 from carobhook.coordination import refusals
 from carobhook.protocol import client_api, http1
-from carobhook.state import allocation, codes, ids, routing, servers
-from carobhook.transport import client_connections, server_connections, server_exchange
+from carobhook.state import allocation, codes, ids, servers
+from carobhook.transport import (
+    accepted_requests,
+    client_connections,
+    flow_interfaces,
+    server_connections,
+    server_exchange,
+)
 
 # Time for a response to travel from the server to the client. It is subtracted from the time
 # left that is sent to a server; otherwise the server's own timeout response would reach the
@@ -44,174 +50,6 @@
     ENDED = "ended"
 
 
-class RequestCodec(typing.Protocol):
-    """Encodes requests for backend servers and interprets the responses."""
-
-    def build_request_head(
-        self, head: http1.RequestHead, server: ids.Server, time_left_s: float
-    ) -> http1.RequestHead:
-        """Return the head of a request as it is sent to a server."""
-
-    def attempt_outcome(self, response: http1.Response) -> allocation.AttemptOutcome:
-        """Return the outcome of an attempt that a server responded to."""
-
-    def rate_statement(self, response: http1.Response) -> allocation.RateStatement | None:
-        """Return what a response says about the rate of requests that its server takes.
-
-        Raises:
-            ValueError: The limit that it names cannot be read.
-        """
-
-    def matches_attempt(self, response: http1.Response, client_request_id: str | None) -> bool:
-        """Return whether a response belongs to a client's attempt."""
-
-
-class AttemptObserver(typing.Protocol):
-    """Learns which requests end their servers; `request_quarantine.RequestQuarantine`."""
-
-    def is_quarantined(self, request: client_connections.ClientRequest) -> bool:
-        """Return whether a request must not be sent to any server."""
-
-    def run_of(self, server: ids.Server) -> servers.ServerRun:
-        """Return the present run of a server."""
-
-    def attempt_lost(
-        self,
-        request: client_connections.ClientRequest,
-        run: servers.ServerRun,
-        address: str,
-        is_broken: bool,
-    ) -> None:
-        """Record an attempt that ended without a response; see `lost_attempts`."""
-
-    def request_answered(self, request: client_connections.ClientRequest) -> None:
-        """Record that a server ran a request without a failure."""
-
-
-class NoObserver:
-    """Implements `AttemptObserver` for requests that are never quarantined."""
-
-    def is_quarantined(self, request: client_connections.ClientRequest) -> bool:
-        """Return False."""
-        return False
-
-    def run_of(self, server: ids.Server) -> servers.ServerRun:
-        """Return a run without a start."""
-        return servers.ServerRun(server)
-
-    def attempt_lost(
-        self,
-        request: client_connections.ClientRequest,
-        run: servers.ServerRun,
-        address: str,
-        is_broken: bool,
-    ) -> None:
-        """Do nothing."""
-
-    def request_answered(self, request: client_connections.ClientRequest) -> None:
-        """Do nothing."""
-
-
-class ServerExchange(typing.Protocol):
-    """Sends requests to servers; `server_exchange.ServerExchange` implements this."""
-
-    @property
-    def is_cut(self) -> bool:
-        """Return whether this instance seems to be cut from all servers."""
-
-    async def exchange(
-        self, attempt: server_exchange.Attempt
-    ) -> server_connections.ReceivedResponse:
-        """Send a request to its server and return the complete response."""
-
-    def discard_idle(self, address: str) -> None:
-        """Close the idle connections to a server."""
-
-
-class SlotAllocator(typing.Protocol):
-    """Requests slots from dispatchers and releases them.
-
-    `slot_allocator.SlotAllocator` implements this.
-    """
-
-    def request_slot(
-        self, request: allocation.SlotRequest, region: ids.Region
-    ) -> defer.Deferred:
-        """Request a slot from the dispatcher of a region.
-
-        The result fires with `SlotGrant` or `SlotRefusal`; cancelling it withdraws the request.
-        """
-
-    def release_slot(
-        self,
-        request_id: ids.RequestId,
-        outcome: allocation.AttemptOutcome,
-        rate: allocation.RateStatement | None = None,
-    ) -> None:
-        """Release a granted slot with the outcome of the attempt, and what the server said."""
-
-
-@attrs.frozen
-class AcceptedRequest:
-    """A client's request with the routing decision that was made on its arrival.
-
-    Attributes:
-        request: The client's request.
-        id: Id of the request in the slot requests of this instance.
-        client_request_id: Id that the client gave to this request, or None. For the client,
-            which may send the request again, it is the id of an attempt.
-        route: Route of the request.
-        service: Service that must run the request.
-        region: Region whose dispatcher is asked for a slot first.
-        fallback: Region whose dispatcher is asked if the first one refuses, or None.
-        priority: Rank of the request; 0 is the most urgent.
-        object_key: Key of the object that the request concerns, or None.
-        target_at: Monotonic time in seconds after which a response is late and worth less.
-        deadline_at: Monotonic time in seconds by which the client gets a final response.
-        config_version: Version of the configuration that the request was routed with.
-        domain: Failure domain of this instance.
-    """
-
-    request: client_connections.ClientRequest
-    id: ids.RequestId
-    client_request_id: str | None
-    route: routing.Route
-    service: ids.Service
-    region: ids.Region
-    fallback: ids.Region | None
-    priority: int
-    object_key: str | None
-    target_at: float
-    deadline_at: float
-    config_version: int
-    domain: ids.FailureDomain | None = None
-
-
-@attrs.frozen
-class RequestOutcome:
-    """Final outcome of a request for its client.
-
-    Attributes:
-        accepted: The request.
-        status: HTTP status of the response; 0 if the client had disconnected.
-        refusal: Refusal of the request, or None if a server's response was sent. It is sent to
-            the client unless the client had disconnected.
-        server: Server that the request was last sent to, or None.
-        attempts: Number of attempts in which the request may have reached a server.
-        slot_wait_s: Seconds from arrival until the first slot was granted; until the end if
-            none was.
-        total_s: Seconds from arrival to the end.
-    """
-
-    accepted: AcceptedRequest
-    status: int
-    refusal: refusals.Refusal | None
-    server: ids.Server | None
-    attempts: int
-    slot_wait_s: float
-    total_s: float
-
-
 class RequestFlow:
     """Processing of one request; implements `client_connections.ActiveRequest`.
 
@@ -234,16 +72,20 @@
     def __init__(
         self,
         reactor: typing.Any,
-        accepted: AcceptedRequest,
-        allocator: SlotAllocator,
-        servers: ServerExchange,
-        codec: RequestCodec,
+        accepted: accepted_requests.AcceptedRequest,
+        allocator: flow_interfaces.SlotAllocator,
+        servers: flow_interfaces.ServerExchange,
+        codec: flow_interfaces.RequestCodec,
         respond: Callable[[http1.Response], None],
-        on_outcome: Callable[[RequestOutcome], None],
+        on_outcome: Callable[[accepted_requests.RequestOutcome], None],
         on_finished: Callable[[], None],
-        observer: AttemptObserver | None = None,
-        may_use: Callable[[AcceptedRequest, ids.Server], bool] = lambda accepted, server: True,
-        reroute: Callable[[AcceptedRequest], AcceptedRequest] = lambda accepted: accepted,
+        observer: flow_interfaces.AttemptObserver | None = None,
+        may_use: Callable[
+            [accepted_requests.AcceptedRequest, ids.Server], bool
+        ] = lambda accepted, server: True,
+        reroute: Callable[
+            [accepted_requests.AcceptedRequest], accepted_requests.AcceptedRequest
+        ] = lambda accepted: accepted,
         resting: Callable[[], frozenset[ids.Server]] = frozenset,
     ) -> None:
         self._reactor = reactor
@@ -254,7 +96,7 @@
         self._respond = respond
         self._on_outcome = on_outcome
         self._on_finished = on_finished
-        self._observer = observer or NoObserver()
+        self._observer = observer or flow_interfaces.NoObserver()
         self._may_use = may_use
         self._reroute = reroute
         self._resting = resting
@@ -469,7 +311,7 @@
         return self._handle_outcome(outcome, received, grant)
 
     def _build_attempt(
-        self, accepted: AcceptedRequest, grant: allocation.SlotGrant
+        self, accepted: accepted_requests.AcceptedRequest, grant: allocation.SlotGrant
     ) -> server_exchange.Attempt:
         """Return the attempt to send a request to the server of its slot."""
 
@@ -489,7 +331,9 @@
             may_send=lambda: self._may_send(accepted, grant.server),
         )
 
-    def _may_send(self, accepted: AcceptedRequest, server: ids.Server) -> bool:
+    def _may_send(
+        self, accepted: accepted_requests.AcceptedRequest, server: ids.Server
+    ) -> bool:
         """Return whether the request may be sent now, in which case it is."""
         self._is_sent = self._may_use(accepted, server) and not self._observer.is_quarantined(
             accepted.request
@@ -664,7 +508,7 @@
         self._outcome_reported = True
         wait_ended_at = self._first_slot_at if self._first_slot_at is not None else now
         self._on_outcome(
-            RequestOutcome(
+            accepted_requests.RequestOutcome(
                 self._accepted,
                 status,
                 refusal,
--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -38,7 +38,7 @@
 
 
 class RequestQuarantine:
-    """Marks of requests at this instance; implements `request_flow.AttemptObserver`.
+    """Marks of requests at this instance; implements `flow_interfaces.AttemptObserver`.
 
     Args:
         reactor: Source of time.
--- /dev/null
+++ b/src/carobhook/transport/server_access.py
@@ -0,0 +1,220 @@
+"""How an instance reaches backend servers, and what it learns of them on the way."""
+
+import random
+import typing
+from collections.abc import Callable
+
+import attrs
+from twisted.internet import defer
+
+from carobhook import entry_settings
+from carobhook.coordination import catalog, objects
+from carobhook.platform import requests
+from carobhook.protocol import path_messages, relay_messages, slot_messages
+from carobhook.state import ids, members
+from carobhook.transport import (
+    member_streams,
+    notice_board,
+    peers,
+    reach_checks,
+    relay_connections,
+    relay_service,
+    request_quarantine,
+    server_connections,
+    server_exchange,
+    supervision,
+)
+
+_CONNECT_TIMEOUT_S = 0.5
+_BYTES_PER_MB = 1024 * 1024
+# Share of the instance's memory that the bodies of responses may use while they are being
+# received. A complete one is copied twice when it is forwarded.
+_RESPONSE_MEMORY_RATIO = 0.15
+# Share that the bodies of requests of other instances may use.
+_RELAY_MEMORY_RATIO = 0.1
+
+
+@attrs.frozen
+class InstanceParts:
+    """Parts of an instance that `ServerAccess` uses.
+
+    Attributes:
+        server_catalog: Servers and configuration.
+        streams: Streams to other instances, and the table of live instances.
+        store: The platform's store.
+        supervisor: Gets the failures of checks.
+        identity: Authenticates this instance to others.
+        peer_context: TLS context of connections to other instances, None for plain TCP.
+        is_serving: Returns whether this instance accepts new work.
+        on_server_change: Called when a server may not be used any more.
+        wall: Returns the time of day in seconds.
+    """
+
+    server_catalog: catalog.Catalog
+    streams: member_streams.MemberStreams
+    store: objects.ObjectStore
+    supervisor: supervision.Supervisor
+    identity: peers.Identity
+    peer_context: typing.Any
+    is_serving: Callable[[], bool]
+    on_server_change: Callable[[], object]
+    wall: Callable[[], float]
+
+
+class ServerAccess:
+    """Connections to servers, paths through other instances, and evidence on servers.
+
+    Args:
+        reactor: Source of time, timers and sockets.
+        settings: Settings of the instance.
+        rng: Chooses among other instances.
+        parts: Parts of the instance that this class uses.
+
+    Attributes:
+        exchange: Exchanges with servers, by whatever path there is.
+        quarantine: Requests that end the servers that run them.
+        notices: What servers say of themselves in their responses.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        settings: entry_settings.EntrySettings,
+        rng: random.Random,
+        parts: InstanceParts,
+    ) -> None:
+        self._reactor = reactor
+        self._place = settings.place
+        self._memory_bytes = settings.capacity.memory_mb * _BYTES_PER_MB
+        self._parts = parts
+        self._codec = requests.ServerCodec()
+        self._connections = server_connections.ServerConnections(
+            reactor,
+            _CONNECT_TIMEOUT_S,
+            int(self._memory_bytes * _RESPONSE_MEMORY_RATIO),
+            settings.place.outgoing,
+        )
+        self._relays = relay_connections.RelayConnections(
+            reactor, parts.identity, parts.peer_context
+        )
+        self.notices = notice_board.NoticeBoard(
+            reactor,
+            self._codec,
+            parts.server_catalog,
+            parts.on_server_change,
+            parts.streams.broadcast,
+        )
+        record_response = parts.supervisor.isolate("notice", self.notices.record_response)
+        self.exchange = server_exchange.ServerExchange(
+            reactor,
+            rng,
+            self._place.region,
+            self._connections,
+            self._relays,
+            self._other_serving,
+            record_response,
+            lambda reason: parts.supervisor.record("path-check", reason),
+        )
+        self._relay_service = relay_service.RelayService(
+            self._connections,
+            self._may_relay_to,
+            lambda: parts.is_serving() and not self.exchange.is_cut,
+            self._codec.matches_attempt,
+            record_response,
+            int(self._memory_bytes * _RELAY_MEMORY_RATIO),
+        )
+        self._reach_checks = reach_checks.ReachChecks(
+            reactor,
+            rng,
+            self._connections.probe,
+            lambda: not self.exchange.is_cut,
+            lambda: [member.name for member in self._other_serving()],
+            parts.streams.send,
+        )
+        self.quarantine = request_quarantine.RequestQuarantine(
+            reactor,
+            self._place.name,
+            parts.server_catalog,
+            self._reach_checks,
+            request_quarantine.MarkStore(parts.store, parts.wall, self._is_separated),
+            parts.streams.broadcast,
+            lambda reason: parts.supervisor.record("server-check", reason),
+        )
+
+    @property
+    def opened_count(self) -> int:
+        """Return the number of connections to servers opened since the start."""
+        return self._connections.opened_count
+
+    @property
+    def relays_in_flight(self) -> int:
+        """Return the number of requests that are relayed for other instances."""
+        return self._relay_service.in_flight
+
+    def relay(
+        self,
+        sender: ids.InstanceId,
+        request: relay_messages.RelayRequest,
+        respond: relay_service.Respond,
+    ) -> defer.Deferred | None:
+        """Relay a request of another instance; cancelling the result cancels it."""
+        return self._relay_service.handle(sender, request, respond)
+
+    def handle_message(self, sender: ids.InstanceId, message: typing.Any) -> bool:
+        """Handle a message about servers, paths or marks; return False for any other."""
+        if isinstance(message, slot_messages.RequestMarked):
+            self.quarantine.apply_mark(message)
+        elif isinstance(message, slot_messages.RequestCleared):
+            self.quarantine.apply_clearing(message)
+        elif isinstance(message, path_messages.ServerLeaving):
+            self.notices.apply_leaving(message)
+        elif isinstance(message, path_messages.ReachMessage):
+            self._reach_checks.handle_message(sender, message)
+        else:
+            return False
+        return True
+
+    def send_initial(self, send: Callable[[typing.Any], object]) -> None:
+        """Send what was only told once on a new stream, as its peer may not know it."""
+        for message in (*self.quarantine.mark_messages(), *self.notices.messages()):
+            send(message)
+
+    def remove_instance(self, name: ids.InstanceId) -> None:
+        """Close the relay connections to an instance that is dead or was restarted."""
+        self._relays.remove_instance(name)
+
+    def tick(self) -> None:
+        """Follow up lost attempts, and try broken paths again."""
+        run = self._parts.supervisor.run
+        run("quarantine", self.quarantine.tick)
+        run("notices", self.notices.tick)
+        run("paths", self.exchange.tick, self._parts.server_catalog.has_address)
+
+    def close_idle(self, now: float) -> None:
+        """Close the connections that have been idle for too long.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        self._connections.close_idle(now)
+        self._relays.close_idle(now)
+
+    def stop(self) -> None:
+        """End all checks, and close all connections."""
+        self._reach_checks.stop()
+        self.quarantine.stop()
+        self._relays.stop()
+        self._connections.stop()
+
+    def _may_relay_to(self, server: ids.Server) -> bool:
+        is_usable = self._parts.server_catalog.is_usable(server)
+        return is_usable and not self.notices.is_resting(server)
+
+    def _is_separated(self) -> bool:
+        """Return whether instances of this region that were known lately are missing."""
+        return self._parts.streams.visible_share(self._place.region) < 1.0
+
+    def _other_serving(self) -> list[members.Member]:
+        """Return the other instances that accept new work."""
+        serving = self._parts.streams.membership.serving(self._reactor.seconds())
+        return [member for member in serving if member.name != self._place.name]
--- a/tests/test_cut_instance.py
+++ b/tests/test_cut_instance.py
@@ -15,7 +15,7 @@
     """Cuts an instance from all servers, as its connections to them see it."""
 
     def __init__(self, daemon):
-        self.connections = daemon._servers
+        self.connections = daemon._servers._connections
         self.opened = []
         self.connect = self.connections._connect
         self.connections._connect = self.record_connect
--- a/tests/test_homes_in_force.py
+++ b/tests/test_homes_in_force.py
@@ -15,10 +15,10 @@
 from carobhook.transport import (
     client_connections,
     entry_requests,
+    flow_interfaces,
     notice_board,
     peers,
     relay_connections,
-    request_flow,
     server_connections,
     server_exchange,
 )
@@ -64,7 +64,7 @@
         allocator,
         connections,
         metrics,
-        request_flow.NoObserver(),
+        flow_interfaces.NoObserver(),
         notice_board.NoticeBoard(
             reactor, requests.ServerCodec(), known, lambda: None, lambda message: None
         ),
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -8,7 +8,12 @@
 from carobhook.platform import requests
 from carobhook.protocol import http1
 from carobhook.state import allocation, codes, ids, routing
-from carobhook.transport import client_connections, request_flow, server_connections
+from carobhook.transport import (
+    accepted_requests,
+    client_connections,
+    request_flow,
+    server_connections,
+)
 
 ONCE = routing.Idempotency.ONCE
 REPEATABLE = routing.Idempotency.REPEATABLE
@@ -98,7 +103,7 @@
             False,
         )
         head = http1.RequestHead(b"GET", b"/x", ((b"X-Attempt-Id", b"id-1"),))
-        accepted = request_flow.AcceptedRequest(
+        accepted = accepted_requests.AcceptedRequest(
             client_connections.ClientRequest(head, b"", "10.0.0.1", 0.0),
             ids.RequestId("one-1"),
             "id-1",
