--- a/src/carobhook/transport/relay_connections.py
+++ b/src/carobhook/transport/relay_connections.py
@@ -36,6 +36,10 @@
         self.is_open = True
 
     def connectionMade(self) -> None:
+        if not self.is_open:
+            # Nobody waits for it any more.
+            self.transport.abortConnection()
+            return
         self.transport.setTcpNoDelay(True)
         self.transport.setTcpKeepAlive(True)
 
@@ -61,7 +65,7 @@
     def abort(self) -> None:
         """Close the connection at once, which makes the other instance cancel the request."""
         self.is_open = False
-        self._pending = None
+        self._on_ready = self._pending = None
         if self.transport is not None:
             self.transport.abortConnection()
 
@@ -121,7 +125,7 @@
             connection = idle.pop()
             if connection.is_open:
                 return connection
-        ready: defer.Deferred = defer.Deferred()
+        ready: defer.Deferred = defer.Deferred(lambda _: connection.abort())
         connection = _RelayConnection(self._reactor, self._identity, ready)
         host, _, port = peer.peers.rpartition(":")
         factory = _RelayFactory(connection, ready)
