Blame a server at once if its connection times out while others are heard

A second opinion costs another half second where a server has gone dark, and until it came the server was granted to everybody.

--- a/src/carobhook/transport/server_access.py
+++ b/src/carobhook/transport/server_access.py
@@ -105,6 +105,14 @@
             parts.streams.broadcast,
         )
         record_response = parts.supervisor.isolate("notice", self.notices.record_response)
+        self._reach_checks = reach_checks.ReachChecks(
+            reactor,
+            rng,
+            self._connections.probe,
+            self._is_trusted,
+            lambda: [member.name for member in self._other_serving()],
+            parts.streams.send,
+        )
         self.exchange = server_exchange.ServerExchange(
             reactor,
             rng,
@@ -112,25 +120,18 @@
             self._connections,
             self._relays,
             self._other_serving,
+            self._reach_checks.is_reached_by_others,
             record_response,
             lambda reason: parts.supervisor.record("path-check", reason),
         )
         self._relay_service = relay_service.RelayService(
             self._connections,
             self._may_relay_to,
-            lambda: parts.is_serving() and not self.exchange.is_cut,
+            lambda: parts.is_serving() and self._is_trusted(),
             self._codec.matches_attempt,
             record_response,
             int(self._memory_bytes * _RELAY_MEMORY_RATIO),
         )
-        self._reach_checks = reach_checks.ReachChecks(
-            reactor,
-            rng,
-            self._connections.probe,
-            lambda: not self.exchange.is_cut,
-            lambda: [member.name for member in self._other_serving()],
-            parts.streams.send,
-        )
         self.quarantine = request_quarantine.RequestQuarantine(
             reactor,
             self._place.name,
@@ -206,6 +207,10 @@
         self._relays.stop()
         self._connections.stop()
 
+    def _is_trusted(self) -> bool:
+        """Return whether a server that this instance does not reach may be at fault."""
+        return not self.exchange.is_cut
+
     def _may_relay_to(self, server: ids.Server) -> bool:
         is_usable = self._parts.server_catalog.is_usable(server)
         return is_usable and not self.notices.is_resting(server)
--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -7,7 +7,7 @@
 
 import random
 import typing
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Coroutine, Sequence
 
 import attrs
 from twisted.internet import defer
@@ -28,6 +28,9 @@
 # Servers are checked if requests run and no server was heard for this long.
 _SILENCE_S = 0.6
 _CHECK_INTERVAL_S = 0.5
+# A connection that takes this long to fail has timed out. Another instance would need as long
+# to find the same, so the request does not wait for its finding.
+_SLOW_FAILURE_S = 0.3
 # A path works if a connection on it stays open for this long.
 _PROBE_HOLD_S = 0.1
 _FAULT_BY_OUTCOME = {
@@ -77,6 +80,7 @@
         connections: Connections to servers.
         relays: Connections to instances that relay.
         peers: Returns the other instances that accept new work.
+        is_reached_by_others: Returns whether other instances reach a server.
         on_response: Called with the server and each response.
         on_failure: Called with the failure of a check.
     """
@@ -89,6 +93,7 @@
         connections: server_connections.ServerConnections,
         relays: relay_connections.RelayConnections,
         peers: Callable[[], Sequence[members.Member]],
+        is_reached_by_others: Callable[[str], Awaitable[bool]],
         on_response: Callable[[ids.Server, http1.Response], object],
         on_failure: Callable[[typing.Any], object],
     ) -> None:
@@ -98,6 +103,7 @@
         self._connections = connections
         self._relays = relays
         self._peers = peers
+        self._is_reached_by_others = is_reached_by_others
         self._on_response = on_response
         self._on_failure = on_failure
         self._paths = server_paths.ServerPaths()
@@ -105,7 +111,7 @@
         self._running: dict[object, tuple[str, float]] = {}
         self._avoided_until: dict[ids.InstanceId, float] = {}
         self._checked_at = 0.0
-        self._probing: set[str] = set()
+        self._checking: set[str] = set()
         self._relayed_count = 0
         connections.on_opened = self._paths.record_opened
 
@@ -137,6 +143,7 @@
 
     async def _exchange(self, attempt: Attempt) -> server_connections.ReceivedResponse:
         if self._is_direct(attempt):
+            started_at = self._reactor.seconds()
             try:
                 return await self._exchange_directly(attempt)
             except server_connections.ExchangeError as error:
@@ -145,8 +152,27 @@
                     self._paths.record_failure(attempt.address, self._reactor.seconds())
                 if error.fault is not Fault.CONNECT:
                     raise
+                if self._is_server_suspect(started_at):
+                    self._start_check(attempt.address, self._ask_others(attempt.address))
+                    raise
         return await self._relay(attempt)
 
+    def _is_server_suspect(self, started_at: float) -> bool:
+        """Return whether a connection timed out while other servers were heard.
+
+        It is more likely the server then than the path, and the request tries another one at
+        once.
+        """
+        is_slow = self._reactor.seconds() - started_at >= _SLOW_FAILURE_S
+        return is_slow and self._paths.heard_at >= started_at
+
+    async def _ask_others(self, address: str) -> None:
+        """Find out whether a server or the path to it is at fault."""
+        if await self._is_reached_by_others(address):
+            self._paths.record_reached_by_other(address, self._reactor.seconds())
+        else:
+            self._paths.record_server_fault(address)
+
     def discard_idle(self, address: str) -> None:
         """Close the idle connections to a server."""
         self._connections.discard_idle(address)
@@ -160,13 +186,13 @@
         now = self._reactor.seconds()
         self._paths.retain(is_known, now)
         for address in self._paths.due_probes(now):
-            self._start_probe(address)
+            self._start_check(address, self._probe(address))
         if now - self._checked_at >= _CHECK_INTERVAL_S:
             self._checked_at = now
             running = self._running.values()
             heard_at = self._paths.heard_at
             for address in server_paths.silent_addresses(running, heard_at, now, _SILENCE_S):
-                self._start_probe(address)
+                self._start_check(address, self._probe(address))
         self._log_change()
 
     def _is_direct(self, attempt: Attempt) -> bool:
@@ -284,21 +310,28 @@
         }
         return sorted(suitable, key=lambda peer: keys[peer.name])
 
-    def _start_probe(self, address: str) -> None:
-        if address not in self._probing:
-            self._probing.add(address)
-            defer.ensureDeferred(self._probe(address)).addErrback(self._on_failure)
+    def _start_check(
+        self, address: str, check: Coroutine[typing.Any, typing.Any, None]
+    ) -> None:
+        """Start a check of a server, unless one is in progress."""
+        if address in self._checking:
+            check.close()
+            return
+        self._checking.add(address)
+        running = defer.ensureDeferred(check)
+        running.addBoth(self._end_check, address)
+        running.addErrback(self._on_failure)
+
+    def _end_check(self, result: typing.Any, address: str) -> typing.Any:
+        self._checking.discard(address)
+        return result
 
     async def _probe(self, address: str) -> None:
         """Try to connect to a server; the connection is kept for requests."""
-        try:
-            is_open = await self._connections.probe(address, _PROBE_HOLD_S)
-            if is_open:
-                self._paths.record_reached(address, self._reactor.seconds())
-            else:
-                self._paths.record_failure(address, self._reactor.seconds())
-        finally:
-            self._probing.discard(address)
+        if await self._connections.probe(address, _PROBE_HOLD_S):
+            self._paths.record_reached(address, self._reactor.seconds())
+        else:
+            self._paths.record_failure(address, self._reactor.seconds())
 
     def _log_change(self) -> None:
         if self.is_cut == self._was_cut:
--- a/tests/test_homes_in_force.py
+++ b/tests/test_homes_in_force.py
@@ -4,7 +4,7 @@
 
 import attrs
 import pytest
-from twisted.internet import task, testing
+from twisted.internet import defer, task, testing
 
 import test_request_flow
 from carobhook import entry_metrics
@@ -134,6 +134,7 @@
             server_connections.ServerConnections(reactor, 0.5),
             relay_connections.RelayConnections(reactor, IDENTITY),
             list,
+            lambda address: defer.succeed(False),
             lambda server, response: None,
             lambda reason: None,
         )
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -36,6 +36,10 @@
     def __init__(self, *peers, answers=None):
         self.clock = task.Clock()
         self.direct = []
+        self.connect_s = 0.0
+        self.sound_at_half = False
+        self.others_reach = False
+        self.checked = []
         self.asked = []
         self.answers = answers or {}
         self.on_opened = None
@@ -47,6 +51,7 @@
             self,
             self,
             lambda: peers,
+            self.is_reached_by_others,
             lambda server, response: None,
             lambda reason: None,
         )
@@ -57,6 +62,8 @@
         """Fail a direct exchange, or answer a relayed one."""
         if isinstance(args[0], str) and "s" in args[0]:
             self.direct.append(args[0])
+            if self.connect_s:
+                await task.deferLater(self.clock, self.connect_s)
             raise self.error
         self.asked.append(args[0])
         answer = self.answers.get(args[0], SERVED)
@@ -64,6 +71,11 @@
             raise answer
         return answer
 
+    async def is_reached_by_others(self, address):
+        """Return what the test says that other instances find."""
+        self.checked.append(address)
+        return self.others_reach
+
     def has_fresh(self, address):
         """Return False, as there are no idle connections."""
         return False
@@ -103,6 +115,10 @@
             lambda received: found.append(received.response.status),
             lambda reason: found.append(reason.value.fault),
         )
+        self.clock.advance(self.connect_s / 2)
+        if self.connect_s and self.sound_at_half:
+            self.servers._paths.record_response(self.clock.seconds())
+        self.clock.advance(self.connect_s / 2)
         return found[0]
 
 
@@ -191,3 +207,35 @@
         faults = [paths.send(f"s{number}:1") for number in range(5)]
         assert faults == [Fault.CONNECT] * 2 + [Fault.NO_PATH] * 3
         assert len(paths.direct) == 3
+
+
+class TestSlowFailure:
+    """A connection times out, which takes another instance as long to find out."""
+
+    def slow_paths(self, *, sound, others_reach=False):
+        """Return paths on which connections take half a second to fail."""
+        paths = Paths(member("two"))
+        paths.connect_s, paths.sound_at_half, paths.others_reach = 0.5, sound, others_reach
+        return paths
+
+    def test_server_is_blamed_at_once_while_others_are_heard(self):
+        """The request tries another server, and the path is found out meanwhile."""
+        paths = self.slow_paths(sound=True)
+        assert paths.send() is Fault.CONNECT
+        assert (paths.asked, paths.checked) == ([], ["s1:1"])
+        assert paths.servers.broken_paths == 0
+
+    def test_path_is_blamed_once_others_reach_the_server(self):
+        """The next request for it goes through another instance."""
+        paths = self.slow_paths(sound=True, others_reach=True)
+        assert paths.send() is Fault.CONNECT
+        assert paths.servers.broken_paths == 1
+        paths.connect_s = 0.0
+        assert paths.send() == 200
+        assert (paths.direct, paths.asked) == (["s1:1"], ["two"])
+
+    def test_request_is_relayed_if_no_server_is_heard(self):
+        """The instance may be cut from all of them."""
+        paths = self.slow_paths(sound=False)
+        assert paths.send() == 200
+        assert (paths.asked, paths.checked) == (["two"], [])
