Bound what the evidence on servers costs, and what others may ask for

- Marks are listed with reads that may be stale, and often only while most instances of the region are missing: a killed instance would have cost its region a call every two seconds for two minutes.
- A server that responded after a client had left is not checked: each client that left would have cost a connection.
- An instance relays only to the address that it knows of a server, and probes only known addresses for others.

--- a/src/carobhook/coordination/lost_attempts.py
+++ b/src/carobhook/coordination/lost_attempts.py
@@ -4,18 +4,21 @@
 became of the server that ran the request.
 """
 
-from collections.abc import Callable
+import math
+from collections.abc import Callable, Mapping
 
 import attrs
 
 from carobhook.coordination import poison
-from carobhook.state import servers
+from carobhook.state import ids, servers
 
 # A connection that broke is followed up after this time, in which an ending process closes its
 # other sockets too.
 _BROKEN_CHECK_S = 0.05
 # An attempt that this instance gave up is followed up later, as the server may go on with it.
 _GIVEN_UP_CHECK_S = 1.0
+# A response this long after the attempt shows that the server goes on running.
+_HEARD_MARGIN_S = 0.3
 # For this long, another run of the server shows that the attempt's run has ended.
 _LIFETIME_S = 6.0
 # Limit of memory use; beyond it, the oldest entries are dropped.
@@ -81,16 +84,23 @@
         self._by_run.setdefault(run, []).append(attempt)
         self._count += 1
 
-    def due(self, now: float) -> list[LostAttempt]:
+    def due(
+        self, now: float, heard_at: Mapping[ids.Server, float] | None = None
+    ) -> list[LostAttempt]:
         """Return one attempt for each server to be checked now, and drop those too old.
 
+        A server that was heard a while after the attempt needs no check.
+
         Args:
             now: Monotonic time in seconds.
+            heard_at: Monotonic times in seconds of the last responses of servers.
         """
         due = []
         for run, attempts in list(self._by_run.items()):
             waiting = [a for a in attempts if a.check_at is not None and now >= a.check_at]
-            due += waiting[:1]
+            last_heard_at = (heard_at or {}).get(run.server, -math.inf)
+            unheard = [a for a in waiting if last_heard_at < a.lost_at + _HEARD_MARGIN_S]
+            due += unheard[:1]
             for attempt in waiting:
                 attempt.check_at = None
             kept = [a for a in attempts if now - a.lost_at <= _LIFETIME_S]
--- a/src/carobhook/transport/reach_checks.py
+++ b/src/carobhook/transport/reach_checks.py
@@ -30,6 +30,7 @@
         reactor: Source of timers.
         rng: Chooses the instances that are asked.
         probe: Returns whether a server accepts a connection of this instance.
+        is_known: Returns whether a server has an address; nothing else is probed for others.
         is_trusted: Returns whether a failed probe of this instance says anything of a server.
         peers: Returns the other instances that can be asked.
         send: Sends a message to an instance; returns False if there is no stream to it.
@@ -40,6 +41,7 @@
         reactor: typing.Any,
         rng: random.Random,
         probe: Callable[[str], Awaitable[bool]],
+        is_known: Callable[[str], bool],
         is_trusted: Callable[[], bool],
         peers: Callable[[], Sequence[ids.InstanceId]],
         send: Callable[[ids.InstanceId, typing.Any], bool],
@@ -47,6 +49,7 @@
         self._reactor = reactor
         self._rng = rng
         self._probe = probe
+        self._is_known = is_known
         self._is_trusted = is_trusted
         self._peers = peers
         self._send = send
@@ -93,6 +96,10 @@
             if pending is not None:
                 pending.callback(message.reach)
             return
+        if not self._is_known(message.address):
+            unknown = path_messages.ReachReport(message.id, path_messages.Reach.UNKNOWN)
+            self._send_report(sender, unknown, _MAX_RESENDS)
+            return
         checked = defer.ensureDeferred(self._reaches(message.address))
         checked.addCallback(self._answer, sender, message.id)
 
--- a/src/carobhook/transport/relay_service.py
+++ b/src/carobhook/transport/relay_service.py
@@ -30,7 +30,7 @@
 
     Args:
         servers: Connections to backend servers.
-        may_use: Returns whether a server may get requests from this instance.
+        may_use: Returns whether a server at an address may get requests from this instance.
         can_relay: Returns whether this instance serves and reaches servers.
         matches: Returns whether a response belongs to a client's attempt.
         on_response: Called with the server and each response.
@@ -40,7 +40,7 @@
     def __init__(
         self,
         servers: server_connections.ServerConnections,
-        may_use: Callable[[ids.Server], bool],
+        may_use: Callable[[ids.Server, str], bool],
         can_relay: Callable[[], bool],
         matches: Callable[[http1.Response, str | None], bool],
         on_response: Callable[[ids.Server, http1.Response], object],
@@ -97,7 +97,7 @@
                 request.body,
                 request.require_fresh,
                 lambda response: self._matches(response, request.request_id),
-                lambda: self._may_use(request.server),
+                lambda: self._may_use(request.server, request.address),
             )
             self._on_response(request.server, received.response)
             answer = _answer(received.response)
--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -29,7 +29,7 @@
     Attributes:
         store: The platform's store.
         wall: Returns the time of day in seconds.
-        is_separated: Returns whether other instances are missing.
+        is_separated: Returns whether most other instances are missing.
     """
 
     store: objects.ObjectStore
@@ -67,6 +67,8 @@
         self._on_failure = on_failure
         self._quarantine = poison.Quarantine(own)
         self._lost_attempts = lost_attempts.LostAttempts()
+        # Monotonic times in seconds of the last responses, by server, while attempts are lost.
+        self._heard_at: dict[ids.Server, float] = {}
         self._stored_marks = stored_marks.StoredMarks(
             reactor,
             mark_store.store,
@@ -108,6 +110,11 @@
         request_id = requests.request_id(request.head)
         self._lost_attempts.add(fingerprint(request), run, address, request_id, is_broken, now)
 
+    def record_response(self, server: ids.Server) -> None:
+        """Record that a server responded, so that it has not ended before."""
+        if not self._lost_attempts.is_empty:
+            self._heard_at[server] = self._reactor.seconds()
+
     def request_answered(self, request: client_connections.ClientRequest) -> None:
         """Clear the marks of a request that a server ran without a failure."""
         if self._quarantine.is_empty:
@@ -122,10 +129,11 @@
         """Check the servers of lost attempts, and keep the marks in the store up to date."""
         self._stored_marks.tick()
         if self._lost_attempts.is_empty:
+            self._heard_at.clear()
             return
         for run in self._lost_attempts.ended_runs(lambda run: self._catalog.run_of(run.server)):
             self._record_end(run, "runs-anew")
-        for attempt in self._lost_attempts.due(self._reactor.seconds()):
+        for attempt in self._lost_attempts.due(self._reactor.seconds(), self._heard_at):
             check = defer.ensureDeferred(self._check(attempt))
             check.addErrback(self._on_failure)
 
--- a/src/carobhook/transport/server_access.py
+++ b/src/carobhook/transport/server_access.py
@@ -10,7 +10,7 @@
 from carobhook import entry_settings
 from carobhook.coordination import catalog, objects
 from carobhook.platform import requests
-from carobhook.protocol import path_messages, relay_messages, slot_messages
+from carobhook.protocol import http1, path_messages, relay_messages, slot_messages
 from carobhook.state import ids, members
 from carobhook.transport import (
     member_streams,
@@ -30,6 +30,8 @@
 # Share of the instance's memory that the bodies of responses may use while they are being
 # received. A complete one is copied twice when it is forwarded.
 _RESPONSE_MEMORY_RATIO = 0.15
+# An instance that sees no more than this share of its region may be separated from the rest.
+_SEPARATED_SHARE = 0.5
 # Share that the bodies of requests of other instances may use.
 _RELAY_MEMORY_RATIO = 0.1
 
@@ -104,11 +106,12 @@
             parts.on_server_change,
             parts.streams.broadcast,
         )
-        record_response = parts.supervisor.isolate("notice", self.notices.record_response)
+        record_response = parts.supervisor.isolate("response", self._record_response)
         self._reach_checks = reach_checks.ReachChecks(
             reactor,
             rng,
             self._connections.probe,
+            parts.server_catalog.has_address,
             self._is_trusted,
             lambda: [member.name for member in self._other_serving()],
             parts.streams.send,
@@ -211,13 +214,22 @@
         """Return whether a server that this instance does not reach may be at fault."""
         return not self.exchange.is_cut
 
-    def _may_relay_to(self, server: ids.Server) -> bool:
+    def _record_response(self, server: ids.Server, response: http1.Response) -> None:
+        """Learn what a response says of its server."""
+        self.notices.record_response(server, response)
+        self.quarantine.record_response(server)
+
+    def _may_relay_to(self, server: ids.Server, address: str) -> bool:
+        entry = self._parts.server_catalog.entry(server)
+        if entry is None or entry.address != address:
+            return False
         is_usable = self._parts.server_catalog.is_usable(server)
         return is_usable and not self.notices.is_resting(server)
 
     def _is_separated(self) -> bool:
-        """Return whether instances of this region that were known lately are missing."""
-        return self._parts.streams.visible_share(self._place.region) < 1.0
+        """Return whether most instances of this region that were known lately are missing."""
+        visible_share = self._parts.streams.visible_share(self._place.region)
+        return visible_share <= _SEPARATED_SHARE
 
     def _other_serving(self) -> list[members.Member]:
         """Return the other instances that accept new work."""
--- a/src/carobhook/transport/stored_marks.py
+++ b/src/carobhook/transport/stored_marks.py
@@ -16,7 +16,7 @@
 from carobhook.coordination import objects, poison
 from carobhook.protocol import mark_codec
 
-# Marks are listed at this interval while other instances are missing, and while none is.
+# Marks are listed at this interval while most other instances are missing, and otherwise.
 _SEPARATED_INTERVAL_S = 2.0
 _INTERVAL_S = 60.0
 _RETRY_S = 1.0
@@ -32,7 +32,7 @@
     Attributes:
         on_mark: Called with a mark that the store holds, and its remaining seconds.
         on_removed: Called with a mark that the store held before and holds no longer.
-        is_separated: Returns whether other instances are missing.
+        is_separated: Returns whether most other instances are missing.
         on_failure: Called with the failure of a call that is not the store's.
     """
 
@@ -155,7 +155,7 @@
 
     async def _list(self, now: float) -> None:
         """Apply the marks that the store holds, and delete those that have expired."""
-        listing = await self._store.list(mark_codec.STORE_KIND)
+        listing = await self._store.list_stale(mark_codec.STORE_KIND)
         self._listed_at = now
         found: dict[str, mark_codec.StoredMark] = {}
         for item in listing.items:
--- a/tests/test_cut_instance.py
+++ b/tests/test_cut_instance.py
@@ -158,3 +158,18 @@
     def connection_uses(self):
         """Return how many requests the first instance has sent to servers itself."""
         return sum(connection.exchange_count for connection in self.cut.opened)
+
+
+class TestClientOfACutInstance(CutCase):
+    """A client that leaves while another instance relays its request."""
+
+    async def test_server_is_told(self):
+        """Closing the way cancels the request at the server, as on the direct path."""
+        self.cut.begin_reset()
+        await self.load("settling", 2.0)
+        self.set_behaviour(work_s=3.0)
+        head = "GET /a/x HTTP/1.1\r\nHost: shop.example\r\nX-Attempt-Id: left\r\n\r\n"
+        client = await self.send_raw(head.encode(), wait_s=0.4)
+        assert "left" in self.started_ids
+        client.transport.abortConnection()
+        await self.wait_until(lambda: any(b.cancelled for b in self.backends.values()), 0.5)
--- a/tests/test_lost_attempts.py
+++ b/tests/test_lost_attempts.py
@@ -33,6 +33,15 @@
         assert attempts.due(0.5) == []
         assert [attempt.run for attempt in attempts.due(1.1)] == [FIRST]
 
+    def test_server_that_is_heard_later_is_not_checked(self):
+        """Most clients that leave cost no connection."""
+        attempts = lost_attempts.LostAttempts()
+        add(attempts, is_broken=False)
+        add(attempts, OTHER, is_broken=False)
+        heard_at = {FIRST.server: 0.5, OTHER.server: 0.1}
+        assert [attempt.run for attempt in attempts.due(1.1, heard_at)] == [OTHER]
+        assert attempts.due(1.2) == []
+
     def test_end_is_held_against_all_requests_of_the_run(self):
         """The requests of other servers stay as they are."""
         attempts = lost_attempts.LostAttempts()
--- a/tests/test_reach_checks.py
+++ b/tests/test_reach_checks.py
@@ -23,6 +23,7 @@
                 self.clock,
                 random.Random(1),
                 self.probe_of(name, reaches[name]),
+                lambda address: address == "s:1",
                 lambda name=name: (is_trusted or {}).get(name, True),
                 lambda name=name: [other for other in reaches if other != name],
                 lambda to, message, name=name: self.send(name, to, message),
@@ -74,6 +75,14 @@
         """An answer that does not come counts as unknown."""
         assert Fleet({"a": False, "b": True}, silent=("b",)).has_ended() == [True]
 
+    def test_unknown_address_is_not_probed_for_others(self):
+        """An instance does not connect wherever another one wants it to."""
+        fleet = Fleet({"a": True, "b": True})
+        query = path_messages.ReachQuery("1", "elsewhere:22")
+        fleet.checks["b"].handle_message("a", query)
+        fleet.clock.pump([0.05] * 10)
+        assert fleet.probes == []
+
     def test_simultaneous_checks_share_a_probe(self):
         """Many requests that are lost at once cost one connection."""
         fleet = Fleet({"a": True})
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -33,7 +33,7 @@
         self.exchanges, self.answers, self.cancelled = [], [], []
         self.service = relay_service.RelayService(
             self,
-            self.catalog.is_usable,
+            lambda server, address: self.catalog.is_usable(server),
             lambda: can_relay,
             lambda response, _: True,
             lambda server, response: None,
