--- a/src/carobhook/transport/relay_service.py
+++ b/src/carobhook/transport/relay_service.py
@@ -35,6 +35,7 @@
         matches: Returns whether a response belongs to a client's attempt.
         on_response: Called with the server and each response.
         max_body_bytes: Largest size of the bodies of all relayed requests.
+        on_failure: Called with an unexpected error.
     """
 
     def __init__(
@@ -45,6 +46,7 @@
         matches: Callable[[http1.Response, str | None], bool],
         on_response: Callable[[ids.Server, http1.Response], object],
         max_body_bytes: int,
+        on_failure: Callable[[typing.Any], object],
     ) -> None:
         self._servers = servers
         self._may_use = may_use
@@ -52,6 +54,7 @@
         self._matches = matches
         self._on_response = on_response
         self._max_body_bytes = max_body_bytes
+        self._on_failure = on_failure
         self._body_bytes = 0
         self._count = 0
 
@@ -79,7 +82,8 @@
         self._body_bytes += size
         running = defer.ensureDeferred(self._relay(sender, request))
         running.addBoth(self._finish, size)
-        running.addCallbacks(respond, _ignore_cancellation)
+        running.addErrback(self._answer_failure)
+        running.addCallback(_respond_if_any, respond)
         return running
 
     def _finish(self, result: typing.Any, size: int) -> typing.Any:
@@ -87,6 +91,13 @@
         self._body_bytes -= size
         return result
 
+    def _answer_failure(self, reason: typing.Any) -> relay_messages.RelayResponse | None:
+        """Return the answer after an unexpected error, or None if the request was cancelled."""
+        if reason.check(defer.CancelledError):
+            return None
+        self._on_failure(reason)
+        return relay_messages.RelayResponse(Outcome.RESET, reason.getErrorMessage())
+
     async def _relay(
         self, sender: ids.InstanceId, request: relay_messages.RelayRequest
     ) -> relay_messages.RelayResponse:
@@ -127,5 +138,6 @@
     )
 
 
-def _ignore_cancellation(reason: typing.Any) -> None:
-    reason.trap(defer.CancelledError)
+def _respond_if_any(answer: relay_messages.RelayResponse | None, respond: Respond) -> None:
+    if answer is not None:
+        respond(answer)
--- a/src/carobhook/transport/server_access.py
+++ b/src/carobhook/transport/server_access.py
@@ -134,6 +134,7 @@
             self._codec.matches_attempt,
             record_response,
             int(self._memory_bytes * _RELAY_MEMORY_RATIO),
+            lambda reason: parts.supervisor.record("relay", reason),
         )
         self.quarantine = request_quarantine.RequestQuarantine(
             reactor,
--- a/src/carobhook/transport/stored_marks.py
+++ b/src/carobhook/transport/stored_marks.py
@@ -11,6 +11,7 @@
 import attrs
 import xxhash
 from twisted.internet import defer
+from twisted.python import failure
 
 from carobhook import logs
 from carobhook.coordination import objects, poison
@@ -124,7 +125,7 @@
 
     def _finish(self, result: typing.Any) -> None:
         self._running = None
-        if not hasattr(result, "check") or result.check(defer.CancelledError):
+        if not isinstance(result, failure.Failure) or result.check(defer.CancelledError):
             return
         self._retry_at = self._reactor.seconds() + _RETRY_S
         if not result.check(objects.StoreError):
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -31,6 +31,7 @@
         self.catalog = catalog.Catalog()
         self.catalog.put(ENTRY, 0.0)
         self.exchanges, self.answers, self.cancelled = [], [], []
+        self.failures = []
         self.service = relay_service.RelayService(
             self,
             lambda server, address: self.catalog.is_usable(server),
@@ -38,6 +39,7 @@
             lambda response, _: True,
             lambda server, response: None,
             max_body_bytes,
+            self.failures.append,
         )
 
     async def exchange(self, address, head, body, require_fresh, matches, may_send):
@@ -89,6 +91,14 @@
         relay.exchanges[0].errback(server_connections.ExchangeError(fault, "", False, False))
         assert relay.outcomes == [outcome]
 
+    def test_unexpected_error_leaves_open_whether_it_ran(self):
+        """The sender gets an answer, and the error is counted."""
+        relay = Relay()
+        relay.send()
+        relay.exchanges[0].errback(ZeroDivisionError("error"))
+        assert relay.outcomes == [Outcome.RESET]
+        assert len(relay.failures) == 1
+
     def test_draining_server_gets_nothing(self):
         """The relaying instance may know of a change of which the sender has not heard."""
         relay = Relay()
