--- a/src/carobhook/soak/checks.py
+++ b/src/carobhook/soak/checks.py
@@ -166,14 +166,22 @@
 ) -> list[str]:
     """Return one line for each cut from servers in which too few attempts were served.
 
+    Attempts count from `CUT_SETTLE_S` after the start of the cut, and after that of any other
+    cut which overlaps it.
+
     Args:
         attempts: All attempts of all clients, each with its kind of request.
         cut_periods: Start and end of each period in which an instance reached no server.
     """
-    sent = [attempt for _, attempt in attempts]
+    periods = list(cut_periods)
+    sent = [
+        attempt
+        for _, attempt in attempts
+        if not any(0 <= attempt.sent_at - start < CUT_SETTLE_S for start, _ in periods)
+    ]
     violations = []
-    for start, end in cut_periods:
-        meant = [a for a in sent if start + CUT_SETTLE_S <= a.sent_at < end - a.duration_s]
+    for start, end in periods:
+        meant = [a for a in sent if start <= a.sent_at < end - a.duration_s]
         served = sum(attempt.status == 200 for attempt in meant)
         if served < _MIN_CUT_SHARE * len(meant):
             violations.append(f"{served} of {len(meant)} attempts were served during a cut")
