--- a/src/carobhook/soak/deployment.py
+++ b/src/carobhook/soak/deployment.py
@@ -210,7 +210,8 @@
         deadline_at = self._reactor.seconds() + _START_WAIT_S
         while b"instance-ready" not in log.read_bytes():
             if self._reactor.seconds() > deadline_at:
-                raise TimeoutError(f"instance {index} is not ready: see {log}")
+                lines = log.read_text("utf-8", "replace").splitlines()[-5:]
+                raise TimeoutError(f"instance {index} is not ready: {lines}")
             await task.deferLater(self._reactor, _POLL_S)
 
     def send_signal(self, index: int, signal_number: signal.Signals) -> None:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -12,8 +12,8 @@
 ONCE = platform_client.RequestPlan("h", "/u/", repeatable=False)
 SAFE = platform_client.RequestPlan("h", "/s/")
 # Every seed that has failed. 1008: a request was sent while its connection was being closed; no
-# instance read it, and no server ran it. 4101: what was sent right after a second cut counted as
-# sent during the first.
+# instance read it, and no server ran it. 4101: what was sent right after a second cut counted
+# as sent during the first.
 REGRESSIONS = [1008, 4101]
 _TIMEOUT_S = 120
 
