--- a/src/carobhook/coordination/catalog.py
+++ b/src/carobhook/coordination/catalog.py
@@ -225,9 +225,9 @@
 
     def _forget_left(self) -> None:
         """Forget that servers leave which are gone for so long that they cannot come back."""
-        known = self._servers.keys() | self._removed.keys()
-        for name in [name for name in self._leaving if name not in known]:
-            del self._leaving[name]
+        for name in list(self._leaving):
+            if name not in self._servers and name not in self._removed:
+                del self._leaving[name]
 
     @property
     def leaving(self) -> list[servers.ServerRun]:
--- a/src/carobhook/coordination/lost_attempts.py
+++ b/src/carobhook/coordination/lost_attempts.py
@@ -5,7 +5,7 @@
 """
 
 import math
-from collections.abc import Callable, Mapping
+from collections.abc import Callable
 
 import attrs
 
@@ -52,6 +52,8 @@
 
     _by_run: dict[servers.ServerRun, list[LostAttempt]] = attrs.field(factory=dict, init=False)
     _count: int = attrs.field(default=0, init=False)
+    # Monotonic times in seconds of the last responses, by server, while there are attempts.
+    _heard_at: dict[ids.Server, float] = attrs.field(factory=dict, init=False)
 
     @property
     def is_empty(self) -> bool:
@@ -84,21 +86,23 @@
         self._by_run.setdefault(run, []).append(attempt)
         self._count += 1
 
-    def due(
-        self, now: float, heard_at: Mapping[ids.Server, float] | None = None
-    ) -> list[LostAttempt]:
+    def record_response(self, server: ids.Server, now: float) -> None:
+        """Record that a server responded, so that it goes on running."""
+        if self._by_run:
+            self._heard_at[server] = now
+
+    def due(self, now: float) -> list[LostAttempt]:
         """Return one attempt for each server to be checked now, and drop those too old.
 
         A server that was heard a while after the attempt needs no check.
 
         Args:
             now: Monotonic time in seconds.
-            heard_at: Monotonic times in seconds of the last responses of servers.
         """
         due = []
         for run, attempts in list(self._by_run.items()):
             waiting = [a for a in attempts if a.check_at is not None and now >= a.check_at]
-            last_heard_at = (heard_at or {}).get(run.server, -math.inf)
+            last_heard_at = self._heard_at.get(run.server, -math.inf)
             unheard = [a for a in waiting if last_heard_at < a.lost_at + _HEARD_MARGIN_S]
             due += unheard[:1]
             for attempt in waiting:
@@ -108,17 +112,19 @@
             self._by_run[run] = kept
             if not kept:
                 del self._by_run[run]
+        if not self._by_run:
+            self._heard_at.clear()
         return due
 
     def ended_runs(
-        self, current_run: Callable[[servers.ServerRun], servers.ServerRun | None]
+        self, current_run: Callable[[ids.Server], servers.ServerRun | None]
     ) -> list[servers.ServerRun]:
         """Return the runs that have ended, as their servers run anew.
 
         Args:
-            current_run: Returns the present run of the server of a run, or None if not known.
+            current_run: Returns the present run of a server, or None if it is not known.
         """
-        return [run for run in self._by_run if current_run(run) not in (None, run)]
+        return [run for run in self._by_run if current_run(run.server) not in (None, run)]
 
     def take(self, run: servers.ServerRun) -> list[LostAttempt]:
         """Remove and return the attempts on a run of a server."""
--- a/src/carobhook/coordination/server_notices.py
+++ b/src/carobhook/coordination/server_notices.py
@@ -1,8 +1,4 @@
-"""What backend servers say of themselves in their responses, besides the response.
-
-A server that leaves wants no new requests from anybody. A server that turned a request away may
-want a rest, which concerns only the instance that it said so to.
-"""
+"""Backend servers that turned a request away and want a rest from the instance that sent it."""
 
 from collections.abc import Callable
 
@@ -14,19 +10,6 @@
 _MAX_REST_S = 300.0
 
 
-@attrs.frozen
-class Notice:
-    """What a response says of its server.
-
-    Attributes:
-        is_leaving: Whether the server leaves and wants no new requests.
-        rest_s: Seconds for which it wants no requests from this instance, or None.
-    """
-
-    is_leaving: bool
-    rest_s: float | None
-
-
 @attrs.frozen
 class _Rest:
     """A run of a server, and the monotonic time in seconds until which it rests."""
--- a/src/carobhook/platform/requests.py
+++ b/src/carobhook/platform/requests.py
@@ -3,7 +3,6 @@
 import json
 import re
 
-from carobhook.coordination import server_notices
 from carobhook.platform import names
 from carobhook.protocol import client_api, http1
 from carobhook.state import allocation, ids
@@ -99,12 +98,10 @@
         if text is None:
             is_rejection = response.get(names.NOT_EXECUTED) is not None
             return None if is_rejection else allocation.RateStatement(None)
-        if _DECIMAL.fullmatch(text.strip()) is None:
-            raise ValueError(f"limit must be a decimal number, got {text!r:.40}")
-        return allocation.RateStatement(float(text))
+        return allocation.RateStatement(_decimal("limit", text))
 
-    def notice(self, response: http1.Response) -> server_notices.Notice | None:
-        """Return what a response says of its server besides the response, or None.
+    def notice(self, response: http1.Response) -> allocation.ServerNotice | None:
+        """Return what a response says of its server itself, or None if it says nothing.
 
         Raises:
             ValueError: The time of a rest is not a decimal number of at least 0.
@@ -115,12 +112,21 @@
         rest_s: float | None = None
         text = response.get(names.RETRY_AFTER) if response.status == 503 else None
         if text is not None:
-            if _DECIMAL.fullmatch(text.strip()) is None:
-                raise ValueError(f"Retry-After must be a decimal number, got {text!r:.40}")
-            rest_s = float(text) or None
+            rest_s = _decimal("Retry-After", text) or None
         if not is_leaving and rest_s is None:
             return None
-        return server_notices.Notice(is_leaving, rest_s)
+        return allocation.ServerNotice(is_leaving, rest_s)
+
+
+def _decimal(name: str, text: str) -> float:
+    """Return the value of a header that must hold a decimal number of at least 0.
+
+    Raises:
+        ValueError: It does not.
+    """
+    if _DECIMAL.fullmatch(text.strip()) is None:
+        raise ValueError(f"{name} must be a decimal number, got {text!r:.40}")
+    return float(text)
 
 
 def parse_directory_query(target: bytes) -> client_api.Lookup | None:
--- a/src/carobhook/soak/proxy.py
+++ b/src/carobhook/soak/proxy.py
@@ -31,7 +31,7 @@
 
     def __init__(self, proxy: "Proxy", host: str) -> None:
         self._proxy = proxy
-        self._host = host
+        self.host = host
         self.is_silent = False
         self.target: _TargetConnection | None = None
         self._buffered: list[bytes] = []
@@ -74,14 +74,9 @@
         if self._mode not in (Mode.SILENT, Mode.NO_ANSWERS):
             self._proxy.forward(self, data)
 
-    @property
-    def host(self) -> str:
-        """Return the address of the caller's host."""
-        return self._host
-
     @property
     def _mode(self) -> Mode:
-        return Mode.SILENT if self.is_silent else self._proxy.mode_of(self._host)
+        return Mode.SILENT if self.is_silent else self._proxy.mode_of(self.host)
 
 
 class _TargetConnection(protocol.Protocol):
--- a/src/carobhook/state/allocation.py
+++ b/src/carobhook/state/allocation.py
@@ -48,6 +48,20 @@
     max_per_s: float | None
 
 
+@attrs.frozen
+class ServerNotice:
+    """What an answer of a backend server says of the server itself.
+
+    Attributes:
+        is_leaving: Whether it leaves and wants no new requests from anybody.
+        rest_s: Seconds for which it wants no requests from the instance that sent this one, or
+            None.
+    """
+
+    is_leaving: bool
+    rest_s: float | None
+
+
 @attrs.frozen
 class SlotRequest:
     """Asks a dispatcher for a slot in which to run one request.
--- a/src/carobhook/transport/flow_interfaces.py
+++ b/src/carobhook/transport/flow_interfaces.py
@@ -53,30 +53,6 @@
         """Record that a server ran a request without a failure."""
 
 
-class NoObserver:
-    """Implements `AttemptObserver` for requests that are never quarantined."""
-
-    def is_quarantined(self, request: client_connections.ClientRequest) -> bool:
-        """Return False."""
-        return False
-
-    def run_of(self, server: ids.Server) -> servers.ServerRun:
-        """Return a run without a start."""
-        return servers.ServerRun(server)
-
-    def attempt_lost(
-        self,
-        request: client_connections.ClientRequest,
-        run: servers.ServerRun,
-        address: str,
-        is_broken: bool,
-    ) -> None:
-        """Do nothing."""
-
-    def request_answered(self, request: client_connections.ClientRequest) -> None:
-        """Do nothing."""
-
-
 class ServerExchange(typing.Protocol):
     """Sends requests to servers; `server_exchange.ServerExchange` implements this."""
 
--- a/src/carobhook/transport/notice_board.py
+++ b/src/carobhook/transport/notice_board.py
@@ -6,13 +6,13 @@
 from carobhook import logs
 from carobhook.coordination import catalog, server_notices
 from carobhook.protocol import http1, path_messages
-from carobhook.state import ids, servers
+from carobhook.state import allocation, ids, servers
 
 
 class NoticeCodec(typing.Protocol):
     """Reads notices from responses; `platform.requests.ServerCodec` implements this."""
 
-    def notice(self, response: http1.Response) -> server_notices.Notice | None:
+    def notice(self, response: http1.Response) -> allocation.ServerNotice | None:
         """Return what a response says of its server, or None.
 
         Raises:
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -79,7 +79,7 @@
         respond: Callable[[http1.Response], None],
         on_outcome: Callable[[accepted_requests.RequestOutcome], None],
         on_finished: Callable[[], None],
-        observer: flow_interfaces.AttemptObserver | None = None,
+        observer: flow_interfaces.AttemptObserver,
         may_use: Callable[
             [accepted_requests.AcceptedRequest, ids.Server], bool
         ] = lambda accepted, server: True,
@@ -96,7 +96,7 @@
         self._respond = respond
         self._on_outcome = on_outcome
         self._on_finished = on_finished
-        self._observer = observer or flow_interfaces.NoObserver()
+        self._observer = observer
         self._may_use = may_use
         self._reroute = reroute
         self._resting = resting
--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -67,8 +67,6 @@
         self._on_failure = on_failure
         self._quarantine = poison.Quarantine(own)
         self._lost_attempts = lost_attempts.LostAttempts()
-        # Monotonic times in seconds of the last responses, by server, while attempts are lost.
-        self._heard_at: dict[ids.Server, float] = {}
         self._stored_marks = stored_marks.StoredMarks(
             reactor,
             mark_store.store,
@@ -112,8 +110,7 @@
 
     def record_response(self, server: ids.Server) -> None:
         """Record that a server responded, so that it has not ended before."""
-        if not self._lost_attempts.is_empty:
-            self._heard_at[server] = self._reactor.seconds()
+        self._lost_attempts.record_response(server, self._reactor.seconds())
 
     def request_answered(self, request: client_connections.ClientRequest) -> None:
         """Clear the marks of a request that a server ran without a failure."""
@@ -128,12 +125,9 @@
     def tick(self) -> None:
         """Check the servers of lost attempts, and keep the marks in the store up to date."""
         self._stored_marks.tick()
-        if self._lost_attempts.is_empty:
-            self._heard_at.clear()
-            return
-        for run in self._lost_attempts.ended_runs(lambda run: self._catalog.run_of(run.server)):
+        for run in self._lost_attempts.ended_runs(self._catalog.run_of):
             self._record_end(run, "runs-anew")
-        for attempt in self._lost_attempts.due(self._reactor.seconds(), self._heard_at):
+        for attempt in self._lost_attempts.due(self._reactor.seconds()):
             check = defer.ensureDeferred(self._check(attempt))
             check.addErrback(self._on_failure)
 
--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -16,7 +16,7 @@
 from carobhook.coordination import server_paths
 from carobhook.protocol import http1, relay_messages
 from carobhook.state import ids, members
-from carobhook.transport import relay_connections, server_connections
+from carobhook.transport import relay_connections, relay_service, server_connections
 
 Fault = server_connections.Fault
 Outcome = relay_messages.RelayOutcome
@@ -34,11 +34,7 @@
 # A path works if a connection on it stays open for this long.
 _PROBE_HOLD_S = 0.1
 _FAULT_BY_OUTCOME = {
-    Outcome.UNREACHED: Fault.CONNECT,
-    Outcome.WITHDRAWN: Fault.WITHDRAWN,
-    Outcome.RESET: Fault.RESET,
-    Outcome.GARBLED: Fault.GARBLED,
-    Outcome.CUT_SHORT: Fault.CUT_SHORT,
+    outcome: fault for fault, outcome in relay_service.OUTCOME_BY_FAULT.items()
 }
 
 
--- a/tests/test_homes_in_force.py
+++ b/tests/test_homes_in_force.py
@@ -15,7 +15,6 @@
 from carobhook.transport import (
     client_connections,
     entry_requests,
-    flow_interfaces,
     notice_board,
     peers,
     relay_connections,
@@ -64,7 +63,7 @@
         allocator,
         connections,
         metrics,
-        flow_interfaces.NoObserver(),
+        test_request_flow.FakeObserver(),
         notice_board.NoticeBoard(
             reactor, requests.ServerCodec(), known, lambda: None, lambda message: None
         ),
--- a/tests/test_lost_attempts.py
+++ b/tests/test_lost_attempts.py
@@ -38,8 +38,9 @@
         attempts = lost_attempts.LostAttempts()
         add(attempts, is_broken=False)
         add(attempts, OTHER, is_broken=False)
-        heard_at = {FIRST.server: 0.5, OTHER.server: 0.1}
-        assert [attempt.run for attempt in attempts.due(1.1, heard_at)] == [OTHER]
+        attempts.record_response(OTHER.server, 0.1)
+        attempts.record_response(FIRST.server, 0.5)
+        assert [attempt.run for attempt in attempts.due(1.1)] == [OTHER]
         assert attempts.due(1.2) == []
 
     def test_end_is_held_against_all_requests_of_the_run(self):
@@ -59,7 +60,7 @@
         add(attempts)
         add(attempts, OTHER)
         current = {"a": SECOND}
-        assert attempts.ended_runs(lambda run: current.get(run.server)) == [FIRST]
+        assert attempts.ended_runs(current.get) == [FIRST]
 
     def test_old_attempts_are_dropped(self):
         """The end of a server long after an attempt has nothing to do with it."""
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -7,7 +7,7 @@
 from carobhook import request_trace
 from carobhook.platform import requests
 from carobhook.protocol import http1
-from carobhook.state import allocation, codes, ids, routing
+from carobhook.state import allocation, codes, ids, routing, servers
 from carobhook.transport import (
     accepted_requests,
     client_connections,
@@ -83,6 +83,24 @@
         """Do nothing, as there are no idle connections."""
 
 
+class FakeObserver:
+    """Observer that quarantines no request and learns nothing."""
+
+    def is_quarantined(self, request):
+        """Return False."""
+        return False
+
+    def run_of(self, server):
+        """Return a run without a start."""
+        return servers.ServerRun(server)
+
+    def attempt_lost(self, request, run, address, is_broken):
+        """Do nothing."""
+
+    def request_answered(self, request):
+        """Do nothing."""
+
+
 class FlowCase:
     """A started `RequestFlow` with fakes around it."""
 
@@ -126,6 +144,7 @@
             self.responses.append,
             self.outcomes.append,
             lambda: self.finished.append(True),
+            FakeObserver(),
         )
         self.flow.start()
 
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -8,7 +8,7 @@
 from carobhook.platform import requests
 from carobhook.protocol import http1
 from carobhook.standins import platform_server
-from carobhook.state import ids, members, servers
+from carobhook.state import allocation, ids, members, servers
 
 RUN = servers.ServerRun(ids.Server("a"), 1)
 
@@ -26,16 +26,16 @@
         ("found", "expected"),
         [
             (response(), None),
-            (response(Server_Leaving="1"), server_notices.Notice(True, None)),
-            (response(500, Server_Leaving="1"), server_notices.Notice(True, None)),
+            (response(Server_Leaving="1"), allocation.ServerNotice(True, None)),
+            (response(500, Server_Leaving="1"), allocation.ServerNotice(True, None)),
             (response(200, Server_Leaving="0"), None),
             (response(421, Server_Leaving="1"), None),
-            (response(503, Retry_After="1.5"), server_notices.Notice(False, 1.5)),
+            (response(503, Retry_After="1.5"), allocation.ServerNotice(False, 1.5)),
             (response(503, Retry_After="0"), None),
             (response(200, Retry_After="5"), None),
             (
                 response(503, Retry_After="2", Server_Leaving="1"),
-                server_notices.Notice(True, 2.0),
+                allocation.ServerNotice(True, 2.0),
             ),
         ],
     )
