--- a/tests/test_cut_instance.py
+++ b/tests/test_cut_instance.py
@@ -145,6 +145,24 @@
         self.set_behaviour(work_s=0.25)
         await self.play(self.cut.begin_refusing_new)
 
+    async def test_some_servers_only(self):
+        """Five of eight servers accept no connection of the instance; the others answer."""
+        lost = {
+            f"127.0.0.1:{port.getHost().port}"
+            for number, port in enumerate(self.ports.values())
+            if number < 5
+        }
+
+        async def connect(address):
+            connect_with = self.cut.refuse if address in lost else self.cut.connect
+            return await connect_with(address)
+
+        def begin():
+            self.cut.begin_reset()
+            self.cut.connect_with = connect
+
+        await self.play(begin)
+
     async def test_direct_path_is_used_again_after_the_cut(self):
         """Within three seconds after the cut, requests go straight to the servers."""
         await self.play(self.cut.begin_reset)
