State the protocol version on streams, and skip what this build does not know

Cause: a build ended a stream on which it got a message type or a field that it does not know, and no message said which version a side speaks, so instances of two builds lost each other while machines are replaced one after the other.

The connecting side sends only the types and fields that this version knows. Unknown fields are ignored; unknown types are skipped and logged once each on a stream. carobhook_peers_older and peer-older tell of older builds.

--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -146,6 +146,12 @@
         (),
         "Backend servers that other instances reach and this one does not.",
     )
+    PEERS_OLDER = MetricInfo(
+        "carobhook_peers_older",
+        Kind.GAUGE,
+        (),
+        "Streams to instances whose build speaks an earlier version of the protocol.",
+    )
     LINES_OMITTED = MetricInfo(
         "carobhook_log_lines_omitted",
         Kind.GAUGE,
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -81,6 +81,14 @@
     PEER_STREAM_SILENT = EventInfo(
         "peer-stream-silent", "A peer stream was silent for too long and is closed."
     )
+    PEER_MESSAGE_UNKNOWN = EventInfo(
+        "peer-message-unknown",
+        "A peer sent a message of a type that this build does not know; it is skipped.",
+    )
+    PEER_OLDER = EventInfo(
+        "peer-older",
+        "A peer speaks an earlier version of the protocol, and is sent only what it knows.",
+    )
     OBJECT_MALFORMED = EventInfo(
         "object-malformed", "An object of the object API cannot be read; it is passed over."
     )
--- a/src/carobhook/protocol/framing.py
+++ b/src/carobhook/protocol/framing.py
@@ -1,8 +1,9 @@
 """Encodes typed messages as msgpack frames: a pair of the type tag and the field values.
 
-Fields are identified by their position, so their order and number are part of the protocol.
-Only fields that `added_field` creates may be added to a message: a frame leaves them out while
-they have their defaults, so builds that do not know them yet understand it.
+Fields are identified by their position, so their order never changes. Only fields that
+`added_field` creates may be added to a message, and only at its end. A frame leaves them out
+if they have their defaults, or if its receiver speaks an earlier version of the protocol. A
+receiver ignores fields that it does not know.
 """
 
 import enum
@@ -19,21 +20,38 @@
 # 1 MiB, which every connection would occupy.
 _INITIAL_BUFFER_BYTES = 4 * 1024
 
+# First version of the protocol. Its builds state no version, and end a stream on which they get
+# a type or a field that they do not know.
+FIRST_VERSION = 1
+
 _Decoder = Callable[[typing.Any], typing.Any]
-_IS_ADDED = "carobhook.added"
+_SINCE = "carobhook.since"
 
 
 class CodecError(Exception):
     """A frame does not encode a valid message of a known type."""
 
 
-def added_field(default: typing.Any) -> typing.Any:
+class UnknownTypeError(CodecError):
+    """A frame is well formed, but this build does not know the type of its message.
+
+    Attributes:
+        tag: Type tag of the frame.
+    """
+
+    def __init__(self, tag: str) -> None:
+        super().__init__(f"type must be a known message, got {tag!r:.80}")
+        self.tag = tag
+
+
+def added_field(default: typing.Any, since: int = FIRST_VERSION) -> typing.Any:
     """Return an attrs field that was added to the end of a message later.
 
     Args:
         default: Value of the field in frames that leave it out.
+        since: Version of the protocol that introduced the field.
     """
-    return attrs.field(default=default, metadata={_IS_ADDED: True})
+    return attrs.field(default=default, metadata={_SINCE: since})
 
 
 def unpacker(limit: int = MAX_FRAME_BYTES) -> msgpack.Unpacker:
@@ -55,15 +73,36 @@
 
     Args:
         types_: attrs classes of the messages by type tag.
+        version: Version of the protocol that this build speaks.
+        added_types: Versions that introduced types, by tag; others are of the first version.
     """
 
-    def __init__(self, types_: Mapping[str, type]) -> None:
+    def __init__(
+        self,
+        types_: Mapping[str, type],
+        version: int = FIRST_VERSION,
+        added_types: Mapping[str, int] = types.MappingProxyType({}),
+    ) -> None:
+        self.version = version
         self._types = dict(types_)
         self._tags = {cls: tag for tag, cls in types_.items()}
+        self._added_types = dict(added_types)
+
+    def is_known(self, message: typing.Any, version: int) -> bool:
+        """Return whether a receiver that speaks a version knows the type of a message."""
+        tag = self._tags[type(message)]
+        return self._added_types.get(tag, FIRST_VERSION) <= version
 
-    def encode(self, message: typing.Any) -> bytes:
-        """Return the frame of a message."""
-        return msgpack.packb([self._tags[type(message)], _encode_value(message)])
+    def encode(self, message: typing.Any, version: int | None = None) -> bytes:
+        """Return the frame of a message.
+
+        Args:
+            message: The message.
+            version: Version that the receiver speaks, whose fields alone are sent; None for the
+                version of this build.
+        """
+        version = self.version if version is None else version
+        return msgpack.packb([self._tags[type(message)], _encode_value(message, version)])
 
     def decode(self, frame: object) -> typing.Any:
         """Return the message that an unpacked frame encodes.
@@ -72,13 +111,14 @@
             frame: List of the type tag and the list of field values.
 
         Raises:
-            CodecError: The frame has no known type tag or its fields are invalid.
+            UnknownTypeError: This build does not know the type.
+            CodecError: The frame has no type tag or its fields are invalid.
         """
         if not isinstance(frame, list) or len(frame) != 2 or not isinstance(frame[0], str):
             raise CodecError("frame must be a pair of type and fields")
         cls = self._types.get(frame[0])
         if cls is None:
-            raise CodecError(f"type must be a known message, got {frame[0]!r}")
+            raise UnknownTypeError(frame[0])
         try:
             return _decoder(cls)(frame[1])
         except (TypeError, ValueError, KeyError) as error:
@@ -93,29 +133,36 @@
         return unpacker(limit)
 
 
-def _encode_value(value: typing.Any) -> typing.Any:
+def _encode_value(value: typing.Any, version: int) -> typing.Any:
     cls: typing.Any = type(value)
     if attrs.has(cls):
-        return [_encode_value(item) for item in _sent_values(value)]
+        return [_encode_value(item, version) for item in _sent_values(value, version)]
     if isinstance(value, enum.Enum):
         return value.name
     if isinstance(value, (tuple, list, frozenset)):
-        return [_encode_value(item) for item in value]
+        return [_encode_value(item, version) for item in value]
     return value
 
 
-def _sent_values(value: typing.Any) -> list[typing.Any]:
-    """Return the field values of a message, without added ones at the end that are default."""
+def _sent_values(value: typing.Any, version: int) -> list[typing.Any]:
+    """Return the field values that a version knows, without added ones that are default."""
     cls: typing.Any = type(value)
-    fields = _fields(cls)
+    fields = _fields_of_version(cls, version)
     values = [getattr(value, field.name) for field in fields]
     for field in reversed(fields):
-        if not field.metadata.get(_IS_ADDED) or values[-1] != field.default:
+        if _SINCE not in field.metadata or values[-1] != field.default:
             break
         values.pop()
     return values
 
 
+@functools.cache
+def _fields_of_version(cls: type, version: int) -> tuple[typing.Any, ...]:
+    return tuple(
+        field for field in _fields(cls) if field.metadata.get(_SINCE, FIRST_VERSION) <= version
+    )
+
+
 @functools.cache
 def _fields(cls: type) -> tuple[typing.Any, ...]:
     return tuple(attrs.fields(cls))
@@ -144,11 +191,11 @@
     hints = typing.get_type_hints(type_)
     fields = _fields(type_)
     decoders = [_decoder(hints[field.name]) for field in fields]
-    required = sum(not field.metadata.get(_IS_ADDED) for field in fields)
+    required = sum(_SINCE not in field.metadata for field in fields)
 
     def decode(raw: typing.Any) -> typing.Any:
-        if not isinstance(raw, list) or not required <= len(raw) <= len(decoders):
-            raise ValueError(f"{type_.__name__} must have {required} to {len(decoders)} fields")
+        if not isinstance(raw, list) or len(raw) < required:
+            raise ValueError(f"{type_.__name__} must have at least {required} fields")
         return type_(
             *(decode_item(item) for decode_item, item in zip(decoders, raw, strict=False))
         )
--- a/src/carobhook/protocol/membership_messages.py
+++ b/src/carobhook/protocol/membership_messages.py
@@ -2,15 +2,42 @@
 
 import attrs
 
+from carobhook.protocol import framing
 from carobhook.state import ids, members
 
+_NONCE_BYTES = 16
+_VERSION_MARK = b"/version="
+_MAX_VERSION_DIGITS = 6
+
+
+def versioned_nonce(random_bytes: bytes, version: int) -> bytes:
+    """Return the nonce of a challenge that states a version of the protocol.
+
+    Builds of the first version accept no further field in `Challenge`, but a nonce of any
+    length.
+
+    Args:
+        random_bytes: 16 random bytes.
+        version: Version that the accepting side speaks.
+    """
+    return random_bytes[:_NONCE_BYTES] + _VERSION_MARK + str(version).encode()
+
+
+def protocol_version(nonce: bytes) -> int:
+    """Return the version that a nonce states, the first one if it states none."""
+    mark, digits = nonce[_NONCE_BYTES:].partition(_VERSION_MARK)[1:]
+    if not mark or not digits.isdigit() or len(digits) > _MAX_VERSION_DIGITS:
+        return framing.FIRST_VERSION
+    return max(framing.FIRST_VERSION, int(digits))
+
 
 @attrs.frozen
 class Challenge:
     """First message of the accepting side, which asks the connecting side to authenticate.
 
     Attributes:
-        nonce: Random bytes that the proof in `Hello` must cover.
+        nonce: Random bytes that the proof in `Hello` must cover, and the version of the
+            protocol that the accepting side speaks, see `protocol_version`.
     """
 
     nonce: bytes
@@ -24,11 +51,13 @@
         name: Name of the sender.
         incarnation: Id of the current run of the sender's daemon.
         proof: HMAC-SHA256 of the nonce, name and incarnation under the shared key.
+        version: Version of the protocol that the sender speaks.
     """
 
     name: ids.InstanceId
     incarnation: ids.Incarnation
     proof: bytes
+    version: int = framing.added_field(framing.FIRST_VERSION, since=2)
 
 
 @attrs.frozen
--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -2,6 +2,12 @@
 
 A type tag is the name under which a message is sent. Tags are part of the protocol and must not
 change, so a class whose name differs from its tag was renamed later.
+
+Builds of different versions run side by side while instances are replaced. The side that
+accepts a connection states its version in its challenge, and the connecting side sends it only
+what that version knows. What each version introduced:
+
+2: The version itself.
 """
 
 from carobhook.protocol import (
@@ -13,6 +19,10 @@
     slot_messages,
 )
 
+# Version of the protocol that this build speaks. It rises with each release that adds a message
+# type or a field.
+PROTOCOL_VERSION = 2
+
 MESSAGE_TYPES: dict[str, type] = {
     "Challenge": membership_messages.Challenge,
     "Hello": membership_messages.Hello,
@@ -45,4 +55,7 @@
     "FeedFresh": feed_messages.FeedProgress,
 }
 
-CODEC = framing.MessageCodec(MESSAGE_TYPES)
+# Versions that introduced types after the first, by tag.
+_ADDED_TYPES: dict[str, int] = {}
+
+CODEC = framing.MessageCodec(MESSAGE_TYPES, PROTOCOL_VERSION, _ADDED_TYPES)
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -12,7 +12,7 @@
 from carobhook import entry_metrics, entry_settings, logs
 from carobhook.coordination import catalog, membership, steering, store_feed
 from carobhook.platform import names, store
-from carobhook.protocol import feed_messages, slot_messages
+from carobhook.protocol import feed_messages, peer_codec, slot_messages
 from carobhook.state import ids, members, routing
 from carobhook.transport import (
     client_connections,
@@ -271,6 +271,7 @@
             metric.SLOT_REQUESTS_QUEUED: lambda: self._allocator.queued_count,
             metric.REQUESTS_RELAYED: lambda: self._servers.exchange.relayed_count,
             metric.PATHS_BROKEN: lambda: self._servers.exchange.broken_paths,
+            metric.PEERS_OLDER: lambda: self._streams.older_count,
             metric.LINES_OMITTED: omitted,
         }
 
@@ -310,7 +311,12 @@
         self._supervisor.start_loop("heartbeat", self._heartbeat, _HEARTBEAT_INTERVAL_S)
         self._supervisor.start_loop("tick", self._tick, _TICK_INTERVAL_S)
         self._supervisor.start_loop("close-idle", self._close_idle, _CLOSE_IDLE_INTERVAL_S)
-        logs.event("instance-started", region=place.region, zone=place.failure_domain)
+        logs.event(
+            "instance-started",
+            region=place.region,
+            zone=place.failure_domain,
+            protocol=peer_codec.PROTOCOL_VERSION,
+        )
 
     def _listen(
         self, address: str, listener: typing.Any, context: typing.Any = None
--- a/src/carobhook/transport/member_streams.py
+++ b/src/carobhook/transport/member_streams.py
@@ -120,6 +120,11 @@
         """Send a message on every ready stream."""
         self._peers.broadcast(message)
 
+    @property
+    def older_count(self) -> int:
+        """Return the number of streams to builds that speak an earlier protocol version."""
+        return self._peers.older_count
+
     def send_heartbeats(self) -> None:
         """Remove the instances whose heartbeats stopped, and send heartbeats and updates."""
         now = self._reactor.seconds()
--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -24,6 +24,8 @@
 _SILENCE_TIMEOUT_S = 2.0
 _NONCE_BYTES = 16
 _MAX_HELLO_BYTES = 64 * 1024
+# Types of skipped messages that are logged for each connection.
+_MAX_LOGGED_TYPES = 16
 
 # An idle connection for relayed requests is aborted after this time.
 _RELAY_IDLE_TIMEOUT_S = 10.0
@@ -44,14 +46,20 @@
 class Codec(typing.Protocol):
     """Encodes and decodes the messages on a stream."""
 
-    def encode(self, message: typing.Any) -> bytes:
-        """Return the frame of a message."""
+    version: int
+
+    def is_known(self, message: typing.Any, version: int) -> bool:
+        """Return whether a receiver that speaks a version knows the type of a message."""
+
+    def encode(self, message: typing.Any, version: int | None = None) -> bytes:
+        """Return the frame of a message for a receiver that speaks a version."""
 
     def decode(self, frame: object) -> typing.Any:
         """Return the message of an unpacked frame.
 
         Raises:
-            framing.CodecError: The type of the frame is unknown, or its fields are invalid.
+            framing.UnknownTypeError: The type of the message is unknown.
+            framing.CodecError: The frame is invalid, or the fields of the message are.
         """
 
     def unpacker(self, limit: int = framing.MAX_FRAME_BYTES) -> msgpack.Unpacker:
@@ -74,26 +82,46 @@
     incarnation: ids.Incarnation
     key: bytes = attrs.field(repr=False)
 
-    def answer(self, nonce: bytes) -> membership_messages.Hello:
-        """Return the answer to a challenge."""
+    def answer(self, nonce: bytes, version: int) -> membership_messages.Hello:
+        """Return the answer to a challenge.
+
+        Args:
+            nonce: Nonce of the challenge.
+            version: Version of the protocol that this instance speaks.
+        """
         proof = hello_proof(self.key, nonce, self.name, self.incarnation)
-        return membership_messages.Hello(self.name, self.incarnation, proof)
+        return membership_messages.Hello(self.name, self.incarnation, proof, version)
 
 
 class FramedProtocol(protocol.Protocol):
     """A connection that carries msgpack frames.
 
     It is aborted on invalid data, and if the handling of a message raises an exception.
+    Messages of a type that this build does not know are skipped: the other side may be newer.
+
+    Attributes:
+        peer_version: Version of the protocol that the other side speaks, as far as it is known.
     """
 
     def __init__(self, reactor: typing.Any, codec: Codec) -> None:
         self._reactor = reactor
         self._codec = codec
         self._unpacker = codec.unpacker()
+        self._skipped_types: set[str] = set()
+        self.peer_version = framing.FIRST_VERSION
 
     def send(self, message: typing.Any) -> None:
-        """Write one message."""
-        self.transport.write(self._codec.encode(message))
+        """Write one message, unless the other side does not know its type."""
+        if self._codec.is_known(message, self.peer_version):
+            self.transport.write(self._codec.encode(message, self.peer_version))
+
+    def answer_challenge(
+        self, identity: Identity, challenge: membership_messages.Challenge
+    ) -> None:
+        """Authenticate this instance, in the version that the other side speaks."""
+        stated = membership_messages.protocol_version(challenge.nonce)
+        self.peer_version = min(stated, self._codec.version)
+        self.send(identity.answer(challenge.nonce, self._codec.version))
 
     def dataReceived(self, data: bytes) -> None:
         """Handle received bytes; abort the connection if they are invalid."""
@@ -110,7 +138,20 @@
                 frame = self._unpacker.unpack()
             except msgpack.OutOfData:
                 return
-            self.handle_message(self._codec.decode(frame))
+            try:
+                message = self._codec.decode(frame)
+            except framing.UnknownTypeError as problem:
+                self.skip_message(problem)
+            else:
+                self.handle_message(message)
+
+    def skip_message(self, problem: framing.UnknownTypeError) -> None:
+        """Skip a message of an unknown type; the first of each type is logged."""
+        if problem.tag in self._skipped_types or len(self._skipped_types) >= _MAX_LOGGED_TYPES:
+            return
+        self._skipped_types.add(problem.tag)
+        peer = self.transport.getPeer()
+        logs.warning("peer-message-unknown", peer=peer, type=problem.tag[:80])
 
     def handle_message(self, message: typing.Any) -> None:
         """Handle one message."""
@@ -140,7 +181,9 @@
         self._relay_handler = relay_handler
         self._is_relay = False
         self._relayed: typing.Any = None
-        self._nonce = secrets.token_bytes(_NONCE_BYTES)
+        self._nonce = membership_messages.versioned_nonce(
+            secrets.token_bytes(_NONCE_BYTES), codec.version
+        )
         self._sender: ids.InstanceId | None = None
         # An unauthenticated client must not make this instance buffer more than a hello.
         self._unpacker = self._codec.unpacker(_MAX_HELLO_BYTES)
@@ -177,6 +220,12 @@
             self.send(membership_messages.HeartbeatAck())
         self._handler(self._sender, message)
 
+    def skip_message(self, problem: framing.UnknownTypeError) -> None:
+        if self._sender is None:
+            raise problem
+        self._timer.reset(_SILENCE_TIMEOUT_S)
+        super().skip_message(problem)
+
     def _relay(self, sender: ids.InstanceId, request: relay_messages.RelayRequest) -> None:
         """Relay a request; the connection may be silent until it is answered."""
         if self._relay_handler is None or self._relayed is not None:
@@ -203,6 +252,7 @@
         proof = hello_proof(self._key, self._nonce, message.name, message.incarnation)
         if not hmac.compare_digest(proof, message.proof):
             raise framing.CodecError(f"proof of {message.name!r} does not match the shared key")
+        self.peer_version = min(message.version, self._codec.version)
         return message.name
 
     def _abort_silent(self) -> None:
@@ -234,7 +284,9 @@
     def handle_message(self, message: typing.Any) -> None:
         self._timer.reset(_SILENCE_TIMEOUT_S)
         if isinstance(message, membership_messages.Challenge) and not self.ready:
-            self.send(self._identity.answer(message.nonce))
+            self.answer_challenge(self._identity, message)
+            if self.peer_version < self._codec.version:
+                logs.event("peer-older", peer=self.factory.address, version=self.peer_version)
             self.ready = True
             self.factory.on_ready(self.factory.address)
 
@@ -402,11 +454,25 @@
         return True
 
     def broadcast(self, message: typing.Any) -> None:
-        """Send a message on every ready stream."""
-        frame = self._codec.encode(message)
-        for connector in self._connectors.values():
-            if connector.stream is not None and connector.stream.ready:
-                connector.stream.transport.write(frame)
+        """Send a message on every ready stream whose other side knows its type."""
+        frames: dict[int, bytes] = {}
+        for stream in self._ready_streams():
+            version = stream.peer_version
+            if not self._codec.is_known(message, version):
+                continue
+            if version not in frames:
+                frames[version] = self._codec.encode(message, version)
+            stream.transport.write(frames[version])
+
+    @property
+    def older_count(self) -> int:
+        """Return the number of streams to builds that speak an earlier version."""
+        streams = self._ready_streams()
+        return sum(stream.peer_version < self._codec.version for stream in streams)
+
+    def _ready_streams(self) -> list[_OutgoingStream]:
+        streams = (connector.stream for connector in self._connectors.values())
+        return [stream for stream in streams if stream is not None and stream.ready]
 
     def set_addresses(self, addresses: Collection[str]) -> None:
         """Open the missing streams to these addresses, and close streams to all others."""
--- a/src/carobhook/transport/relay_connections.py
+++ b/src/carobhook/transport/relay_connections.py
@@ -45,7 +45,7 @@
 
     def handle_message(self, message: typing.Any) -> None:
         if isinstance(message, membership_messages.Challenge) and self._on_ready is not None:
-            self.send(self._identity.answer(message.nonce))
+            self.answer_challenge(self._identity, message)
             ready, self._on_ready = self._on_ready, None
             ready.callback(self)
         elif isinstance(message, relay_messages.RelayResponse) and self._pending is not None:
