Read how long work takes on a server from its answers

Cause: X-Server-Load was not read. Its fourth figure says how long work takes on the server's machine at the moment. Without it, times stretched by other programs for fractions of a second entered the means of work times and the slowness of servers, so requests were refused as hopeless, and servers avoided, when that was over.

Change: the figure is reported with the slot's release. Observed times are divided by it; a server that works slowly now costs more in the choice, for the part of the work for which that is likely to last.

Without four figures nothing changes.

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -43,6 +43,8 @@
 _FAILURE_PENALTY = 4.0
 # Differences of health that are smaller than this, as a multiple of the work time, are noise.
 _HEALTH_STEP = 0.25
+# Part of a request's work for which the server is expected to keep its present pace.
+_PACE_WEIGHT = 0.4
 # Traffic between failure domains is billed, so a caller waits up to this much longer for a
 # server in its own failure domain.
 _CROSS_DOMAIN_COST_S = 0.015
@@ -178,6 +180,7 @@
         server: ids.Server,
         outcome: allocation.AttemptOutcome,
         now: float,
+        pace: float | None = None,
     ) -> list[Decision]:
         """Free the slot of a finished request; return all decisions that can be made now.
 
@@ -186,14 +189,19 @@
             server: Server of the slot.
             outcome: How the attempt ended.
             now: Monotonic time in seconds.
+            pace: Time that work takes on the server by its answer, as a multiple of what it
+                usually takes, or None if it says nothing.
         """
         self.pool.forget_taken_over(request_id, server)
         pooled = self.pool.get(server)
         run = pooled.finish(request_id) if pooled is not None else None
+        if pooled is not None and pace is not None:
+            pooled.pace.record(pace, now)
         if pooled is not None and run is not None:
             if outcome is allocation.AttemptOutcome.ANSWERED and not run.is_taken_over:
                 elapsed_s = max(0.0, now - run.started_at)
-                self._times.observe(run.route, run.depth, elapsed_s / pooled.slowness(now))
+                factor = pooled.slowness(now) * pooled.pace_during(run, now)
+                self._times.observe(run.route, run.depth, elapsed_s / factor)
             pooled.record_outcome(run, outcome, now)
         if not self._queue or self.paused:
             return []
@@ -506,12 +514,14 @@
             penalty += _CROSS_DOMAIN_COST_S
         if self._is_abroad(server):
             penalty += _CROSS_REGION_COST_S
+        penalty += _PACE_WEIGHT * work_s * (server.pace.factor(now) - 1.0)
         cost = wait_s + work_s * (1 + weight) + penalty
         return _Candidate(server, is_free, wait_s, work_s, cost)
 
     def _health_penalty(self, server: server_pool.PooledServer, now: float) -> float:
         """Return the cost of slowness and failures, as a multiple of a request's work time."""
-        return (server.slowness(now) - 1.0) + server.failure_share * _FAILURE_PENALTY
+        slowness = (server.slowness(now) - 1.0) + (server.pace.factor(now) - 1.0)
+        return slowness + server.failure_share * _FAILURE_PENALTY
 
     def _grant(
         self, queued: request_queue.QueuedRequest, candidate: _Candidate, now: float
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -6,7 +6,7 @@
 
 import attrs
 
-from carobhook.coordination import catalog, token_bucket, work_times
+from carobhook.coordination import catalog, server_pace, token_bucket, work_times
 from carobhook.state import allocation, ids
 
 # A server that broke a connection or could not be reached gets no requests for this long,
@@ -89,6 +89,7 @@
         started_at: Monotonic time in seconds of the grant.
         expected_s: Seconds that the server was expected to work.
         slowness: Slowness of the server at the grant, a factor that `expected_s` includes.
+        pace: Pace that the server stated before the grant, as a factor of work times.
         is_measured: Whether `expected_s` is an average of observed times. An assumed time says
             nothing about the server's slowness.
         is_taken_over: Whether a previous dispatcher granted the slot, so that the work began
@@ -100,6 +101,7 @@
     started_at: float
     expected_s: float
     slowness: float
+    pace: float
     is_measured: bool
     is_taken_over: bool
 
@@ -124,6 +126,7 @@
         recent_objects: Objects of the requests that it got most recently.
         unavailable_slots: Number of `slots` that must not be granted for now, because other
             regions may use them or an order withholds them.
+        pace: How long work takes on it by its own statement.
     """
 
     view: catalog.ServerView
@@ -136,6 +139,7 @@
         factory=work_times.RecentObjects, init=False
     )
     unavailable_slots: int = attrs.field(default=0, init=False)
+    pace: server_pace.StatedPace = attrs.field(factory=server_pace.StatedPace, init=False)
     _connection_failures: int = attrs.field(default=0, init=False)
     _paused_until: float = attrs.field(default=-math.inf, init=False)
     _failure_share: float = attrs.field(default=0.0, init=False)
@@ -263,11 +267,25 @@
         )
 
     def slowness(self, now: float) -> float:
-        """Return the factor by which its work takes longer than expected."""
+        """Return the factor by which its work takes longer than expected.
+
+        What the server states of its pace is not included.
+        """
         age_s = max(0.0, now - self._slowness_at)
         decay = 0.5 ** (age_s / _SLOWNESS_HALF_LIFE_S)
         return 1.0 + (self._slowness - 1.0) * decay
 
+    def pace_during(self, run: RunningRequest, now: float) -> float:
+        """Return the pace at which the server worked on a request that ends now.
+
+        It may have changed meanwhile, so this is the mean of its values at both ends.
+
+        Args:
+            run: The request.
+            now: Monotonic time in seconds.
+        """
+        return (run.pace + self.pace.factor(now)) / 2
+
     def next_free_s(self, now: float) -> float:
         """Return the expected seconds until it can start a request.
 
@@ -314,6 +332,7 @@
             now,
             expected_s,
             self.slowness(now),
+            self.pace.factor(now),
             is_measured,
             is_taken_over,
         )
@@ -373,8 +392,9 @@
         if outcome is allocation.AttemptOutcome.ANSWERED and is_comparable:
             elapsed_s = max(0.0, now - run.started_at)
             # The expected time includes the slowness at the grant. Multiplying by it compares
-            # the elapsed time with the time that was expected without slowness.
-            ratio = elapsed_s * run.slowness / run.expected_s
+            # the elapsed time with the time that was expected without slowness. What the server
+            # itself states is no reason to take it for slow after that.
+            ratio = elapsed_s * run.slowness / run.expected_s / self.pace_during(run, now)
             low, high = _SLOWNESS_RANGE
             current = self.slowness(now)
             self._slowness = current + _SLOWNESS_WEIGHT * (min(high, max(low, ratio)) - current)
--- a/src/carobhook/emulator/model.py
+++ b/src/carobhook/emulator/model.py
@@ -11,6 +11,8 @@
 _CACHED_WORK_SHARE = 0.3
 # Number of objects that each server caches.
 _CACHE_SIZE = 24
+# A server's pace is drawn anew at this interval.
+_PACE_INTERVAL_S = 0.6
 # Range of the random factor by which each work time is multiplied.
 _WORK_TIME_JITTER = (0.8, 1.2)
 
@@ -59,6 +61,8 @@
         instances: Number of entry instances that receive the requests.
         duration_s: Seconds during which requests arrive.
         kinds: Request kinds of the load.
+        slow_share: Share of the time in which other programs slow each server down.
+        slow_factor: Factor by which work takes longer in that time.
     """
 
     load: float = attrs.field(validator=validators.gt(0))
@@ -68,6 +72,8 @@
     instances: int = attrs.field(default=9, validator=validators.ge(1))
     duration_s: float = 30.0
     kinds: tuple[RequestKind, ...] = DEFAULT_KINDS
+    slow_share: float = 0.0
+    slow_factor: float = 2.5
 
     @property
     def arrival_rate(self) -> float:
@@ -126,6 +132,8 @@
         name: Its name.
         slots: Number of requests that it runs concurrently.
         rng: Random source of its work times.
+        slow_share: Share of the time in which other programs slow it down.
+        slow_factor: Factor by which its work takes longer in that time.
         running: Number of requests that it runs now.
         queue: Requests that it received while all slots were in use.
     """
@@ -133,6 +141,8 @@
     name: str
     slots: int
     rng: random.Random
+    slow_share: float = 0.0
+    slow_factor: float = 1.0
     running: int = attrs.field(default=0, init=False)
     queue: collections.deque[Request] = attrs.field(factory=collections.deque, init=False)
     _cache: collections.OrderedDict[str, None] = attrs.field(
@@ -143,12 +153,34 @@
         """Return whether the object of a request is in the cache."""
         return request.object_key in self._cache
 
-    def start_request(self, request: Request) -> float:
-        """Start a request in a free slot and return its work time in seconds."""
+    def pace(self, now: float) -> float:
+        """Return how long work takes now, as a multiple of the usual time."""
+        draw = random.Random(f"{self.name}/{int(now / _PACE_INTERVAL_S)}").random()
+        return self.slow_factor if draw < self.slow_share else 1.0
+
+    def start_request(self, request: Request, now: float) -> float:
+        """Start a request in a free slot and return its work time in seconds.
+
+        Args:
+            request: The request.
+            now: Time in seconds.
+        """
         self.running += 1
         share = _CACHED_WORK_SHARE if self.has_cached(request) else 1.0
         self.cache_object(request)
-        return request.kind.work_s * share * self.rng.uniform(*_WORK_TIME_JITTER)
+        usual_s = request.kind.work_s * share * self.rng.uniform(*_WORK_TIME_JITTER)
+        return self._elapsed_s(usual_s, now)
+
+    def _elapsed_s(self, usual_s: float, now: float) -> float:
+        """Return the time that work takes as the pace changes."""
+        at = now
+        while True:
+            pace = self.pace(at)
+            interval_end = (int(at / _PACE_INTERVAL_S) + 1) * _PACE_INTERVAL_S + 1e-9
+            if at + usual_s * pace <= interval_end:
+                return at + usual_s * pace - now
+            usual_s -= (interval_end - at) / pace
+            at = interval_end
 
     def cache_object(self, request: Request) -> None:
         """Cache a request's object; evict the least recently used one if the cache is full."""
--- a/src/carobhook/emulator/policies.py
+++ b/src/carobhook/emulator/policies.py
@@ -52,9 +52,11 @@
 
     Args:
         pool: The servers.
+        reads_pace: Whether answers state the pace of their servers.
     """
 
-    def __init__(self, pool: Sequence[model.Server]) -> None:
+    def __init__(self, pool: Sequence[model.Server], reads_pace: bool = True) -> None:
+        self._reads_pace = reads_pace
         self._servers = {ids.Server(server.name): server for server in pool}
         self._requests: dict[ids.RequestId, model.Request] = {}
         # The simulated clients send no retries, so the budget's limits have no effect.
@@ -82,8 +84,11 @@
         """Release the request's slot."""
         request_id = ids.RequestId(str(request.number))
         outcome = allocation.AttemptOutcome.ANSWERED
+        pace = server.pace(now) if self._reads_pace else None
         return self._convert(
-            self._dispatcher.release_slot(request_id, ids.Server(server.name), outcome, now)
+            self._dispatcher.release_slot(
+                request_id, ids.Server(server.name), outcome, now, pace
+            )
         )
 
     def tick(self, now: float) -> list[Decision]:
--- a/src/carobhook/emulator/simulation.py
+++ b/src/carobhook/emulator/simulation.py
@@ -47,6 +47,7 @@
 
 POLICIES: dict[str, typing.Callable[[list[model.Server], model.Scenario], policies.Policy]] = {
     "dispatcher": lambda pool, scenario: policies.DispatcherPolicy(pool),
+    "dispatcher-without-pace": lambda pool, scenario: policies.DispatcherPolicy(pool, False),
     "least-busy": lambda pool, scenario: policies.LeastBusyPolicy(pool, scenario.instances),
     "ideal": lambda pool, scenario: policies.IdealPolicy(pool),
 }
@@ -70,7 +71,13 @@
     def __init__(self, scenario: model.Scenario, policy: str) -> None:
         rng = random.Random(scenario.seed + 1)
         pool = [
-            model.Server(f"s{number}", scenario.slots, random.Random(rng.getrandbits(64)))
+            model.Server(
+                f"s{number}",
+                scenario.slots,
+                random.Random(rng.getrandbits(64)),
+                scenario.slow_share,
+                scenario.slow_factor,
+            )
             for number in range(scenario.servers)
         ]
         self._policy = POLICIES[policy](pool, scenario)
@@ -125,7 +132,7 @@
                 self._policy.record_completion(request, server, completed_at), completed_at
             )
 
-        self._schedule(now + server.start_request(request), complete)
+        self._schedule(now + server.start_request(request, now), complete)
 
     def _record_answer(self, request: model.Request, now: float) -> None:
         for stats in self._stats_for(request):
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -180,6 +180,9 @@
     SERVER_LIMIT_MALFORMED = EventInfo(
         "server-limit-malformed", "A server's answer names a limit that cannot be read."
     )
+    SERVER_LOAD_MALFORMED = EventInfo(
+        "server-load-malformed", "The load that a server's answers state cannot be read."
+    )
     EVENT_LOOP_LATE = EventInfo(
         "event-loop-late",
         "The event loop was busy; everything of this instance was late by this much.",
--- a/src/carobhook/platform/names.py
+++ b/src/carobhook/platform/names.py
@@ -20,6 +20,9 @@
 # Requests a second that the backend server takes from all entry instances together. Present in
 # a response for as long as the server limits them.
 SERVER_LIMIT = "server-limit"
+# Load of a backend server at the time of its response: running and waiting requests and slots,
+# and on some servers the time that work takes at the moment in percent of the usual one.
+SERVER_LOAD = "x-server-load"
 # Present in all responses of a backend server that leaves; it wants no new requests.
 SERVER_LEAVING = "server-leaving"
 # Seconds, in a 503 of a backend server, for which it wants no requests from the receiver.
--- a/src/carobhook/platform/requests.py
+++ b/src/carobhook/platform/requests.py
@@ -9,6 +9,10 @@
 from carobhook.transport import client_connections
 
 _MAX_TIME_LEFT_MS = 24 * 3600 * 1000
+# Numbers of figures in the load of a server without and with its pace.
+_LOAD_FIGURES = 3
+_LOAD_FIGURES_WITH_PACE = 4
+_PERCENT = 100.0
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
 # Headers of the client's request that are set anew in the request to the server.
 _REPLACED_HEADERS = frozenset(
@@ -117,6 +121,25 @@
             return None
         return allocation.ServerNotice(is_leaving, rest_s)
 
+    def pace(self, response: http1.Response) -> float | None:
+        """Return how long work takes on the server of a response, by its own statement.
+
+        The result is a multiple of the time that work usually takes, or None if the response
+        does not say it or comes from another server than the one that was asked.
+
+        Raises:
+            ValueError: The load that the response states cannot be read.
+        """
+        text = response.get(names.SERVER_LOAD)
+        if text is None or response.status == 421:
+            return None
+        figures = [_decimal("load", figure) for figure in text.split(",")]
+        if len(figures) == _LOAD_FIGURES:
+            return None
+        if len(figures) != _LOAD_FIGURES_WITH_PACE or figures[-1] <= 0:
+            raise ValueError(f"load must have three or four figures, got {text!r:.40}")
+        return figures[-1] / _PERCENT
+
 
 def _decimal(name: str, text: str) -> float:
     """Return the value of a header that must hold a decimal number of at least 0.
--- a/src/carobhook/protocol/slot_messages.py
+++ b/src/carobhook/protocol/slot_messages.py
@@ -111,6 +111,8 @@
         end: Outcome of the attempt.
         rate: What the server's answer says about the rate of requests that it takes, or None if
             there is no answer or it says nothing.
+        pace: Time that work takes on the server by its answer, as a multiple of what it usually
+            takes, or None if there is no answer or it says nothing.
     """
 
     id: ids.RequestId
@@ -119,6 +121,7 @@
     server: ids.Server
     end: allocation.AttemptOutcome
     rate: allocation.RateStatement | None = framing.added_field(None)
+    pace: float | None = framing.added_field(None, since=2)
 
 
 @attrs.frozen
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -202,6 +202,7 @@
             self._may_use,
             self._reroute,
             self._context.notices.resting,
+            self._context.notices.pace_of,
         )
         return flow
 
--- a/src/carobhook/transport/flow_interfaces.py
+++ b/src/carobhook/transport/flow_interfaces.py
@@ -88,5 +88,6 @@
         request_id: ids.RequestId,
         outcome: allocation.AttemptOutcome,
         rate: allocation.RateStatement | None = None,
+        pace: float | None = None,
     ) -> None:
         """Release a granted slot with the outcome of the attempt, and what the server said."""
--- a/src/carobhook/transport/notice_board.py
+++ b/src/carobhook/transport/notice_board.py
@@ -19,6 +19,13 @@
             ValueError: It cannot be read.
         """
 
+    def pace(self, response: http1.Response) -> float | None:
+        """Return how long work takes on the server of a response, or None if it is not said.
+
+        Raises:
+            ValueError: What the response says cannot be read.
+        """
+
 
 class NoticeBoard:
     """Notices of servers in force at this instance.
@@ -45,6 +52,7 @@
         self._on_change = on_change
         self._broadcast = broadcast
         self._rests = server_notices.Rests()
+        self._odd_loads: set[servers.ServerRun] = set()
 
     def record_response(self, server: ids.Server, response: http1.Response) -> None:
         """Apply what a response says of its server."""
@@ -69,6 +77,21 @@
             self._broadcast(message)
             self._on_change()
 
+    def pace_of(self, server: ids.Server, response: http1.Response) -> float | None:
+        """Return how long work takes on a server at the moment by its response.
+
+        The result is a multiple of the time that work usually takes, or None if the response
+        says nothing or cannot be read. The latter is logged once for each run of a server.
+        """
+        try:
+            return self._codec.pace(response)
+        except ValueError as error:
+            run = self._catalog.run_of(server)
+            if run is not None and run not in self._odd_loads:
+                self._odd_loads.add(run)
+                logs.warning("server-load-malformed", server=server, error=error)
+            return None
+
     def messages(self) -> list[path_messages.ServerLeaving]:
         """Return messages on all servers that leave, for an instance that may not know them."""
         return [
@@ -87,3 +110,6 @@
     def tick(self) -> None:
         """Forget what servers said that are gone or run anew."""
         self._rests.retain(self._catalog.run_of)
+        self._odd_loads = {
+            run for run in self._odd_loads if self._catalog.run_of(run.server) == run
+        }
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -67,6 +67,8 @@
             time of the call.
         reroute: Returns a request as the configuration in force routes it.
         resting: Returns the servers that want no requests from this instance for now.
+        pace_of: Returns what a server's response says about how long work takes on it at the
+            moment, or None.
     """
 
     def __init__(
@@ -87,6 +89,9 @@
             [accepted_requests.AcceptedRequest], accepted_requests.AcceptedRequest
         ] = lambda accepted: accepted,
         resting: Callable[[], frozenset[ids.Server]] = frozenset,
+        pace_of: Callable[
+            [ids.Server, http1.Response], float | None
+        ] = lambda server, response: None,
     ) -> None:
         self._reactor = reactor
         self._accepted = accepted
@@ -100,6 +105,7 @@
         self._may_use = may_use
         self._reroute = reroute
         self._resting = resting
+        self._pace_of = pace_of
         self._stage = Stage.WAITING
         self._region = accepted.region
         self._task: defer.Deferred | None = None
@@ -292,6 +298,7 @@
         self._stage = Stage.RUNNING
         outcome = allocation.AttemptOutcome.CANCELLED
         rate: allocation.RateStatement | None = None
+        pace: float | None = None
         run = self._observer.run_of(grant.server)
         self._is_sent = False
         received: server_connections.ReceivedResponse | None = None
@@ -299,12 +306,13 @@
             received = await self._servers.exchange(self._build_attempt(accepted, grant))
             outcome = self._codec.attempt_outcome(received.response)
             rate = self._rate_statement(received.response, grant.server)
+            pace = self._pace_of(grant.server, received.response)
         except server_connections.ExchangeError as error:
             outcome = self._failed_outcome(error, grant)
         finally:
             is_relayed = received is not None and received.is_relayed
             reported = _reported_outcome(outcome, is_relayed, self._servers.is_cut)
-            self._allocator.release_slot(accepted.id, reported, rate)
+            self._allocator.release_slot(accepted.id, reported, rate, pace)
             self._observe(outcome, run, grant)
         if self._stage is Stage.ENDED:
             return False
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -169,7 +169,7 @@
             self._record_rate(
                 (message.region, message.service), state, message.server, message.rate, now
             )
-        self._release(state, message.id, message.server, message.end, now)
+        self._release(state, message.id, message.server, message.end, now, message.pace)
 
     def handle_limit_report(self, message: slot_messages.ServerLimitReport) -> None:
         """Apply a limit that a server of this region named in an answer to another region."""
@@ -285,10 +285,11 @@
         server: ids.Server,
         outcome: allocation.AttemptOutcome,
         now: float,
+        pace: float | None = None,
     ) -> None:
         """Free a slot, and send the decisions that this makes possible."""
         release = state.dispatcher.release_slot
-        decisions = self._run(state, release, request_id, server, outcome, now)
+        decisions = self._run(state, release, request_id, server, outcome, now, pace)
         self._send_decisions(state, decisions or [])
 
     def _run(
--- a/src/carobhook/transport/slot_allocator.py
+++ b/src/carobhook/transport/slot_allocator.py
@@ -116,6 +116,7 @@
         request_id: ids.RequestId,
         outcome: allocation.AttemptOutcome,
         rate: allocation.RateStatement | None = None,
+        pace: float | None = None,
     ) -> None:
         """Release a granted slot, and send the outcome of the attempt to its dispatcher.
 
@@ -124,8 +125,9 @@
             outcome: How the attempt ended.
             rate: What the server's answer says about the rate of requests that it takes, or
                 None if there is no answer or it says nothing.
+            pace: What the answer says about how long work takes on the server at the moment.
         """
-        self._client.release_slot(request_id, outcome, rate)
+        self._client.release_slot(request_id, outcome, rate, pace)
 
     def loads(self) -> list[slot_messages.ShardLoad]:
         """Return the loads of the shards that this instance owns."""
--- a/src/carobhook/transport/slot_client.py
+++ b/src/carobhook/transport/slot_client.py
@@ -129,6 +129,7 @@
         request_id: ids.RequestId,
         outcome: allocation.AttemptOutcome,
         rate: allocation.RateStatement | None = None,
+        pace: float | None = None,
     ) -> None:
         """Release a granted slot, and send the outcome of the attempt to its dispatcher.
 
@@ -137,6 +138,7 @@
             outcome: How the attempt ended.
             rate: What the server's answer says about the rate of requests that it takes, or
                 None if there is no answer or it says nothing.
+            pace: What the answer says about how long work takes on the server at the moment.
         """
         held = self._held.pop(request_id, None)
         if held is None:
@@ -148,7 +150,9 @@
         owner = self._owner_of(held.shard) or held.owner
         self._send(
             owner,
-            slot_messages.SlotReleased(request_id, *held.shard, held.server, outcome, rate),
+            slot_messages.SlotReleased(
+                request_id, *held.shard, held.server, outcome, rate, pace
+            ),
         )
 
     def _record_rate(self, held: _HeldSlot, rate: allocation.RateStatement) -> bool:
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -33,10 +33,13 @@
         server = model.Server("s", 4, random.Random(1))
         kind = model.DEFAULT_KINDS[0]
         requests = [model.Request(n, kind, f"o{n}", 0, 0.0) for n in range(30)]
-        cold_s, warm_s = server.start_request(requests[0]), server.start_request(requests[0])
+        cold_s, warm_s = (
+            server.start_request(requests[0], 0.0),
+            server.start_request(requests[0], 0.0),
+        )
         assert warm_s < 0.5 * cold_s
         for request in requests[1:]:
-            server.start_request(request)
+            server.start_request(request, 0.0)
         assert not server.has_cached(requests[0])
 
 
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -46,7 +46,7 @@
             allocation.SlotRefusal(request.id, code, 0.7, "running=4/4")
         )
 
-    def release_slot(self, request_id, outcome, rate=None):
+    def release_slot(self, request_id, outcome, rate=None, pace=None):
         """Record the outcome with which a slot is released, and what the server said."""
         self.outcomes.append(outcome)
         self.rates.append(rate)
