Use the former feed while the source of the store's changes moves

Change: an instance keeps the feed that it has while that one's last progress message is fresh, and asks the new source at once.

--- a/src/carobhook/coordination/store_feed.py
+++ b/src/carobhook/coordination/store_feed.py
@@ -83,6 +83,7 @@
     own: ids.InstanceId
     _progress_at: dict[ids.InstanceId, float] = attrs.field(factory=dict, init=False)
     _subscribed_at: float = attrs.field(default=-math.inf, init=False)
+    _subscribed_to: ids.InstanceId | None = attrs.field(default=None, init=False)
     _started_at: float | None = attrs.field(default=None, init=False)
 
     def record_progress(self, sender: ids.InstanceId, is_current: bool, now: float) -> None:
@@ -108,6 +109,9 @@
     ) -> SourceDecision:
         """Return the source to use now.
 
+        While the source changes, the feed of the former one is used for as long as it is fresh.
+        Otherwise all instances of a region would turn to the store at the same moment.
+
         The caller must send a subscription request to `SourceDecision.subscribe_to`, as the
         next one is due only after an interval.
 
@@ -123,19 +127,35 @@
         if source == self.own:
             return SourceDecision(True, None, None)
         waited_s = now - self._started_at
+        feeder = self._fresh_feeder(source, now) if is_complete else None
         if source is None:
             wait_s = _HEARTBEAT_WAIT_S if self.own in relays else _RELAY_WAIT_S
-            return SourceDecision(is_complete or waited_s >= wait_s, None, None)
-        age_s = now - self._progress_at.get(source, -math.inf)
-        is_fresh = is_complete and age_s <= _PROGRESS_LIFETIME_S
+            is_direct = feeder is None and (is_complete or waited_s >= wait_s)
+            return SourceDecision(is_direct, feeder, None)
         subscribe_to = None
-        if not is_fresh and now - self._subscribed_at >= _SUBSCRIBE_INTERVAL_S:
-            subscribe_to = source
+        if feeder != source and self._is_subscription_due(source, now):
+            subscribe_to = self._subscribed_to = source
             self._subscribed_at = now
         is_starting = not is_complete and waited_s < _FIRST_FEED_WAIT_S
-        return SourceDecision(
-            not is_fresh and not is_starting, source if is_fresh else None, subscribe_to
-        )
+        return SourceDecision(feeder is None and not is_starting, feeder, subscribe_to)
+
+    def _fresh_feeder(
+        self, preferred: ids.InstanceId | None, now: float
+    ) -> ids.InstanceId | None:
+        """Return an instance whose feed is fresh, the preferred one if it is, or None."""
+        self._progress_at = {
+            name: at
+            for name, at in self._progress_at.items()
+            if now - at <= _PROGRESS_LIFETIME_S
+        }
+        if preferred in self._progress_at:
+            return preferred
+        return max(self._progress_at, key=self._progress_at.__getitem__, default=None)
+
+    def _is_subscription_due(self, source: ids.InstanceId, now: float) -> bool:
+        if source != self._subscribed_to:
+            return True
+        return now - self._subscribed_at >= _SUBSCRIBE_INTERVAL_S
 
 
 @attrs.define
