Tell a slow machine by its own work, and lead clients and duties elsewhere

Cause: an instance whose machine works several times slower stayed in the directory with its full share, dispatched and relayed, and the times that it saw made servers look slow to all. Nothing told a slow machine from a busy one, a slow server or a slow path.

Change: each instance times a fixed piece of work ten times a second. While the median of seven takes three times the usual or more it announces itself as slow, with a fifth of its weight: instances of any build then choose others as relays and dispatchers, and the directory leaves it out. If less than half of a region's weight is left, its clients are led to all usual instances. What it reports of servers counts as RELAYED, without times.

tests/test_slow_machine.py fails without it (no such state before). The fields and types of the protocol that were added stand in state/versions.py now, as members state them.

--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -146,6 +146,12 @@
         (),
         "Backend servers that other instances reach and this one does not.",
     )
+    MACHINE_SLOWNESS = MetricInfo(
+        "carobhook_machine_slowness",
+        Kind.GAUGE,
+        (),
+        "Time that work takes on this machine now, as a multiple of the usual time.",
+    )
     PEERS_OLDER = MetricInfo(
         "carobhook_peers_older",
         Kind.GAUGE,
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -183,6 +183,11 @@
     SERVER_LOAD_MALFORMED = EventInfo(
         "server-load-malformed", "The load that a server's answers state cannot be read."
     )
+    MACHINE_SLOW = EventInfo(
+        "machine-slow",
+        "Work takes several times as long as usual on this machine; others take its clients.",
+    )
+    MACHINE_USUAL = EventInfo("machine-usual", "The machine works at its usual pace again.")
     EVENT_LOOP_LATE = EventInfo(
         "event-loop-late",
         "The event loop was busy; everything of this instance was late by this much.",
--- a/src/carobhook/protocol/feed_messages.py
+++ b/src/carobhook/protocol/feed_messages.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from carobhook.protocol import framing
+from carobhook.state import versions
 
 
 @attrs.frozen
@@ -49,7 +49,7 @@
     kind: str
     revision: int
     items: tuple[FeedObject, ...]
-    era: int = framing.added_field(0)
+    era: int = versions.added_field(0)
 
 
 @attrs.frozen
@@ -69,7 +69,7 @@
     since: int
     revision: int
     items: tuple[FeedObject, ...]
-    era: int = framing.added_field(0)
+    era: int = versions.added_field(0)
 
 
 @attrs.frozen
@@ -82,7 +82,7 @@
     """
 
     revisions: tuple[tuple[str, int], ...]
-    era: int = framing.added_field(0)
+    era: int = versions.added_field(0)
 
 
 Message = FeedRequest | FeedSnapshot | FeedEvents | FeedProgress
--- a/src/carobhook/protocol/framing.py
+++ b/src/carobhook/protocol/framing.py
@@ -1,9 +1,9 @@
 """Encodes typed messages as msgpack frames: a pair of the type tag and the field values.
 
 Fields are identified by their position, so their order never changes. Only fields that
-`added_field` creates may be added to a message, and only at its end. A frame leaves them out
-if they have their defaults, or if its receiver speaks an earlier version of the protocol. A
-receiver ignores fields that it does not know.
+`versions.added_field` creates may be added to a message, and only at its end. A frame leaves
+them out if they have their defaults, or if its receiver speaks an earlier version of the
+protocol. A receiver ignores fields that it does not know.
 """
 
 import enum
@@ -15,17 +15,14 @@
 import attrs
 import msgpack
 
+from carobhook.state import versions
+
 MAX_FRAME_BYTES = 16 * 1024 * 1024
 # Initial buffer of each unpacker, which grows when a frame needs more. msgpack's default is
 # 1 MiB, which every connection would occupy.
 _INITIAL_BUFFER_BYTES = 4 * 1024
 
-# First version of the protocol. Its builds state no version, and end a stream on which they get
-# a type or a field that they do not know.
-FIRST_VERSION = 1
-
 _Decoder = Callable[[typing.Any], typing.Any]
-_SINCE = "carobhook.since"
 
 
 class CodecError(Exception):
@@ -44,16 +41,6 @@
         self.tag = tag
 
 
-def added_field(default: typing.Any, since: int = FIRST_VERSION) -> typing.Any:
-    """Return an attrs field that was added to the end of a message later.
-
-    Args:
-        default: Value of the field in frames that leave it out.
-        since: Version of the protocol that introduced the field.
-    """
-    return attrs.field(default=default, metadata={_SINCE: since})
-
-
 def unpacker(limit: int = MAX_FRAME_BYTES) -> msgpack.Unpacker:
     """Return an unpacker for a stream of frames.
 
@@ -80,7 +67,7 @@
     def __init__(
         self,
         types_: Mapping[str, type],
-        version: int = FIRST_VERSION,
+        version: int = versions.FIRST_VERSION,
         added_types: Mapping[str, int] = types.MappingProxyType({}),
     ) -> None:
         self.version = version
@@ -91,7 +78,7 @@
     def is_known(self, message: typing.Any, version: int) -> bool:
         """Return whether a receiver that speaks a version knows the type of a message."""
         tag = self._tags[type(message)]
-        return self._added_types.get(tag, FIRST_VERSION) <= version
+        return self._added_types.get(tag, versions.FIRST_VERSION) <= version
 
     def encode(self, message: typing.Any, version: int | None = None) -> bytes:
         """Return the frame of a message.
@@ -150,7 +137,7 @@
     fields = _fields_of_version(cls, version)
     values = [getattr(value, field.name) for field in fields]
     for field in reversed(fields):
-        if _SINCE not in field.metadata or values[-1] != field.default:
+        if versions.SINCE not in field.metadata or values[-1] != field.default:
             break
         values.pop()
     return values
@@ -159,7 +146,9 @@
 @functools.cache
 def _fields_of_version(cls: type, version: int) -> tuple[typing.Any, ...]:
     return tuple(
-        field for field in _fields(cls) if field.metadata.get(_SINCE, FIRST_VERSION) <= version
+        field
+        for field in _fields(cls)
+        if field.metadata.get(versions.SINCE, versions.FIRST_VERSION) <= version
     )
 
 
@@ -191,7 +180,7 @@
     hints = typing.get_type_hints(type_)
     fields = _fields(type_)
     decoders = [_decoder(hints[field.name]) for field in fields]
-    required = sum(_SINCE not in field.metadata for field in fields)
+    required = sum(versions.SINCE not in field.metadata for field in fields)
 
     def decode(raw: typing.Any) -> typing.Any:
         if not isinstance(raw, list) or len(raw) < required:
--- a/src/carobhook/protocol/membership_messages.py
+++ b/src/carobhook/protocol/membership_messages.py
@@ -2,8 +2,7 @@
 
 import attrs
 
-from carobhook.protocol import framing
-from carobhook.state import ids, members
+from carobhook.state import ids, members, versions
 
 _NONCE_BYTES = 16
 _VERSION_MARK = b"/version="
@@ -27,8 +26,8 @@
     """Return the version that a nonce states, the first one if it states none."""
     mark, digits = nonce[_NONCE_BYTES:].partition(_VERSION_MARK)[1:]
     if not mark or not digits.isdigit() or len(digits) > _MAX_VERSION_DIGITS:
-        return framing.FIRST_VERSION
-    return max(framing.FIRST_VERSION, int(digits))
+        return versions.FIRST_VERSION
+    return max(versions.FIRST_VERSION, int(digits))
 
 
 @attrs.frozen
@@ -57,7 +56,7 @@
     name: ids.InstanceId
     incarnation: ids.Incarnation
     proof: bytes
-    version: int = framing.added_field(framing.FIRST_VERSION, since=2)
+    version: int = versions.added_field(versions.FIRST_VERSION, since=2)
 
 
 @attrs.frozen
--- a/src/carobhook/protocol/slot_messages.py
+++ b/src/carobhook/protocol/slot_messages.py
@@ -7,8 +7,7 @@
 
 import attrs
 
-from carobhook.protocol import framing
-from carobhook.state import allocation, ids
+from carobhook.state import allocation, ids, versions
 
 
 @attrs.frozen
@@ -120,8 +119,8 @@
     service: ids.Service
     server: ids.Server
     end: allocation.AttemptOutcome
-    rate: allocation.RateStatement | None = framing.added_field(None)
-    pace: float | None = framing.added_field(None, since=2)
+    rate: allocation.RateStatement | None = versions.added_field(None)
+    pace: float | None = versions.added_field(None, since=2)
 
 
 @attrs.frozen
@@ -199,7 +198,7 @@
     region: ids.Region
     service: ids.Service
     held: tuple[HeldSlot, ...]
-    limits: tuple[ServerLimit, ...] = framing.added_field(())
+    limits: tuple[ServerLimit, ...] = versions.added_field(())
 
 
 @attrs.frozen
@@ -309,4 +308,4 @@
     """
 
     fingerprint: bytes
-    names: tuple[str, ...] = framing.added_field(())
+    names: tuple[str, ...] = versions.added_field(())
--- a/src/carobhook/state/allocation.py
+++ b/src/carobhook/state/allocation.py
@@ -15,7 +15,8 @@
     """Outcome of one attempt to run a request on a backend server.
 
     ANSWERED: The server sent a complete response that does not report a server failure.
-    RELAYED: The same, through another instance, so that its time says nothing about the server.
+    RELAYED: The same, through another instance or at a slow machine, so that its time says
+        nothing about the server.
     FAILED: The server sent a complete response that reports a server failure.
     SHED: The server is overloaded and reported that it did not run the request.
     MISDIRECTED: The address now belongs to another server.
--- a/src/carobhook/state/members.py
+++ b/src/carobhook/state/members.py
@@ -4,9 +4,12 @@
 
 import attrs
 
-from carobhook.state import ids
+from carobhook.state import ids, versions
 
 _INITIAL_VERSION = ids.Version(0)
+# Share of its weight that an instance announces while its machine is slow. Others then choose
+# it neither as a relay nor as a dispatcher if they can.
+SLOW_WEIGHT_SHARE = 0.2
 
 
 class Phase(enum.Enum):
@@ -33,6 +36,7 @@
         orders_version: Version of the operators' orders that it applies.
         reaches_store: Whether the store answers it; if not, it cannot feed other instances.
         weight: Capacity relative to other instances.
+        is_slow: Whether its machine works much slower than usual.
     """
 
     name: ids.InstanceId
@@ -46,3 +50,4 @@
     orders_version: ids.Version = _INITIAL_VERSION
     reaches_store: bool = True
     weight: float = 1.0
+    is_slow: bool = versions.added_field(False, since=2)
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -19,6 +19,7 @@
     entry_endpoints,
     entry_requests,
     event_loop,
+    machine_probe,
     member_streams,
     peers,
     server_access,
@@ -108,6 +109,9 @@
         )
         self._tls = _load_tls_contexts(settings)
         self._supervisor = supervision.Supervisor(reactor, self._count_failure)
+        self._machine = machine_probe.MachineProbe(
+            reactor.seconds, self._supervisor.isolate("heartbeat", self._heartbeat)
+        )
         self._streams = self._create_member_streams()
         rng = rng or random.Random()
         self._store_sync = self._create_store_sync(rng)
@@ -232,6 +236,7 @@
                 self._metrics,
                 self._servers.quarantine,
                 self._servers.notices,
+                lambda: self._machine.is_slow,
             ),
         )
 
@@ -271,6 +276,7 @@
             metric.SLOT_REQUESTS_QUEUED: lambda: self._allocator.queued_count,
             metric.REQUESTS_RELAYED: lambda: self._servers.exchange.relayed_count,
             metric.PATHS_BROKEN: lambda: self._servers.exchange.broken_paths,
+            metric.MACHINE_SLOWNESS: lambda: self._machine.factor,
             metric.PEERS_OLDER: lambda: self._streams.older_count,
             metric.LINES_OMITTED: omitted,
         }
@@ -473,12 +479,14 @@
             self._orders.in_force.version,
             self._catalog.store_lost_at is None,
             self._weight(),
+            self._machine.is_slow,
         )
 
     def _weight(self) -> float:
         """Return the traffic in Mbit/s that the link and the processor cores can carry."""
         capacity = self._settings.capacity
-        return min(capacity.link_mbps, capacity.cores * _MBPS_PER_CORE)
+        share = members.SLOW_WEIGHT_SHARE if self._machine.is_slow else 1.0
+        return min(capacity.link_mbps, capacity.cores * _MBPS_PER_CORE) * share
 
     def _heartbeat(self) -> None:
         """Send heartbeats; a starting instance that has all objects is ready first."""
@@ -523,6 +531,7 @@
 
     def _tick(self) -> None:
         self._loop_monitor.record_call(self._reactor.seconds())
+        self._supervisor.run("machine", self._machine.probe)
         self._supervisor.run("store-sync", self._store_sync.tick)
         self._servers.tick()
         self._supervisor.run("orders", self._advance_orders)
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -39,6 +39,7 @@
         metrics: Counters and histograms.
         quarantine: Requests that end the servers that run them.
         notices: What servers say of themselves in their responses.
+        is_slow: Returns whether the machine of this instance is slow.
     """
 
     server_catalog: catalog.Catalog
@@ -48,6 +49,7 @@
     metrics: entry_metrics.EntryMetrics
     quarantine: request_quarantine.RequestQuarantine
     notices: notice_board.NoticeBoard
+    is_slow: Callable[[], bool] = lambda: False
 
 
 class EntryRequests:
@@ -203,6 +205,7 @@
             self._reroute,
             self._context.notices.resting,
             self._context.notices.pace_of,
+            self._context.is_slow,
         )
         return flow
 
--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -12,7 +12,7 @@
 
 from carobhook import logs
 from carobhook.protocol import framing, membership_messages, relay_messages
-from carobhook.state import ids
+from carobhook.state import ids, versions
 from carobhook.transport import sockets
 
 _FIRST_RECONNECT_DELAY_S = 0.5
@@ -108,7 +108,7 @@
         self._codec = codec
         self._unpacker = codec.unpacker()
         self._skipped_types: set[str] = set()
-        self.peer_version = framing.FIRST_VERSION
+        self.peer_version = versions.FIRST_VERSION
 
     def send(self, message: typing.Any) -> None:
         """Write one message, unless the other side does not know its type."""
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -69,6 +69,8 @@
         resting: Returns the servers that want no requests from this instance for now.
         pace_of: Returns what a server's response says about how long work takes on it at the
             moment, or None.
+        is_slow: Returns whether this machine is so slow that the times that it observes say
+            nothing about servers.
     """
 
     def __init__(
@@ -92,6 +94,7 @@
         pace_of: Callable[
             [ids.Server, http1.Response], float | None
         ] = lambda server, response: None,
+        is_slow: Callable[[], bool] = lambda: False,
     ) -> None:
         self._reactor = reactor
         self._accepted = accepted
@@ -106,6 +109,7 @@
         self._reroute = reroute
         self._resting = resting
         self._pace_of = pace_of
+        self._is_slow = is_slow
         self._stage = Stage.WAITING
         self._region = accepted.region
         self._task: defer.Deferred | None = None
@@ -310,8 +314,8 @@
         except server_connections.ExchangeError as error:
             outcome = self._failed_outcome(error, grant)
         finally:
-            is_relayed = received is not None and received.is_relayed
-            reported = _reported_outcome(outcome, is_relayed, self._servers.is_cut)
+            is_delayed = self._is_slow() or (received is not None and received.is_relayed)
+            reported = _reported_outcome(outcome, is_delayed, self._servers.is_cut)
             self._allocator.release_slot(accepted.id, reported, rate, pace)
             self._observe(outcome, run, grant)
         if self._stage is Stage.ENDED:
@@ -529,19 +533,20 @@
 
 
 def _reported_outcome(
-    outcome: allocation.AttemptOutcome, is_relayed: bool, is_cut: bool
+    outcome: allocation.AttemptOutcome, is_delayed: bool, is_cut: bool
 ) -> allocation.AttemptOutcome:
     """Return the outcome of an attempt as it is reported to the dispatcher.
 
     Args:
         outcome: The outcome.
-        is_relayed: Whether the response came through another instance.
+        is_delayed: Whether the time of the response says nothing about the server, as it came
+            through another instance or to a slow machine.
         is_cut: Whether this instance seems to be cut from all servers, so that a connection
             that broke says nothing about the server.
     """
     if is_cut and outcome is allocation.AttemptOutcome.BROKEN:
         return allocation.AttemptOutcome.CANCELLED
-    if is_relayed and outcome is allocation.AttemptOutcome.ANSWERED:
+    if is_delayed and outcome is allocation.AttemptOutcome.ANSWERED:
         return allocation.AttemptOutcome.RELAYED
     return outcome
 
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -15,7 +15,7 @@
     relay_messages,
     slot_messages,
 )
-from carobhook.state import allocation, ids
+from carobhook.state import allocation, ids, versions
 
 # Type tag, class and number of fields of each message.
 MESSAGES = [
@@ -56,8 +56,8 @@
     """Message with two fields that were added later."""
 
     first: int
-    second: int | None = framing.added_field(None)
-    third: str = framing.added_field("")
+    second: int | None = versions.added_field(None)
+    third: str = versions.added_field("")
 
 
 def round_trip(message):
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -16,7 +16,7 @@
     relay_messages,
     slot_messages,
 )
-from carobhook.state import ids
+from carobhook.state import ids, versions
 from carobhook.transport import peers
 
 KEY = b"shared"
@@ -106,14 +106,14 @@
     def test_frames_for_older_builds_are_as_they_were(self, tag):
         """A message for a build of the first version has the bytes that it had then."""
         message = protocol_samples.sample_message(tag)
-        assert peer_codec.CODEC.encode(message, framing.FIRST_VERSION) == RELEASED[tag]
+        assert peer_codec.CODEC.encode(message, versions.FIRST_VERSION) == RELEASED[tag]
 
     @pytest.mark.parametrize("tag", RELEASED)
     def test_frames_of_older_builds_are_understood(self, tag):
         """A message of a build of the first version is decoded."""
         frame = msgpack.unpackb(RELEASED[tag])
         message = peer_codec.CODEC.decode(frame)
-        assert peer_codec.CODEC.encode(message, framing.FIRST_VERSION) == RELEASED[tag]
+        assert peer_codec.CODEC.encode(message, versions.FIRST_VERSION) == RELEASED[tag]
 
 
 class TestNewerPeer:
@@ -168,7 +168,7 @@
         nonce = transport.read_frames()[0][1][0]
         stream.dataReceived(hello_of_version_1(nonce) + peer_codec.CODEC.encode(RELEASE))
         assert (handled, transport.abort_count) == ([RELEASE], 0)
-        assert stream.peer_version == framing.FIRST_VERSION
+        assert stream.peer_version == versions.FIRST_VERSION
 
     def test_challenge_fits_the_older_build(self):
         """It has one field of bytes, as before."""
@@ -204,7 +204,7 @@
     )
     def test_nonce_that_states_nothing(self, nonce):
         """The first version is assumed."""
-        assert membership_messages.protocol_version(nonce) == framing.FIRST_VERSION
+        assert membership_messages.protocol_version(nonce) == versions.FIRST_VERSION
 
     def test_later_version_is_spoken_in_ours(self):
         """A newer build is sent what this one knows."""
--- /dev/null
+++ b/tests/test_slow_machine.py
@@ -0,0 +1,161 @@
+"""An instance whose machine works several times slower than usual."""
+
+import attrs
+import pytest
+
+from carobhook import logs
+from carobhook.coordination import directory, machine_pace, membership
+from carobhook.state import allocation, ids, members
+from carobhook.transport import machine_probe, request_flow
+
+USUAL_S = 0.0001
+INTERVAL_S = 0.1
+NORTH, SOUTH = ids.Region("north"), ids.Region("south")
+SERVICE = ids.Service("svc")
+
+
+def play(pace, *phases):
+    """Record samples; return whether the machine was slow after each.
+
+    Args:
+        pace: The pace to record them in.
+        phases: Pairs of a factor of the usual time and the number of samples with it.
+    """
+    factors = [factor for factor, count in phases for _ in range(count)]
+    slow = []
+    for number, factor in enumerate(factors):
+        pace.record(USUAL_S * factor, number * INTERVAL_S)
+        slow.append(pace.is_slow)
+    return slow
+
+
+def member(name, is_slow=False, region=NORTH, weight=100.0):
+    """Return a member of a region's first failure domain."""
+    share = members.SLOW_WEIGHT_SHARE if is_slow else 1.0
+    return members.Member(
+        ids.InstanceId(name),
+        ids.Incarnation("0" * 16),
+        region,
+        ids.FailureDomain(f"{region}-a"),
+        f"{name}:1",
+        f"{name}:2",
+        members.Phase.READY,
+        ids.Version(1),
+        weight=weight * share,
+        is_slow=is_slow,
+    )
+
+
+class TestMachinePace:
+    """Evidence of a slow machine."""
+
+    def test_slow_machine_is_noticed_within_a_second(self):
+        """It works five times slower from one moment to the next."""
+        slow = play(machine_pace.MachinePace(), (1.0, 50), (5.0, 10))
+        assert not any(slow[:50])
+        assert slow[-1]
+
+    def test_usual_pace_is_noticed_within_seconds(self):
+        """It is used again by itself."""
+        slow = play(machine_pace.MachinePace(), (1.0, 50), (5.0, 30), (1.0, 30))
+        assert slow[79]
+        assert not slow[-1]
+
+    def test_single_slow_samples_say_nothing(self):
+        """The processor did something else for a moment."""
+        pace = machine_pace.MachinePace()
+        assert not any(play(pace, *[(1.0, 3), (30.0, 1), (1.0, 2), (30.0, 2)] * 20))
+
+    def test_machine_that_is_twice_as_slow(self):
+        """It carries what it gets, and is not worth a change."""
+        assert not any(play(machine_pace.MachinePace(), (1.0, 50), (2.0, 100)))
+
+    def test_slower_processor_becomes_usual(self):
+        """After hours at the same pace, that is what the machine can do."""
+        slow = play(machine_pace.MachinePace(), (1.0, 50), (5.0, 5000))
+        assert slow[60]
+        assert not slow[-1]
+
+    def test_clock_that_does_not_advance(self):
+        """Samples without a time are ignored."""
+        assert not any(play(machine_pace.MachinePace(), (0.0, 50), (1.0, 20), (0.0, 5)))
+
+
+class TestMachineProbe:
+    """Measuring, and telling of a change."""
+
+    def test_change_is_logged_and_reported_once(self, monkeypatch):
+        """Others learn of it at once, not with the next heartbeat."""
+        events, changes = [], []
+        monkeypatch.setattr(logs, "warning", lambda name, **values: events.append(name))
+        monkeypatch.setattr(logs, "event", lambda name, **values: events.append(name))
+        now, factor = 0.0, 1.0
+
+        def seconds():
+            nonlocal now
+            now += USUAL_S * factor
+            return now
+
+        probe = machine_probe.MachineProbe(seconds, lambda: changes.append(probe.is_slow))
+        for phase_factor in (1.0, 6.0, 1.0):
+            factor = phase_factor
+            for _ in range(60):
+                now += INTERVAL_S
+                probe.probe()
+        assert changes == [True, False]
+        assert events == ["machine-slow", "machine-usual"]
+
+
+class TestDirectory:
+    """Where clients of a region with slow machines are led."""
+
+    def nearest(self, *serving):
+        """Return the names of the instances for clients of the north."""
+        found = directory.nearest(serving, NORTH, ids.FailureDomain("north-a"))
+        return {found_member.name for found_member in found}
+
+    def test_slow_machine_is_left_out(self):
+        """The others of its domain can carry its clients."""
+        assert self.nearest(member("a", True), member("b"), member("c")) == {"b", "c"}
+
+    def test_region_with_too_few_is_helped_by_the_others(self):
+        """One of four could not carry the clients of all."""
+        north = [member("a"), *(member(name, True) for name in "bcd")]
+        south = [member(name, region=SOUTH) for name in "ef"]
+        assert self.nearest(*north, *south) == {"a", "e", "f"}
+
+    def test_all_are_slow(self):
+        """Slow instances are better than none."""
+        assert self.nearest(member("a", True), member("b", True)) == {"a", "b"}
+
+    def test_small_machine_is_not_slow(self):
+        """A low weight alone is no reason to leave an instance out."""
+        assert self.nearest(member("a", weight=5.0), member("b")) == {"a", "b"}
+
+
+class TestDuties:
+    """Duties that an instance has for others."""
+
+    @pytest.mark.parametrize("count", [5, 12])
+    def test_slow_machine_hands_on_relaying_and_dispatching(self, count):
+        """Instances of older builds choose alike, as they know its weight."""
+        usual = [member(f"m{number}") for number in range(count)]
+        owner = membership.shard_owner(NORTH, SERVICE, usual)
+        serving = [
+            attrs.evolve(m, is_slow=True, weight=m.weight * members.SLOW_WEIGHT_SHARE)
+            if m.name == owner
+            else m
+            for m in usual
+        ]
+        assert membership.shard_owner(NORTH, SERVICE, serving) not in (owner, None)
+        assert owner not in [m.name for m in membership.relays(serving, NORTH)]
+
+
+class TestReports:
+    """What a slow instance reports of servers."""
+
+    def test_times_at_a_slow_machine_say_nothing_of_servers(self):
+        """Servers would look slow to all instances otherwise."""
+        outcome = allocation.AttemptOutcome
+        assert request_flow._reported_outcome(outcome.ANSWERED, True, False) is outcome.RELAYED
+        assert request_flow._reported_outcome(outcome.FAILED, True, False) is outcome.FAILED
