Tell regions which objects the servers that they borrow have in memory

Its objects were unknown at the borrowed servers, where all work would have been done anew, later than waiting for its own servers.

Change: each report of a lender tells the hashes of the 16 latest objects of up to 48 lent servers, those that changed or were not told for 4 s, so a report stays below 5 KB. The borrower counts such a server as one that has the object. Loans use one slot of each server before a second one of any, as many servers have more objects.

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -305,7 +305,7 @@
         key = work_times.qualified_key(request.route, request.object_key)
         depth: int | None = None
         if key is not None:
-            depths = [server.recent_objects.depth(key) for server in self.pool.holders(key)]
+            depths = [self.pool.depth(server, key) for server in self.pool.holders(key)]
             known = [found for found in depths if found is not None]
             depth = min(known) if known else None
         return self._times.estimate_s(request.route, depth, _DEFAULT_WORK_S)
@@ -517,7 +517,7 @@
         now: float,
     ) -> _Candidate:
         """Return the expected times and the cost of running a request on a server."""
-        depth = server.recent_objects.depth(key) if key is not None else None
+        depth = self.pool.depth(server, key) if key is not None else None
         work_s = self._times.estimate_s(request.route, depth, _DEFAULT_WORK_S)
         work_s *= server.slowness(now)
         is_free = server.is_free(now)
@@ -546,9 +546,9 @@
         request = queued.request
         server = candidate.server
         key = work_times.qualified_key(request.route, request.object_key)
-        depth = server.recent_objects.depth(key) if key is not None else None
+        depth = self.pool.depth(server, key) if key is not None else None
         is_measured = self._times.has_samples(request.route, depth)
-        server.start(request, candidate.work_s, now, is_measured=is_measured)
+        server.start(request, candidate.work_s, now, depth, is_measured=is_measured)
         if self.shares is not None:
             self.shares.record(server.region, now)
         if key is not None:
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -6,7 +6,13 @@
 
 import attrs
 
-from carobhook.coordination import catalog, server_pace, token_bucket, work_times
+from carobhook.coordination import (
+    catalog,
+    object_digests,
+    server_pace,
+    token_bucket,
+    work_times,
+)
 from carobhook.state import allocation, ids
 
 # A server that broke a connection or could not be reached gets no requests for this long,
@@ -308,23 +314,23 @@
         request: allocation.SlotRequest,
         expected_s: float,
         now: float,
+        depth: int | None = None,
         *,
         is_measured: bool = False,
         is_taken_over: bool = False,
-    ) -> int | None:
-        """Occupy a slot with a request; return the depth that its object had before.
+    ) -> None:
+        """Occupy a slot with a request.
 
         Args:
             request: The request.
             expected_s: Expected work time in seconds.
             now: Monotonic time in seconds.
+            depth: Depth of its object at the server before, or None if it is not recorded.
             is_measured: Whether the expected time is an average of observed times.
             is_taken_over: Whether a previous dispatcher granted the slot.
         """
         key = work_times.qualified_key(request.route, request.object_key)
-        depth = None
         if key is not None:
-            depth = self.recent_objects.depth(key)
             self.recent_objects.touch(key)
         run = RunningRequest(
             request.route,
@@ -344,7 +350,6 @@
             self.limit_bucket.try_consume(now)
         self._forget_starts(now)
         self._starts.append(now)
-        return depth
 
     def finish(self, request_id: ids.RequestId) -> RunningRequest | None:
         """Free the slot of a request and return it, or None if it occupies none."""
@@ -423,6 +428,9 @@
     _slots: int = attrs.field(default=0, init=False)
     _limited: dict[ids.Server, PooledServer] = attrs.field(factory=dict, init=False)
     _regions: frozenset[ids.Region] = attrs.field(default=frozenset(), init=False)
+    _told: object_digests.ToldObjects = attrs.field(
+        factory=object_digests.ToldObjects, init=False
+    )
 
     @property
     def regions(self) -> frozenset[ids.Region]:
@@ -499,14 +507,38 @@
         return sum(len(server.running) for server in self.busy_servers)
 
     def holders(self, key: str) -> list[PooledServer]:
-        """Return the servers that got requests for an object.
+        """Return the servers that got requests for an object, here or by their own region.
 
         Some may have got so many other objects since that the object is no longer one of their
         recent ones.
         """
-        names = self._holders.get(key, ())
+        names = {*self._holders.get(key, ()), *self._told.holders(key)}
         return [self._servers[name] for name in names if name in self._servers]
 
+    def depth(self, server: PooledServer, key: str) -> int | None:
+        """Return how many other objects a server handled since an object.
+
+        None is returned if it is not recorded for the server.
+
+        Args:
+            server: The server.
+            key: Key of the object.
+        """
+        depth = server.recent_objects.depth(key)
+        return depth if depth is not None else self._told.depth(server.name, key)
+
+    def record_told_objects(
+        self, server: ids.Server, hashes: object_digests.ObjectHashes
+    ) -> None:
+        """Record which objects a borrowed server has, as its own region's dispatcher told.
+
+        Args:
+            server: The server; one that is not in the pool is ignored.
+            hashes: Hashes of its latest objects, the latest first.
+        """
+        if server in self._servers:
+            self._told.record(server, hashes)
+
     def record_object(self, server: PooledServer, key: str) -> None:
         """Record that a server got a request for an object."""
         self._holders.setdefault(key, set()).add(server.name)
@@ -546,6 +578,7 @@
         for server in self._ended.values():
             server.slots = 0
         self._servers = servers
+        self._told.retain(servers)
         self._regions = frozenset(server.region for server in servers.values())
         self._limited = {
             name: server for name, server in servers.items() if server.limit_bucket is not None
--- a/src/carobhook/coordination/slot_loans.py
+++ b/src/carobhook/coordination/slot_loans.py
@@ -192,9 +192,10 @@
 ) -> dict[ids.Region, dict[ids.Server, int]]:
     """Return how many slots of each server are lent to each region.
 
-    Slots that are lent already are lent to the same region again first, and each loan uses few
-    servers, because a server works faster on objects that it handled recently. A slot that is
-    taken back from one region is lent to no other at the same time, as it may be in use.
+    Slots that are lent already are lent to the same region again first, and each loan uses many
+    servers: a server works faster on objects that it handled recently, and many servers have
+    more of these. A slot that is taken back from one region is lent to no other at the same
+    time, as it may be in use.
 
     Args:
         lent: Slots lent to each region.
@@ -210,9 +211,13 @@
         was_lent = sum(loaned.get(server, 0) for loaned in before.values())
         is_lent = sum(loaned.get(server, 0) for loaned in placed.values())
         available[server] -= max(0, was_lent - is_lent)
-    for region, loaned in placed.items():
-        _lend(available, missing, region, loaned, slots)
-    return placed
+    one_of_each = dict.fromkeys(slots, 1)
+    while True:
+        missing_before = dict(missing)
+        for region, loaned in placed.items():
+            _lend(available, missing, region, loaned, one_of_each)
+        if missing == missing_before:
+            return placed
 
 
 def _lend(
--- a/src/carobhook/coordination/work_times.py
+++ b/src/carobhook/coordination/work_times.py
@@ -2,6 +2,7 @@
 
 import bisect
 import collections
+import itertools
 from collections.abc import Iterator
 
 import attrs
@@ -55,6 +56,10 @@
         del self._order[0]
         return self._touches.popitem(last=False)[0]
 
+    def latest(self, count: int) -> list[str]:
+        """Return the latest objects, at most as many as given, the latest first."""
+        return list(itertools.islice(reversed(self._touches), count))
+
     def depth(self, key: str) -> int | None:
         """Return how many other objects were handled since, or None if it is not recorded."""
         touch = self._touches.get(key)
--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -7,7 +7,7 @@
 accepts a connection states its version in its challenge, and the connecting side sends it only
 what that version knows. What each version introduced:
 
-2: `Hello.version`, `SlotReleased.pace`, `Member.is_slow`.
+2: `Hello.version`, `SlotReleased.pace`, `Member.is_slow`, `RegionReport.objects`.
 """
 
 from carobhook.protocol import (
--- a/src/carobhook/protocol/slot_messages.py
+++ b/src/carobhook/protocol/slot_messages.py
@@ -217,6 +217,8 @@
             receiver may use.
         used: Pairs of a server of the receiving region and the number of its slots that the
             sender's requests hold.
+        objects: Pairs of a lent server and the hashes of the objects that it handled latest,
+            see `coordination.object_digests`; only of some servers.
     """
 
     service: ids.Service
@@ -226,6 +228,7 @@
     demand: float | None
     lent: tuple[tuple[ids.Server, int], ...]
     used: tuple[tuple[ids.Server, int], ...]
+    objects: tuple[tuple[ids.Server, tuple[int, ...]], ...] = versions.added_field((), since=2)
 
 
 @attrs.frozen
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -596,8 +596,9 @@
             if pooled.region == receiver
         )
         lent = tuple(state.lent.get(receiver, {}).items())
+        objects = state.next_digests(receiver, self._reactor.seconds())
         report = slot_messages.RegionReport(
-            service, region, receiver, load.slots, load.demand, lent, used
+            service, region, receiver, load.slots, load.demand, lent, used, objects
         )
         self._send(owner, report)
 
@@ -618,3 +619,5 @@
             self._update_pool(shard, state)
         elif previous[0].used != report.used:
             self._update_unavailable_slots(state, now)
+        for server, hashes in report.objects:
+            state.dispatcher.pool.record_told_objects(server, hashes)
--- a/src/carobhook/transport/shard_state.py
+++ b/src/carobhook/transport/shard_state.py
@@ -7,7 +7,13 @@
 import attrs
 
 from carobhook import logs
-from carobhook.coordination import dispatcher, server_limits, server_pool, slot_loans
+from carobhook.coordination import (
+    dispatcher,
+    object_digests,
+    server_limits,
+    server_pool,
+    slot_loans,
+)
 from carobhook.protocol import slot_messages
 from carobhook.state import ids
 from carobhook.transport import slot_client
@@ -44,6 +50,7 @@
         withheld: Slots of each server that orders withhold.
         recalled: Recalled slots that their borrowers may still be using.
         limits: Limits that servers named, as far as this dispatcher was told.
+        digests: Selects what each other region is told of the objects of lent servers.
         grants: Grants in this window by region of the server.
         last_grants: Grants in the window before.
         window_started_at: Monotonic time in seconds at which this window began.
@@ -66,6 +73,9 @@
     withheld: Mapping[ids.Server, int] = attrs.field(factory=dict)
     recalled: slot_loans.RecalledSlots = attrs.field(factory=slot_loans.RecalledSlots)
     limits: server_limits.ServerLimits = attrs.field(factory=server_limits.ServerLimits)
+    digests: collections.defaultdict[ids.Region, object_digests.DigestSender] = attrs.field(
+        factory=lambda: collections.defaultdict(object_digests.DigestSender)
+    )
     grants: collections.Counter[ids.Region] = attrs.field(factory=collections.Counter)
     last_grants: collections.Counter[ids.Region] = attrs.field(factory=collections.Counter)
     window_started_at: float = 0.0
@@ -111,6 +121,15 @@
             for server, slots in sorted(self._steady_slots(now).items())
         }
 
+    def next_digests(
+        self, region: ids.Region, now: float
+    ) -> tuple[tuple[ids.Server, object_digests.ObjectHashes], ...]:
+        """Return what to tell a region now of the objects of the servers lent to it."""
+        lent = (self.dispatcher.pool.get(server) for server in self.lent.get(region, ()))
+        return self.digests[region].next_digests(
+            ((pooled.name, pooled.recent_objects) for pooled in lent if pooled is not None), now
+        )
+
     def used_slots(self, now: float) -> dict[ids.Region, int]:
         """Return how many of its borrowed slots each other region uses."""
         return {
