Take no unnamed response for the answer on a connection that names requests

Cause: a response without an id was accepted for any request. A late second copy of an answer without its id, on a connection in use again, would have become the next caller's answer.

Change: on a connection whose last response named its request, a response that names none ends the exchange as garbled; the connection is closed. Servers that never name requests are served as before. test_server_connections.py::TestLateCopies failed before (unnamed copy); copies behind an answer and while nothing is asked were handled already.

The soak can run two builds side by side (--other-source): each restart of an instance changes its build.

--- a/src/carobhook/cli/soak.py
+++ b/src/carobhook/cli/soak.py
@@ -24,6 +24,16 @@
         pathlib.Path | None,
         typer.Option("--keep", help="Folder for settings and logs of the seeds that fail."),
     ] = None,
+    other_source: Annotated[
+        pathlib.Path | None,
+        typer.Option(
+            "--other-source",
+            exists=True,
+            file_okay=False,
+            resolve_path=True,
+            help="Folder with the package of another build; each restart changes the build.",
+        ),
+    ] = None,
 ) -> None:
     """Run instances as processes on loopback, and inject faults drawn from seeds.
 
@@ -34,7 +44,7 @@
 
     from carobhook.soak import run
 
-    options = run.SoakOptions(instances, servers, duration_s)
+    options = run.SoakOptions(instances, servers, duration_s, other_source)
     failed: list[int] = []
 
     async def _run_seeds() -> None:
--- a/src/carobhook/platform/requests.py
+++ b/src/carobhook/platform/requests.py
@@ -62,20 +62,21 @@
         headers.append((names.EXPECTED_SERVER.encode(), server.encode()))
         return http1.RequestHead(head.method, head.target, tuple(headers))
 
-    def matches_attempt(self, response: http1.Response, client_request_id: str | None) -> bool:
+    def match_attempt(
+        self, response: http1.Response, client_request_id: str | None
+    ) -> allocation.ResponseMatch:
         """Return whether a response belongs to the request that it was received for.
 
-        If the response or the request has no id, the two cannot be compared, and the response
-        is accepted.
-
         Args:
             response: Response of a backend server.
             client_request_id: Id that the client gave the request, or None.
         """
         response_id = response.get(names.REQUEST_ID)
-        return (
-            response_id is None or client_request_id is None or response_id == client_request_id
-        )
+        if response_id is None or client_request_id is None:
+            return allocation.ResponseMatch.UNNAMED
+        if response_id != client_request_id:
+            return allocation.ResponseMatch.OTHER
+        return allocation.ResponseMatch.NAMED
 
     def attempt_outcome(self, response: http1.Response) -> allocation.AttemptOutcome:
         """Return the outcome of an attempt that a backend server responded to."""
--- a/src/carobhook/soak/deployment.py
+++ b/src/carobhook/soak/deployment.py
@@ -1,5 +1,6 @@
 """Deployment under test: instance processes, with the platform's stand-ins in this process."""
 
+import collections
 import os
 import pathlib
 import signal
@@ -36,6 +37,8 @@
         directory: Directory for settings and logs.
         instances: Number of instances.
         servers: Number of servers of each service.
+        other_source: Folder that has the package of another build, with which some instances
+            run; None to run all with this build.
 
     Attributes:
         store: Stand-in of the store.
@@ -48,12 +51,19 @@
     """
 
     def __init__(
-        self, reactor: typing.Any, directory: pathlib.Path, instances: int, servers: int
+        self,
+        reactor: typing.Any,
+        directory: pathlib.Path,
+        instances: int,
+        servers: int,
+        other_source: pathlib.Path | None = None,
     ) -> None:
         self._reactor = reactor
         self._directory = directory
         self._instance_count = instances
         self._servers_per_service = servers
+        self._other_source = other_source
+        self._start_counts: collections.Counter[int] = collections.Counter()
         self._processes: dict[int, subprocess.Popen] = {}
         self._ports: list[typing.Any] = []
         self._instance_ports: list[dict[str, int]] = []
@@ -183,10 +193,18 @@
         (self._directory / f"i{index}.toml").write_text(demo.render_settings(sections), "utf-8")
 
     def start_instance(self, index: int) -> None:
-        """Start the process of an instance, unless it is running already."""
+        """Start the process of an instance, unless it is running already.
+
+        With two builds, every other instance starts with the other build, and each start of an
+        instance uses the build that its last start did not.
+        """
         process = self._processes.get(index)
         if process is not None and process.poll() is None:
             return
+        path = list(sys.path)
+        if self._other_source is not None and (index + self._start_counts[index]) % 2 == 0:
+            path.insert(0, str(self._other_source))
+        self._start_counts[index] += 1
         with (self._directory / f"i{index}.log").open("ab") as log:
             self._processes[index] = subprocess.Popen(
                 [sys.executable, "-m", "carobhook.entry"],
@@ -195,7 +213,7 @@
                 stdin=subprocess.DEVNULL,
                 env={
                     **os.environ,
-                    "PYTHONPATH": os.pathsep.join(sys.path),
+                    "PYTHONPATH": os.pathsep.join(path),
                     "CAROBHOOK_SETTINGS": str(self._directory / f"i{index}.toml"),
                 },
             )
--- a/src/carobhook/soak/run.py
+++ b/src/carobhook/soak/run.py
@@ -63,11 +63,14 @@
         instances: Number of instance processes.
         servers: Number of servers of each service.
         duration_s: Length in seconds of the period in which faults begin.
+        other_source: Folder that has the package of another build, with which some instances
+            run; None to run all with this build.
     """
 
     instances: int = 4
     servers: int = 3
     duration_s: float = 8.0
+    other_source: pathlib.Path | None = None
 
 
 @attrs.frozen
@@ -110,7 +113,7 @@
         self._seed = seed
         self._options = options
         self._deployment = deployment.Deployment(
-            reactor, directory, options.instances, options.servers
+            reactor, directory, options.instances, options.servers, options.other_source
         )
         self._rng = random.Random(seed)
         self._injections: list[defer.Deferred] = []
--- a/src/carobhook/state/allocation.py
+++ b/src/carobhook/state/allocation.py
@@ -37,6 +37,19 @@
     CANCELLED = "cancelled"
 
 
+class ResponseMatch(enum.Enum):
+    """Whether a response belongs to the request that it was received for.
+
+    NAMED: It names the request.
+    OTHER: It names another request.
+    UNNAMED: It names no request, or the request has no name.
+    """
+
+    NAMED = "named"
+    OTHER = "other"
+    UNNAMED = "unnamed"
+
+
 @attrs.frozen
 class RateStatement:
     """What an answer of a backend server says about the rate of requests that it takes.
--- a/src/carobhook/transport/flow_interfaces.py
+++ b/src/carobhook/transport/flow_interfaces.py
@@ -27,7 +27,9 @@
             ValueError: The limit that it names cannot be read.
         """
 
-    def matches_attempt(self, response: http1.Response, client_request_id: str | None) -> bool:
+    def match_attempt(
+        self, response: http1.Response, client_request_id: str | None
+    ) -> allocation.ResponseMatch:
         """Return whether a response belongs to a client's attempt."""
 
 
--- a/src/carobhook/transport/relay_service.py
+++ b/src/carobhook/transport/relay_service.py
@@ -7,7 +7,7 @@
 
 from carobhook import logs
 from carobhook.protocol import http1, relay_messages
-from carobhook.state import ids
+from carobhook.state import allocation, ids
 from carobhook.transport import server_connections
 
 Outcome = relay_messages.RelayOutcome
@@ -32,7 +32,7 @@
         servers: Connections to backend servers.
         may_use: Returns whether a server at an address may get requests from this instance.
         can_relay: Returns whether this instance serves and reaches servers.
-        matches: Returns whether a response belongs to a client's attempt.
+        match: Returns whether a response belongs to a client's attempt.
         on_response: Called with the server and each response.
         max_body_bytes: Largest size of the bodies of all relayed requests.
         on_failure: Called with an unexpected error.
@@ -43,7 +43,7 @@
         servers: server_connections.ServerConnections,
         may_use: Callable[[ids.Server, str], bool],
         can_relay: Callable[[], bool],
-        matches: Callable[[http1.Response, str | None], bool],
+        match: Callable[[http1.Response, str | None], allocation.ResponseMatch],
         on_response: Callable[[ids.Server, http1.Response], object],
         max_body_bytes: int,
         on_failure: Callable[[typing.Any], object],
@@ -51,7 +51,7 @@
         self._servers = servers
         self._may_use = may_use
         self._can_relay = can_relay
-        self._matches = matches
+        self._match = match
         self._on_response = on_response
         self._max_body_bytes = max_body_bytes
         self._on_failure = on_failure
@@ -107,7 +107,7 @@
                 http1.RequestHead(request.method, request.target, request.headers),
                 request.body,
                 request.require_fresh,
-                lambda response: self._matches(response, request.request_id),
+                lambda response: self._match(response, request.request_id),
                 lambda: self._may_use(request.server, request.address),
             )
             self._on_response(request.server, received.response)
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -339,7 +339,7 @@
             build_head=build_head,
             body=accepted.request.body,
             require_fresh=not accepted.route.repeatable,
-            matches=self._matches_attempt,
+            match=self._match_attempt,
             may_send=lambda: self._may_send(accepted, grant.server),
         )
 
@@ -377,8 +377,8 @@
             logs.warning("server-limit-malformed", server=server, error=error)
             return None
 
-    def _matches_attempt(self, response: http1.Response) -> bool:
-        return self._codec.matches_attempt(response, self._accepted.client_request_id)
+    def _match_attempt(self, response: http1.Response) -> allocation.ResponseMatch:
+        return self._codec.match_attempt(response, self._accepted.client_request_id)
 
     def _failed_outcome(
         self, error: server_connections.ExchangeError, grant: allocation.SlotGrant
--- a/src/carobhook/transport/server_access.py
+++ b/src/carobhook/transport/server_access.py
@@ -131,7 +131,7 @@
             self._connections,
             self._may_relay_to,
             lambda: parts.is_serving() and self._is_trusted(),
-            self._codec.matches_attempt,
+            self._codec.match_attempt,
             record_response,
             int(self._memory_bytes * _RELAY_MEMORY_RATIO),
             lambda reason: parts.supervisor.record("relay", reason),
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -11,6 +11,7 @@
 from twisted.internet import defer, error, protocol, task
 
 from carobhook.protocol import http1
+from carobhook.state import allocation
 
 # A server closes an idle connection after the timeout that it announces, and a request that is
 # on its way at that moment is lost. A connection is therefore not reused once less than this is
@@ -34,11 +35,11 @@
 _KEEP_ALIVE_PATTERN = re.compile(r"timeout=(\d+)")
 
 
-ResponseMatcher = Callable[[http1.Response], bool]
+ResponseMatcher = Callable[[http1.Response], allocation.ResponseMatch]
 
 
-def _match_any(response: http1.Response) -> bool:
-    return True
+def _match_any(response: http1.Response) -> allocation.ResponseMatch:
+    return allocation.ResponseMatch.UNNAMED
 
 
 def _may_always_send() -> bool:
@@ -144,7 +145,9 @@
         self._body_chunks: list[bytes] = []
         self._body_size = 0
         self._received_size = 0
-        self._matches: ResponseMatcher = _match_any
+        self._match: ResponseMatcher = _match_any
+        # Whether the last response named its request.
+        self._was_named = False
         self._method = b"GET"
         self._had_unmatched_response = False
         self.exchange_count = 0
@@ -156,14 +159,14 @@
         self.transport.setTcpNoDelay(True)
 
     def exchange(
-        self, head: http1.RequestHead, body: bytes, matches: ResponseMatcher
+        self, head: http1.RequestHead, body: bytes, match: ResponseMatcher
     ) -> defer.Deferred:
         """Send a request.
 
         The result fires with `ReceivedResponse` or fails with `ExchangeError`; cancelling it
         closes the connection.
         """
-        self._matches = matches
+        self._match = match
         self._method = head.method
         self._received_size = 0
         self._expect_response()
@@ -260,7 +263,12 @@
             b"".join(self._body_chunks),
         )
         close = bool(extra) or at_eof or parser.their_state is not h11.DONE
-        if not self._matches(response):
+        match = self._match(response)
+        if match is allocation.ResponseMatch.UNNAMED and self._was_named:
+            # The server names requests, so this may be a late copy of an earlier response.
+            self._fail(Fault.GARBLED, "the answer names no request")
+            return
+        if match is allocation.ResponseMatch.OTHER:
             # This is a surplus response to an earlier request. The response to the current
             # request may follow it.
             self._had_unmatched_response = True
@@ -271,6 +279,7 @@
             if extra:
                 parser.receive_data(extra)
             return
+        self._was_named = match is allocation.ResponseMatch.NAMED
         close = close or self._had_unmatched_response
         self._clear_body()
         self.idle_since = self._seconds()
@@ -340,7 +349,7 @@
         head: http1.RequestHead,
         body: bytes,
         require_fresh: bool,
-        matches: ResponseMatcher = _match_any,
+        match: ResponseMatcher = _match_any,
         may_send: Callable[[], bool] = _may_always_send,
     ) -> ReceivedResponse:
         """Send a request to a server and return its complete response.
@@ -351,7 +360,7 @@
             body: Request body.
             require_fresh: Whether to use only a new connection or one that was idle only
                 briefly, as for a request that must not run twice.
-            matches: Returns whether a response belongs to this request.
+            match: Returns whether a response belongs to this request.
             may_send: Returns whether the request may still be sent; called right before that,
                 as opening a connection takes time.
 
@@ -364,7 +373,7 @@
         if not may_send():
             self._keep_idle(address, connection)
             raise ExchangeError(Fault.WITHDRAWN, "not sent", False, False)
-        received = await connection.exchange(head, body, matches)
+        received = await connection.exchange(head, body, match)
         self._keep_idle(address, connection)
         return received
 
--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -51,7 +51,7 @@
         body: Body of the request.
         require_fresh: Whether to use only connections that worked a moment ago, or new ones, as
             for a request that must not run twice.
-        matches: Returns whether a response belongs to this request.
+        match: Returns whether a response belongs to this request.
         may_send: Returns whether the request may still be sent; called right before that.
     """
 
@@ -62,7 +62,7 @@
     build_head: Callable[[], http1.RequestHead]
     body: bytes
     require_fresh: bool
-    matches: server_connections.ResponseMatcher
+    match: server_connections.ResponseMatcher
     may_send: Callable[[], bool]
 
 
@@ -206,7 +206,7 @@
                 attempt.build_head(),
                 attempt.body,
                 attempt.require_fresh,
-                attempt.matches,
+                attempt.match,
                 attempt.may_send,
             )
         finally:
@@ -281,7 +281,7 @@
         if fault is not None:
             raise server_connections.ExchangeError(fault, text, False, False)
         response = http1.Response(answer.status, answer.reason, answer.headers, answer.body)
-        if not attempt.matches(response):
+        if not attempt.match(response):
             raise server_connections.ExchangeError(Fault.GARBLED, text, False, False)
         return server_connections.ReceivedResponse(
             response, answer.headers, False, is_relayed=True
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -5,7 +5,7 @@
 
 from carobhook.coordination import catalog
 from carobhook.protocol import http1, relay_messages
-from carobhook.state import ids, servers
+from carobhook.state import allocation, ids, servers
 from carobhook.transport import relay_service, server_connections
 
 Outcome = relay_messages.RelayOutcome
@@ -36,13 +36,13 @@
             self,
             lambda server, address: self.catalog.is_usable(server),
             lambda: can_relay,
-            lambda response, _: True,
+            lambda response, _: allocation.ResponseMatch.NAMED,
             lambda server, response: None,
             max_body_bytes,
             self.failures.append,
         )
 
-    async def exchange(self, address, head, body, require_fresh, matches, may_send):
+    async def exchange(self, address, head, body, require_fresh, match, may_send):
         """Wait until the test completes the exchange, unless it may not be sent."""
         if not may_send():
             raise server_connections.ExchangeError(Fault.WITHDRAWN, "not sent", False, False)
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -3,6 +3,7 @@
 import pytest
 from twisted.internet import defer, task, testing
 
+from carobhook.platform import requests
 from carobhook.protocol import http1
 from carobhook.transport import server_connections
 
@@ -13,9 +14,9 @@
 MEMORY_BYTES = 4 * 1024 * 1024
 
 
-def matches(response):
+def match(response):
     """Return whether a response has the attempt id of the request."""
-    return response.get("x-attempt-id") == "own"
+    return requests.ServerCodec().match_attempt(response, "own")
 
 
 class Exchange:
@@ -33,7 +34,7 @@
         self.connection.makeConnection(self.transport)
         self.errors = []
         self.responses = []
-        self.connection.exchange(HEAD, b"", matches).addCallbacks(
+        self.connection.exchange(HEAD, b"", match).addCallbacks(
             self.responses.append, lambda reason: self.errors.append(reason.value)
         )
 
@@ -118,3 +119,69 @@
         exchange.connection._pending.cancel()
         assert exchange.is_closed
         assert isinstance(exchange.errors[0], defer.CancelledError)
+
+
+def answer(request_id, body):
+    """Return the bytes of a response that names a request, or none."""
+    named = b"" if request_id is None else b"X-Attempt-Id: " + request_id + b"\r\n"
+    length = str(len(body)).encode()
+    return b"HTTP/1.1 200 OK\r\n" + named + b"Content-Length: " + length + b"\r\n\r\n" + body
+
+
+class Conversation:
+    """Requests one after another on one connection to a server.
+
+    Args:
+        first: Bytes that answer the first request.
+    """
+
+    def __init__(self, first):
+        self.exchange = Exchange()
+        self.exchange.receive(first)
+        self.bodies = [received.response.body for received in self.exchange.responses]
+
+    def request(self):
+        """Send another request; return False if the connection is not used again."""
+        if not self.exchange.connection.is_reusable:
+            return False
+        self.exchange.connection.exchange(HEAD, b"", match).addCallbacks(
+            lambda received: self.bodies.append(received.response.body),
+            lambda reason: self.exchange.errors.append(reason.value),
+        )
+        return True
+
+
+class TestLateCopies:
+    """A second copy of an answer on a connection that is in use again."""
+
+    @pytest.mark.parametrize("request_id", [b"other", None])
+    def test_copy_before_the_answer(self, request_id):
+        """It is not taken for the answer, whether it names its request or not."""
+        conversation = Conversation(answer(b"own", b"first"))
+        assert conversation.request()
+        conversation.exchange.receive(answer(request_id, b"late"))
+        assert b"late" not in conversation.bodies
+        conversation.exchange.receive(answer(b"own", b"second"))
+        assert conversation.bodies in ([b"first"], [b"first", b"second"])
+        assert not conversation.exchange.connection.is_reusable
+
+    @pytest.mark.parametrize("request_id", [b"own", b"other", None])
+    def test_copy_right_behind_the_answer(self, request_id):
+        """The connection is not used again."""
+        conversation = Conversation(answer(b"own", b"first") + answer(request_id, b"late"))
+        assert conversation.bodies == [b"first"]
+        assert not conversation.request()
+
+    @pytest.mark.parametrize("request_id", [b"own", b"other", None])
+    def test_copy_while_nothing_is_asked(self, request_id):
+        """The connection is closed as the copy arrives."""
+        conversation = Conversation(answer(b"own", b"first"))
+        conversation.exchange.receive(answer(request_id, b"late"))
+        assert not conversation.request()
+
+    def test_server_that_names_no_request(self):
+        """Nothing can be told of its answers; each is taken for the one that is due."""
+        conversation = Conversation(answer(None, b"first"))
+        assert conversation.request()
+        conversation.exchange.receive(answer(None, b"second"))
+        assert conversation.bodies == [b"first", b"second"]
