Look at all servers of a shard only if no free one has the request's object

Cause: each arrival listed all free servers of the shard twice and evaluated each of them, so the cost of an arrival grew with the shard.

Change: a free server of the own region that has the object is taken at once if the work elsewhere would take longer even on the fastest server; admission stops at the first free server. An unchanged member is not compared field by field for each receiver of a membership update.

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -259,17 +259,20 @@
             candidates: Queued requests, in queue order.
             now: Monotonic time in seconds.
         """
-        free = self.pool.free_servers(now)
+        free: list[server_pool.PooledServer] | None = None
         self._reserved_s.clear()
         grants: list[Decision] = []
         for queued in candidates:
-            if not free:
-                break
-            chosen = self._choose_server(queued, free, now)
+            chosen = self._choose_free_holder(queued, now)
+            if chosen is None:
+                free = self.pool.free_servers(now) if free is None else free
+                if not free:
+                    break
+                chosen = self._choose_server(queued, free, now)
             if chosen is None:
                 continue
             grants.append(self._grant(queued, chosen, now))
-            if not chosen.server.is_free(now):
+            if free is not None and not chosen.server.is_free(now):
                 free.remove(chosen.server)
         # The queue's length weighs in the choices above, so all leave it together.
         for grant in grants:
@@ -315,6 +318,8 @@
     ) -> allocation.SlotRefusal | None:
         """Return a refusal if no server is eligible or the wait is too long, else None."""
         request = queued.request
+        if self._has_free_home_server(request, now):
+            return None
         may_run = self._placement_filter(request, self.pool.free_servers(now), now)
         eligible = [server for server in self.pool.servers if may_run(server)]
         if not eligible:
@@ -380,6 +385,50 @@
         """
         return others_need_slots or now + queued.expected_work_s > queued.request.deadline_at
 
+    def _has_free_home_server(self, request: allocation.SlotRequest, now: float) -> bool:
+        """Return whether a request may start now on a server of the shard's own region.
+
+        False is also returned where that would take longer to find out.
+        """
+        return self._may_stay(now) and any(
+            not self._is_abroad(server) and _is_eligible(server, request)
+            for server in self.pool.iterate_free(now)
+        )
+
+    def _may_stay(self, now: float) -> bool:
+        """Return whether one more request may run in the shard's own region."""
+        return self.shares is None or self.shares.may_stay(now)
+
+    def _choose_free_holder(
+        self, queued: request_queue.QueuedRequest, now: float
+    ) -> _Candidate | None:
+        """Return a free server that has the request's object, if no other can cost less.
+
+        The other servers are not looked at then, so this takes time in proportion to the number
+        of servers that have the object.
+
+        Args:
+            queued: The request.
+            now: Monotonic time in seconds.
+        """
+        request = queued.request
+        key = work_times.qualified_key(request.route, request.object_key)
+        if key is None or not self._may_stay(now):
+            return None
+        candidates = [
+            self._evaluate(request, server, key, now)
+            for server in self.pool.holders(key)
+            if _is_eligible(server, request)
+        ]
+        if not candidates:
+            return None
+        best = min(candidates, key=lambda candidate: candidate.cost)
+        if not best.is_free or self._is_abroad(best.server):
+            return None
+        usual_s = self._times.estimate_s(request.route, None, _DEFAULT_WORK_S)
+        least_cost = usual_s * server_pool.LEAST_SLOWNESS * (1 + self._slot_time_weight())
+        return best if best.cost <= least_cost else None
+
     def _choose_server(
         self,
         queued: request_queue.QueuedRequest,
@@ -523,8 +572,7 @@
         is_free = server.is_free(now)
         reserved_s = self._reserved_s.get(server.name, 0.0) / server.throughput_slots(work_s)
         wait_s = 0.0 if is_free else max(0.005, server.next_free_s(now)) + reserved_s
-        queue_ratio = min(1.0, len(self._queue) / max(1, self.pool.slots))
-        weight = _SLOT_TIME_WEIGHT + queue_ratio * _QUEUE_SLOT_TIME_WEIGHT
+        weight = self._slot_time_weight()
         penalty = server.failure_share * _FAILURE_PENALTY * work_s
         if request.domain is not None and server.view.entry.failure_domain != request.domain:
             penalty += _CROSS_DOMAIN_COST_S
@@ -534,6 +582,11 @@
         cost = wait_s + work_s * (1 + weight) + penalty
         return _Candidate(server, is_free, wait_s, work_s, cost)
 
+    def _slot_time_weight(self) -> float:
+        """Return the cost of a second of slot time, as a multiple of one of waiting."""
+        queue_ratio = min(1.0, len(self._queue) / max(1, self.pool.slots))
+        return _SLOT_TIME_WEIGHT + queue_ratio * _QUEUE_SLOT_TIME_WEIGHT
+
     def _health_penalty(self, server: server_pool.PooledServer, now: float) -> float:
         """Return the cost of slowness and failures, as a multiple of a request's work time."""
         slowness = (server.slowness(now) - 1.0) + (server.pace.factor(now) - 1.0)
--- a/src/carobhook/coordination/membership_sync.py
+++ b/src/carobhook/coordination/membership_sync.py
@@ -236,8 +236,13 @@
         is_whole = receiver not in self._sent_members
         sent = self._sent_members.setdefault(receiver, {})
         others = {member.name: member for member in live if member.name != receiver}
-        changed = tuple(member for name, member in others.items() if sent.get(name) != member)
-        removed = tuple(name for name in sent if name not in others)
+        # The table keeps the object of an unchanged member, so most need no comparison.
+        changed = tuple(
+            member
+            for name, member in others.items()
+            if sent.get(name) is not member and sent.get(name) != member
+        )
+        removed = tuple(sent.keys() - others.keys())
         for name in removed:
             del sent[name]
         sent.update((member.name, member) for member in changed)
--- a/src/carobhook/coordination/region_shares.py
+++ b/src/carobhook/coordination/region_shares.py
@@ -68,6 +68,11 @@
             return others
         return others | {self.home}
 
+    def may_stay(self, now: float) -> bool:
+        """Return whether the next request may run at home, whichever other region is free."""
+        self._advance(now)
+        return self._may_grow(self.home)
+
     def _may_grow(self, region: ids.Region) -> bool:
         """Return whether one more request in a region leaves its share within the limit."""
         previous_total = sum(self._previous.values())
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -2,7 +2,7 @@
 
 import collections
 import math
-from collections.abc import Iterable, Mapping
+from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
 
@@ -26,7 +26,8 @@
 # server that is avoided as slow would get no requests that could show that it is fast again.
 _SLOWNESS_HALF_LIFE_S = 3.0
 # Lower and upper limit of a sample of slowness.
-_SLOWNESS_RANGE = (0.5, 8.0)
+LEAST_SLOWNESS = 0.5
+_MOST_SLOWNESS = 8.0
 # A server that reported that it is overloaded gets no requests for this long.
 _SHED_PAUSE_S = 0.15
 # Requests that one dispatcher may send to a cold server at once.
@@ -266,11 +267,9 @@
 
     def is_free(self, now: float) -> bool:
         """Return whether the server can start a request now."""
-        return (
-            len(self.running) < self.slots
-            and self.free_slots(now) > 0
-            and self.rate_allows(now)
-        )
+        if len(self.running) >= self.slots:
+            return False
+        return self.free_slots(now) > 0 and self.rate_allows(now)
 
     def slowness(self, now: float) -> float:
         """Return the factor by which its work takes longer than expected.
@@ -400,9 +399,9 @@
             # the elapsed time with the time that was expected without slowness. What the server
             # itself states is no reason to take it for slow after that.
             ratio = elapsed_s * run.slowness / run.expected_s / self.pace_during(run, now)
-            low, high = _SLOWNESS_RANGE
+            sample = min(_MOST_SLOWNESS, max(LEAST_SLOWNESS, ratio))
             current = self.slowness(now)
-            self._slowness = current + _SLOWNESS_WEIGHT * (min(high, max(low, ratio)) - current)
+            self._slowness = current + _SLOWNESS_WEIGHT * (sample - current)
             self._slowness_at = now
 
     def _update_failure_share(self, sample: float) -> None:
@@ -444,7 +443,11 @@
 
     def free_servers(self, now: float) -> list[PooledServer]:
         """Return the servers that can start a request now."""
-        return [server for server in self._servers.values() if server.is_free(now)]
+        return list(self.iterate_free(now))
+
+    def iterate_free(self, now: float) -> Iterator[PooledServer]:
+        """Yield the servers that can start a request now."""
+        return (server for server in self._servers.values() if server.is_free(now))
 
     def get(self, name: ids.Server) -> PooledServer | None:
         """Return a server that the pool may use or that still runs its requests, or None."""
