Keep idle connections open while clients learn that an instance leaves

Change: they stay open until the directory's answers have run out, as new connections are accepted until then; responses on them say that the connection closes. test_late_stop.py::TestIdleConnection failed before.

--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -378,10 +378,11 @@
     async def stop(self) -> None:
         """Leave the deployment: finish the requests in progress, then close all sockets.
 
-        Connections are accepted for some time even if no request is in progress. From then on,
-        requests that might not end in time are refused. Shortly before the end of the grace
-        period, requests that wait are refused, and those that run are aborted. Calls after the
-        first return at once.
+        Connections are accepted, and idle ones kept open, for some time even if no request is
+        in progress: until clients have learned that this instance leaves, a request may be on
+        its way on any of them. From then on, requests that might not end in time are refused.
+        Shortly before the end of the grace period, requests that wait are refused, and those
+        that run are aborted. Calls after the first return at once.
         """
         if self._phase is members.Phase.LEAVING:
             return
@@ -394,7 +395,6 @@
         self._request_listener.closes_after_response = True
         self._supervisor.run("heartbeat", self._heartbeat)
         self._supervisor.run("members", self._allocator.update_owners)
-        self._request_listener.close_idle()
         await self._wait_until(started_at + min(_ACCEPT_S, grace_s * _ACCEPT_RATIO))
         self._requests.limit_to(deadline_at)
         await self._wait_until(min(started_at + _ACCEPT_S, refuse_waiting_at))
--- a/tests/test_late_stop.py
+++ b/tests/test_late_stop.py
@@ -80,6 +80,26 @@
         assert status == 200
 
 
+class TestIdleConnection(StopCase):
+    """A request crossed the close of an idle connection, and got no answer."""
+
+    async def test_request_on_an_idle_connection_is_served(self):
+        """Clients use open connections until the directory has told them that it leaves."""
+        await self.join()
+        head = b"GET /a/x HTTP/1.1\r\nHost: " + test_entry.HOST.encode() + b"\r\n"
+        request = head + b"X-Deadline-Ms: 300\r\nX-Attempt-Id: "
+        client = await self.send_raw(request + b"first\r\n\r\n", wait_s=0.2)
+        assert client.data.count(b"HTTP/1.1 200") == 1
+        stopping = defer.ensureDeferred(self.daemons[0].stop())
+        await task.deferLater(reactor, 0.2, lambda: None)
+        client.transport.write(request + b"second\r\n\r\n")
+        await client.closed
+        await stopping
+
+        assert client.data.count(b"HTTP/1.1 200") == 2
+        assert b"connection: close" in client.data.lower()
+
+
 class TestQueuedAtTheEnd(StopCase):
     """Requests waited for a slot when the grace period ended."""
 
