Apply a new owner of a shard again if that failed

Cause: the new owner was recorded before it was applied, so an error in between left queued requests with an instance that no longer dispatches. test_slot_allocator.py::TestFailedHandOver failed before.

--- a/src/carobhook/transport/slot_allocator.py
+++ b/src/carobhook/transport/slot_allocator.py
@@ -139,8 +139,7 @@
         for shard, previous in list(self._owners.items()):
             owner = membership.shard_owner(*shard, serving)
             if owner != previous:
-                self._owners[shard] = owner
-                self._apply_owner_change(shard, previous, owner)
+                self._change_owner(shard, previous, owner)
 
     def update_servers(self) -> None:
         """Update all dispatchers after a change of servers, configuration or orders."""
@@ -200,6 +199,23 @@
             self._owners[shard] = membership.shard_owner(*shard, serving)
         return self._owners[shard]
 
+    def _change_owner(
+        self,
+        shard: slot_client.Shard,
+        previous: ids.InstanceId | None,
+        owner: ids.InstanceId | None,
+    ) -> None:
+        """Record and apply a new owner; one that is not applied is applied at the next update.
+
+        Its messages go to the new owner already, so it is recorded first.
+        """
+        self._owners[shard] = owner
+        try:
+            self._apply_owner_change(shard, previous, owner)
+        except Exception:
+            self._owners[shard] = previous
+            raise
+
     def _apply_owner_change(
         self,
         shard: slot_client.Shard,
--- a/tests/test_slot_allocator.py
+++ b/tests/test_slot_allocator.py
@@ -1,5 +1,6 @@
 """Tests of carobhook.transport.slot_allocator: slot requests between instances."""
 
+import pytest
 from twisted.internet import task
 
 from carobhook.coordination import catalog, membership, steering
@@ -319,3 +320,39 @@
         )
         deployment.allocators[wrong].handle_message(ids.InstanceId("elsewhere"), message)
         assert sent == [slot_messages.NotDispatcher(ids.RequestId("x"))]
+
+
+class TestFailedHandOver:
+    """An error while the new owner of a shard is applied."""
+
+    def test_hand_over_is_tried_again(self, monkeypatch):
+        """Queued requests would stay at an instance that no longer dispatches otherwise."""
+        deployment = Deployment("a", "b", "c", slots=1)
+        owner = deployment.owner
+        other = next(name for name in deployment.allocators if name != owner)
+        deployment.request_slot(other, 1)
+        deployment.request_slot(other, 2)
+        allocator = deployment.allocators[other]
+        switch_owner = allocator._client.switch_owner
+        failures = [RuntimeError("once")]
+
+        def fail_once(*args):
+            if failures:
+                raise failures.pop()
+            switch_owner(*args)
+
+        monkeypatch.setattr(allocator._client, "switch_owner", fail_once)
+        for table in deployment.memberships.values():
+            table.remove(owner)
+        with pytest.raises(RuntimeError):
+            allocator.update_owners()
+        allocator.update_owners()
+        assert allocator._owner_of((NORTH, SERVICE)) == deployment_owner(deployment)
+        (pending,) = allocator._client._pending.values()
+        assert pending.owner == deployment_owner(deployment)
+
+
+def deployment_owner(deployment):
+    """Return the owner that all instances compute after one was removed."""
+    table = next(iter(deployment.memberships.values()))
+    return membership.shard_owner(NORTH, SERVICE, table.serving(0.0))
