Continue the loans of a shard whose dispatcher has moved

Change: a borrower reports what it may use. A new dispatcher says that it does not know yet what is lent until it has heard the borrower, 1.2 s at most, and continues that loan; until its own demand is known it changes none. The loan is bounded by the slots that may be lent, so that limited and cold servers stay out of it.

--- a/src/carobhook/coordination/region_shares.py
+++ b/src/carobhook/coordination/region_shares.py
@@ -17,9 +17,9 @@
 _BUCKET_S = _WINDOW_S / _BUCKETS_PER_WINDOW
 # The shares of fewer requests than this in a window vary too much to limit anything by them.
 _MIN_REQUESTS = 20
-# Requests in a window that may run in a region beyond its limit. The arrivals of few requests
-# vary so much that a share alone would refuse some while other regions have free slots.
-_EXTRA_REQUESTS = 5
+# Requests in a window by which those of a region may grow in any case. The arrivals of few
+# requests vary so much that a share alone would refuse some while other regions are free.
+_MIN_GROWTH = 5
 
 
 @attrs.define
@@ -80,7 +80,7 @@
             return True
         previous_share = self._previous.get(region, 0) / previous_total
         total = max(_MIN_REQUESTS, sum(self._current.values()) + 1)
-        limit = (previous_share + self.max_change) * total + _EXTRA_REQUESTS
+        limit = previous_share * total + max(self.max_change * total, _MIN_GROWTH)
         return self._current.get(region, 0) + 1 <= limit
 
     def _advance(self, now: float) -> None:
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -516,7 +516,7 @@
         recent ones.
         """
         names = {*self._holders.get(key, ()), *self._told.holders(key)}
-        return [self._servers[name] for name in names if name in self._servers]
+        return [self._servers[name] for name in sorted(names) if name in self._servers]
 
     def depth(self, server: PooledServer, key: str) -> int | None:
         """Return how many other objects a server handled since an object.
--- a/src/carobhook/coordination/slot_loans.py
+++ b/src/carobhook/coordination/slot_loans.py
@@ -100,6 +100,15 @@
         """Return the slots lent to each region."""
         return self._lent
 
+    def adopt(self, region: ids.Region, count: int) -> None:
+        """Record a loan that a previous dispatcher of the lender decided on.
+
+        Args:
+            region: The borrowing region.
+            count: Slots that it borrows.
+        """
+        self._lent[region] = count
+
     def update(
         self,
         targets: Mapping[ids.Region, float],
--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -7,7 +7,8 @@
 accepts a connection states its version in its challenge, and the connecting side sends it only
 what that version knows. What each version introduced:
 
-2: `Hello.version`, `SlotReleased.pace`, `Member.is_slow`, `RegionReport.objects`.
+2: `Hello.version`, `SlotReleased.pace`, `Member.is_slow`, `RegionReport.objects`,
+   `RegionReport.borrowed`, `RegionReport.is_lent_known`.
 """
 
 from carobhook.protocol import (
--- a/src/carobhook/protocol/slot_messages.py
+++ b/src/carobhook/protocol/slot_messages.py
@@ -219,6 +219,10 @@
             sender's requests hold.
         objects: Pairs of a lent server and the hashes of the objects that it handled latest,
             see `coordination.object_digests`; only of some servers.
+        borrowed: Pairs of a server of the receiving region and the number of its slots that
+            the sender may use, by the receiving region's latest report.
+        is_lent_known: Whether `lent` holds. A new dispatcher does not know yet what the
+            receiver has borrowed from the one before.
     """
 
     service: ids.Service
@@ -229,6 +233,8 @@
     lent: tuple[tuple[ids.Server, int], ...]
     used: tuple[tuple[ids.Server, int], ...]
     objects: tuple[tuple[ids.Server, tuple[int, ...]], ...] = versions.added_field((), since=2)
+    borrowed: tuple[tuple[ids.Server, int], ...] = versions.added_field((), since=2)
+    is_lent_known: bool = versions.added_field(True, since=2)
 
 
 @attrs.frozen
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -382,6 +382,7 @@
             shard,
             self._create_dispatcher(shard, budget),
             slot_loans.LoanController(self._limits.loan_step),
+            started_at=self._reactor.seconds(),
         )
         self._shards[shard] = state
         self._update_pool(shard, state)
@@ -548,8 +549,10 @@
             for other, report in state.recent_reports(now).items()
         }
         region_loads[region] = state.load(now)
-        targets = slot_loans.target_loans(region, region_loads)
-        state.loans.update(targets, region_loads, state.used_slots(now))
+        if state.demand is not None or not state.has_adopted_loans:
+            # What the region's own clients need is unknown right after a takeover.
+            targets = slot_loans.target_loans(region, region_loads)
+            state.loans.update(targets, region_loads, state.used_slots(now))
         previous = state.lent
         state.recalled.expire(now)
         state.lent = slot_loans.place_loans(
@@ -596,9 +599,21 @@
             if pooled.region == receiver
         )
         lent = tuple(state.lent.get(receiver, {}).items())
-        objects = state.next_digests(receiver, self._reactor.seconds())
+        now = self._reactor.seconds()
+        objects = state.next_digests(receiver, now)
+        lender = state.recent_reports(now).get(receiver)
+        borrowed = lender.lent if lender is not None else ()
         report = slot_messages.RegionReport(
-            service, region, receiver, load.slots, load.demand, lent, used, objects
+            service,
+            region,
+            receiver,
+            load.slots,
+            load.demand,
+            lent,
+            used,
+            objects,
+            borrowed,
+            not state.is_awaiting(receiver, now),
         )
         self._send(owner, report)
 
@@ -610,6 +625,8 @@
             return
         now = self._reactor.seconds()
         previous = state.reports.get(report.region)
+        if not report.is_lent_known and previous is not None:
+            report = attrs.evolve(report, lent=previous[0].lent)
         state.reports[report.region] = (report, now)
         if previous is not None:
             # The lender knows of the limits of its servers, and lends them again after these.
@@ -619,5 +636,8 @@
             self._update_pool(shard, state)
         elif previous[0].used != report.used:
             self._update_unavailable_slots(state, now)
+        if state.adopt_loan(report, now):
+            self._update_unavailable_slots(state, now)
+            self._send_region_report(shard, state, report.region, state.load(now))
         for server, hashes in report.objects:
             state.dispatcher.pool.record_told_objects(server, hashes)
--- a/src/carobhook/transport/shard_state.py
+++ b/src/carobhook/transport/shard_state.py
@@ -27,6 +27,9 @@
 _DEMAND_WEIGHT = 0.2
 # The regions in which a shard's requests run are compared between windows of this length.
 _GRANT_WINDOW_S = 2.0
+# A new dispatcher waits this long for the reports of other regions, which tell what they
+# borrow, before it tells them that they borrow nothing.
+_ADOPTION_S = 1.2
 # A change is logged if it concerns at least this share of the grants of a window.
 _LOGGED_SHIFT = 0.15
 
@@ -51,6 +54,9 @@
         recalled: Recalled slots that their borrowers may still be using.
         limits: Limits that servers named, as far as this dispatcher was told.
         digests: Selects what each other region is told of the objects of lent servers.
+        started_at: Monotonic time in seconds at which the dispatcher started.
+        heard_regions: Regions that have sent a report to this dispatcher.
+        has_adopted_loans: Whether it continues loans of the shard's previous dispatcher.
         grants: Grants in this window by region of the server.
         last_grants: Grants in the window before.
         window_started_at: Monotonic time in seconds at which this window began.
@@ -76,6 +82,9 @@
     digests: collections.defaultdict[ids.Region, object_digests.DigestSender] = attrs.field(
         factory=lambda: collections.defaultdict(object_digests.DigestSender)
     )
+    started_at: float = -math.inf
+    heard_regions: set[ids.Region] = attrs.field(factory=set)
+    has_adopted_loans: bool = False
     grants: collections.Counter[ids.Region] = attrs.field(factory=collections.Counter)
     last_grants: collections.Counter[ids.Region] = attrs.field(factory=collections.Counter)
     window_started_at: float = 0.0
@@ -121,6 +130,45 @@
             for server, slots in sorted(self._steady_slots(now).items())
         }
 
+    def adopt_loan(self, report: slot_messages.RegionReport, now: float) -> bool:
+        """Continue the loan that a region has from the shard's previous dispatcher.
+
+        Only its first report to this dispatcher counts, and only for a while after the start.
+        False is returned if there is nothing to continue.
+
+        Args:
+            report: Report of the region.
+            now: Monotonic time in seconds.
+        """
+        is_first = report.region not in self.heard_regions
+        self.heard_regions.add(report.region)
+        if not is_first or now - self.started_at > _ADOPTION_S or not report.borrowed:
+            return False
+        slots = self._steady_slots(now)
+        lent = {
+            server: min(count, slots[server] - self._lent_count(server))
+            for server, count in report.borrowed
+            if server in slots
+        }
+        self.lent[report.region] = {
+            server: count for server, count in lent.items() if count > 0
+        }
+        self.loans.adopt(report.region, sum(self.lent[report.region].values()))
+        self.has_adopted_loans = True
+        return True
+
+    def is_awaiting(self, region: ids.Region, now: float) -> bool:
+        """Return whether a region may borrow slots of which this dispatcher has not heard yet.
+
+        Args:
+            region: The region.
+            now: Monotonic time in seconds.
+        """
+        return region not in self.heard_regions and now - self.started_at <= _ADOPTION_S
+
+    def _lent_count(self, server: ids.Server) -> int:
+        return sum(loaned.get(server, 0) for loaned in self.lent.values())
+
     def next_digests(
         self, region: ids.Region, now: float
     ) -> tuple[tuple[ids.Server, object_digests.ObjectHashes], ...]:
@@ -158,7 +206,7 @@
     def _lendable_count(self, server: ids.Server, slots: int) -> int:
         pooled = self.dispatcher.pool.get(server)
         running = len(pooled.running) if pooled is not None else 0
-        lent = sum(loaned.get(server, 0) for loaned in self.lent.values())
+        lent = self._lent_count(server)
         usable = slots - self.recalled.count(server)
         return max(0, min(usable, max(lent, usable - running)))
 
