Let a request wait while all slots of its region are lent and can return

Change: such a request waits up to 1.2 s if its target leaves room for that; slots that orders withhold do not count.

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -53,6 +53,8 @@
 _MIN_HEALTHY_SHARE = 0.5
 # The way to another region and back takes longer, and its traffic is billed too.
 _CROSS_REGION_COST_S = 0.08
+# A lent slot is recalled for a request of the own region, and can be granted, within this time.
+_SLOT_RETURN_S = 1.2
 # If no server is free, a new request that may miss its target is queued only while the number
 # of such requests in the queue is below this share of the number of slots, or is zero.
 _MAX_LATE_SHARE = 0.25
@@ -360,10 +362,17 @@
             for server in eligible
         )
         if slots <= 0:
-            return math.inf
+            return self._wait_for_return_s(queued)
         first_s = min(server.next_free_s(now) for server in eligible)
         return first_s + self._queue.work_ahead_s(queued) / slots
 
+    def _wait_for_return_s(self, queued: request_queue.QueuedRequest) -> float:
+        """Return the expected wait of a request while all slots are lent to other regions."""
+        slots = self.pool.returning_slots
+        if slots <= 0:
+            return math.inf
+        return _SLOT_RETURN_S + self._queue.work_ahead_s(queued) / slots
+
     def _high_work_s(self, queued: request_queue.QueuedRequest) -> float:
         """Return a work time in seconds that few requests of this kind exceed."""
         return queued.expected_work_s * self._times.high_ratio(queued.request.route)
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -2,6 +2,7 @@
 
 import collections
 import math
+import types
 from collections.abc import Iterable, Iterator, Mapping
 
 import attrs
@@ -427,6 +428,7 @@
     _slots: int = attrs.field(default=0, init=False)
     _limited: dict[ids.Server, PooledServer] = attrs.field(factory=dict, init=False)
     _regions: frozenset[ids.Region] = attrs.field(default=frozenset(), init=False)
+    _returning_slots: int = attrs.field(default=0, init=False)
     _told: object_digests.ToldObjects = attrs.field(
         factory=object_digests.ToldObjects, init=False
     )
@@ -605,14 +607,28 @@
         else:
             self._limited[name] = server
 
-    def set_unavailable_slots(self, counts: Mapping[ids.Server, int]) -> None:
+    @property
+    def returning_slots(self) -> int:
+        """Return the number of slots that may not be granted now, but can be taken back."""
+        return self._returning_slots
+
+    def set_unavailable_slots(
+        self,
+        counts: Mapping[ids.Server, int],
+        withheld: Mapping[ids.Server, int] = types.MappingProxyType({}),
+    ) -> None:
         """Set how many slots of each server must not be granted.
 
         Args:
             counts: Number of slots by server; a server that is missing has none.
+            withheld: Those of them that orders withhold. Others are lent, or were a moment ago.
         """
+        self._returning_slots = 0
         for server in self._servers.values():
             server.unavailable_slots = counts.get(server.name, 0)
+            withheld_slots = min(server.slots, withheld.get(server.name, 0))
+            returning = min(server.slots, server.unavailable_slots) - withheld_slots
+            self._returning_slots += max(0, returning)
         self._count_slots()
 
     def _count_slots(self) -> None:
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -524,7 +524,7 @@
                 excess = in_use - state.lent.get(region, {}).get(server, 0)
                 if excess > 0:
                     counts[server] = counts.get(server, 0) + excess
-        state.dispatcher.pool.set_unavailable_slots(counts)
+        state.dispatcher.pool.set_unavailable_slots(counts, state.withheld)
 
     def update_loans(self, elapsed_s: float, now: float) -> None:
         """Update the loans and pools of all shards, and report to other regions' dispatchers.
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -82,6 +82,24 @@
         dispatcher_.submit(make_request(1), 0.0)
         assert dispatcher_.submit(make_request(2), 0.0) == []
 
+    def test_request_waits_for_lent_slots_to_return(self):
+        """While all slots are lent, a request waits for one if it has time, or is refused."""
+        dispatcher_ = make_dispatcher(offer("a"))
+        dispatcher_.pool.set_unavailable_slots({ids.Server("a"): 2})
+        hurried = dispatcher_.submit(make_request(1), 0.0)
+        assert [d.code for d in hurried] == [codes.Code.DEADLINE_UNMEETABLE]
+        assert dispatcher_.submit(make_request(2, target_s=4.0), 0.0) == []
+        dispatcher_.pool.set_unavailable_slots({})
+        assert granted_ids(dispatcher_.decide(1.0)) == ["r2"]
+
+    def test_request_is_refused_while_orders_withhold_all_slots(self):
+        """No slot returns, so waiting would be in vain."""
+        dispatcher_ = make_dispatcher(offer("a"))
+        withheld = {ids.Server("a"): 2}
+        dispatcher_.pool.set_unavailable_slots(withheld, withheld)
+        decisions = dispatcher_.submit(make_request(1, target_s=4.0), 0.0)
+        assert [d.code for d in decisions] == [codes.Code.DEADLINE_UNMEETABLE]
+
     def test_slots_granted_by_the_previous_dispatcher_count(self):
         """After a takeover, requests that already run occupy their slots."""
         dispatcher_ = make_dispatcher(offer("a", slots=1))
