Wait for no server whose slots are all lent, and no longer than the work elsewhere

Change: a server without a usable slot is no candidate. The wait for a busy one ends when the work on the free one would have ended.

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -298,7 +298,9 @@
         return [
             self._refusal(queued.request, codes.Code.DEADLINE_UNMEETABLE, now)
             for queued in late
-            if self._should_drop(queued, others_need_slots and not queued.has_given_way, now)
+            if self._should_drop(
+                queued, others_need_slots and queued.gave_way_until is None, now
+            )
             and self._queue.remove(queued.request.id)
         ]
 
@@ -427,7 +429,7 @@
         candidates = [
             self._evaluate(request, server, key, now)
             for server in self.pool.holders(key)
-            if _is_eligible(server, request)
+            if server.has_usable_slots and _is_eligible(server, request)
         ]
         if not candidates:
             return None
@@ -458,7 +460,7 @@
             return None
         key = work_times.qualified_key(request.route, request.object_key)
         holders = self.pool.holders(key) if key is not None else []
-        holders = [server for server in holders if may_run(server)]
+        holders = [server for server in holders if server.has_usable_slots and may_run(server)]
         candidates = [self._evaluate(request, server, key, now) for server in holders]
         holder_names = {server.name for server in holders}
         others = [server for server in eligible if server.name not in holder_names]
@@ -482,8 +484,9 @@
             return best
         # The best server is busy. Wait for it if the response will still be in time; otherwise
         # use a free server that responds earlier. A slower one would only put the object into
-        # the memory of one more server, in the place of another. While slots are scarce, use
-        # only a server that is likely to respond in time.
+        # the memory of one more server, in the place of another, so the request waits for as
+        # long as that would work. While slots are scarce, use only a server that is likely to
+        # respond in time.
         high_ratio = self._times.high_ratio(request.route)
         best_end_s = best.wait_s + best.work_s
         if now + best.wait_s + best.work_s * high_ratio <= request.target_at:
@@ -493,7 +496,7 @@
         if self._are_slots_scarce(free, now):
             ready = [c for c in ready if now + c.work_s * high_ratio <= request.target_at]
         elif not ready:
-            queued.has_given_way = True
+            ready = _give_way(queued, [c for c in candidates if c.is_free], now)
         if not ready:
             self._reserve(queued, best)
             return None
@@ -643,6 +646,22 @@
         )
 
 
+def _give_way(
+    queued: request_queue.QueuedRequest, slower: list[_Candidate], now: float
+) -> list[_Candidate]:
+    """Return the servers to use in place of a busy one; none while the request waits for it.
+
+    Args:
+        queued: The request.
+        slower: Free servers that would respond later than the busy one.
+        now: Monotonic time in seconds.
+    """
+    if queued.gave_way_until is None:
+        work_s = min((candidate.work_s for candidate in slower), default=0.0)
+        queued.gave_way_until = now + work_s
+    return slower if now >= queued.gave_way_until else []
+
+
 def _is_eligible(server: server_pool.PooledServer, request: allocation.SlotRequest) -> bool:
     if server.name in request.avoided:
         return False
--- a/src/carobhook/coordination/request_queue.py
+++ b/src/carobhook/coordination/request_queue.py
@@ -26,8 +26,9 @@
         expected_work_s: Expected work time in seconds.
         late: Whether it may miss its target even if it starts at once. Once true, stays true.
         awaited: Busy server that it waits for although another one was free, or None.
-        has_given_way: Whether it waits although it could have started while slots were plenty,
-            so that it is not refused in favour of others.
+        gave_way_until: Monotonic time in seconds until which it waits for a busy server,
+            although it could have started on a free one while slots were plenty, or None. It is
+            not refused in favour of others then.
         sort_key: Queue order: requests still in time first, then by priority and target.
     """
 
@@ -35,7 +36,7 @@
     expected_work_s: float
     late: bool = attrs.field(default=False, init=False)
     awaited: ids.Server | None = attrs.field(default=None, init=False)
-    has_given_way: bool = attrs.field(default=False, init=False)
+    gave_way_until: float | None = attrs.field(default=None, init=False)
     sort_key: tuple[bool, int, float] = attrs.field(init=False)
 
     @sort_key.default
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -249,6 +249,11 @@
         slots = 1 if self._connection_failures else self.slots - self.unavailable_slots
         return max(0, slots - len(self.running))
 
+    @property
+    def has_usable_slots(self) -> bool:
+        """Return whether any of its slots is for this pool, so that one may become free."""
+        return self.slots > self.unavailable_slots
+
     def can_serve(self, now: float) -> bool:
         """Return whether the server takes requests, although it may be busy at the moment."""
         is_healthy = not self._connection_failures and now >= self._paused_until
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -289,6 +289,45 @@
             )
 
 
+class TestWaitForHolder:
+    """Requests whose object is in the memory of a server that is not free."""
+
+    def prepare(self):
+        """Return a dispatcher whose server "a" has the object, which takes 2 s elsewhere."""
+        dispatcher_ = make_dispatcher(offer("a", slots=1), offer("b", slots=4))
+        times = dispatcher_._times
+        for _ in range(20):
+            times.observe("route", None, 2.0)
+            times.observe("route", 0, 0.5)
+        dispatcher_.submit(make_request(1, object_key="o", target_s=9.0), 0.0)
+        (holder,) = dispatcher_.pool.holders("route\0o")
+        return dispatcher_, holder
+
+    def submit(self, dispatcher_, now):
+        """Submit a request for the object that cannot be in time without waiting."""
+        request = make_request(2, now, object_key="o", target_s=0.9, deadline_s=9.0)
+        return dispatcher_.submit(request, now)
+
+    def test_server_whose_slots_are_all_lent_is_not_waited_for(self):
+        """None of its slots becomes free here, whoever ends."""
+        dispatcher_, holder = self.prepare()
+        outcome = allocation.AttemptOutcome.ANSWERED
+        dispatcher_.release_slot(ids.RequestId("r1"), holder.name, outcome, 2.0)
+        dispatcher_.pool.set_unavailable_slots({holder.name: holder.slots})
+        assert granted_ids(self.submit(dispatcher_, 2.0)) == ["r2"]
+
+    def test_wait_is_bounded(self):
+        """A request does not wait longer than the work takes on a free server."""
+        dispatcher_, holder = self.prepare()
+        holder.running.clear()
+        holder.start(make_request(3), 0.8, 0.0)
+        while holder.free_slots(0.0):
+            holder.start(make_request(100 + len(holder.running)), 0.8, 0.0)
+        assert self.submit(dispatcher_, 0.0) == []
+        assert granted_ids(dispatcher_.decide(1.0)) == []
+        assert granted_ids(dispatcher_.decide(2.1)) == ["r2"]
+
+
 class LoadSimulation:
     """Simulates one dispatcher and its servers under random arrivals.
 
