--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -11,6 +11,7 @@
 import attrs
 
 from carobhook.coordination import (
+    pooled_server,
     region_shares,
     request_queue,
     retry_budget,
@@ -80,7 +81,7 @@
         cost: Cost of the choice.
     """
 
-    server: server_pool.PooledServer
+    server: pooled_server.PooledServer
     is_free: bool
     wait_s: float
     work_s: float
@@ -261,7 +262,7 @@
             candidates: Queued requests, in queue order.
             now: Monotonic time in seconds.
         """
-        free: list[server_pool.PooledServer] | None = None
+        free: list[pooled_server.PooledServer] | None = None
         self._reserved_s.clear()
         grants: list[Decision] = []
         for queued in candidates:
@@ -345,7 +346,7 @@
     def _expected_wait_s(
         self,
         queued: request_queue.QueuedRequest,
-        eligible: list[server_pool.PooledServer],
+        eligible: list[pooled_server.PooledServer],
         now: float,
     ) -> float:
         """Return the expected wait of a new request in seconds.
@@ -437,13 +438,13 @@
         if not best.is_free or self._is_abroad(best.server):
             return None
         usual_s = self._times.estimate_s(request.route, None, _DEFAULT_WORK_S)
-        least_cost = usual_s * server_pool.LEAST_SLOWNESS * (1 + self._slot_time_weight())
+        least_cost = usual_s * pooled_server.LEAST_SLOWNESS * (1 + self._slot_time_weight())
         return best if best.cost <= least_cost else None
 
     def _choose_server(
         self,
         queued: request_queue.QueuedRequest,
-        free: list[server_pool.PooledServer],
+        free: list[pooled_server.PooledServer],
         now: float,
     ) -> _Candidate | None:
         """Return the server to start a request on now, or None if it must wait.
@@ -502,16 +503,16 @@
             return None
         return min(ready, key=lambda candidate: candidate.cost)
 
-    def _are_slots_scarce(self, free: Iterable[server_pool.PooledServer], now: float) -> bool:
+    def _are_slots_scarce(self, free: Iterable[pooled_server.PooledServer], now: float) -> bool:
         """Return whether there are no more free slots than queued requests."""
         return sum(server.free_slots(now) for server in free) <= len(self._queue)
 
     def _placement_filter(
         self,
         request: allocation.SlotRequest,
-        free: Iterable[server_pool.PooledServer],
+        free: Iterable[pooled_server.PooledServer],
         now: float,
-    ) -> Callable[[server_pool.PooledServer], bool]:
+    ) -> Callable[[pooled_server.PooledServer], bool]:
         """Return a function that tells whether a request may run on a server.
 
         The server must be eligible, and in a region to which the request may move now. If the
@@ -560,7 +561,7 @@
             self._home_count = len(healthy) if is_able else 0
         return self._home_count
 
-    def _is_abroad(self, server: server_pool.PooledServer) -> bool:
+    def _is_abroad(self, server: pooled_server.PooledServer) -> bool:
         """Return whether a server is borrowed from another region."""
         return self.shares is not None and server.region != self.shares.home
 
@@ -573,7 +574,7 @@
     def _evaluate(
         self,
         request: allocation.SlotRequest,
-        server: server_pool.PooledServer,
+        server: pooled_server.PooledServer,
         key: str | None,
         now: float,
     ) -> _Candidate:
@@ -599,7 +600,7 @@
         queue_ratio = min(1.0, len(self._queue) / max(1, self.pool.slots))
         return _SLOT_TIME_WEIGHT + queue_ratio * _QUEUE_SLOT_TIME_WEIGHT
 
-    def _health_penalty(self, server: server_pool.PooledServer, now: float) -> float:
+    def _health_penalty(self, server: pooled_server.PooledServer, now: float) -> float:
         """Return the cost of slowness and failures, as a multiple of a request's work time."""
         slowness = (server.slowness(now) - 1.0) + (server.pace.factor(now) - 1.0)
         return slowness + server.failure_share * _FAILURE_PENALTY
@@ -662,7 +663,7 @@
     return slower if now >= queued.gave_way_until else []
 
 
-def _is_eligible(server: server_pool.PooledServer, request: allocation.SlotRequest) -> bool:
+def _is_eligible(server: pooled_server.PooledServer, request: allocation.SlotRequest) -> bool:
     if server.name in request.avoided:
         return False
     return not request.homes or server.region in request.homes
--- a/src/carobhook/emulator/policies.py
+++ b/src/carobhook/emulator/policies.py
@@ -5,7 +5,7 @@
 
 import attrs
 
-from carobhook.coordination import catalog, dispatcher, retry_budget, server_pool
+from carobhook.coordination import catalog, dispatcher, pooled_server, retry_budget
 from carobhook.emulator import model
 from carobhook.state import allocation, ids, servers
 
@@ -107,7 +107,7 @@
         return decisions
 
 
-def _server_offer(server: model.Server) -> server_pool.ServerOffer:
+def _server_offer(server: model.Server) -> pooled_server.ServerOffer:
     entry = servers.ServerEntry(
         ids.Server(server.name),
         _SERVICE,
@@ -117,7 +117,7 @@
         servers.ServerState.READY,
         0.0,
     )
-    return server_pool.ServerOffer(catalog.ServerView(entry, 0.0), _REGION, server.slots)
+    return pooled_server.ServerOffer(catalog.ServerView(entry, 0.0), _REGION, server.slots)
 
 
 class LeastBusyPolicy:
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -10,9 +10,9 @@
 from carobhook.coordination import (
     catalog,
     dispatcher,
+    pooled_server,
     region_shares,
     retry_budget,
-    server_pool,
     slot_loans,
     steering,
 )
@@ -478,13 +478,13 @@
                 own_servers.append(view)
                 max_per_s = self._own_share(shard, limits.get(entry.name))
                 offers.append(
-                    server_pool.ServerOffer(
+                    pooled_server.ServerOffer(
                         view, server_region, entry.slots, cold_rate, max_per_s
                     )
                 )
             elif entry.name in borrowed and entry.name not in limits and now >= view.cold_until:
                 slots = borrowed[entry.name]
-                offers.append(server_pool.ServerOffer(view, server_region, slots, cold_rate))
+                offers.append(pooled_server.ServerOffer(view, server_region, slots, cold_rate))
         state.withheld = self._orders.withheld_slots(service, region, own_servers)
         state.dispatcher.pool.replace(offers, now)
         state.dispatcher.retry_budget.share = visible_share
@@ -506,7 +506,9 @@
         max_per_s = (
             policy.cold_requests_per_s * self._limits.cold_factor + self._limits.cold_slack
         )
-        return server_pool.cold_rate_limit(policy.cold_requests_per_s, max_per_s, visible_share)
+        return pooled_server.cold_rate_limit(
+            policy.cold_requests_per_s, max_per_s, visible_share
+        )
 
     def _update_unavailable_slots(self, state: shard_state.ShardState, now: float) -> None:
         """Update how many slots of each server the dispatcher must not grant.
--- a/src/carobhook/transport/shard_state.py
+++ b/src/carobhook/transport/shard_state.py
@@ -10,8 +10,8 @@
 from carobhook.coordination import (
     dispatcher,
     object_digests,
+    pooled_server,
     server_limits,
-    server_pool,
     slot_loans,
 )
 from carobhook.protocol import slot_messages
@@ -185,7 +185,7 @@
             for region, report in self.recent_reports(now).items()
         }
 
-    def _own_servers(self) -> list[server_pool.PooledServer]:
+    def _own_servers(self) -> list[pooled_server.PooledServer]:
         servers = self.dispatcher.pool.servers
         return [pooled for pooled in servers if pooled.region == self.shard[0]]
 
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -8,8 +8,8 @@
 from carobhook.coordination import (
     catalog,
     dispatcher,
+    pooled_server,
     retry_budget,
-    server_pool,
 )
 from carobhook.state import allocation, codes, ids, servers
 
@@ -30,7 +30,7 @@
         0.0,
         started_at_ms,
     )
-    return server_pool.ServerOffer(
+    return pooled_server.ServerOffer(
         catalog.ServerView(entry, cold_until), region, slots, cold_rate=cold_rate
     )
 
