Free the slots that were released to others while a dispatcher stood still

Cause: while a dispatcher stood still, others took it for dead and released its slots to the next owner.

Change: a report of held slots frees those that its sender no longer holds, unless they were granted within the last second; it is sent to each new owner, also if it is empty; and a dispatcher whose tick was more than 0.8 s late asks all instances for it. test_slot_allocator.py::TestStandstill failed before.

--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -1,5 +1,6 @@
 """Runs the dispatchers of the shards that this instance owns."""
 
+import math
 import typing
 from collections.abc import Callable, Collection, Iterable, Mapping
 
@@ -29,6 +30,12 @@
 # otherwise it would grant slots that are in use. It waits at most this long, because instances
 # that it can't reach do not report.
 _TAKEOVER_WAIT_S = 0.25
+# A grant may be on its way to the instance that asked for this long.
+_GRANT_TRAVEL_S = 1.0
+# An instance that has stood still for longer may have been taken for dead by others. Once it
+# runs again, it hears of the live ones within the delay.
+_STANDSTILL_S = 0.8
+_QUERY_DELAY_S = 0.6
 # A dispatcher that failed is replaced at most this often. Each replacement asks every instance
 # which slots it holds.
 _REPLACE_INTERVAL_S = 1.0
@@ -101,6 +108,8 @@
         self._visible_share = visible_share
         self._shards: dict[Shard, shard_state.ShardState] = {}
         self._dispatch_s = 0.0
+        self._ticked_at = math.inf
+        self._query_at = math.inf
 
     @property
     def dispatch_s(self) -> float:
@@ -241,8 +250,31 @@
             rate = allocation.RateStatement(limit.max_per_s)
             self._record_rate(shard, state, limit.server, rate, now)
         state.unreported.discard(sender)
+        self._free_unheld(state, sender, {slot.id for slot in message.held}, now)
         self._decide(state, now)
 
+    def _free_unheld(
+        self,
+        state: shard_state.ShardState,
+        sender: ids.InstanceId,
+        held: Collection[ids.RequestId],
+        now: float,
+    ) -> None:
+        """Free the slots that an instance no longer holds by its own report.
+
+        It released them to another dispatcher, while it took this instance for dead.
+        """
+        for request_id, (requester, server) in list(state.granted.items()):
+            if requester != sender or request_id in held:
+                continue
+            pooled = state.dispatcher.pool.get(server)
+            run = pooled.running.get(request_id) if pooled is not None else None
+            if run is not None and now - run.started_at < _GRANT_TRAVEL_S:
+                continue
+            del state.granted[request_id]
+            outcome = allocation.AttemptOutcome.CANCELLED
+            self._release(state, request_id, server, outcome, now)
+
     def remove_instance(self, name: ids.InstanceId) -> None:
         """Remove the queued requests of an instance, and free its slots.
 
@@ -422,7 +454,18 @@
             self._decide(state, now)
 
     def tick(self, now: float) -> None:
-        """Decide on the queued requests of all shards."""
+        """Decide on the queued requests of all shards.
+
+        After a tick that is so late that others may have taken this instance for dead, all
+        instances are asked which slots they hold.
+        """
+        if now - self._ticked_at > _STANDSTILL_S:
+            self._query_at = now + _QUERY_DELAY_S
+        self._ticked_at = now
+        if now >= self._query_at:
+            self._query_at = math.inf
+            for shard, state in self._shards.items():
+                self._query_held_slots(shard, state)
         for state in list(self._shards.values()):
             self._replace_failed(state, now)
             self._decide(state, now)
--- a/src/carobhook/transport/slot_client.py
+++ b/src/carobhook/transport/slot_client.py
@@ -192,10 +192,12 @@
             self._reactor.callLater(_NOT_DISPATCHER_RETRY_S, self._resend, request_id)
 
     def switch_owner(self, shard: Shard, owner: ids.InstanceId) -> None:
-        """Report held slots to a shard's new owner, and send it the pending requests."""
-        message = self.held_slots(shard)
-        if message.held or message.limits:
-            self._send(owner, message)
+        """Report held slots to a shard's new owner, and send it the pending requests.
+
+        The report is sent even if it is empty: the owner may have been one before, and not know
+        what was released meanwhile.
+        """
+        self._send(owner, self.held_slots(shard))
         for pending in list(self._pending.values()):
             if pending.shard == shard and pending.owner != owner:
                 self._send_request(pending)
--- a/tests/test_slot_allocator.py
+++ b/tests/test_slot_allocator.py
@@ -322,6 +322,35 @@
         assert sent == [slot_messages.NotDispatcher(ids.RequestId("x"))]
 
 
+class TestStandstill:
+    """A dispatcher that stood still was taken for dead, and others dispatched meanwhile."""
+
+    def test_slots_released_to_another_dispatcher_are_free_again(self):
+        """Each of them would be lost for as long as the instance runs otherwise."""
+        deployment = Deployment("a", "b", "c", slots=2)
+        owner = deployment.owner
+        other = next(name for name in deployment.allocators if name != owner)
+        for number in range(2):
+            assert isinstance(deployment.request_slot(other, number)[0], allocation.SlotGrant)
+        for name, table in deployment.memberships.items():
+            if name != owner:
+                table.remove(owner)
+                deployment.allocators[name].update_owners()
+        for number in range(2):
+            deployment.allocators[other].release_slot(
+                ids.RequestId(f"{other}-{number}"), allocation.AttemptOutcome.ANSWERED
+            )
+        deployment.clock.advance(2.0)
+        for table in deployment.memberships.values():
+            for name in deployment.allocators:
+                table.record_heartbeat(member(name), deployment.clock.seconds())
+        for _ in range(10):
+            deployment.clock.advance(0.1)
+            for allocator in deployment.allocators.values():
+                allocator.tick()
+        assert deployment.allocators[owner].loads()[0].running == 0
+
+
 class TestFailedHandOver:
     """An error while the new owner of a shard is applied."""
 
