Free the second slot of a request that two dispatchers granted one around a hand-over

Cause: a request whose grant from the former dispatcher was on its way had been sent to the next one too. It ran once: the instance ignores a second grant.

Change: a release for another server than the one granted frees the granted slot too, and one for a queued request withdraws it. test_slot_allocator.py::TestTwoDispatchers failed before.

--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -168,12 +168,21 @@
             self._release(state, message.id, granted[1], outcome, self._reactor.seconds())
 
     def handle_release(self, message: slot_messages.SlotReleased) -> None:
-        """Free a slot, and send the decisions that this makes possible."""
+        """Free a slot, and send the decisions that this makes possible.
+
+        Around a hand-over, the request may have got its slot from another dispatcher and have
+        been sent to this one too. It is withdrawn here then, or its second slot freed.
+        """
         state = self._shards.get((message.region, message.service))
         if state is None:
             return
-        state.granted.pop(message.id, None)
         now = self._reactor.seconds()
+        granted = state.granted.pop(message.id, None)
+        if granted is None and self._guard(state, state.dispatcher.withdraw, message.id):
+            state.requesters.pop(message.id, None)
+        elif granted is not None and granted[1] != message.server:
+            unused = allocation.AttemptOutcome.CANCELLED
+            self._release(state, message.id, granted[1], unused, now)
         if message.rate is not None:
             self._record_rate(
                 (message.region, message.service), state, message.server, message.rate, now
--- a/tests/test_slot_allocator.py
+++ b/tests/test_slot_allocator.py
@@ -322,6 +322,63 @@
         assert sent == [slot_messages.NotDispatcher(ids.RequestId("x"))]
 
 
+class TestTwoDispatchers:
+    """A request got its slot from one dispatcher while it was sent to the next one too."""
+
+    def request(self, number, slots):
+        """Return the dispatcher's instance and its state after it got a request."""
+        deployment = Deployment("a", slots=slots)
+        deployment.cut.add((ids.InstanceId("a"), ids.InstanceId("b")))
+        allocator = deployment.allocators["a"]
+        for _ in range(number):
+            deployment.request_slot("a", "other")
+        allocator._dispatchers.handle_request(
+            ids.InstanceId("b"),
+            slot_messages.SlotRequested(
+                ids.RequestId("b-1"),
+                NORTH,
+                SERVICE,
+                "route",
+                None,
+                1,
+                1000.0,
+                5000.0,
+                False,
+                frozenset(),
+                frozenset(),
+                None,
+            ),
+        )
+        return allocator, allocator._dispatchers.get_or_create((NORTH, SERVICE))
+
+    def release(self, allocator):
+        """Tell the dispatcher that the request has ended at a server of the other's choice."""
+        allocator.handle_message(
+            ids.InstanceId("b"),
+            slot_messages.SlotReleased(
+                ids.RequestId("b-1"),
+                NORTH,
+                SERVICE,
+                ids.Server("i-2"),
+                allocation.AttemptOutcome.ANSWERED,
+            ),
+        )
+
+    def test_second_slot_is_freed(self):
+        """It would count as used for as long as the dispatcher runs otherwise."""
+        allocator, state = self.request(0, slots=1)
+        assert state.dispatcher.pool.running == 1
+        self.release(allocator)
+        assert state.dispatcher.pool.running == 0
+
+    def test_queued_request_is_withdrawn(self):
+        """It would get a slot that nobody uses otherwise."""
+        allocator, state = self.request(1, slots=1)
+        assert state.dispatcher.queue_length == 1
+        self.release(allocator)
+        assert state.dispatcher.queue_length == 0
+
+
 class TestStandstill:
     """A dispatcher that stood still was taken for dead, and others dispatched meanwhile."""
 
