Give back slots that are granted to requests which no longer need them

Cause: a dispatcher that stood still worked off the requests that had come meanwhile, and granted them slots though others had served them.

Change: an instance answers a grant that no request waits for with a withdrawal; it keeps the shards of its latest 2,048 requests for that. The query after a standstill comes later than a grant may travel. test_slot_allocator.py::TestUnneededGrant failed before.

--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -35,7 +35,7 @@
 # An instance that has stood still for longer may have been taken for dead by others. Once it
 # runs again, it hears of the live ones within the delay.
 _STANDSTILL_S = 0.8
-_QUERY_DELAY_S = 0.6
+_QUERY_DELAY_S = 1.5
 # A dispatcher that failed is replaced at most this often. Each replacement asks every instance
 # which slots it holds.
 _REPLACE_INTERVAL_S = 1.0
--- a/src/carobhook/transport/slot_client.py
+++ b/src/carobhook/transport/slot_client.py
@@ -19,6 +19,8 @@
 # their dispatcher is about to be reachable.
 _STREAM_WAIT_S = 0.25
 _STREAM_RETRY_S = 0.05
+# Requests whose shards are kept, so that slots which they no longer need can be given back.
+_MAX_RECENT_REQUESTS = 2048
 
 
 @attrs.define(eq=False)
@@ -94,6 +96,8 @@
         self._update_owners = update_owners
         self._pending: dict[ids.RequestId, _PendingRequest] = {}
         self._held: dict[ids.RequestId, _HeldSlot] = {}
+        # Shards of the latest requests, in the order of the requests.
+        self._recent_shards: dict[ids.RequestId, Shard] = {}
         self._limits: dict[ids.Service, server_limits.ServerLimits] = {}
 
     @property
@@ -121,6 +125,9 @@
         result: defer.Deferred = defer.Deferred(lambda _: self._withdraw(request.id))
         pending = _PendingRequest(request, region, result)
         self._pending[request.id] = pending
+        self._recent_shards[request.id] = pending.shard
+        if len(self._recent_shards) > _MAX_RECENT_REQUESTS:
+            del self._recent_shards[next(iter(self._recent_shards))]
         self._send_request(pending)
         return result
 
@@ -168,14 +175,23 @@
         """Record a granted slot, and fire the result of its request."""
         pending = self._pending.get(grant.ask_id)
         if pending is None:
-            # The request was withdrawn while the grant was on its way. The dispatcher frees
-            # the slot when it receives the withdrawal.
+            self._return_slot(owner, grant)
             return
         self._held[grant.ask_id] = _HeldSlot(
             pending.request, pending.region, grant.server, owner
         )
         self._resolve(grant)
 
+    def _return_slot(self, owner: ids.InstanceId, grant: allocation.SlotGrant) -> None:
+        """Give a slot back that no request waits for.
+
+        Its request was withdrawn, or got a slot from another dispatcher while this one stood
+        still.
+        """
+        shard = self._recent_shards.get(grant.ask_id)
+        if shard is not None:
+            self._send(owner, slot_messages.SlotRequestWithdrawn(grant.ask_id, *shard))
+
     def handle_refusal(self, refusal: allocation.SlotRefusal) -> None:
         """Fire the result of a refused request."""
         self._resolve(refusal)
--- a/tests/test_slot_allocator.py
+++ b/tests/test_slot_allocator.py
@@ -379,6 +379,38 @@
         assert state.dispatcher.queue_length == 0
 
 
+class TestUnneededGrant:
+    """A grant for a request that has got a slot elsewhere, and has ended."""
+
+    def test_slot_is_given_back(self):
+        """The dispatcher stood still when the request came, and others granted it meanwhile."""
+        deployment = Deployment("a", "b", slots=2)
+        owner = deployment.owner
+        other = next(name for name in deployment.allocators if name != owner)
+        deployment.request_slot(other, 1)
+        request_id = ids.RequestId(f"{other}-1")
+        answered = allocation.AttemptOutcome.ANSWERED
+        deployment.allocators[other].release_slot(request_id, answered)
+        deployment.allocators[owner].handle_message(
+            other,
+            slot_messages.SlotRequested(
+                request_id,
+                NORTH,
+                SERVICE,
+                "route",
+                None,
+                1,
+                1000.0,
+                5000.0,
+                False,
+                frozenset(),
+                frozenset(),
+                None,
+            ),
+        )
+        assert deployment.allocators[owner].loads()[0].running == 0
+
+
 class TestStandstill:
     """A dispatcher that stood still was taken for dead, and others dispatched meanwhile."""
 
