Evaluate the servers that have a request's object once for both choices

The choice of a free server that has the object and the choice among all servers each listed, filtered and evaluated the holders, so a request that the first did not place paid for them twice. They share one list now.

Besides: the pool's type alias is used where it was meant to be, the length of a nonce stands once, and a test message that was written out twice is made by one function. No behaviour changes.

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -266,12 +266,13 @@
         self._reserved_s.clear()
         grants: list[Decision] = []
         for queued in candidates:
-            chosen = self._choose_free_holder(queued, now)
+            holders = self._evaluate_holders(queued.request, now)
+            chosen = self._choose_free_holder(queued.request, holders, now)
             if chosen is None:
                 free = self.pool.free_servers(now) if free is None else free
                 if not free:
                     break
-                chosen = self._choose_server(queued, free, now)
+                chosen = self._choose_server(queued, holders, free, now)
             if chosen is None:
                 continue
             grants.append(self._grant(queued, chosen, now))
@@ -411,8 +412,26 @@
         """Return whether one more request may run in the shard's own region."""
         return self.shares is None or self.shares.may_stay(now)
 
+    def _evaluate_holders(
+        self, request: allocation.SlotRequest, now: float
+    ) -> list[_Candidate]:
+        """Return the servers that have a request's object and may run it now or later.
+
+        Args:
+            request: The request.
+            now: Monotonic time in seconds.
+        """
+        key = work_times.qualified_key(request.route, request.object_key)
+        if key is None:
+            return []
+        return [
+            self._evaluate(request, server, key, now)
+            for server in self.pool.holders(key)
+            if server.has_usable_slots and _is_eligible(server, request)
+        ]
+
     def _choose_free_holder(
-        self, queued: request_queue.QueuedRequest, now: float
+        self, request: allocation.SlotRequest, holders: list[_Candidate], now: float
     ) -> _Candidate | None:
         """Return a free server that has the request's object, if no other can cost less.
 
@@ -420,21 +439,13 @@
         of servers that have the object.
 
         Args:
-            queued: The request.
+            request: The request.
+            holders: Result of `_evaluate_holders`.
             now: Monotonic time in seconds.
         """
-        request = queued.request
-        key = work_times.qualified_key(request.route, request.object_key)
-        if key is None or not self._may_stay(now):
+        if not holders or not self._may_stay(now):
             return None
-        candidates = [
-            self._evaluate(request, server, key, now)
-            for server in self.pool.holders(key)
-            if server.has_usable_slots and _is_eligible(server, request)
-        ]
-        if not candidates:
-            return None
-        best = min(candidates, key=lambda candidate: candidate.cost)
+        best = min(holders, key=lambda candidate: candidate.cost)
         if not best.is_free or self._is_abroad(best.server):
             return None
         usual_s = self._times.estimate_s(request.route, None, _DEFAULT_WORK_S)
@@ -444,6 +455,7 @@
     def _choose_server(
         self,
         queued: request_queue.QueuedRequest,
+        holders: list[_Candidate],
         free: list[pooled_server.PooledServer],
         now: float,
     ) -> _Candidate | None:
@@ -451,6 +463,7 @@
 
         Args:
             queued: The request.
+            holders: Result of `_evaluate_holders` for it.
             free: Servers that can start a request now.
             now: Monotonic time in seconds.
         """
@@ -459,11 +472,8 @@
         eligible = [server for server in free if may_run(server)]
         if not eligible:
             return None
-        key = work_times.qualified_key(request.route, request.object_key)
-        holders = self.pool.holders(key) if key is not None else []
-        holders = [server for server in holders if server.has_usable_slots and may_run(server)]
-        candidates = [self._evaluate(request, server, key, now) for server in holders]
-        holder_names = {server.name for server in holders}
+        candidates = [candidate for candidate in holders if may_run(candidate.server)]
+        holder_names = {candidate.server.name for candidate in candidates}
         others = [server for server in eligible if server.name not in holder_names]
         if others:
             best_other = min(
@@ -477,6 +487,7 @@
                     s.name,
                 ),
             )
+            key = work_times.qualified_key(request.route, request.object_key)
             candidates.append(self._evaluate(request, best_other, key, now))
         if not candidates:
             return None
--- a/src/carobhook/coordination/server_pool.py
+++ b/src/carobhook/coordination/server_pool.py
@@ -19,10 +19,8 @@
     lender that gets such a server back learns from the borrower which slots are still in use.
     """
 
-    _servers: dict[ids.Server, pooled_server.PooledServer] = attrs.field(
-        factory=dict, init=False
-    )
-    _ended: dict[ids.Server, pooled_server.PooledServer] = attrs.field(factory=dict, init=False)
+    _servers: _Servers = attrs.field(factory=dict, init=False)
+    _ended: _Servers = attrs.field(factory=dict, init=False)
     # Requests that were taken over on servers which have not been offered yet, with their
     # expected work times in seconds.
     _taken_over: dict[ids.Server, dict[ids.RequestId, tuple[allocation.SlotRequest, float]]] = (
@@ -30,9 +28,7 @@
     )
     _holders: dict[str, set[ids.Server]] = attrs.field(factory=dict, init=False)
     _slots: int = attrs.field(default=0, init=False)
-    _limited: dict[ids.Server, pooled_server.PooledServer] = attrs.field(
-        factory=dict, init=False
-    )
+    _limited: _Servers = attrs.field(factory=dict, init=False)
     _regions: frozenset[ids.Region] = attrs.field(default=frozenset(), init=False)
     _returning_slots: int = attrs.field(default=0, init=False)
     _told: object_digests.ToldObjects = attrs.field(
@@ -174,7 +170,7 @@
             offers: Servers with their slots.
             now: Monotonic time in seconds.
         """
-        servers: dict[ids.Server, pooled_server.PooledServer] = {}
+        servers: _Servers = {}
         for offer in offers:
             pooled = self.get(offer.view.entry.name)
             if pooled is None or _restarted(pooled.view, offer.view):
--- a/src/carobhook/protocol/membership_messages.py
+++ b/src/carobhook/protocol/membership_messages.py
@@ -4,7 +4,8 @@
 
 from carobhook.state import ids, members, versions
 
-_NONCE_BYTES = 16
+# Random bytes at the beginning of each nonce.
+NONCE_BYTES = 16
 _VERSION_MARK = b"/version="
 _MAX_VERSION_DIGITS = 6
 
@@ -19,12 +20,12 @@
         random_bytes: 16 random bytes.
         version: Version that the accepting side speaks.
     """
-    return random_bytes[:_NONCE_BYTES] + _VERSION_MARK + str(version).encode()
+    return random_bytes[:NONCE_BYTES] + _VERSION_MARK + str(version).encode()
 
 
 def protocol_version(nonce: bytes) -> int:
     """Return the version that a nonce states, the first one if it states none."""
-    mark, digits = nonce[_NONCE_BYTES:].partition(_VERSION_MARK)[1:]
+    mark, digits = nonce[NONCE_BYTES:].partition(_VERSION_MARK)[1:]
     if not mark or not digits.isdigit() or len(digits) > _MAX_VERSION_DIGITS:
         return versions.FIRST_VERSION
     return max(versions.FIRST_VERSION, int(digits))
--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -22,7 +22,6 @@
 # both sides receive data: one gets heartbeats, the other gets their acknowledgements. This is
 # also the timeout of attempts to connect.
 _SILENCE_TIMEOUT_S = 2.0
-_NONCE_BYTES = 16
 _MAX_HELLO_BYTES = 64 * 1024
 # Types of skipped messages that are logged for each connection.
 _MAX_LOGGED_TYPES = 16
@@ -182,7 +181,7 @@
         self._is_relay = False
         self._relayed: typing.Any = None
         self._nonce = membership_messages.versioned_nonce(
-            secrets.token_bytes(_NONCE_BYTES), codec.version
+            secrets.token_bytes(membership_messages.NONCE_BYTES), codec.version
         )
         self._sender: ids.InstanceId | None = None
         # An unauthenticated client must not make this instance buffer more than a hello.
--- a/tests/test_slot_allocator.py
+++ b/tests/test_slot_allocator.py
@@ -28,6 +28,24 @@
     )
 
 
+def requested(request_id):
+    """Return the message that requests a slot."""
+    return slot_messages.SlotRequested(
+        request_id,
+        NORTH,
+        SERVICE,
+        "route",
+        None,
+        1,
+        1000.0,
+        5000.0,
+        False,
+        frozenset(),
+        frozenset(),
+        None,
+    )
+
+
 class Deployment:
     """Slot allocators of several instances that know each other.
 
@@ -334,20 +352,7 @@
             deployment.request_slot("a", "other")
         allocator._dispatchers.handle_request(
             ids.InstanceId("b"),
-            slot_messages.SlotRequested(
-                ids.RequestId("b-1"),
-                NORTH,
-                SERVICE,
-                "route",
-                None,
-                1,
-                1000.0,
-                5000.0,
-                False,
-                frozenset(),
-                frozenset(),
-                None,
-            ),
+            requested(ids.RequestId("b-1")),
         )
         return allocator, allocator._dispatchers.get_or_create((NORTH, SERVICE))
 
@@ -393,20 +398,7 @@
         deployment.allocators[other].release_slot(request_id, answered)
         deployment.allocators[owner].handle_message(
             other,
-            slot_messages.SlotRequested(
-                request_id,
-                NORTH,
-                SERVICE,
-                "route",
-                None,
-                1,
-                1000.0,
-                5000.0,
-                False,
-                frozenset(),
-                frozenset(),
-                None,
-            ),
+            requested(request_id),
         )
         assert deployment.allocators[owner].loads()[0].running == 0
 
