--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -12,17 +12,15 @@
 from carobhook.coordination import (
     backoff,
     catalog,
-    evacuations,
     object_watch,
     objects,
     steering,
     store_feed,
 )
 from carobhook.platform import names, store
-from carobhook.platform import objects as platform_objects
 from carobhook.protocol import feed_messages
 from carobhook.state import ids, orders
-from carobhook.transport import orders_restore, supervision
+from carobhook.transport import orders_restore, received_objects, supervision
 
 _RETRY_DELAYS = backoff.Backoff(first_s=0.2, cap_s=1.0)
 # A watch call returns without a change when its wait ends, and is then repeated. If its answer
@@ -38,8 +36,6 @@
     kind: object_watch.WatchOptions(wait_s=wait_s, delays=_RETRY_DELAYS, batch_delay_s=0.2)
     for kind, wait_s in _WAIT_S_BY_KIND.items()
 }
-_NO_POSITION = objects.Position(0, 0)
-_T = typing.TypeVar("_T")
 
 # A watch call may wait for seconds until the store answers. The store is probed in between;
 # otherwise its last answer would be too old to send progress messages, and subscribers would
@@ -102,15 +98,11 @@
         self._reactor = reactor
         self._store = platform_store
         self._catalog = server_catalog
-        self._orders = order_steering
         self._rng = rng
         self._on_change = on_change
         self._peers = peers
         self._supervisor = supervisor
-        self._objects: dict[str, dict[str, feed_messages.FeedObject]] = {}
-        self._positions: dict[str, objects.Position] = {}
-        self._evacuations = evacuations.Evacuations()
-        self._config_item: feed_messages.FeedObject | None = None
+        self._received = received_objects.ReceivedObjects(server_catalog, order_steering)
         self._watchers: dict[str, object_watch.ObjectWatcher] = {}
         # Number of failures of each kind's watch in a row, and the monotonic time in seconds at
         # which a failed one is started again.
@@ -128,14 +120,14 @@
             server_catalog,
             order_steering,
             rng,
-            lambda: self._objects.get(orders.STORE_KIND, {}).get(orders.STORE_NAME),
+            lambda: self._received.orders_item,
             supervisor,
         )
 
     @property
     def is_complete(self) -> bool:
         """Return whether the objects of every kind have been received."""
-        return len(self._positions) == len(_WATCH_OPTIONS_BY_KIND)
+        return len(self._received.positions) == len(_WATCH_OPTIONS_BY_KIND)
 
     @property
     def is_direct(self) -> bool:
@@ -161,7 +153,7 @@
         """
         now = self._reactor.seconds()
         self._record_era(self._store.era)
-        self._catalog.set_evacuated(self._evacuations.in_force(now))
+        self._received.update_evacuated(now)
         decision = self._source_selector.decide(
             self._peers.candidates(), self._peers.relays(), self.is_complete, now
         )
@@ -185,9 +177,9 @@
             return
         if not self.is_complete or not self._is_confirmed(now):
             return
-        if any(position.era != self._era for position in self._positions.values()):
+        if any(position.era != self._era for position in self._received.positions.values()):
             return
-        revisions = tuple(sorted(self._revisions().items()))
+        revisions = tuple(sorted(self._received.revisions.items()))
         for name in self._subscribers.due(now):
             self._peers.send(name, feed_messages.FeedProgress(revisions, self._era))
 
@@ -199,9 +191,6 @@
             for kind, watcher in self._watchers.items()
         )
 
-    def _revisions(self) -> dict[str, int]:
-        return {kind: position.revision for kind, position in self._positions.items()}
-
     def _record_era(self, era: int) -> None:
         """Record the store's era; when a new one has begun, list the objects again at once."""
         if era <= self._era:
@@ -209,7 +198,9 @@
         before, self._era = self._era, era
         if not before:
             return
-        logs.warning("store-restored", era=era, before=before, revisions=self._revisions())
+        logs.warning(
+            "store-restored", era=era, before=before, revisions=self._received.revisions
+        )
         for kind, watcher in list(self._watchers.items()):
             if watcher.era < era:
                 watcher.stop()
@@ -239,20 +230,20 @@
         if isinstance(message, feed_messages.FeedRequest):
             if self._watchers and self.is_complete:
                 self._subscribers.add(sender)
-                for snapshot in self._snapshots():
+                for snapshot in self._received.snapshots():
                     self._peers.send(sender, snapshot)
         elif isinstance(message, feed_messages.FeedProgress):
             is_current = all(
-                self._has_reached(kind, message.era, revision)
+                self._received.has_reached(kind, message.era, revision)
                 for kind, revision in message.revisions
             )
             self._source_selector.record_progress(sender, is_current, now)
         elif isinstance(message, feed_messages.FeedSnapshot):
             position = objects.Position(message.era, message.revision)
-            if position >= self._positions.get(message.kind, _NO_POSITION):
+            if self._received.is_newer(message.kind, position):
                 self._apply_message(self._apply_snapshot, message.kind, position, message.items)
-        elif self._has_reached(message.kind, message.era, message.since):
-            if self._has_reached(message.kind, message.era, message.revision):
+        elif self._received.has_reached(message.kind, message.era, message.since):
+            if self._received.has_reached(message.kind, message.era, message.revision):
                 return
             position = objects.Position(message.era, message.revision)
             self._apply_message(self._apply_changes, message.kind, position, message.items)
@@ -271,48 +262,27 @@
 
     def _receive_anew(self, kind: str) -> None:
         """Forget the objects of a kind, and list them anew if this instance watches it."""
-        self._forget(kind)
+        self._received.forget(kind)
         watcher = self._watchers.get(kind)
         if watcher is not None:
             watcher.stop()
             self._watch(kind)
 
-    def _forget(self, kind: str) -> None:
-        """Forget up to where the objects of a kind were received; what is in force stays."""
-        self._positions.pop(kind, None)
-        self._objects.pop(kind, None)
-
     def _notify_change(self) -> None:
         """Report a change of the catalog or the orders; a report that fails is repeated."""
         self._has_unhandled_change = not self._supervisor.run("store-change", self._on_change)
 
-    def _has_reached(self, kind: str, era: int, revision: int) -> bool:
-        """Return whether this instance has all changes up to a revision of an era."""
-        position = self._positions.get(kind)
-        return position is not None and position.era == era and position.revision >= revision
-
-    def _snapshots(self) -> list[feed_messages.FeedSnapshot]:
-        return [
-            feed_messages.FeedSnapshot(
-                kind,
-                position.revision,
-                tuple(self._objects.get(kind, {}).values()),
-                position.era,
-            )
-            for kind, position in self._positions.items()
-        ]
-
     # Watch of the store.
 
     def _start_watching(self) -> None:
-        logs.event("store-followed-directly", revisions=self._revisions())
+        logs.event("store-followed-directly", revisions=self._received.revisions)
         for kind in _WATCH_OPTIONS_BY_KIND:
             self._watch(kind)
 
     def _watch(self, kind: str) -> None:
         """Start to watch a kind where this instance has got to, unless the era has ended."""
         self._restart_at.pop(kind, None)
-        position = self._positions.get(kind)
+        position = self._received.position(kind)
         watcher = self._watchers[kind] = object_watch.ObjectWatcher(
             self._store,
             self._reactor,
@@ -334,7 +304,7 @@
         self._supervisor.record(f"watch-{kind}", reason)
         if self._watchers.get(kind) is not watcher:
             return
-        self._forget(kind)
+        self._received.forget(kind)
         failures = self._watch_failures.get(kind, 0)
         self._watch_failures[kind] = failures + 1
         self._restart_at[kind] = self._reactor.seconds() + _RESTART_DELAYS.delay_s(
@@ -401,7 +371,7 @@
             # This is not update.since: the watch also advances past changes of other kinds,
             # about which subscribers get no update. Their revision can be older than
             # update.since, and they would ignore the events.
-            known = self._positions.get(kind)
+            known = self._received.position(kind)
             since = known.revision if known is not None else update.since
             self._apply_changes(kind, objects.Position(update.era, update.revision), items)
             feed_message = feed_messages.FeedEvents(
@@ -420,30 +390,9 @@
         position: objects.Position,
         items: Iterable[feed_messages.FeedObject],
     ) -> None:
-        now = self._reactor.seconds()
-        current = {item.name: item for item in items}
-        logs.event(
-            "objects-listed",
-            kind=kind,
-            objects=len(current),
-            revision=position.revision,
-            era=position.era,
-        )
-        previous = self._objects.get(kind, {})
-        self._objects[kind] = current
-        known = self._positions.get(kind)
-        is_older_copy = known is not None and known.era < position.era
-        self._positions[kind] = position
         self._record_era(position.era)
-        if kind == names.EVACUATIONS_KIND:
-            listed = [ids.FailureDomain(name) for name in current]
-            self._evacuations.replace(listed, is_older_copy, now)
-        if kind == names.SERVERS_KIND:
-            if is_older_copy:
-                self._catalog.record_older_copy(now)
-            self._catalog.retain(frozenset(ids.Server(name) for name in current), now)
-        changed = [item for item in current.values() if item != previous.get(item.name)]
-        self._apply(kind, changed, now, is_older_copy)
+        self._received.apply_snapshot(kind, position, items, self._reactor.seconds())
+        self._restore_orders(kind)
 
     def _apply_changes(
         self,
@@ -451,131 +400,13 @@
         position: objects.Position,
         items: Iterable[feed_messages.FeedObject],
     ) -> None:
-        current = self._objects.setdefault(kind, {})
-        for item in items:
-            if item.value is None:
-                current.pop(item.name, None)
-            else:
-                current[item.name] = item
-        self._positions[kind] = max(position, self._positions.get(kind, _NO_POSITION))
-        self._apply(kind, items, self._reactor.seconds())
-
-    def _apply(
-        self,
-        kind: str,
-        items: Iterable[feed_messages.FeedObject],
-        now: float,
-        is_older_copy: bool = False,
-    ) -> None:
-        for item in items:
-            if kind == names.CONFIG_KIND:
-                self._apply_config(item)
-            elif kind == names.SERVERS_KIND:
-                self._apply_server(item, now, is_older_copy)
-            elif kind == orders.STORE_KIND:
-                self._apply_orders(item)
-            else:
-                self._apply_evacuation(item)
-        if kind == names.EVACUATIONS_KIND:
-            self._catalog.set_evacuated(self._evacuations.in_force(now))
+        self._received.apply_changes(kind, position, items, self._reactor.seconds())
+        self._restore_orders(kind)
+
+    def _restore_orders(self, kind: str) -> None:
+        """After a change of the orders, write those again that the store has lost."""
         if kind == orders.STORE_KIND:
             self._orders_restore.schedule(self.is_direct)
-        if kind == names.CONFIG_KIND and self._config_item is not None:
-            # Instances that start get the configuration in force, also while the store has
-            # come back with an older one.
-            self._objects[kind][names.CONFIG_NAME] = self._config_item
-
-    def _apply_config(self, item: feed_messages.FeedObject) -> None:
-        if item.name != names.CONFIG_NAME or item.value is None:
-            return
-        config = _decode_or_warn(
-            f"{names.CONFIG_KIND}/{item.name}",
-            item.value,
-            platform_objects.decode_config,
-        )
-        if config is not None and self._catalog.replace_config_if_newer(config):
-            self._config_item = item
-            logs.event(
-                "config-in-force",
-                version=f"{config.version:08x}",
-                revision=item.version,
-                routes=len(config.routes),
-                homes=[
-                    f"{route.name}:{'+'.join(sorted(route.homes))}"
-                    for route in config.routes
-                    if route.homes
-                ],
-            )
-
-    def _apply_orders(self, item: feed_messages.FeedObject) -> None:
-        if item.name != orders.STORE_NAME or item.value is None:
-            return
-        # Imported here, as the decoder costs memory, and most instances never get an order.
-        from carobhook.protocol import order_codec
-
-        order_state = _decode_or_warn(
-            f"{orders.STORE_KIND}/{item.name}",
-            item.value,
-            order_codec.decode,
-        )
-        if order_state is not None and self._orders.replace_if_newer(order_state):
-            logs.event("orders-in-force", version=order_state.version, revision=item.version)
-
-    def _apply_server(
-        self, item: feed_messages.FeedObject, now: float, is_older_copy: bool
-    ) -> None:
-        name = ids.Server(item.name)
-        if item.value is None:
-            logs.event("server-removed", server=name, revision=item.version)
-            self._catalog.remove(name, now)
-            return
-        entry = _decode_or_warn(
-            f"{names.SERVERS_KIND}/{item.name}",
-            item.value,
-            platform_objects.decode_server,
-        )
-        if entry is None:
-            self._catalog.remove(name, now)
-            return
-        logs.event(
-            "server-seen",
-            server=name,
-            service=entry.service,
-            zone=entry.failure_domain,
-            state=entry.state,
-            cold_s=entry.cold_s,
-            revision=item.version,
-        )
-        if is_older_copy:
-            self._catalog.put_from_copy(entry, now)
-        else:
-            self._catalog.put(entry, now)
-
-    def _apply_evacuation(self, item: feed_messages.FeedObject) -> None:
-        zone = ids.FailureDomain(item.name)
-        logs.event("evacuation", zone=zone, begun=item.value is not None, revision=item.version)
-        if item.value is None:
-            self._evacuations.end(zone)
-        else:
-            self._evacuations.begin(zone)
-
-
-def _decode_or_warn(name: str, value: bytes, decode: Callable[[typing.Any], _T]) -> _T | None:
-    """Return an object's decoded value, or None for a malformed one, which logs a warning.
-
-    Any error counts as malformed: other programs write the objects, so no decoder can foresee
-    every value.
-
-    Args:
-        name: Kind and name of the object.
-        value: Value of the object in JSON.
-        decode: Decodes the value that the JSON parser returns.
-    """
-    try:
-        return decode(json.loads(value))
-    except Exception as error:
-        logs.warning("object-malformed", object=name, error=repr(error))
-        return None
 
 
 def _feed_object(item: objects.StoredObject | objects.WatchEvent) -> feed_messages.FeedObject:
