Tell how old the configuration may be, and who confirmed it last

An instance now notes, for each kind of object, up to when it is known to have all changes, and from whom (`Confirmations`): the metric carobhook_config_age_seconds, and the events config-unconfirmed and config-confirmed with source, age and whether it watches the store itself.

Watches report answers without changes, too; nothing is decided from any of this yet.

--- a/src/carobhook/coordination/object_watch.py
+++ b/src/carobhook/coordination/object_watch.py
@@ -43,6 +43,11 @@
     era: int = 0
 
 
+@attrs.frozen
+class Unchanged:
+    """No change after the previous `Snapshot` or `Changes` up to the present."""
+
+
 @attrs.frozen
 class WatchFailure:
     """A call to the store failed; the objects received so far stay in use."""
@@ -50,7 +55,7 @@
     error: objects.StoreError
 
 
-Update = Snapshot | Changes | WatchFailure
+Update = Snapshot | Changes | Unchanged | WatchFailure
 Handler = Callable[[Update], object]
 
 
@@ -175,6 +180,8 @@
         ]
         if new:
             self._handler(Changes(tuple(new), self._since, batch.revision, self._era))
+        else:
+            self._handler(Unchanged())
         self._since = batch.revision
         if new and self._options.batch_delay_s:
             await task.deferLater(self._clock, self._options.batch_delay_s)
--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -106,6 +106,12 @@
     CONFIG_VERSION = MetricInfo(
         "carobhook_config_version", Kind.GAUGE, (), "Configuration version in force here."
     )
+    CONFIG_AGE = MetricInfo(
+        "carobhook_config_age_seconds",
+        Kind.GAUGE,
+        (),
+        "Time since it was last known that no newer configuration exists.",
+    )
     ORDERS_VERSION = MetricInfo(
         "carobhook_orders_version", Kind.GAUGE, (), "Version of the operators' orders in force."
     )
--- a/src/carobhook/entry_settings.py
+++ b/src/carobhook/entry_settings.py
@@ -159,6 +159,11 @@
         validator=checks.SHARE,
         metadata=checks.doc("Share of a region's requests that may change region in 2 s."),
     )
+    config_propagation: str = attrs.field(
+        default="2.5s",
+        validator=_DURATION,
+        metadata=checks.doc("Time within which a configuration must be in force everywhere."),
+    )
 
     @property
     def grace_s(self) -> float:
@@ -170,6 +175,11 @@
         """Return the longest time to live of a directory answer in seconds."""
         return durations.parse_seconds(self.ttl_max)
 
+    @property
+    def config_propagation_s(self) -> float:
+        """Return the time within which a configuration must be in force, in seconds."""
+        return durations.parse_seconds(self.config_propagation)
+
     @property
     def budget_window_s(self) -> float:
         """Return the window of the retry budget in seconds."""
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -141,6 +141,13 @@
     CONFIG_IN_FORCE = EventInfo(
         "config-in-force", "A newer configuration of the store is in force here."
     )
+    CONFIG_UNCONFIRMED = EventInfo(
+        "config-unconfirmed",
+        "It is not known whether a newer configuration exists, for longer than one may take.",
+    )
+    CONFIG_CONFIRMED = EventInfo(
+        "config-confirmed", "It is known again that no newer configuration exists."
+    )
     LOOKUP_OUTSIDE_REGION = EventInfo(
         "lookup-outside-region",
         "A client is sent to other regions, as no instance of its own is known to serve.",
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -194,6 +194,7 @@
                 self._streams.send,
             ),
             self._supervisor,
+            self._settings.bounds.config_propagation_s,
         )
 
     def _create_slot_allocator(self) -> slot_allocator.SlotAllocator:
@@ -270,6 +271,7 @@
             metric.CONFIG_VERSION: lambda: (
                 server_catalog.config.version if server_catalog.config else 0
             ),
+            metric.CONFIG_AGE: lambda: seconds() - self._store_sync.config_confirmed_at,
             metric.ORDERS_VERSION: lambda: self._orders.in_force.version,
             metric.READY: lambda: float(self._phase is members.Phase.READY),
             metric.DISPATCH_TIME: lambda: self._allocator.dispatch_s,
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -12,6 +12,7 @@
 from carobhook.coordination import (
     backoff,
     catalog,
+    confirmations,
     object_watch,
     objects,
     steering,
@@ -82,6 +83,7 @@
             raises.
         peers: Access to the other instances.
         supervisor: Runs the calls whose failure must not end a watch.
+        config_bound_s: Seconds within which a configuration has to be in force.
     """
 
     def __init__(
@@ -94,8 +96,10 @@
         on_change: Callable[[], object],
         peers: FeedPeers,
         supervisor: supervision.Supervisor,
+        config_bound_s: float,
     ) -> None:
         self._reactor = reactor
+        self._config_bound_s = config_bound_s
         self._store = platform_store
         self._catalog = server_catalog
         self._rng = rng
@@ -103,6 +107,8 @@
         self._peers = peers
         self._supervisor = supervisor
         self._received = received_objects.ReceivedObjects(server_catalog, order_steering)
+        self._confirmations = confirmations.Confirmations()
+        self._is_unconfirmed = False
         self._watchers: dict[str, object_watch.ObjectWatcher] = {}
         # Number of failures of each kind's watch in a row, and the monotonic time in seconds at
         # which a failed one is started again.
@@ -134,6 +140,14 @@
         """Return whether this instance watches the store itself."""
         return bool(self._watchers)
 
+    @property
+    def config_confirmed_at(self) -> float:
+        """Return the monotonic time in seconds up to which no configuration was missed.
+
+        It is -inf before the first one was received.
+        """
+        return self._confirmations.at(names.CONFIG_KIND)
+
     def start(self) -> None:
         """Start to follow the feed of another instance, or the store itself."""
         self.tick()
@@ -170,6 +184,26 @@
             self._send_progress(now)
         if self._has_unhandled_change:
             self._notify_change()
+        self._report_age(now)
+
+    def _report_age(self, now: float) -> None:
+        """Log when it is too long unknown whether a newer configuration exists, and the end."""
+        kind = names.CONFIG_KIND
+        age_s = now - self._confirmations.at(kind)
+        is_unconfirmed = age_s > self._config_bound_s
+        if is_unconfirmed == self._is_unconfirmed or self._received.position(kind) is None:
+            return
+        self._is_unconfirmed = is_unconfirmed
+        source = self._confirmations.source(kind)
+        if is_unconfirmed:
+            logs.warning(
+                "config-unconfirmed",
+                source=source,
+                direct=self.is_direct,
+                age_s=round(age_s, 3),
+            )
+        else:
+            logs.event("config-confirmed", source=source, direct=self.is_direct)
 
     def _send_progress(self, now: float) -> None:
         """Send progress messages, if the objects of every kind are known to be up to date."""
@@ -238,6 +272,9 @@
                 for kind, revision in message.revisions
             )
             self._source_selector.record_progress(sender, is_current, now)
+            if is_current:
+                for kind, _ in message.revisions:
+                    self._confirmations.record(kind, now, sender)
         elif isinstance(message, feed_messages.FeedSnapshot):
             position = objects.Position(message.era, message.revision)
             if self._received.is_newer(message.kind, position):
@@ -355,6 +392,9 @@
                 logs.warning("store-unavailable", kind=kind, error=update.error)
             self._catalog.record_outage(now)
             return
+        self._confirmations.record(kind, now, confirmations.STORE)
+        if isinstance(update, object_watch.Unchanged):
+            return
         if self._catalog.store_lost_at is not None:
             outage_s = now - self._catalog.store_lost_at
             logs.event("store-answers", kind=kind, unavailable_s=round(outage_s, 3))
--- a/tests/test_object_watch.py
+++ b/tests/test_object_watch.py
@@ -93,4 +93,6 @@
         return [(kind, [i.name for i in items]) for kind, items in update.items.items()]
     if isinstance(update, object_watch.Changes):
         return [(event.kind, event.name, event.value) for event in update.events]
+    if isinstance(update, object_watch.Unchanged):
+        return []
     return [type(update.error)]
--- a/tests/test_receiver_errors.py
+++ b/tests/test_receiver_errors.py
@@ -75,6 +75,7 @@
             self.on_change,
             store_sync.FeedPeers(OWN, lambda: [], lambda: [OWN], lambda to, message: True),
             supervision.Supervisor(self.clock),
+            test_store_feed.CONFIG_PROPAGATION_S,
         )
         self.sync.start()
         self.run(3.0)
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -12,6 +12,7 @@
 
 OWN, OTHER, THIRD = ids.InstanceId("own"), ids.InstanceId("other"), ids.InstanceId("third")
 RELAYS = [OWN, OTHER]
+CONFIG_PROPAGATION_S = 2.5
 
 
 class TestStart:
@@ -156,6 +157,7 @@
             lambda: self.handle_change(name),
             store_sync.FeedPeers(name, lambda: [OTHER], lambda: [OTHER], send),
             supervision.Supervisor(self.clock),
+            CONFIG_PROPAGATION_S,
         )
 
     def handle_change(self, name):
