--- /dev/null
+++ b/tests/follower_fleet.py
@@ -0,0 +1,254 @@
+"""Simulated instances of one region that follow a store, which may stop to answer."""
+
+import random
+
+from twisted.internet import task
+
+import store_access
+import test_restored_store
+from carobhook.coordination import catalog, objects, steering, store_feed
+from carobhook.platform import names
+from carobhook.state import ids, members
+from carobhook.transport import store_sync, supervision
+
+REGION = ids.Region("r")
+TICK_INTERVAL_S = 0.1
+HEARTBEAT_INTERVAL_S = 0.4
+# Time until the heartbeat of an instance is known to another one, through a relay.
+MAX_HEARTBEAT_DELAY_S = 0.8
+MESSAGE_DELAY_S = 0.002
+# Time from a call to its answer, on a connection of its own.
+ANSWER_DELAY_S = 0.09
+CALL_TIMEOUT_S = 1.5
+STEP_S = 0.01
+CONFIG_PROPAGATION_S = 2.5
+
+
+class Store(store_access.StoreAccess):
+    """Access of one instance to the store.
+
+    A call that is made while the store is silent gets no answer, also if the store is back
+    before the call's time is over.
+
+    Attributes:
+        is_silent: Whether the store does not answer calls of this instance.
+        is_mute: Whether the store answers probes of this instance, but no other call.
+        calls: Number of calls made so far.
+        answered_at: Monotonic time in seconds of the last answer.
+        watch_answered_at: The same, of the last answer of a watch.
+    """
+
+    def __init__(self, engine, clock):
+        super().__init__(engine, clock)
+        self.is_silent = False
+        self.is_mute = False
+        self.calls = 0
+        self.answered_at = self.watch_answered_at = clock.seconds()
+
+    def go_silent(self):
+        """Stop to answer; the watches that wait get no answer either."""
+        self.is_silent = True
+        self.silence_watches()
+
+    async def _await_answer(self, timeout_s, is_probe=False):
+        self.calls += 1
+        if self.is_silent or (self.is_mute and not is_probe):
+            await task.deferLater(self.clock, timeout_s)
+            raise objects.UnavailableError(f"no answer in {timeout_s:g} s")
+        await task.deferLater(self.clock, ANSWER_DELAY_S)
+
+    async def probe(self, timeout_s):
+        """Make the cheapest call."""
+        await self._await_answer(timeout_s, is_probe=True)
+        self.answered_at = self.clock.seconds()
+
+    async def list(self, kind):
+        """Return all objects of one kind."""
+        await self._await_answer(CALL_TIMEOUT_S)
+        listing = await super().list(kind)
+        self.answered_at = self.clock.seconds()
+        return listing
+
+    async def watch(self, kinds, since, wait_s):
+        """Return the events after ``since`` once there are some, or none after ``wait_s``."""
+        await self._await_answer(wait_s + store_access.WATCH_MARGIN_S)
+        batch = await super().watch(kinds, since, wait_s)
+        self.answered_at = self.watch_answered_at = self.clock.seconds()
+        return batch
+
+
+class Instance:
+    """One instance: what it knows, and how it follows the store.
+
+    Args:
+        fleet: Its fleet.
+        name: Its name.
+    """
+
+    def __init__(self, fleet, name):
+        self.fleet = fleet
+        self.name = name
+        self.store = Store(fleet.engine, fleet.clock)
+        self.known = catalog.Catalog()
+        self.members = {}
+        self.sync = store_sync.StoreSync(
+            fleet.clock,
+            self.store,
+            self.known,
+            steering.Steering({}),
+            random.Random(fleet.rng.random()),
+            lambda: None,
+            store_sync.FeedPeers(
+                name,
+                lambda: store_feed.candidates(self.members.values(), REGION),
+                lambda: fleet.names[:4],
+                self.send,
+            ),
+            supervision.Supervisor(fleet.clock),
+            CONFIG_PROPAGATION_S,
+        )
+        self.ticks = task.LoopingCall(self.sync.tick)
+        self.heartbeats = task.LoopingCall(self.announce)
+        for loop, interval_s in (
+            (self.ticks, TICK_INTERVAL_S),
+            (self.heartbeats, HEARTBEAT_INTERVAL_S),
+        ):
+            loop.clock = fleet.clock
+            fleet.clock.callLater(fleet.rng.uniform(0, interval_s), loop.start, interval_s)
+
+    @property
+    def version(self):
+        """Return the version of the configuration in force, 0 before the first."""
+        return self.known.config.version if self.known.config is not None else 0
+
+    def member(self):
+        """Return the state that it announces."""
+        return members.Member(
+            self.name,
+            ids.Incarnation("1"),
+            REGION,
+            ids.FailureDomain("d"),
+            "",
+            "",
+            members.Phase.READY if self.sync.is_complete else members.Phase.STARTING,
+            ids.Version(self.version),
+            reaches_store=self.known.store_lost_at is None,
+        )
+
+    def stop(self):
+        """End this instance; the others forget it at once."""
+        self.ticks.stop()
+        self.heartbeats.stop()
+        self.sync.stop()
+        del self.fleet.instances[self.name]
+        for other in self.fleet.instances.values():
+            other.members.pop(self.name, None)
+            other.sync.remove_subscriber(self.name)
+
+    def announce(self):
+        """Send its state to all instances, which get it some time later."""
+        member = self.member()
+        self.members[self.name] = member
+        for other in self.fleet.instances.values():
+            if other is not self:
+                delay_s = self.fleet.rng.uniform(0, MAX_HEARTBEAT_DELAY_S)
+                self.fleet.clock.callLater(delay_s, other.hear, member)
+
+    def hear(self, member):
+        """Receive the state of another instance."""
+        if member.phase is members.Phase.READY and member.name in self.fleet.instances:
+            self.members[member.name] = member
+
+    def send(self, to, message):
+        """Send a message of the feed to another instance."""
+        receiver = self.fleet.instances.get(to)
+        if receiver is None:
+            return False
+        self.fleet.clock.callLater(
+            MESSAGE_DELAY_S, receiver.sync.handle_message, self.name, message
+        )
+        return True
+
+
+class Fleet:
+    """Instances of a region and their store, on a simulated clock.
+
+    Args:
+        size: Number of instances.
+        seed: Seed of all random times.
+    """
+
+    def __init__(self, size, seed):
+        self.rng = random.Random(seed)
+        self.clock = task.Clock()
+        self.engine = store_access.create_access(self.clock).engine
+        self.names = [ids.InstanceId(f"i{number}") for number in range(size)]
+        self.version = 1
+        self.engine.create(
+            names.CONFIG_KIND, names.CONFIG_NAME, test_restored_store.config(1), 0.0
+        )
+        self.instances = {}
+        for name in self.names:
+            self.instances[name] = Instance(self, name)
+        self.run(8.0)
+        assert self.versions == {1}
+
+    @property
+    def versions(self):
+        """Return the versions of the configuration that are in force at any instance."""
+        return {instance.version for instance in self.instances.values()}
+
+    @property
+    def lost_count(self):
+        """Return the number of instances that take the store for unavailable."""
+        return sum(i.known.store_lost_at is not None for i in self.instances.values())
+
+    @property
+    def calls(self):
+        """Return the number of calls of all instances."""
+        return sum(instance.store.calls for instance in self.instances.values())
+
+    def run(self, seconds):
+        """Simulate some seconds."""
+        end_at = self.clock.seconds() + seconds
+        while self.clock.seconds() < end_at:
+            self.clock.advance(STEP_S)
+
+    def stop_answers(self):
+        """Let the store answer nobody."""
+        for instance in self.instances.values():
+            instance.store.go_silent()
+
+    def resume_answers(self):
+        """Let the store answer all calls made from now on."""
+        for instance in self.instances.values():
+            instance.store.is_silent = False
+
+    def change_config(self):
+        """Write the next version of the configuration."""
+        self.version += 1
+        now = self.clock.seconds()
+        stored = self.engine.get(names.CONFIG_KIND, names.CONFIG_NAME, now)
+        self.engine.update(
+            names.CONFIG_KIND,
+            names.CONFIG_NAME,
+            test_restored_store.config(self.version),
+            stored.version,
+            now,
+        )
+
+    def seconds_until_in_force(self, limit_s=20.0):
+        """Return after how many seconds the last version is in force at each instance.
+
+        Args:
+            limit_s: Seconds after which it is given up; instances without the version are
+                left out.
+        """
+        began_at = self.clock.seconds()
+        delays = {}
+        while len(delays) < len(self.instances) and self.clock.seconds() - began_at < limit_s:
+            for name, instance in self.instances.items():
+                if name not in delays and instance.version == self.version:
+                    delays[name] = self.clock.seconds() - began_at
+            self.clock.advance(STEP_S)
+        return delays
