Notice the store's return with any answer, not only with the next change

After an outage of the store each instance went on to take it for lost, and announced so, until an object happened to change: three of three instances for more than 85 s in simulated time.

Cause: `record_answer` was called with changes and listings only; a watch that ended without a change said nothing. An instance that had turned to a feed made no calls at all, and kept the state of its last one. Now a watch reports each answer, and a subscriber that takes the store for lost probes it until it answers. The new test fails before (3 == 0) and passes now.

--- a/src/carobhook/platform/names.py
+++ b/src/carobhook/platform/names.py
@@ -37,3 +37,5 @@
 CONFIG_NAME = "main"
 SERVERS_KIND = "servers"
 EVACUATIONS_KIND = "evacuations"
+# Kind of which there are no objects; it is asked for to find out whether the store answers.
+PROBE_KIND = "probes"
--- a/src/carobhook/platform/store.py
+++ b/src/carobhook/platform/store.py
@@ -20,7 +20,6 @@
 _WATCH_MARGIN_S = 0.7
 _MAX_ERA_DIGITS = 15
 # No object of this name exists, so that a probe costs the store only a short 404.
-_PROBE_KIND = "probes"
 _PROBE_NAME = "none"
 
 
@@ -153,7 +152,7 @@
         Raises:
             objects.UnavailableError: The store did not respond or refused the call.
         """
-        await self._read(_object_path(_PROBE_KIND, _PROBE_NAME) + "?StaleOk=1", timeout_s)
+        await self._read(_object_path(names.PROBE_KIND, _PROBE_NAME) + "?StaleOk=1", timeout_s)
 
     def close_idle(self, now: float) -> None:
         """Close connections that have been idle for too long."""
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -180,8 +180,9 @@
             self._stop_watching()
         if self._watchers:
             self._restart_failed_watches(now)
-            self._probe(now)
             self._send_progress(now)
+        if self._watchers or self._catalog.store_lost_at is not None:
+            self._probe(now)
         if self._has_unhandled_change:
             self._notify_change()
         self._report_age(now)
@@ -370,6 +371,8 @@
 
     def _probe_answered(self, _: object) -> None:
         self._running_probe = None
+        if not self._watchers:
+            self._record_answer(names.PROBE_KIND)
 
     def _probe_failed(self, reason: typing.Any) -> None:
         self._running_probe = None
@@ -379,9 +382,17 @@
             self._supervisor.record("probe", reason)
             return
         if self._catalog.store_lost_at is None:
-            logs.warning("store-unavailable", kind="probe", error=reason.value)
+            logs.warning("store-unavailable", kind=names.PROBE_KIND, error=reason.value)
         self._catalog.record_outage(self._reactor.seconds())
 
+    def _record_answer(self, kind: str) -> None:
+        """Record that the store answered a call for a kind of object."""
+        now = self._reactor.seconds()
+        if self._catalog.store_lost_at is not None:
+            outage_s = now - self._catalog.store_lost_at
+            logs.event("store-answers", kind=kind, unavailable_s=round(outage_s, 3))
+        self._catalog.record_answer(now)
+
     def _update_handler(self, kind: str) -> object_watch.Handler:
         return lambda update: self._handle_update(kind, update)
 
@@ -393,12 +404,9 @@
             self._catalog.record_outage(now)
             return
         self._confirmations.record(kind, now, confirmations.STORE)
+        self._record_answer(kind)
         if isinstance(update, object_watch.Unchanged):
             return
-        if self._catalog.store_lost_at is not None:
-            outage_s = now - self._catalog.store_lost_at
-            logs.event("store-answers", kind=kind, unavailable_s=round(outage_s, 3))
-        self._catalog.record_answer(now)
         if isinstance(update, object_watch.Snapshot):
             items = tuple(_feed_object(item) for item in update.items[kind])
             position = objects.Position(update.era, update.revision)
--- a/tests/test_old_config_after_outage.py
+++ b/tests/test_old_config_after_outage.py
@@ -46,7 +46,17 @@
                 late[seed] = delay_s
         assert not late
 
-    def test_return_is_noticed_without_a_change(self):
+    def test_store_is_not_taken_for_lost_until_the_next_change(self):
+        """An answer without changes is an answer; so is one to a probe of a subscriber."""
+        fleet = follower_fleet.Fleet(3, 1)
+        fleet.stop_answers()
+        fleet.run(5.0)
+        assert fleet.lost_count == 3
+        fleet.resume_answers()
+        fleet.run(10.0)
+        assert fleet.lost_count == 0
+
+    def test_return_is_noticed_in_time(self):
         """An instance knows that the store answers again although no object has changed."""
         fleet = follower_fleet.Fleet(3, 1)
         fleet.stop_answers()
