Make calls to the store anew that an outage left without an answer

Callers of a new route got 404 for up to 3.1 s after its acknowledgement: a watch call that was sent while the store answered nothing ran to its own end (1.4 s wait, 0.7 s margin), and then a backoff of up to 1.0 s began, although probes had been answered long before.

A probe that is answered after one that was not now ends each call and each backoff that began before it was sent. The next call waits 0.3 s only, so that it is known soon that the store answers.

Why it works: the answer is evidence that calls of before get none; nobody has to wait for their time to be over.

--- a/src/carobhook/coordination/object_watch.py
+++ b/src/carobhook/coordination/object_watch.py
@@ -1,5 +1,6 @@
 """Watch of kinds of store objects: lists them, then watches them and resumes after failures."""
 
+import math
 import random
 import typing
 from collections.abc import Callable, Mapping, Sequence
@@ -65,12 +66,15 @@
 
     Attributes:
         wait_s: Seconds that one call waits for an event.
+        first_wait_s: The same for the first call after a failure, so that it is known soon
+            whether the store answers.
         delays: Delays before the next call after failures.
         batch_delay_s: Seconds to wait after a call that returned events before the next call.
             Events of that time are returned together, which saves calls.
     """
 
     wait_s: float = attrs.field(default=5.0, validator=validators.gt(0))
+    first_wait_s: float = attrs.field(default=0.5, validator=validators.gt(0))
     delays: backoff.Backoff = attrs.field(factory=backoff.Backoff)
     batch_delay_s: float = attrs.field(default=0.0, validator=validators.ge(0))
 
@@ -116,6 +120,11 @@
         self._era = start.era
         self._listed_revisions: dict[str, int] = dict.fromkeys(self._kinds, start.revision)
         self._failures = 0
+        self._has_failed = False
+        self._is_renewed = False
+        # The call in progress, or the wait for the next one, and when it began.
+        self._step: defer.Deferred[None] | None = None
+        self._step_began_at = -math.inf
         self._confirmed_at = clock.seconds()
         self._running: defer.Deferred[None] | None = None
 
@@ -147,28 +156,77 @@
 
     def stop(self) -> None:
         """Stop watching and cancel the call in progress."""
+        self._is_renewed = False
         if self._running is not None:
             self._running.cancel()
 
+    def renew(self, before: float) -> bool:
+        """Make the next call at once if what it waits for began before a time.
+
+        A call that was made while the store answered nothing gets no answer after its return
+        either, and would run to the end of its time.
+
+        Args:
+            before: The monotonic time in seconds.
+
+        Returns:
+            Whether a call was ended, or the wait for the next one.
+        """
+        if self._step is None or self._step.called or self._step_began_at >= before:
+            return False
+        self._is_renewed = True
+        self._step.cancel()
+        return True
+
     async def _run(self) -> None:
         while True:
             try:
-                await self._list_or_watch()
+                await self._begin(defer.ensureDeferred(self._list_or_watch()))
                 self._confirmed_at = self._clock.seconds()
                 self._failures = 0
+                self._has_failed = False
             except objects.ExpiredError:
                 self._since = None
             except objects.StoreError as error:
                 self._handler(WatchFailure(error))
-                delay_s = self._options.delays.delay_s(self._failures, self._rng)
-                self._failures += 1
-                await task.deferLater(self._clock, delay_s)
+                await self._wait_after_failure()
+            except defer.CancelledError:
+                self._accept_renewal()
+
+    async def _wait_after_failure(self) -> None:
+        delay_s = self._options.delays.delay_s(self._failures, self._rng)
+        self._failures += 1
+        self._has_failed = True
+        try:
+            await self._begin(task.deferLater(self._clock, delay_s))
+        except defer.CancelledError:
+            self._accept_renewal()
+
+    def _begin(self, step: defer.Deferred[None]) -> defer.Deferred[None]:
+        self._step, self._step_began_at = step, self._clock.seconds()
+        return step
+
+    def _accept_renewal(self) -> None:
+        """Go on after `renew` cancelled a step.
+
+        Raises:
+            defer.CancelledError: It was cancelled by `stop`.
+        """
+        if not self._is_renewed:
+            raise defer.CancelledError
+        self._is_renewed = False
+        self._has_failed = True
+        self._failures = 0
 
     async def _list_or_watch(self) -> None:
         if self._since is None:
             await self._list()
             return
-        batch = await self._store.watch(self._kinds, self._since, self._options.wait_s)
+        options = self._options
+        wait_s = (
+            min(options.first_wait_s, options.wait_s) if self._has_failed else options.wait_s
+        )
+        batch = await self._store.watch(self._kinds, self._since, wait_s)
         if batch.era != self._era:
             raise objects.ExpiredError(f"era {self._era} has ended; it is {batch.era} now")
         # Kinds are listed one after another, and the watch resumes at the lowest of their
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -141,6 +141,10 @@
     CONFIG_IN_FORCE = EventInfo(
         "config-in-force", "A newer configuration of the store is in force here."
     )
+    WATCHES_RENEWED = EventInfo(
+        "watches-renewed",
+        "The store answers a probe again; calls from before are made anew, not waited for.",
+    )
     CONFIG_UNCONFIRMED = EventInfo(
         "config-unconfirmed",
         "It is not known whether a newer configuration exists, for longer than one may take.",
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -1,6 +1,7 @@
 """Applies changes of store objects that arrive by a watch or by another instance's feed."""
 
 import json
+import math
 import random
 import typing
 from collections.abc import Callable, Iterable
@@ -34,7 +35,9 @@
     orders.STORE_KIND: 5.0,
 }
 _WATCH_OPTIONS_BY_KIND = {
-    kind: object_watch.WatchOptions(wait_s=wait_s, delays=_RETRY_DELAYS, batch_delay_s=0.2)
+    kind: object_watch.WatchOptions(
+        wait_s=wait_s, first_wait_s=0.3, delays=_RETRY_DELAYS, batch_delay_s=0.2
+    )
     for kind, wait_s in _WAIT_S_BY_KIND.items()
 }
 
@@ -119,6 +122,7 @@
         self._subscribers = store_feed.Subscribers()
         self._running_probe: defer.Deferred | None = None
         self._probed_at = 0.0
+        self._has_probe_failed = False
         self._era = 0
         self._orders_restore = orders_restore.OrdersRestore(
             reactor,
@@ -362,7 +366,9 @@
         self._subscribers.clear()
 
     def _probe(self, now: float) -> None:
-        idle_s = now - max(self._store.answered_at, self._probed_at)
+        # While the store is lost, answers to other calls do not put the next probe off.
+        answered_at = -math.inf if self._has_probe_failed else self._store.answered_at
+        idle_s = now - max(answered_at, self._probed_at)
         if self._running_probe is not None or idle_s < _PROBE_INTERVAL_S:
             return
         self._probed_at = now
@@ -373,6 +379,15 @@
         self._running_probe = None
         if not self._watchers:
             self._record_answer(names.PROBE_KIND)
+        if self._has_probe_failed:
+            self._has_probe_failed = False
+            self._renew_watches(self._probed_at)
+
+    def _renew_watches(self, before: float) -> None:
+        """Make the calls again that were sent, or put off, before the store answered again."""
+        renewed = [kind for kind, watch in self._watchers.items() if watch.renew(before)]
+        if renewed:
+            logs.event("watches-renewed", kinds=renewed)
 
     def _probe_failed(self, reason: typing.Any) -> None:
         self._running_probe = None
@@ -381,6 +396,7 @@
         if not reason.check(objects.StoreError):
             self._supervisor.record("probe", reason)
             return
+        self._has_probe_failed = True
         if self._catalog.store_lost_at is None:
             logs.warning("store-unavailable", kind=names.PROBE_KIND, error=reason.value)
         self._catalog.record_outage(self._reactor.seconds())
--- a/tests/test_object_watch.py
+++ b/tests/test_object_watch.py
@@ -76,6 +76,34 @@
 
         assert self.pop_received()[-2:] == [("k", ["a"]), ("l", [f"n{i}" for i in range(5)])]
 
+    def test_renewal_ends_calls_and_waits_that_began_before(self):
+        """The next call is made at once, also if the watch waits after a failure."""
+        watcher = self.watch()
+        self.pop_received()
+        self.access.silence_watches()
+        self.engine.create("k", "b", 2, 0.0)
+        self.clock.advance(1.0)
+        assert not watcher.renew(0.0)
+        assert self.pop_received() == []
+        assert watcher.renew(0.5)
+        assert self.pop_received() == [("k", "b", 2)]
+        self.access.down = True
+        self.access.cut_watches()
+        self.engine.create("k", "c", 3, 0.0)
+        assert self.pop_received() == [objects.UnavailableError]
+        self.access.down = False
+        assert watcher.renew(2.0)
+        assert self.pop_received() == [("k", "c", 3)]
+
+    def test_stop_after_a_renewal_stops(self):
+        """A renewal does not make the watch survive the stop that follows it."""
+        watcher = self.watch()
+        self.clock.advance(1.0)
+        watcher.renew(0.5)
+        watcher.stop()
+        assert not watcher.renew(2.0)
+        assert not self.clock.getDelayedCalls()
+
     def test_stop_cancels_all_timers(self):
         """A stopped watcher has no timers and passes on no changes."""
         watcher = self.watch()
