Let evidence of the store carry its age through the feed

An instance that had not heard of a change for 2.2 s could be told that it was current, and stopped its own watch for another second: a watch counted as confirmed from its creation, and each progress message started the clock anew at its receiver.

A progress message now states how long ago the sender knew that there was no further change, for each kind; the subscriber relies on the feed for what is left of the allowed age, and a watch that has not been answered confirms nothing. The new field is of protocol version 3; instances of version 2 send none, and are trusted as before.

Before: an instance confirmed at 9.0 s by a source whose watch had been answered at 7.9 s last.

--- a/src/carobhook/coordination/object_watch.py
+++ b/src/carobhook/coordination/object_watch.py
@@ -125,17 +125,8 @@
         # The call in progress, or the wait for the next one, and when it began.
         self._step: defer.Deferred[None] | None = None
         self._step_began_at = -math.inf
-        self._confirmed_at = clock.seconds()
         self._running: defer.Deferred[None] | None = None
 
-    @property
-    def confirmed_at(self) -> float:
-        """Return the monotonic time in seconds of the store's last answer, or of the creation.
-
-        At that time all changes up to `since` had been received.
-        """
-        return self._confirmed_at
-
     @property
     def since(self) -> int | None:
         """Return the revision up to which all changes were handled, or None if unknown."""
@@ -182,7 +173,6 @@
         while True:
             try:
                 await self._begin(defer.ensureDeferred(self._list_or_watch()))
-                self._confirmed_at = self._clock.seconds()
                 self._failures = 0
                 self._has_failed = False
             except objects.ExpiredError:
--- a/src/carobhook/coordination/store_feed.py
+++ b/src/carobhook/coordination/store_feed.py
@@ -81,12 +81,18 @@
     """
 
     own: ids.InstanceId
-    _progress_at: dict[ids.InstanceId, float] = attrs.field(factory=dict, init=False)
+    _fresh_until: dict[ids.InstanceId, float] = attrs.field(factory=dict, init=False)
     _subscribed_at: float = attrs.field(default=-math.inf, init=False)
     _subscribed_to: ids.InstanceId | None = attrs.field(default=None, init=False)
     _started_at: float | None = attrs.field(default=None, init=False)
 
-    def record_progress(self, sender: ids.InstanceId, is_current: bool, now: float) -> None:
+    def record_progress(
+        self,
+        sender: ids.InstanceId,
+        is_current: bool,
+        now: float,
+        fresh_for_s: float = math.inf,
+    ) -> None:
         """Record a progress message.
 
         Args:
@@ -94,11 +100,12 @@
             is_current: Whether this instance has every change that the sender has sent; if
                 not, the feed counts as stale until a later progress message.
             now: Monotonic time in seconds.
+            fresh_for_s: Seconds for which what the sender knows is recent enough.
         """
         if is_current:
-            self._progress_at[sender] = now
+            self._fresh_until[sender] = now + min(fresh_for_s, _PROGRESS_LIFETIME_S)
         else:
-            self._progress_at.pop(sender, None)
+            self._fresh_until.pop(sender, None)
 
     def decide(
         self,
@@ -143,14 +150,12 @@
         self, preferred: ids.InstanceId | None, now: float
     ) -> ids.InstanceId | None:
         """Return an instance whose feed is fresh, the preferred one if it is, or None."""
-        self._progress_at = {
-            name: at
-            for name, at in self._progress_at.items()
-            if now - at <= _PROGRESS_LIFETIME_S
+        self._fresh_until = {
+            name: until for name, until in self._fresh_until.items() if now <= until
         }
-        if preferred in self._progress_at:
+        if preferred in self._fresh_until:
             return preferred
-        return max(self._progress_at, key=self._progress_at.__getitem__, default=None)
+        return max(self._fresh_until, key=self._fresh_until.__getitem__, default=None)
 
     def _is_subscription_due(self, source: ids.InstanceId, now: float) -> bool:
         if source != self._subscribed_to:
--- a/src/carobhook/protocol/feed_messages.py
+++ b/src/carobhook/protocol/feed_messages.py
@@ -79,10 +79,13 @@
     Attributes:
         revisions: Pairs of a kind and the revision up to which all changes to it were sent.
         era: Era of the revisions.
+        ages_ms: Pairs of a kind and the milliseconds since the sender knew that there was no
+            further change to it. The time that the message is on its way is not part of them.
     """
 
     revisions: tuple[tuple[str, int], ...]
     era: int = versions.added_field(0)
+    ages_ms: tuple[tuple[str, int], ...] = versions.added_field((), since=3)
 
 
 Message = FeedRequest | FeedSnapshot | FeedEvents | FeedProgress
--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -9,6 +9,7 @@
 
 2: `Hello.version`, `SlotReleased.pace`, `Member.is_slow`, `RegionReport.objects`,
    `RegionReport.borrowed`, `RegionReport.is_lent_known`.
+3: `FeedProgress.ages_ms`.
 """
 
 from carobhook.protocol import (
@@ -22,7 +23,7 @@
 
 # Version of the protocol that this build speaks. It rises with each release that adds a message
 # type or a field.
-PROTOCOL_VERSION = 2
+PROTOCOL_VERSION = 3
 
 MESSAGE_TYPES: dict[str, type] = {
     "Challenge": membership_messages.Challenge,
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -51,6 +51,9 @@
 # A watch confirms its position with each answer. One that has confirmed none for this much
 # longer than a call may wait has stopped, or its call has lost its connection.
 _CONFIRMATION_MARGIN_S = 0.8
+_MAX_AGE_S_BY_KIND = {
+    kind: wait_s + _CONFIRMATION_MARGIN_S for kind, wait_s in _WAIT_S_BY_KIND.items()
+}
 
 
 @attrs.frozen
@@ -219,15 +222,19 @@
         if any(position.era != self._era for position in self._received.positions.values()):
             return
         revisions = tuple(sorted(self._received.revisions.items()))
+        ages_ms = tuple(
+            (kind, math.ceil((now - self._confirmations.at(kind)) * 1000))
+            for kind, _ in revisions
+        )
+        progress = feed_messages.FeedProgress(revisions, self._era, ages_ms)
         for name in self._subscribers.due(now):
-            self._peers.send(name, feed_messages.FeedProgress(revisions, self._era))
+            self._peers.send(name, progress)
 
     def _is_confirmed(self, now: float) -> bool:
-        """Return whether the watch of each kind has confirmed its position lately."""
+        """Return whether the position of each kind was confirmed lately."""
         return all(
-            now - watcher.confirmed_at
-            <= _WATCH_OPTIONS_BY_KIND[kind].wait_s + _CONFIRMATION_MARGIN_S
-            for kind, watcher in self._watchers.items()
+            now - self._confirmations.at(kind) <= max_age_s
+            for kind, max_age_s in _MAX_AGE_S_BY_KIND.items()
         )
 
     def _record_era(self, era: int) -> None:
@@ -272,14 +279,7 @@
                 for snapshot in self._received.snapshots():
                     self._peers.send(sender, snapshot)
         elif isinstance(message, feed_messages.FeedProgress):
-            is_current = all(
-                self._received.has_reached(kind, message.era, revision)
-                for kind, revision in message.revisions
-            )
-            self._source_selector.record_progress(sender, is_current, now)
-            if is_current:
-                for kind, _ in message.revisions:
-                    self._confirmations.record(kind, now, sender)
+            self._handle_progress(sender, message, now)
         elif isinstance(message, feed_messages.FeedSnapshot):
             position = objects.Position(message.era, message.revision)
             if self._received.is_newer(message.kind, position):
@@ -290,6 +290,28 @@
             position = objects.Position(message.era, message.revision)
             self._apply_message(self._apply_changes, message.kind, position, message.items)
 
+    def _handle_progress(
+        self, sender: ids.InstanceId, message: feed_messages.FeedProgress, now: float
+    ) -> None:
+        """Rely on a feed for as long as what the sender knew when it sent the message holds.
+
+        The time counts from the sender's own confirmation, not from the message: otherwise it
+        would begin anew with each instance on the way.
+        """
+        is_current = all(
+            self._received.has_reached(kind, message.era, revision)
+            for kind, revision in message.revisions
+        )
+        fresh_for_s = math.inf
+        # Builds of earlier versions state no ages.
+        ages_s = dict.fromkeys(self._received.revisions, 0.0)
+        ages_s.update((kind, age_ms / 1000) for kind, age_ms in message.ages_ms)
+        for kind, age_s in ages_s.items():
+            if is_current:
+                self._confirmations.record(kind, now - age_s, sender)
+            fresh_for_s = min(fresh_for_s, _MAX_AGE_S_BY_KIND.get(kind, math.inf) - age_s)
+        self._source_selector.record_progress(sender, is_current, now, fresh_for_s)
+
     def _apply_message(
         self,
         apply: Callable[..., object],
