Derive all waits of following the store from the bounds that they add up to

A watch's wait, margin and backoff, the probe, the age and the lifetime of a feed were chosen one by one (1.4 + 0.7 + 1.0 s; 2.2 + 1.0 s), and the bound that their sum must keep was not even read. A deployment with another bound had the same waits: 2.1 s of calls for a bound of 2.5 s, and as many calls for one of 15 s.

--- a/src/carobhook/coordination/object_watch.py
+++ b/src/carobhook/coordination/object_watch.py
@@ -66,6 +66,7 @@
 
     Attributes:
         wait_s: Seconds that one call waits for an event.
+        margin_s: Seconds after this wait in which the answer has to arrive.
         first_wait_s: The same for the first call after a failure, so that it is known soon
             whether the store answers.
         delays: Delays before the next call after failures.
@@ -74,6 +75,7 @@
     """
 
     wait_s: float = attrs.field(default=5.0, validator=validators.gt(0))
+    margin_s: float = attrs.field(default=0.7, validator=validators.gt(0))
     first_wait_s: float = attrs.field(default=0.5, validator=validators.gt(0))
     delays: backoff.Backoff = attrs.field(factory=backoff.Backoff)
     batch_delay_s: float = attrs.field(default=0.0, validator=validators.ge(0))
@@ -216,7 +218,7 @@
         wait_s = (
             min(options.first_wait_s, options.wait_s) if self._has_failed else options.wait_s
         )
-        batch = await self._store.watch(self._kinds, self._since, wait_s)
+        batch = await self._store.watch(self._kinds, self._since, wait_s, options.margin_s)
         if batch.era != self._era:
             raise objects.ExpiredError(f"era {self._era} has ended; it is {batch.era} now")
         # Kinds are listed one after another, and the watch resumes at the lowest of their
--- a/src/carobhook/coordination/objects.py
+++ b/src/carobhook/coordination/objects.py
@@ -139,10 +139,13 @@
             ConflictError: The object has another version or is gone.
         """
 
-    def watch(self, kinds: Sequence[str], since: int, wait_s: float) -> Awaitable[WatchBatch]:
+    def watch(
+        self, kinds: Sequence[str], since: int, wait_s: float, margin_s: float
+    ) -> Awaitable[WatchBatch]:
         """Return the events after revision ``since``.
 
-        If there are none yet, the call waits up to ``wait_s`` seconds for the first.
+        If there are none yet, the call waits up to ``wait_s`` seconds for the first. It fails
+        if its answer has not arrived ``margin_s`` seconds after that.
 
         Raises:
             ExpiredError: The object API no longer stores all events after ``since``; the caller
--- a/src/carobhook/coordination/store_feed.py
+++ b/src/carobhook/coordination/store_feed.py
@@ -13,17 +13,11 @@
 
 import attrs
 
-from carobhook.coordination import membership
+from carobhook.coordination import follow_times, membership
 from carobhook.state import ids, members
 
-# Interval between progress messages.
-PROGRESS_INTERVAL_S = 0.3
-# A feed counts as fresh this long after a progress message.
-_PROGRESS_LIFETIME_S = 1.0
 # Least time between two subscription requests while a feed is not fresh.
 _SUBSCRIBE_INTERVAL_S = 0.6
-# Progress messages are sent only if the store's last answer is at most this old.
-_ANSWER_LIFETIME_S = 1.1
 # A starting instance waits before it lists the store's objects. Otherwise, every machine of a
 # fleet that starts at once would list them. The waits count from its start.
 # A relay waits this long for the heartbeat of an instance that can follow the store.
@@ -34,16 +28,6 @@
 _RELAY_WAIT_S = 2.5
 
 
-def has_recent_answer(answered_at: float, now: float) -> bool:
-    """Return whether the store's last answer is recent enough to send a progress message.
-
-    Args:
-        answered_at: Monotonic time in seconds of its last answer.
-        now: Monotonic time in seconds.
-    """
-    return now - answered_at <= _ANSWER_LIFETIME_S
-
-
 def candidates(serving: Iterable[members.Member], region: ids.Region) -> list[ids.InstanceId]:
     """Return the instances that can follow the store for a region, in order of preference.
 
@@ -78,9 +62,11 @@
 
     Attributes:
         own: Name of this instance.
+        times: Waits of the feed.
     """
 
     own: ids.InstanceId
+    times: follow_times.SourceTimes
     _fresh_until: dict[ids.InstanceId, float] = attrs.field(factory=dict, init=False)
     _subscribed_at: float = attrs.field(default=-math.inf, init=False)
     _subscribed_to: ids.InstanceId | None = attrs.field(default=None, init=False)
@@ -103,7 +89,7 @@
             fresh_for_s: Seconds for which what the sender knows is recent enough.
         """
         if is_current:
-            self._fresh_until[sender] = now + min(fresh_for_s, _PROGRESS_LIFETIME_S)
+            self._fresh_until[sender] = now + min(fresh_for_s, self.times.progress_lifetime_s)
         else:
             self._fresh_until.pop(sender, None)
 
@@ -165,8 +151,13 @@
 
 @attrs.define
 class Subscribers:
-    """Instances that are subscribed to the feed of this one."""
+    """Instances that are subscribed to the feed of this one.
+
+    Attributes:
+        times: Waits of the feed.
+    """
 
+    times: follow_times.SourceTimes
     _names: set[ids.InstanceId] = attrs.field(factory=set, init=False)
     _progress_sent_at: float = attrs.field(default=-math.inf, init=False)
 
@@ -182,13 +173,13 @@
     def due(self, now: float) -> list[ids.InstanceId]:
         """Return the subscribers to which to send a progress message now.
 
-        The list is empty until `PROGRESS_INTERVAL_S` after the last messages. The caller must
+        The list is empty until an interval after the last messages has passed. The caller must
         send the messages, as the next interval begins with this call.
 
         Args:
             now: Monotonic time in seconds.
         """
-        if now - self._progress_sent_at < PROGRESS_INTERVAL_S:
+        if now - self._progress_sent_at < self.times.progress_interval_s:
             return []
         self._progress_sent_at = now
         return self.names
--- a/src/carobhook/entry_settings.py
+++ b/src/carobhook/entry_settings.py
@@ -164,6 +164,16 @@
         validator=_DURATION,
         metadata=checks.doc("Time within which a configuration must be in force everywhere."),
     )
+    drain: str = attrs.field(
+        default="2.5s",
+        validator=_DURATION,
+        metadata=checks.doc("Time after which a leaving server must get no requests."),
+    )
+    evacuation: str = attrs.field(
+        default="5s",
+        validator=_DURATION,
+        metadata=checks.doc("Time after which an evacuated domain must get no requests."),
+    )
 
     @property
     def grace_s(self) -> float:
@@ -180,6 +190,16 @@
         """Return the time within which a configuration must be in force, in seconds."""
         return durations.parse_seconds(self.config_propagation)
 
+    @property
+    def drain_s(self) -> float:
+        """Return the time after which a leaving server must get no requests, in seconds."""
+        return durations.parse_seconds(self.drain)
+
+    @property
+    def evacuation_s(self) -> float:
+        """Return the time after which an evacuated domain must get none, in seconds."""
+        return durations.parse_seconds(self.evacuation)
+
     @property
     def budget_window_s(self) -> float:
         """Return the window of the retry budget in seconds."""
--- a/src/carobhook/platform/store.py
+++ b/src/carobhook/platform/store.py
@@ -15,9 +15,6 @@
 from carobhook.transport import server_connections
 
 _JSON = b"application/json"
-# The store answers a watch at the latest when its wait time is over. If the answer is this much
-# later, the connection is considered dead and the watch fails.
-_WATCH_MARGIN_S = 0.7
 _MAX_ERA_DIGITS = 15
 # No object of this name exists, so that a probe costs the store only a short 404.
 _PROBE_NAME = "none"
@@ -129,17 +126,20 @@
         await self._write(b"DELETE", f"{_object_path(kind, name)}?Revision={version}", None)
 
     async def watch(
-        self, kinds: Sequence[str], since: int, wait_s: float
+        self, kinds: Sequence[str], since: int, wait_s: float, margin_s: float
     ) -> objects.WatchBatch:
         """Return the events of one kind after ``since``, waiting for the first.
 
+        The store answers at the latest when its wait is over. If the answer is later by more
+        than the margin, the connection is considered dead.
+
         Raises:
             ValueError: There is not exactly one kind, which is all that the store can watch.
         """
         if len(kinds) != 1:
             raise ValueError(f"kinds must be one kind, got {list(kinds)!r}")
         path = f"{_object_path(kinds[0])}?Watch={since}&WaitMs={round(wait_s * 1000)}"
-        body = _decode_body(await self._read(path, wait_s + _WATCH_MARGIN_S))
+        body = _decode_body(await self._read(path, wait_s + margin_s))
         events = tuple(self._decode_event(kinds[0], since, event) for event in body["events"])
         return objects.WatchBatch(body["CurrentRev"], events, self._era)
 
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -194,7 +194,13 @@
                 self._streams.send,
             ),
             self._supervisor,
-            self._settings.bounds.config_propagation_s,
+            self._follow_times(),
+        )
+
+    def _follow_times(self) -> store_sync.FollowTimes:
+        bounds = self._settings.bounds
+        return store_sync.FollowTimes.within(
+            bounds.config_propagation_s, bounds.drain_s, bounds.evacuation_s
         )
 
     def _create_slot_allocator(self) -> slot_allocator.SlotAllocator:
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -4,7 +4,7 @@
 import math
 import random
 import typing
-from collections.abc import Callable, Iterable
+from collections.abc import Callable, Iterable, Mapping
 
 import attrs
 from twisted.internet import defer
@@ -14,6 +14,7 @@
     backoff,
     catalog,
     confirmations,
+    follow_times,
     object_watch,
     objects,
     steering,
@@ -24,36 +25,57 @@
 from carobhook.state import ids, orders
 from carobhook.transport import orders_restore, received_objects, supervision
 
-_RETRY_DELAYS = backoff.Backoff(first_s=0.2, cap_s=1.0)
-# A watch call returns without a change when its wait ends, and is then repeated. If its answer
-# is lost, that is noticed only when the wait has ended, so the wait must be shorter than the
-# time within which a change has to be in force. A longer wait saves calls, which have a cost.
-_WAIT_S_BY_KIND = {
-    names.CONFIG_KIND: 1.4,
-    names.SERVERS_KIND: 1.4,
-    names.EVACUATIONS_KIND: 3.0,
-    orders.STORE_KIND: 5.0,
-}
-_WATCH_OPTIONS_BY_KIND = {
-    kind: object_watch.WatchOptions(
-        wait_s=wait_s, first_wait_s=0.3, delays=_RETRY_DELAYS, batch_delay_s=0.2
-    )
-    for kind, wait_s in _WAIT_S_BY_KIND.items()
-}
-
-# A watch call may wait for seconds until the store answers. The store is probed in between;
-# otherwise its last answer would be too old to send progress messages, and subscribers would
-# watch the store themselves.
-_PROBE_INTERVAL_S = 0.5
-_PROBE_TIMEOUT_S = 0.5
+# No deployment names a bound for operators' orders.
+_ORDERS_BOUND_S = 10.0
 # A watch that failed for a reason other than the store lists its objects anew after a delay.
 _RESTART_DELAYS = backoff.Backoff(first_s=0.2, cap_s=5.0)
-# A watch confirms its position with each answer. One that has confirmed none for this much
-# longer than a call may wait has stopped, or its call has lost its connection.
-_CONFIRMATION_MARGIN_S = 0.8
-_MAX_AGE_S_BY_KIND = {
-    kind: wait_s + _CONFIRMATION_MARGIN_S for kind, wait_s in _WAIT_S_BY_KIND.items()
-}
+
+
+@attrs.frozen
+class FollowTimes:
+    """Waits with which the store is followed.
+
+    Attributes:
+        config_bound_s: Seconds within which a configuration has to be in force.
+        by_kind: Waits of the watch of each kind of object.
+        source: Waits of probes and of the feed.
+    """
+
+    config_bound_s: float
+    by_kind: Mapping[str, follow_times.KindTimes]
+    source: follow_times.SourceTimes
+
+    @classmethod
+    def within(cls, config_s: float, servers_s: float, evacuations_s: float) -> "FollowTimes":
+        """Return the waits for the bounds of a deployment.
+
+        Args:
+            config_s: Seconds within which a configuration has to be in force.
+            servers_s: The same for the state of a backend server.
+            evacuations_s: The same for an evacuation.
+        """
+        bounds_s = {
+            names.CONFIG_KIND: config_s,
+            names.SERVERS_KIND: servers_s,
+            names.EVACUATIONS_KIND: evacuations_s,
+            orders.STORE_KIND: _ORDERS_BOUND_S,
+        }
+        return cls(
+            config_s,
+            {kind: follow_times.KindTimes.within(s) for kind, s in bounds_s.items()},
+            follow_times.SourceTimes.within(min(bounds_s.values())),
+        )
+
+    def watch_options(self, kind: str) -> object_watch.WatchOptions:
+        """Return the options of the watch of a kind."""
+        times = self.by_kind[kind]
+        return object_watch.WatchOptions(
+            wait_s=times.wait_s,
+            margin_s=times.margin_s,
+            first_wait_s=times.first_wait_s,
+            delays=times.delays,
+            batch_delay_s=times.batch_delay_s,
+        )
 
 
 @attrs.frozen
@@ -89,7 +111,7 @@
             raises.
         peers: Access to the other instances.
         supervisor: Runs the calls whose failure must not end a watch.
-        config_bound_s: Seconds within which a configuration has to be in force.
+        times: Waits with which the store is followed.
     """
 
     def __init__(
@@ -102,10 +124,10 @@
         on_change: Callable[[], object],
         peers: FeedPeers,
         supervisor: supervision.Supervisor,
-        config_bound_s: float,
+        times: FollowTimes,
     ) -> None:
         self._reactor = reactor
-        self._config_bound_s = config_bound_s
+        self._times = times
         self._store = platform_store
         self._catalog = server_catalog
         self._rng = rng
@@ -121,8 +143,8 @@
         self._watch_failures: dict[str, int] = {}
         self._restart_at: dict[str, float] = {}
         self._has_unhandled_change = False
-        self._source_selector = store_feed.SourceSelector(peers.own)
-        self._subscribers = store_feed.Subscribers()
+        self._source_selector = store_feed.SourceSelector(peers.own, times.source)
+        self._subscribers = store_feed.Subscribers(times.source)
         self._running_probe: defer.Deferred | None = None
         self._probed_at = 0.0
         self._has_probe_failed = False
@@ -140,7 +162,7 @@
     @property
     def is_complete(self) -> bool:
         """Return whether the objects of every kind have been received."""
-        return len(self._received.positions) == len(_WATCH_OPTIONS_BY_KIND)
+        return len(self._received.positions) == len(self._times.by_kind)
 
     @property
     def is_direct(self) -> bool:
@@ -198,7 +220,7 @@
         """Log when it is too long unknown whether a newer configuration exists, and the end."""
         kind = names.CONFIG_KIND
         age_s = now - self._confirmations.at(kind)
-        is_unconfirmed = age_s > self._config_bound_s
+        is_unconfirmed = age_s > self._times.config_bound_s
         if is_unconfirmed == self._is_unconfirmed or self._received.position(kind) is None:
             return
         self._is_unconfirmed = is_unconfirmed
@@ -215,7 +237,7 @@
 
     def _send_progress(self, now: float) -> None:
         """Send progress messages, if the objects of every kind are known to be up to date."""
-        if not store_feed.has_recent_answer(self._store.answered_at, now):
+        if now - self._store.answered_at > self._times.source.answer_lifetime_s:
             return
         if not self.is_complete or not self._is_confirmed(now):
             return
@@ -233,8 +255,8 @@
     def _is_confirmed(self, now: float) -> bool:
         """Return whether the position of each kind was confirmed lately."""
         return all(
-            now - self._confirmations.at(kind) <= max_age_s
-            for kind, max_age_s in _MAX_AGE_S_BY_KIND.items()
+            now - self._confirmations.at(kind) <= times.max_age_s
+            for kind, times in self._times.by_kind.items()
         )
 
     def _record_era(self, era: int) -> None:
@@ -309,7 +331,8 @@
         for kind, age_s in ages_s.items():
             if is_current:
                 self._confirmations.record(kind, now - age_s, sender)
-            fresh_for_s = min(fresh_for_s, _MAX_AGE_S_BY_KIND.get(kind, math.inf) - age_s)
+            if kind in self._times.by_kind:
+                fresh_for_s = min(fresh_for_s, self._times.by_kind[kind].max_age_s - age_s)
         self._source_selector.record_progress(sender, is_current, now, fresh_for_s)
 
     def _apply_message(
@@ -340,7 +363,7 @@
 
     def _start_watching(self) -> None:
         logs.event("store-followed-directly", revisions=self._received.revisions)
-        for kind in _WATCH_OPTIONS_BY_KIND:
+        for kind in self._times.by_kind:
             self._watch(kind)
 
     def _watch(self, kind: str) -> None:
@@ -353,7 +376,7 @@
             self._rng,
             (kind,),
             self._update_handler(kind),
-            options=_WATCH_OPTIONS_BY_KIND[kind],
+            options=self._times.watch_options(kind),
             resume_at=position if position is not None and position.era == self._era else None,
         )
         watcher.start().addErrback(lambda reason: self._watch_failed(kind, watcher, reason))
@@ -391,10 +414,11 @@
         # While the store is lost, answers to other calls do not put the next probe off.
         answered_at = -math.inf if self._has_probe_failed else self._store.answered_at
         idle_s = now - max(answered_at, self._probed_at)
-        if self._running_probe is not None or idle_s < _PROBE_INTERVAL_S:
+        if self._running_probe is not None or idle_s < self._times.source.probe_interval_s:
             return
         self._probed_at = now
-        self._running_probe = defer.ensureDeferred(self._store.probe(_PROBE_TIMEOUT_S))
+        probe = self._store.probe(self._times.source.probe_timeout_s)
+        self._running_probe = defer.ensureDeferred(probe)
         self._running_probe.addCallbacks(self._probe_answered, self._probe_failed)
 
     def _probe_answered(self, _: object) -> None:
--- a/tests/follower_fleet.py
+++ b/tests/follower_fleet.py
@@ -69,10 +69,10 @@
         self.answered_at = self.clock.seconds()
         return listing
 
-    async def watch(self, kinds, since, wait_s):
+    async def watch(self, kinds, since, wait_s, margin_s):
         """Return the events after ``since`` once there are some, or none after ``wait_s``."""
-        await self._await_answer(wait_s + store_access.WATCH_MARGIN_S)
-        batch = await super().watch(kinds, since, wait_s)
+        await self._await_answer(wait_s + margin_s)
+        batch = await super().watch(kinds, since, wait_s, margin_s)
         self.answered_at = self.watch_answered_at = self.clock.seconds()
         return batch
 
@@ -105,7 +105,7 @@
                 self.send,
             ),
             supervision.Supervisor(fleet.clock),
-            CONFIG_PROPAGATION_S,
+            store_sync.FollowTimes.within(CONFIG_PROPAGATION_S, 2.5, 5.0),
         )
         self.ticks = task.LoopingCall(self.sync.tick)
         self.heartbeats = task.LoopingCall(self.announce)
--- a/tests/store_access.py
+++ b/tests/store_access.py
@@ -5,9 +5,6 @@
 from carobhook.coordination import objects
 from carobhook.standins import memory_store
 
-# A watch without an answer fails this long after the end of its wait, as in `platform.store`.
-WATCH_MARGIN_S = 0.7
-
 
 class StoreAccess:
     """Calls an in-memory engine directly; implements `objects.ObjectStore`.
@@ -84,7 +81,7 @@
         """Lose the answers of all watches that wait for an event; other calls get theirs."""
         self._silenced |= self._waiting
 
-    async def watch(self, kinds, since, wait_s):
+    async def watch(self, kinds, since, wait_s, margin_s):
         """Return the events after ``since`` once there are some, or none after ``wait_s``."""
         self._check_available()
         batch = self.engine.events_since(kinds, since)
@@ -105,7 +102,7 @@
         )
         timers = [
             self.clock.callLater(wait_s, answer),
-            self.clock.callLater(wait_s + WATCH_MARGIN_S, fail),
+            self.clock.callLater(wait_s + margin_s, fail),
         ]
         self._waiting.add(event_received)
         try:
--- a/tests/test_receiver_errors.py
+++ b/tests/test_receiver_errors.py
@@ -75,7 +75,7 @@
             self.on_change,
             store_sync.FeedPeers(OWN, lambda: [], lambda: [OWN], lambda to, message: True),
             supervision.Supervisor(self.clock),
-            test_store_feed.CONFIG_PROPAGATION_S,
+            store_sync.FollowTimes.within(2.5, 2.5, 5.0),
         )
         self.sync.start()
         self.run(3.0)
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -5,7 +5,7 @@
 from twisted.internet import task
 
 import store_access
-from carobhook.coordination import catalog, steering, store_feed
+from carobhook.coordination import catalog, follow_times, steering, store_feed
 from carobhook.platform import names
 from carobhook.state import ids
 from carobhook.transport import store_sync, supervision
@@ -13,6 +13,7 @@
 OWN, OTHER, THIRD = ids.InstanceId("own"), ids.InstanceId("other"), ids.InstanceId("third")
 RELAYS = [OWN, OTHER]
 CONFIG_PROPAGATION_S = 2.5
+TIMES = follow_times.SourceTimes.within(CONFIG_PROPAGATION_S)
 
 
 class TestStart:
@@ -20,13 +21,13 @@
 
     def test_relay_waits_only_for_heartbeats(self):
         """If no instance is ready, a relay follows the store after the wait for heartbeats."""
-        selector = store_feed.SourceSelector(OWN)
+        selector = store_feed.SourceSelector(OWN, TIMES)
         assert not selector.decide([], RELAYS, False, 5.0).direct
         assert selector.decide([], RELAYS, False, 5.35).direct
 
     def test_other_instances_wait_for_a_relay(self):
         """Only relays list the store when a whole fleet starts at once."""
-        selector = store_feed.SourceSelector(OWN)
+        selector = store_feed.SourceSelector(OWN, TIMES)
         assert not selector.decide([], [OTHER], False, 5.0).direct
         assert not selector.decide([], [OTHER], False, 7.0).direct
         decision = selector.decide([OTHER], [OTHER], False, 7.1)
@@ -34,7 +35,7 @@
 
     def test_feed_of_a_ready_instance_is_preferred(self):
         """A restarted instance waits for the feed of a ready one, then follows the store."""
-        selector = store_feed.SourceSelector(OWN)
+        selector = store_feed.SourceSelector(OWN, TIMES)
         decision = selector.decide([OTHER], RELAYS, False, 5.0)
         assert (decision.direct, decision.subscribe_to) == (False, OTHER)
         assert not selector.decide([OTHER], RELAYS, False, 5.9).direct
@@ -42,7 +43,7 @@
 
     def test_wait_for_a_relay_ends(self):
         """If no relay becomes ready, an instance follows the store itself."""
-        selector = store_feed.SourceSelector(OWN)
+        selector = store_feed.SourceSelector(OWN, TIMES)
         selector.decide([], [OTHER], False, 5.0)
         assert selector.decide([], [OTHER], False, 7.5).direct
 
@@ -52,13 +53,13 @@
 
     def test_store_is_followed_without_candidates_or_by_the_first(self):
         """An instance follows the store if there is no candidate, or if it is the first."""
-        selector = store_feed.SourceSelector(OWN)
+        selector = store_feed.SourceSelector(OWN, TIMES)
         assert selector.decide([], RELAYS, True, 0.0).direct
         assert selector.decide([OWN, OTHER], RELAYS, True, 0.0).direct
 
     def test_store_is_followed_until_the_feed_is_fresh(self):
         """A feed replaces the store only after a progress message."""
-        selector = store_feed.SourceSelector(OWN)
+        selector = store_feed.SourceSelector(OWN, TIMES)
         decision = selector.decide([OTHER], RELAYS, True, 0.0)
         assert decision.direct
         assert decision.subscribe_to == OTHER
@@ -67,7 +68,7 @@
 
     def test_stale_feed_is_dropped_within_two_seconds(self):
         """Without progress messages, or if changes are missing, the store is followed again."""
-        selector = store_feed.SourceSelector(OWN)
+        selector = store_feed.SourceSelector(OWN, TIMES)
         selector.record_progress(OTHER, True, 0.0)
         assert not selector.decide([OTHER], RELAYS, True, 0.9).direct
         assert selector.decide([OTHER], RELAYS, True, 1.5).direct
@@ -77,7 +78,7 @@
 
     def test_new_source_needs_its_own_progress_message(self):
         """Progress messages of the former source do not make another feed fresh."""
-        selector = store_feed.SourceSelector(OWN)
+        selector = store_feed.SourceSelector(OWN, TIMES)
         selector.record_progress(OTHER, True, 0.0)
         decision = selector.decide([THIRD], RELAYS, True, 0.1)
         assert (decision.source, decision.subscribe_to) == (OTHER, THIRD)
@@ -87,7 +88,7 @@
 
     def test_change_of_the_source_causes_no_calls(self):
         """While the former feed is fresh, an instance does not turn to the store."""
-        selector = store_feed.SourceSelector(OWN)
+        selector = store_feed.SourceSelector(OWN, TIMES)
         selector.record_progress(OTHER, True, 0.0)
         assert not selector.decide([OTHER], RELAYS, True, 0.1).direct
         for candidates in ([THIRD], [], [THIRD, OTHER]):
@@ -95,7 +96,7 @@
 
     def test_new_source_is_asked_at_once(self):
         """The interval between subscriptions is one of subscriptions to the same instance."""
-        selector = store_feed.SourceSelector(OWN)
+        selector = store_feed.SourceSelector(OWN, TIMES)
         assert selector.decide([OTHER], RELAYS, True, 0.0).subscribe_to == OTHER
         assert selector.decide([THIRD], RELAYS, True, 0.1).subscribe_to == THIRD
         assert selector.decide([THIRD], RELAYS, True, 0.2).subscribe_to is None
@@ -106,7 +107,7 @@
 
     def test_progress_messages_are_due_at_their_interval(self):
         """Every subscriber gets one progress message in each interval."""
-        subscribers = store_feed.Subscribers()
+        subscribers = store_feed.Subscribers(TIMES)
         subscribers.add(OTHER)
         assert subscribers.due(10.0) == [OTHER]
         assert subscribers.due(10.1) == []
@@ -132,10 +133,10 @@
         self.calls += 1
         return await super().list(kind)
 
-    async def watch(self, kinds, since, wait_s):
+    async def watch(self, kinds, since, wait_s, margin_s):
         """Count the call and watch."""
         self.calls += 1
-        return await super().watch(kinds, since, wait_s)
+        return await super().watch(kinds, since, wait_s, margin_s)
 
 
 class FeedPair:
@@ -157,7 +158,7 @@
             lambda: self.handle_change(name),
             store_sync.FeedPeers(name, lambda: [OTHER], lambda: [OTHER], send),
             supervision.Supervisor(self.clock),
-            CONFIG_PROPAGATION_S,
+            store_sync.FollowTimes.within(CONFIG_PROPAGATION_S, 2.5, 5.0),
         )
 
     def handle_change(self, name):
