Ask an instance that applies a newer configuration for it

A configuration reached an instance on one path only: its own calls, or the one instance that it follows. While both are stuck, or the store refuses a whole region, callers there were served by an old configuration although every heartbeat of other instances named a newer version.

Heartbeats are evidence now: an instance that has known of a newer version for a tenth of the bound asks one of those that apply it (`ObjectRequest`, answered by `ObjectReport`, protocol version 3), a relay of its region if one has it. The object counts by its own version; up to which position the store was followed stays as it is. The same holds for operators' orders. Nothing is sent unless a version is missing, and heartbeats are as long as before.

--- a/src/carobhook/coordination/follow_times.py
+++ b/src/carobhook/coordination/follow_times.py
@@ -28,6 +28,7 @@
 _PROGRESS_SHARE = 0.12
 _PROGRESS_LIFETIME_SHARE = 0.4
 _ANSWER_LIFETIME_SHARE = 0.44
+_NEWER_WAIT_SHARE = 0.1
 
 
 def _share(bound_s: float, share: float) -> float:
@@ -81,6 +82,7 @@
         progress_interval_s: Seconds between two progress messages.
         progress_lifetime_s: Seconds after a progress message for which a feed is relied on.
         answer_lifetime_s: Seconds after an answer for which the store counts as answering.
+        newer_wait_s: Seconds for which others apply a newer version before one is asked for it.
     """
 
     probe_interval_s: float
@@ -88,6 +90,7 @@
     progress_interval_s: float
     progress_lifetime_s: float
     answer_lifetime_s: float
+    newer_wait_s: float
 
     @classmethod
     def within(cls, bound_s: float) -> "SourceTimes":
@@ -98,4 +101,5 @@
             progress_interval_s=_share(bound_s, _PROGRESS_SHARE),
             progress_lifetime_s=_share(bound_s, _PROGRESS_LIFETIME_SHARE),
             answer_lifetime_s=_share(bound_s, _ANSWER_LIFETIME_SHARE),
+            newer_wait_s=_share(bound_s, _NEWER_WAIT_SHARE),
         )
--- /dev/null
+++ b/src/carobhook/coordination/newer_versions.py
@@ -0,0 +1,57 @@
+"""Finds instances that apply a newer version of an object than this one.
+
+Load pattern: a change is in force at most instances, while the calls and the source of one of
+them are stuck. Heartbeats tell that instance which versions others apply, on other paths than
+its own to the store, so it asks one of them for the object.
+"""
+
+import random
+from collections.abc import Collection, Mapping
+
+import attrs
+
+from carobhook.state import ids
+
+
+@attrs.define
+class NewerVersions:
+    """Decides when to ask another instance for an object, and which one.
+
+    Attributes:
+        wait_s: Seconds for which a newer version is known before an instance is asked for it,
+            as the own source usually brings it sooner, and between two requests.
+        rng: Random source of the choice, so that not all instances ask the same one.
+    """
+
+    wait_s: float
+    rng: random.Random
+    _next_at: dict[str, float] = attrs.field(factory=dict, init=False)
+
+    def instance_to_ask(
+        self,
+        kind: str,
+        own_version: int,
+        announced: Mapping[ids.InstanceId, int],
+        preferred: Collection[ids.InstanceId],
+        now: float,
+    ) -> ids.InstanceId | None:
+        """Return the instance to ask for an object now, or None.
+
+        The caller must send the request, as the next one is due only after a wait.
+
+        Args:
+            kind: Kind of the object.
+            own_version: Version that this instance applies.
+            announced: Versions that other instances apply.
+            preferred: Instances to ask rather than others.
+            now: Monotonic time in seconds.
+        """
+        newest = max(announced.values(), default=own_version)
+        if newest <= own_version:
+            self._next_at.pop(kind, None)
+            return None
+        if now < self._next_at.setdefault(kind, now + self.wait_s):
+            return None
+        self._next_at[kind] = now + self.wait_s
+        holders = sorted(name for name, version in announced.items() if version == newest)
+        return self.rng.choice([n for n in holders if n in preferred] or holders)
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -145,6 +145,10 @@
         "watches-renewed",
         "The store answers a probe again; calls from before are made anew, not waited for.",
     )
+    NEWER_VERSION_SEEN = EventInfo(
+        "newer-version-seen",
+        "Another instance applies a newer version than this one, and is asked for it.",
+    )
     CONFIG_UNCONFIRMED = EventInfo(
         "config-unconfirmed",
         "It is not known whether a newer configuration exists, for longer than one may take.",
--- a/src/carobhook/protocol/feed_messages.py
+++ b/src/carobhook/protocol/feed_messages.py
@@ -88,4 +88,30 @@
     ages_ms: tuple[tuple[str, int], ...] = versions.added_field((), since=3)
 
 
-Message = FeedRequest | FeedSnapshot | FeedEvents | FeedProgress
+@attrs.frozen
+class ObjectRequest:
+    """Asks for an object of which the receiver announced a newer version in its heartbeats.
+
+    Attributes:
+        kind: Kind of the object.
+        version: Version that the sender applies, as in its heartbeats.
+    """
+
+    kind: str
+    version: int
+
+
+@attrs.frozen
+class ObjectReport:
+    """Answers an `ObjectRequest`, if the version in force at the sender is newer.
+
+    Attributes:
+        kind: Kind of the object.
+        item: The object.
+    """
+
+    kind: str
+    item: FeedObject
+
+
+Message = FeedRequest | FeedSnapshot | FeedEvents | FeedProgress | ObjectRequest | ObjectReport
--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -9,7 +9,7 @@
 
 2: `Hello.version`, `SlotReleased.pace`, `Member.is_slow`, `RegionReport.objects`,
    `RegionReport.borrowed`, `RegionReport.is_lent_known`.
-3: `FeedProgress.ages_ms`.
+3: `FeedProgress.ages_ms`, `ObjectRequest`, `ObjectReport`.
 """
 
 from carobhook.protocol import (
@@ -55,9 +55,11 @@
     "FeedSnapshot": feed_messages.FeedSnapshot,
     "FeedEvents": feed_messages.FeedEvents,
     "FeedFresh": feed_messages.FeedProgress,
+    "ObjectRequest": feed_messages.ObjectRequest,
+    "ObjectReport": feed_messages.ObjectReport,
 }
 
 # Versions that introduced types after the first, by tag.
-_ADDED_TYPES: dict[str, int] = {}
+_ADDED_TYPES: dict[str, int] = {"ObjectRequest": 3, "ObjectReport": 3}
 
 CODEC = framing.MessageCodec(MESSAGE_TYPES, PROTOCOL_VERSION, _ADDED_TYPES)
--- a/src/carobhook/transport/received_objects.py
+++ b/src/carobhook/transport/received_objects.py
@@ -31,7 +31,8 @@
         self._objects: dict[str, dict[str, feed_messages.FeedObject]] = {}
         self._positions: dict[str, objects.Position] = {}
         self._evacuations = evacuations.Evacuations()
-        self._config_item: feed_messages.FeedObject | None = None
+        # Objects of the versions in force, by kind; the store may hold older ones.
+        self._in_force: dict[str, feed_messages.FeedObject] = {}
 
     @property
     def revisions(self) -> dict[str, int]:
@@ -48,6 +49,21 @@
         """Return the object of the operators' orders, None if there is none."""
         return self._objects.get(orders.STORE_KIND, {}).get(orders.STORE_NAME)
 
+    @property
+    def versions_in_force(self) -> dict[str, int]:
+        """Return the version in force of each kind that has versions of its own."""
+        config = self._catalog.config
+        return {
+            names.CONFIG_KIND: config.version if config is not None else 0,
+            orders.STORE_KIND: self._orders.in_force.version,
+        }
+
+    def newer_item(self, kind: str, version: int) -> feed_messages.FeedObject | None:
+        """Return the object in force of a kind if it is newer than a version, else None."""
+        if self.versions_in_force.get(kind, 0) <= version:
+            return None
+        return self._in_force.get(kind)
+
     def position(self, kind: str) -> objects.Position | None:
         """Return the position up to which the objects of a kind were received, or None."""
         return self._positions.get(kind)
@@ -148,6 +164,23 @@
         self._positions[kind] = max(position, self._positions.get(kind, _NO_POSITION))
         self._apply(kind, items, now)
 
+    def apply_newer(self, kind: str, item: feed_messages.FeedObject) -> None:
+        """Put an object that another instance sent into force if its version is newer.
+
+        Up to which position objects were received stays as it is.
+        """
+        if kind == names.CONFIG_KIND:
+            self._apply_config(item)
+            self._keep_config_in_force()
+        elif kind == orders.STORE_KIND:
+            self._apply_orders(item)
+
+    def _keep_config_in_force(self) -> None:
+        """Send instances that start the configuration in force, whatever the store holds."""
+        item = self._in_force.get(names.CONFIG_KIND)
+        if item is not None and names.CONFIG_KIND in self._objects:
+            self._objects[names.CONFIG_KIND][names.CONFIG_NAME] = item
+
     def _apply(
         self,
         kind: str,
@@ -166,10 +199,8 @@
                 self._apply_evacuation(item)
         if kind == names.EVACUATIONS_KIND:
             self.update_evacuated(now)
-        if kind == names.CONFIG_KIND and self._config_item is not None:
-            # Instances that start get the configuration in force, also while the store has
-            # come back with an older one.
-            self._objects[kind][names.CONFIG_NAME] = self._config_item
+        if kind == names.CONFIG_KIND:
+            self._keep_config_in_force()
 
     def _apply_config(self, item: feed_messages.FeedObject) -> None:
         if item.name != names.CONFIG_NAME or item.value is None:
@@ -180,7 +211,7 @@
             platform_objects.decode_config,
         )
         if config is not None and self._catalog.replace_config_if_newer(config):
-            self._config_item = item
+            self._in_force[names.CONFIG_KIND] = item
             logs.event(
                 "config-in-force",
                 version=f"{config.version:08x}",
@@ -205,6 +236,7 @@
             order_codec.decode,
         )
         if order_state is not None and self._orders.replace_if_newer(order_state):
+            self._in_force[orders.STORE_KIND] = item
             logs.event("orders-in-force", version=order_state.version, revision=item.version)
 
     def _apply_server(
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -15,6 +15,7 @@
     catalog,
     confirmations,
     follow_times,
+    newer_versions,
     object_watch,
     objects,
     steering,
@@ -22,7 +23,7 @@
 )
 from carobhook.platform import names, store
 from carobhook.protocol import feed_messages
-from carobhook.state import ids, orders
+from carobhook.state import ids, members, orders
 from carobhook.transport import orders_restore, received_objects, supervision
 
 # No deployment names a bound for operators' orders.
@@ -87,12 +88,14 @@
         candidates: Returns the instances of the region that can follow the store for it, in
             order of preference.
         relays: Returns the relays of the region, ready or not.
+        members: Returns the live instances of all regions.
         send: Sends a message to an instance; returns False if there is no stream to it.
     """
 
     own: ids.InstanceId
     candidates: Callable[[], list[ids.InstanceId]]
     relays: Callable[[], list[ids.InstanceId]]
+    members: Callable[[], list[members.Member]]
     send: Callable[[ids.InstanceId, typing.Any], bool]
 
 
@@ -145,6 +148,7 @@
         self._has_unhandled_change = False
         self._source_selector = store_feed.SourceSelector(peers.own, times.source)
         self._subscribers = store_feed.Subscribers(times.source)
+        self._newer_versions = newer_versions.NewerVersions(times.source.newer_wait_s, rng)
         self._running_probe: defer.Deferred | None = None
         self._probed_at = 0.0
         self._has_probe_failed = False
@@ -214,8 +218,25 @@
             self._probe(now)
         if self._has_unhandled_change:
             self._notify_change()
+        if self.is_complete:
+            self._ask_for_newer(now)
         self._report_age(now)
 
+    def _ask_for_newer(self, now: float) -> None:
+        """Ask another instance for an object, if it applies a newer version of it."""
+        others = [member for member in self._peers.members() if member.name != self._peers.own]
+        announced = {
+            names.CONFIG_KIND: {member.name: member.version for member in others},
+            orders.STORE_KIND: {member.name: member.orders_version for member in others},
+        }
+        for kind, version in self._received.versions_in_force.items():
+            name = self._newer_versions.instance_to_ask(
+                kind, version, announced[kind], self._peers.relays(), now
+            )
+            if name is not None:
+                logs.event("newer-version-seen", kind=kind, version=version, instance=name)
+                self._peers.send(name, feed_messages.ObjectRequest(kind, version))
+
     def _report_age(self, now: float) -> None:
         """Log when it is too long unknown whether a newer configuration exists, and the end."""
         kind = names.CONFIG_KIND
@@ -302,6 +323,13 @@
                     self._peers.send(sender, snapshot)
         elif isinstance(message, feed_messages.FeedProgress):
             self._handle_progress(sender, message, now)
+        elif isinstance(message, feed_messages.ObjectRequest):
+            item = self._received.newer_item(message.kind, message.version)
+            if item is not None:
+                self._peers.send(sender, feed_messages.ObjectReport(message.kind, item))
+        elif isinstance(message, feed_messages.ObjectReport):
+            self._supervisor.run("feed", self._received.apply_newer, message.kind, message.item)
+            self._notify_change()
         elif isinstance(message, feed_messages.FeedSnapshot):
             position = objects.Position(message.era, message.revision)
             if self._received.is_newer(message.kind, position):
--- a/tests/follower_fleet.py
+++ b/tests/follower_fleet.py
@@ -12,6 +12,7 @@
 from carobhook.transport import store_sync, supervision
 
 REGION = ids.Region("r")
+OTHER_REGION = ids.Region("other")
 TICK_INTERVAL_S = 0.1
 HEARTBEAT_INTERVAL_S = 0.4
 # Time until the heartbeat of an instance is known to another one, through a relay.
@@ -83,11 +84,13 @@
     Args:
         fleet: Its fleet.
         name: Its name.
+        region: Its region.
     """
 
-    def __init__(self, fleet, name):
+    def __init__(self, fleet, name, region=REGION):
         self.fleet = fleet
         self.name = name
+        self.region = region
         self.store = Store(fleet.engine, fleet.clock)
         self.known = catalog.Catalog()
         self.members = {}
@@ -100,8 +103,9 @@
             lambda: None,
             store_sync.FeedPeers(
                 name,
-                lambda: store_feed.candidates(self.members.values(), REGION),
-                lambda: fleet.names[:4],
+                lambda: store_feed.candidates(self.members.values(), self.region),
+                lambda: [m.name for m in self.members.values() if m.region == region],
+                lambda: list(self.members.values()),
                 self.send,
             ),
             supervision.Supervisor(fleet.clock),
@@ -126,7 +130,7 @@
         return members.Member(
             self.name,
             ids.Incarnation("1"),
-            REGION,
+            self.region,
             ids.FailureDomain("d"),
             "",
             "",
@@ -176,9 +180,10 @@
     Args:
         size: Number of instances.
         seed: Seed of all random times.
+        has_other_region: Whether the last of them stands in another region.
     """
 
-    def __init__(self, size, seed):
+    def __init__(self, size, seed, has_other_region=False):
         self.rng = random.Random(seed)
         self.clock = task.Clock()
         self.engine = store_access.create_access(self.clock).engine
@@ -189,7 +194,9 @@
         )
         self.instances = {}
         for name in self.names:
-            self.instances[name] = Instance(self, name)
+            is_other = has_other_region and name == self.names[-1]
+            region = OTHER_REGION if is_other else REGION
+            self.instances[name] = Instance(self, name, region)
         self.run(8.0)
         assert self.versions == {1}
 
--- a/tests/test_old_config_after_outage.py
+++ b/tests/test_old_config_after_outage.py
@@ -87,3 +87,18 @@
             )
             assert subscriber.sync.config_confirmed_at <= confirmed_at + 0.01
         assert followed == {False, True}
+
+
+class TestRegionWithoutStore:
+    """The store answers the instances of one region, and none of another."""
+
+    def test_change_that_others_apply_comes_into_force(self):
+        """Who hears in heartbeats of a newer version gets it from an instance that has it."""
+        fleet = follower_fleet.Fleet(4, 1, has_other_region=True)
+        for name in fleet.names[:3]:
+            fleet.instances[name].store.go_silent()
+        fleet.run(5.0)
+        fleet.change_config()
+        delays = fleet.seconds_until_in_force()
+        assert len(delays) == 4
+        assert max(delays.values()) <= CONFIG_PROPAGATION_S
--- a/tests/test_receiver_errors.py
+++ b/tests/test_receiver_errors.py
@@ -73,7 +73,9 @@
             steering.Steering({}),
             random.Random(1),
             self.on_change,
-            store_sync.FeedPeers(OWN, lambda: [], lambda: [OWN], lambda to, message: True),
+            store_sync.FeedPeers(
+                OWN, lambda: [], lambda: [OWN], lambda: [], lambda to, message: True
+            ),
             supervision.Supervisor(self.clock),
             store_sync.FollowTimes.within(2.5, 2.5, 5.0),
         )
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -156,7 +156,7 @@
             self.orders[name],
             random.Random(1),
             lambda: self.handle_change(name),
-            store_sync.FeedPeers(name, lambda: [OTHER], lambda: [OTHER], send),
+            store_sync.FeedPeers(name, lambda: [OTHER], lambda: [OTHER], lambda: [], send),
             supervision.Supervisor(self.clock),
             store_sync.FollowTimes.within(CONFIG_PROPAGATION_S, 2.5, 5.0),
         )
