Answer 503, not 404, for a route that a newer configuration may have

While an instance could not know whether there was a newer configuration, it told callers of an added route that there is none.

Once its configuration has been unconfirmed for longer than a change may take (bounds.config_propagation), an instance refuses what no known route serves with 503, code 1056 and Retry-After, which promises that nothing was run. Requests that a route serves go on as before, and 404 is said again with the next confirmation.

--- a/src/carobhook/coordination/request_routing.py
+++ b/src/carobhook/coordination/request_routing.py
@@ -17,6 +17,9 @@
 _CALL_TARGET_FRACTION = 0.5
 # Maximum number of servers that such a request is sent to.
 _CALL_MAX_ATTEMPTS = 2
+# Seconds after which a client that no known route serves is told to come back, while it is not
+# known whether there is a newer configuration.
+_UNCONFIRMED_RETRY_S = 0.5
 
 
 @attrs.frozen
@@ -72,6 +75,7 @@
         path: str,
         time_left_s: float | None,
         received_at: float,
+        is_confirmed: bool = True,
     ) -> RoutingDecision | refusals.Refusal:
         """Return where a request is sent, or the reason to refuse it.
 
@@ -81,12 +85,13 @@
             path: Path of the request without the query.
             time_left_s: Seconds that the client will still wait, None if it states none.
             received_at: Monotonic time in seconds at which the request was received.
+            is_confirmed: Whether the configuration is known to be the newest.
         """
         if config is None:
             return refusals.Refusal(codes.Code.NO_CONFIG, retry_after_s=0.5)
         route = config.match(host, path)
         if route is None:
-            return refusals.Refusal(codes.Code.NO_ROUTE, detail=f"{host}{path}")
+            return _unroutable(f"{host}{path}", is_confirmed)
         left_s = _DEFAULT_TIME_LEFT_S if time_left_s is None else time_left_s
         longest_s = max(self._longest_time_left_s.get(route.name, 0.0), left_s)
         self._longest_time_left_s[route.name] = longest_s
@@ -102,6 +107,7 @@
         config: routing.RoutingConfig | None,
         call: client_api.ServiceCall,
         received_at: float,
+        is_confirmed: bool = True,
     ) -> RoutingDecision | refusals.Refusal:
         """Return where a request that names its service is sent, or the reason to refuse it.
 
@@ -109,12 +115,12 @@
             config: Configuration in force, None before the first.
             call: The request.
             received_at: Monotonic time in seconds at which the request was received.
+            is_confirmed: Whether the configuration is known to be the newest.
         """
         if config is None:
             return refusals.Refusal(codes.Code.NO_CONFIG, retry_after_s=0.5)
         if call.service not in config.services:
-            detail = f"no service {call.service!r}"
-            return refusals.Refusal(codes.Code.NO_ROUTE, detail=detail)
+            return _unroutable(f"no service {call.service!r}", is_confirmed)
         left_s = _DEFAULT_TIME_LEFT_S if call.time_left_s is None else call.time_left_s
         route = routing.Route(
             name=f"service/{call.service}",
@@ -191,6 +197,18 @@
         return min(route.homes)
 
 
+def _unroutable(detail: str, is_confirmed: bool) -> refusals.Refusal:
+    """Return the refusal of a request that the configuration has no route for.
+
+    Clients do not repeat what was not found, so that is said only of the newest configuration.
+    """
+    if is_confirmed:
+        return refusals.Refusal(codes.Code.NO_ROUTE, detail=detail)
+    return refusals.Refusal(
+        codes.Code.ROUTE_UNCONFIRMED, retry_after_s=_UNCONFIRMED_RETRY_S, detail=detail
+    )
+
+
 def _idempotency(call: client_api.ServiceCall) -> routing.Idempotency:
     if call.repeatable:
         return routing.Idempotency.REPEATABLE
--- a/src/carobhook/state/codes.py
+++ b/src/carobhook/state/codes.py
@@ -84,6 +84,13 @@
         "The instance stops, and might end before the request does.",
     )
     NO_ROUTE = CodeInfo(1054, 404, RunStatus.NOT_RUN, False, "No route serves the request.")
+    ROUTE_UNCONFIRMED = CodeInfo(
+        1056,
+        503,
+        RunStatus.NOT_RUN,
+        True,
+        "No route serves the request, but there may be a newer configuration.",
+    )
     BACKEND_LOST = CodeInfo(
         1020,
         502,
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -245,6 +245,7 @@
                 self._servers.quarantine,
                 self._servers.notices,
                 lambda: self._machine.is_slow,
+                lambda: self._store_sync.is_config_recent,
             ),
         )
 
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -40,6 +40,7 @@
         quarantine: Requests that end the servers that run them.
         notices: What servers say of themselves in their responses.
         is_slow: Returns whether the machine of this instance is slow.
+        is_config_recent: Returns whether the configuration may be taken for the newest.
     """
 
     server_catalog: catalog.Catalog
@@ -50,6 +51,7 @@
     quarantine: request_quarantine.RequestQuarantine
     notices: notice_board.NoticeBoard
     is_slow: Callable[[], bool] = lambda: False
+    is_config_recent: Callable[[], bool] = lambda: True
 
 
 class EntryRequests:
@@ -157,12 +159,18 @@
             ValueError: A header that must hold a number does not.
         """
         config = self._context.server_catalog.config
+        is_recent = self._context.is_config_recent()
         if call is not None:
-            return self._router.route_call(config, call, request.received_at)
+            return self._router.route_call(config, call, request.received_at, is_recent)
         head = request.head
         time_left_s = requests.time_left_s(head)
         return self._router.route_request(
-            config, head.get("host") or "", _path(head), time_left_s, request.received_at
+            config,
+            head.get("host") or "",
+            _path(head),
+            time_left_s,
+            request.received_at,
+            is_recent,
         )
 
     def _accept(
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -181,6 +181,12 @@
         """
         return self._confirmations.at(names.CONFIG_KIND)
 
+    @property
+    def is_config_recent(self) -> bool:
+        """Return whether a newer configuration may exist only for as long as one may take."""
+        age_s = self._reactor.seconds() - self.config_confirmed_at
+        return age_s <= self._times.config_bound_s
+
     def start(self) -> None:
         """Start to follow the feed of another instance, or the store itself."""
         self.tick()
@@ -240,8 +246,7 @@
     def _report_age(self, now: float) -> None:
         """Log when it is too long unknown whether a newer configuration exists, and the end."""
         kind = names.CONFIG_KIND
-        age_s = now - self._confirmations.at(kind)
-        is_unconfirmed = age_s > self._times.config_bound_s
+        is_unconfirmed = not self.is_config_recent
         if is_unconfirmed == self._is_unconfirmed or self._received.position(kind) is None:
             return
         self._is_unconfirmed = is_unconfirmed
@@ -251,7 +256,7 @@
                 "config-unconfirmed",
                 source=source,
                 direct=self.is_direct,
-                age_s=round(age_s, 3),
+                age_s=round(now - self.config_confirmed_at, 3),
             )
         else:
             logs.event("config-confirmed", source=source, direct=self.is_direct)
--- a/tests/test_entry.py
+++ b/tests/test_entry.py
@@ -440,6 +440,18 @@
         self.store.put("config", "main", config(9, route()))
         await self.wait_until(lambda: self.daemons[0]._catalog.config.version == 9)
 
+    async def test_unknown_path_is_503_while_the_configuration_is_unconfirmed(self):
+        """A route may have been added that this instance could not hear of."""
+        self.store.mode.refuse_status = 503
+        await self.wait_until(lambda: not self.daemons[0]._store_sync.is_config_recent)
+        response = await self.request("/nowhere/")
+        assert response.status == 503
+        assert response.get("retry-after") is not None
+        assert (await self.request()).status == 200
+        self.store.mode.refuse_status = 0
+        await self.wait_until(lambda: self.daemons[0]._store_sync.is_config_recent)
+        assert (await self.request("/nowhere/")).status == 404
+
     async def test_evacuated_failure_domain_gets_no_requests(self):
         """Servers of an evacuated failure domain are unused until the evacuation is removed."""
         self.register("i-0", zone="north-b")
--- a/tests/test_request_routing.py
+++ b/tests/test_request_routing.py
@@ -51,6 +51,18 @@
         unconfigured = router.route_request(None, "shop.example", "/a/", 1.0, 0.0)
         assert (unconfigured.code, unconfigured.status) == (codes.Code.NO_CONFIG, 503)
 
+    def test_unknown_path_gets_503_while_a_newer_configuration_may_exist(self):
+        """A client does not repeat what was not found, so 404 is said only if it is known."""
+        refusal = make_router().route_request(
+            config(ROUTE), "shop.example", "/b/", 1.0, 0.0, is_confirmed=False
+        )
+        assert (refusal.code, refusal.status) == (codes.Code.ROUTE_UNCONFIRMED, 503)
+        assert refusal.retry_after_s
+        known = make_router().route_request(
+            config(ROUTE), "shop.example", "/a/", 1.0, 0.0, is_confirmed=False
+        )
+        assert known.route is ROUTE
+
     def test_timeout_and_time_left_limit_deadline(self):
         """The deadline is the earlier of the route's timeout and the client's deadline."""
         router = make_router()
