--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -48,6 +48,8 @@
     ("FeedSnapshot", feed_messages.FeedSnapshot, 3),
     ("FeedEvents", feed_messages.FeedEvents, 4),
     ("FeedFresh", feed_messages.FeedProgress, 1),
+    ("ObjectRequest", feed_messages.ObjectRequest, 2),
+    ("ObjectReport", feed_messages.ObjectReport, 2),
 ]
 
 
--- a/tests/test_overlooked_states.py
+++ b/tests/test_overlooked_states.py
@@ -113,7 +113,7 @@
         before = self.usable(OWN)
         source = self.sync_by_name[OTHER]
         assert source.is_direct and before
-        position = source._positions[names.SERVERS_KIND]
+        position = source._received.position(names.SERVERS_KIND)
         unreadable = feed_messages.FeedObject(["s9"], position.revision + 1, b"{}")
         source.handle_message(
             OWN,
@@ -127,7 +127,7 @@
         )
         self.put(names.SERVERS_KIND, "s7", test_restored_store.server("s7"))
         self.run(3.0)
-        snapshots = {s.kind: s for s in source._snapshots()}
+        snapshots = {s.kind: s for s in source._received.snapshots()}
         listed = {item.name for item in snapshots[names.SERVERS_KIND].items}
         assert set(before) <= listed
 
