--- a/src/carobhook/coordination/newer_versions.py
+++ b/src/carobhook/coordination/newer_versions.py
@@ -6,7 +6,7 @@
 """
 
 import random
-from collections.abc import Collection, Mapping
+from collections.abc import Callable, Collection, Mapping
 
 import attrs
 
@@ -32,7 +32,7 @@
         kind: str,
         own_version: int,
         announced: Mapping[ids.InstanceId, int],
-        preferred: Collection[ids.InstanceId],
+        preferred: Callable[[], Collection[ids.InstanceId]],
         now: float,
     ) -> ids.InstanceId | None:
         """Return the instance to ask for an object now, or None.
@@ -42,8 +42,8 @@
         Args:
             kind: Kind of the object.
             own_version: Version that this instance applies.
-            announced: Versions that other instances apply.
-            preferred: Instances to ask rather than others.
+            announced: Versions that instances apply, with or without this one.
+            preferred: Returns the instances to ask rather than others.
             now: Monotonic time in seconds.
         """
         newest = max(announced.values(), default=own_version)
@@ -54,4 +54,5 @@
             return None
         self._next_at[kind] = now + self.wait_s
         holders = sorted(name for name, version in announced.items() if version == newest)
-        return self.rng.choice([n for n in holders if n in preferred] or holders)
+        first = preferred()
+        return self.rng.choice([name for name in holders if name in first] or holders)
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -149,6 +149,7 @@
         self._source_selector = store_feed.SourceSelector(peers.own, times.source)
         self._subscribers = store_feed.Subscribers(times.source)
         self._newer_versions = newer_versions.NewerVersions(times.source.newer_wait_s, rng)
+        self._newer_checked_at = -math.inf
         self._running_probe: defer.Deferred | None = None
         self._probed_at = 0.0
         self._has_probe_failed = False
@@ -230,14 +231,17 @@
 
     def _ask_for_newer(self, now: float) -> None:
         """Ask another instance for an object, if it applies a newer version of it."""
-        others = [member for member in self._peers.members() if member.name != self._peers.own]
+        if now - self._newer_checked_at < self._times.source.newer_wait_s:
+            return
+        self._newer_checked_at = now
+        known = self._peers.members()
         announced = {
-            names.CONFIG_KIND: {member.name: member.version for member in others},
-            orders.STORE_KIND: {member.name: member.orders_version for member in others},
+            names.CONFIG_KIND: {member.name: member.version for member in known},
+            orders.STORE_KIND: {member.name: member.orders_version for member in known},
         }
         for kind, version in self._received.versions_in_force.items():
             name = self._newer_versions.instance_to_ask(
-                kind, version, announced[kind], self._peers.relays(), now
+                kind, version, announced[kind], self._peers.relays, now
             )
             if name is not None:
                 logs.event("newer-version-seen", kind=kind, version=version, instance=name)
