--- a/src/carobhook/coordination/follow_times.py
+++ b/src/carobhook/coordination/follow_times.py
@@ -20,6 +20,7 @@
 _FIRST_WAIT_SHARE = 0.1
 _FIRST_DELAY_SHARE = 0.04
 _MAX_DELAY_SHARE = 0.35
+_LOST_DELAY_SHARE = 2.0
 _MAX_AGE_SHARE = 0.8
 _BATCH_DELAY_SHARE = 0.08
 
@@ -45,6 +46,7 @@
         first_wait_s: Seconds that the first call after a failure waits.
         batch_delay_s: Seconds between a call that returned changes and the next one.
         delays: Delays after failures.
+        lost_delay_s: Seconds until the next call while probes fail. Their first answer ends it.
         max_age_s: Seconds since the last confirmation for which an instance counts as up to
             date, and others may follow it.
     """
@@ -54,6 +56,7 @@
     first_wait_s: float
     batch_delay_s: float
     delays: backoff.Backoff
+    lost_delay_s: float
     max_age_s: float
 
     @classmethod
@@ -68,6 +71,7 @@
                 first_s=_share(bound_s, _FIRST_DELAY_SHARE),
                 cap_s=_share(bound_s, _MAX_DELAY_SHARE),
             ),
+            lost_delay_s=_share(bound_s, _LOST_DELAY_SHARE),
             max_age_s=_share(bound_s, _MAX_AGE_SHARE),
         )
 
--- a/src/carobhook/coordination/object_watch.py
+++ b/src/carobhook/coordination/object_watch.py
@@ -70,6 +70,7 @@
         first_wait_s: The same for the first call after a failure, so that it is known soon
             whether the store answers.
         delays: Delays before the next call after failures.
+        lost_delay_s: Delay while the store is known to answer nothing.
         batch_delay_s: Seconds to wait after a call that returned events before the next call.
             Events of that time are returned together, which saves calls.
     """
@@ -78,6 +79,7 @@
     margin_s: float = attrs.field(default=0.7, validator=validators.gt(0))
     first_wait_s: float = attrs.field(default=0.5, validator=validators.gt(0))
     delays: backoff.Backoff = attrs.field(factory=backoff.Backoff)
+    lost_delay_s: float = attrs.field(default=5.0, validator=validators.gt(0))
     batch_delay_s: float = attrs.field(default=0.0, validator=validators.ge(0))
 
 
@@ -98,6 +100,8 @@
         options: Waits and delays.
         resume_at: Position up to which the caller has the objects already, or None to list
             them first.
+        is_lost: Returns whether the store is known to answer nothing. The caller then finds
+            out by cheaper calls when it answers again, and calls `renew`.
     """
 
     def __init__(
@@ -110,6 +114,7 @@
         *,
         options: WatchOptions | None = None,
         resume_at: objects.Position | None = None,
+        is_lost: Callable[[], bool] = lambda: False,
     ) -> None:
         self._store = store
         self._clock = clock
@@ -117,6 +122,7 @@
         self._kinds = tuple(kinds)
         self._handler = handler
         self._options = options or WatchOptions()
+        self._is_lost = is_lost
         start = resume_at or objects.Position(0, 0)
         self._since = None if resume_at is None else start.revision
         self._era = start.era
@@ -187,6 +193,8 @@
 
     async def _wait_after_failure(self) -> None:
         delay_s = self._options.delays.delay_s(self._failures, self._rng)
+        if self._is_lost():
+            delay_s = self._options.lost_delay_s
         self._failures += 1
         self._has_failed = True
         try:
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -75,6 +75,7 @@
             margin_s=times.margin_s,
             first_wait_s=times.first_wait_s,
             delays=times.delays,
+            lost_delay_s=times.lost_delay_s,
             batch_delay_s=times.batch_delay_s,
         )
 
@@ -415,6 +416,7 @@
             self._update_handler(kind),
             options=self._times.watch_options(kind),
             resume_at=position if position is not None and position.era == self._era else None,
+            is_lost=lambda: self._has_probe_failed,
         )
         watcher.start().addErrback(lambda reason: self._watch_failed(kind, watcher, reason))
 
