Check in the soak when configurations come into force

The soak had faults of the store and changes of the configuration, but nothing asked when an instance applied a change: callers rarely meet a late one. Each eighth seed now has only faults of the store, with a configuration written in each of them or at its end, and each instance must have it within 2.5 s of the write and of the end of those faults.

--- a/src/carobhook/soak/checks.py
+++ b/src/carobhook/soak/checks.py
@@ -1,6 +1,7 @@
 """Invariants of a soak run, checked on the records of clients and backend servers."""
 
 import collections
+import math
 from collections.abc import Iterable, Sequence
 
 import attrs
@@ -32,6 +33,8 @@
 _ENDED_SERVERS = 3
 _MAX_LATE_ENDS = 3
 _ENDS_SETTLE_S = 3.0
+# Seconds within which a configuration must be in force at each instance.
+CONFIG_LIMIT_S = 2.5
 # Statuses that guarantee that the request was not run.
 _NOT_RUN_STATUSES = frozenset({408, 421, 429, 503})
 
@@ -204,6 +207,60 @@
     return [f"a request that had ended {_ENDED_SERVERS} servers ended {late} more"]
 
 
+@attrs.frozen
+class ConfigInForce:
+    """A configuration that came into force at an instance.
+
+    Attributes:
+        instance: Index of the instance.
+        version: Version of the configuration.
+        at: Monotonic time in seconds.
+    """
+
+    instance: int
+    version: int
+    at: float
+
+
+def find_late_configs(
+    writes: Iterable[tuple[int, float]],
+    in_force: Sequence[ConfigInForce],
+    store_faults: Iterable[tuple[float, float]],
+    ends_at: float,
+) -> list[str]:
+    """Return one line for each configuration that an instance had too late.
+
+    Too late means more than `CONFIG_LIMIT_S` after it was written, or after the end of faults
+    of the store in that time. A later version may come into force in place of it.
+
+    Args:
+        writes: Version and monotonic time in seconds of each configuration.
+        in_force: When which version came into force where.
+        store_faults: Start and end of each fault of the store.
+        ends_at: Monotonic time in seconds at which the records end.
+    """
+    faults = sorted(store_faults)
+    instances = sorted({found.instance for found in in_force})
+    violations = []
+    for version, written_at in writes:
+        begins_at = written_at
+        for start, end in faults:
+            if start <= begins_at + CONFIG_LIMIT_S:
+                begins_at = max(begins_at, end)
+        limit_at = begins_at + CONFIG_LIMIT_S
+        if limit_at > ends_at:
+            continue
+        for instance in instances:
+            times = [f.at for f in in_force if f.instance == instance and f.version >= version]
+            if min(times, default=math.inf) > limit_at:
+                late_s = min(times, default=ends_at) - begins_at
+                violations.append(
+                    f"configuration {version} came into force at i{instance} {late_s:.1f} s "
+                    "after it could"
+                )
+    return violations
+
+
 def check_recovery(served: int, sent: int) -> list[str]:
     """Return a violation if too few of the requests sent after the recovery were served.
 
--- a/src/carobhook/soak/deployment.py
+++ b/src/carobhook/soak/deployment.py
@@ -1,18 +1,21 @@
 """Deployment under test: instance processes, with the platform's stand-ins in this process."""
 
 import collections
+import datetime
+import json
 import os
 import pathlib
 import signal
 import subprocess
 import sys
+import time
 import typing
 
 from twisted.internet import defer, task
 
 from carobhook import demo
 from carobhook.platform import names
-from carobhook.soak import proxy
+from carobhook.soak import checks, proxy
 from carobhook.standins import (
     memory_store,
     platform_server,
@@ -48,6 +51,7 @@
         store_proxy: Proxy through which the instances use the store.
         draining_since: Monotonic time in seconds at which each draining server began to drain,
             by its id.
+        config_writes: Version and monotonic time in seconds of each configuration.
     """
 
     def __init__(
@@ -75,6 +79,7 @@
         self.server_proxies: list[proxy.Proxy] = []
         self.store_proxy: proxy.Proxy
         self.draining_since: dict[str, float] = {}
+        self.config_writes: list[tuple[int, float]] = []
         self._starts: dict[str, int] = {}
 
     @property
@@ -147,6 +152,7 @@
         """Write a newer version of the routing configuration into the store."""
         self._config_version += 1
         self._write_config()
+        self.config_writes.append((self._config_version, self._reactor.seconds()))
 
     def _write_config(self) -> None:
         spec = demo.config(self._config_version)
@@ -232,6 +238,24 @@
                 raise TimeoutError(f"instance {index} is not ready: {lines}")
             await task.deferLater(self._reactor, _POLL_S)
 
+    def configs_in_force(self) -> list[checks.ConfigInForce]:
+        """Return the configurations that came into force, as the instances logged them."""
+        monotonic_offset_s = self._reactor.seconds() - time.time()
+        found = []
+        for index in range(self._instance_count):
+            text = (self._directory / f"i{index}.log").read_text("utf-8", "replace")
+            for line in text.splitlines():
+                if '"config-in-force"' not in line:
+                    continue
+                fields = json.loads(line)
+                wall_s = datetime.datetime.fromisoformat(fields["time"]).timestamp()
+                found.append(
+                    checks.ConfigInForce(
+                        index, int(fields["version"], 16), wall_s + monotonic_offset_s
+                    )
+                )
+        return found
+
     def send_signal(self, index: int, signal_number: signal.Signals) -> None:
         """Send a signal to the process of an instance if it is running."""
         process = self._processes.get(index)
--- a/src/carobhook/soak/faults.py
+++ b/src/carobhook/soak/faults.py
@@ -51,6 +51,18 @@
 # Beside these, callers are served during a cut as well.
 HARMLESS_IN_CUTS = frozenset({Fault.RELOAD, Fault.CONFIG_CHANGES}) | PATH_CUTS
 
+# Faults of the store and changes that it has to bring to all instances.
+STORE_ONLY = frozenset(
+    {
+        Fault.STORE_REFUSES,
+        Fault.STORE_SILENT,
+        Fault.STORE_DELAYED,
+        Fault.STORE_LOSES_ANSWERS,
+        Fault.STORE_FORGETS,
+        Fault.CONFIG_CHANGES,
+    }
+)
+
 # After these, instances may not know the limit that a server has named: they were restarted or
 # paused, or its answers did not reach them in time.
 EXCUSES_FROM_LIMITS = frozenset(
@@ -98,7 +110,8 @@
 
     Seeds that are multiples of four draw planned work only, during which no request may be
     interrupted. The seed after each of these draws only cuts from servers and what is harmless
-    beside them.
+    beside them, and each eighth seed, from 7 on, only faults of the store, each with a
+    configuration that is written while it lasts or right at its end.
 
     Args:
         seed: Seed of the random number generator.
@@ -106,6 +119,9 @@
     """
     rng = random.Random(seed)
     allowed = {0: PLANNED, 1: HARMLESS_IN_CUTS}.get(seed % 4, frozenset(Fault))
+    is_store_only = seed % 8 == 7
+    if is_store_only:
+        allowed = STORE_ONLY
     kinds = sorted(allowed, key=lambda fault: fault.value)
     count = rng.randint(2, max(3, int(duration_s / 2)))
     steps = [
@@ -117,4 +133,12 @@
         )
         for _ in range(count)
     ]
+    if is_store_only:
+        steps += [_config_change_during(step, rng) for step in steps]
     return sorted(steps, key=lambda step: step.at_s)
+
+
+def _config_change_during(step: Step, rng: random.Random) -> Step:
+    """Return a change of the configuration during a fault, at its end in half of all cases."""
+    at_s = step.at_s + step.duration_s * min(1.0, rng.uniform(0.0, 2.0))
+    return Step(round(at_s, 1), Fault.CONFIG_CHANGES, 0.0, 0)
--- a/src/carobhook/soak/run.py
+++ b/src/carobhook/soak/run.py
@@ -120,6 +120,7 @@
         self._draining_periods: list[tuple[str, float, float]] = []
         self._limited_periods: list[tuple[str, float, float]] = []
         self._clients: list[platform_client.PlatformClient] = []
+        self._store_faults: list[tuple[float, float]] = []
         self._cut_periods: list[tuple[float, float]] = []
         self._fatal_ids: list[str] = []
         self._connections = server_connections.ServerConnections(reactor, 1.0)
@@ -129,6 +130,8 @@
         steps = faults.draw_series(self._seed, self._options.duration_s)
         try:
             await self._deployment.start()
+            # Instances that start have the first one when they are ready.
+            self._deployment.config_writes.clear()
             for server in self._deployment.servers:
                 server.behaviour = attrs.evolve(server.behaviour, echo_id=True)
             load = self._load(self._options.duration_s + 2.0)
@@ -181,13 +184,10 @@
             await self._disturb_instance(instance_index, step)
         elif fault is faults.Fault.CONFIG_CHANGES:
             system.change_config()
-        elif fault is faults.Fault.STORE_FORGETS:
-            system.store.compact()
-        elif fault is faults.Fault.STORE_RESTORED:
-            await self._restore_store(step.duration_s)
         elif fault.value.startswith("store"):
-            mode = _PROXY_MODES[fault]
-            await self._change_proxy_mode(system.store_proxy, mode, step.duration_s)
+            started_at = self._reactor.seconds()
+            await self._disturb_store(fault, step.duration_s)
+            self._store_faults.append((started_at, self._reactor.seconds()))
         else:
             await self._disturb_server(server_index, fault, step.duration_s)
 
@@ -231,6 +231,17 @@
             changed_proxy = system.server_proxies[server_index]
             await self._change_proxy_mode(changed_proxy, _PROXY_MODES[fault], duration_s)
 
+    async def _disturb_store(self, fault: faults.Fault, duration_s: float) -> None:
+        """Let the store forget its history, come back from a copy, or fail for a while."""
+        system = self._deployment
+        if fault is faults.Fault.STORE_FORGETS:
+            system.store.compact()
+        elif fault is faults.Fault.STORE_RESTORED:
+            await self._restore_store(duration_s)
+        else:
+            mode = _PROXY_MODES[fault]
+            await self._change_proxy_mode(system.store_proxy, mode, duration_s)
+
     async def _restart(self, index: int, signal_number: signal.Signals) -> None:
         self._deployment.send_signal(index, signal_number)
         if signal_number is signal.SIGKILL:
@@ -383,6 +394,13 @@
         kinds = {step.fault for step in steps}
         if kinds <= faults.HARMLESS_IN_CUTS:
             violations += checks.find_unserved_in_cuts(self._attempts(), self._cut_periods)
+        if kinds <= faults.STORE_ONLY and self._options.other_source is None:
+            violations += checks.find_late_configs(
+                self._deployment.config_writes,
+                self._deployment.configs_in_force(),
+                self._store_faults,
+                self._reactor.seconds(),
+            )
         ends = [at for server in self._deployment.servers for at in server.ends]
         violations += checks.find_late_ends(ends)
         violations += checks.check_recovery(served - served_before, sent - sent_before)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -75,6 +75,21 @@
         assert len(checks.find_interrupted([], [(SAFE, dropped)])) == 1
         assert len(checks.find_interrupted(runs_of("a"), [(SAFE, lost_in_close)])) == 1
 
+    def test_late_configuration(self):
+        """An instance may have a later version instead, and time after faults of the store."""
+        in_force = [
+            checks.ConfigInForce(0, 2, 10.1),
+            checks.ConfigInForce(0, 3, 15.9),
+            checks.ConfigInForce(1, 2, 10.1),
+            checks.ConfigInForce(1, 4, 16.4),
+        ]
+        writes = [(2, 10.0), (3, 12.0), (4, 30.0)]
+        late = checks.find_late_configs(writes, in_force, [(11.0, 13.5)], 31.0)
+        assert [line.split()[6] for line in late] == ["i1"]
+        assert checks.find_late_configs(writes, in_force, [(11.0, 14.0)], 31.0) == []
+        assert len(checks.find_late_configs(writes, in_force, [], 31.0)) == 2
+        assert len(checks.find_late_configs(writes, in_force, [], 33.0)) == 3
+
     def test_late_send_to_a_draining_server(self):
         """Requests are allowed within the limit, after the drain, and on other servers."""
         draining_periods = [("s1", 10.0, 20.0)]
@@ -143,13 +158,15 @@
         drawn = [{step.fault for step in faults.draw_series(seed, 8.0)} for seed in range(100)]
         assert set.union(*drawn) == set(faults.Fault)
         assert all(kinds <= faults.PLANNED for kinds in drawn[::4])
+        assert all(kinds <= faults.STORE_ONLY for kinds in drawn[7::8])
 
 
 class TestRun:
     """Tests with real processes."""
 
-    # 5 and 9 draw cuts from servers, and 54 a request that ends its servers.
-    @pytest.mark.parametrize("seed", [4, 5, 9, 54, *REGRESSIONS])
+    # 5 and 9 draw cuts from servers, 54 a request that ends its servers, and 47 an outage of
+    # the store in which configurations are written.
+    @pytest.mark.parametrize("seed", [4, 5, 9, 47, 54, *REGRESSIONS])
     def test_short_run_has_no_violation(self, seed, tmp_path):
         """A small deployment has no violation under the faults of a seed."""
         command = [sys.executable, "-m", "carobhook", "soak", "--first", str(seed)]
