--- a/src/carobhook/platform/requests.py
+++ b/src/carobhook/platform/requests.py
@@ -72,7 +72,9 @@
             client_request_id: Id that the client gave the request, or None.
         """
         response_id = response.get(names.REQUEST_ID)
-        if response_id is None or client_request_id is None:
+        if client_request_id is None:
+            return allocation.ResponseMatch.UNKNOWN
+        if response_id is None:
             return allocation.ResponseMatch.UNNAMED
         if response_id != client_request_id:
             return allocation.ResponseMatch.OTHER
--- a/src/carobhook/state/allocation.py
+++ b/src/carobhook/state/allocation.py
@@ -42,12 +42,14 @@
 
     NAMED: It names the request.
     OTHER: It names another request.
-    UNNAMED: It names no request, or the request has no name.
+    UNNAMED: It names no request, although the request has a name.
+    UNKNOWN: The request has no name.
     """
 
     NAMED = "named"
     OTHER = "other"
     UNNAMED = "unnamed"
+    UNKNOWN = "unknown"
 
 
 @attrs.frozen
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -39,7 +39,7 @@
 
 
 def _match_any(response: http1.Response) -> allocation.ResponseMatch:
-    return allocation.ResponseMatch.UNNAMED
+    return allocation.ResponseMatch.UNKNOWN
 
 
 def _may_always_send() -> bool:
@@ -279,7 +279,8 @@
             if extra:
                 parser.receive_data(extra)
             return
-        self._was_named = match is allocation.ResponseMatch.NAMED
+        if match is not allocation.ResponseMatch.UNKNOWN:
+            self._was_named = match is allocation.ResponseMatch.NAMED
         close = close or self._had_unmatched_response
         self._clear_body()
         self.idle_since = self._seconds()
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -140,7 +140,7 @@
         self.exchange.receive(first)
         self.bodies = [received.response.body for received in self.exchange.responses]
 
-    def request(self):
+    def request(self, match=match):
         """Send another request; return False if the connection is not used again."""
         if not self.exchange.connection.is_reusable:
             return False
@@ -179,6 +179,18 @@
         conversation.exchange.receive(answer(request_id, b"late"))
         assert not conversation.request()
 
+    def test_request_without_a_name_between_named_ones(self):
+        """Its answer names no request either, and late copies are still told from answers."""
+        conversation = Conversation(answer(b"own", b"first"))
+        assert conversation.request(
+            lambda response: requests.ServerCodec().match_attempt(response, None)
+        )
+        conversation.exchange.receive(answer(None, b"second"))
+        assert conversation.bodies == [b"first", b"second"]
+        assert conversation.request()
+        conversation.exchange.receive(answer(None, b"late"))
+        assert conversation.bodies == [b"first", b"second"]
+
     def test_server_that_names_no_request(self):
         """Nothing can be told of its answers; each is taken for the one that is due."""
         conversation = Conversation(answer(None, b"first"))
