Keep one bound of a kind, and the options of its watch, in one place

Cause: the bound stood twice, once as given and once in the waits.

`KindTimes` holds the bound that its waits add up to, and the limit is read from there. Its fields were a copy of `WatchOptions`, carried over one by one by `FollowTimes.watch_options`; it holds the options themselves now. Waits of all bounds of 2 s and more are the same.

--- a/src/carobhook/coordination/follow_times.py
+++ b/src/carobhook/coordination/follow_times.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from carobhook.coordination import backoff
+from carobhook.coordination import backoff, object_watch
 
 # The waits add up to less than a bound only if it leaves time for the calls themselves; a lower
 # one is treated like this one.
@@ -38,41 +38,36 @@
 
 @attrs.frozen
 class KindTimes:
-    """Waits of the watch of one kind of object.
+    """Waits for changes of one kind of object.
 
     Attributes:
-        wait_s: Seconds that one call waits for a change. A longer wait saves calls.
-        margin_s: Seconds after this wait in which the answer has to arrive.
-        first_wait_s: Seconds that the first call after a failure waits.
-        batch_delay_s: Seconds between a call that returned changes and the next one.
-        delays: Delays after failures.
-        lost_delay_s: Seconds until the next call while probes fail. Their first answer ends it.
+        bound_s: Seconds within which a change must be in force.
         max_age_s: Seconds since the last confirmation for which an instance counts as up to
             date, and others may follow it.
+        watch: Waits of the watch.
     """
 
-    wait_s: float
-    margin_s: float
-    first_wait_s: float
-    batch_delay_s: float
-    delays: backoff.Backoff
-    lost_delay_s: float
+    bound_s: float
     max_age_s: float
+    watch: object_watch.WatchOptions
 
     @classmethod
     def within(cls, bound_s: float) -> "KindTimes":
         """Return the waits for changes that must be in force within some seconds."""
         return cls(
-            wait_s=_share(bound_s, _WAIT_SHARE),
-            margin_s=_share(bound_s, _MARGIN_SHARE),
-            first_wait_s=_share(bound_s, _FIRST_WAIT_SHARE),
-            batch_delay_s=_share(bound_s, _BATCH_DELAY_SHARE),
-            delays=backoff.Backoff(
-                first_s=_share(bound_s, _FIRST_DELAY_SHARE),
-                cap_s=_share(bound_s, _MAX_DELAY_SHARE),
-            ),
-            lost_delay_s=_share(bound_s, _LOST_DELAY_SHARE),
+            bound_s=_share(bound_s, 1.0),
             max_age_s=_share(bound_s, _MAX_AGE_SHARE),
+            watch=object_watch.WatchOptions(
+                wait_s=_share(bound_s, _WAIT_SHARE),
+                margin_s=_share(bound_s, _MARGIN_SHARE),
+                first_wait_s=_share(bound_s, _FIRST_WAIT_SHARE),
+                delays=backoff.Backoff(
+                    first_s=_share(bound_s, _FIRST_DELAY_SHARE),
+                    cap_s=_share(bound_s, _MAX_DELAY_SHARE),
+                ),
+                lost_delay_s=_share(bound_s, _LOST_DELAY_SHARE),
+                batch_delay_s=_share(bound_s, _BATCH_DELAY_SHARE),
+            ),
         )
 
 
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -37,12 +37,10 @@
     """Waits with which the store is followed.
 
     Attributes:
-        config_bound_s: Seconds within which a configuration has to be in force.
-        by_kind: Waits of the watch of each kind of object.
+        by_kind: Waits for changes of each kind of object.
         source: Waits of probes and of the feed.
     """
 
-    config_bound_s: float
     by_kind: Mapping[str, follow_times.KindTimes]
     source: follow_times.SourceTimes
 
@@ -62,23 +60,10 @@
             orders.STORE_KIND: _ORDERS_BOUND_S,
         }
         return cls(
-            config_s,
             {kind: follow_times.KindTimes.within(s) for kind, s in bounds_s.items()},
             follow_times.SourceTimes.within(min(bounds_s.values())),
         )
 
-    def watch_options(self, kind: str) -> object_watch.WatchOptions:
-        """Return the options of the watch of a kind."""
-        times = self.by_kind[kind]
-        return object_watch.WatchOptions(
-            wait_s=times.wait_s,
-            margin_s=times.margin_s,
-            first_wait_s=times.first_wait_s,
-            delays=times.delays,
-            lost_delay_s=times.lost_delay_s,
-            batch_delay_s=times.batch_delay_s,
-        )
-
 
 @attrs.frozen
 class FeedPeers:
@@ -187,7 +172,7 @@
     def is_config_recent(self) -> bool:
         """Return whether a newer configuration may exist only for as long as one may take."""
         age_s = self._reactor.seconds() - self.config_confirmed_at
-        return age_s <= self._times.config_bound_s
+        return age_s <= self._times.by_kind[names.CONFIG_KIND].bound_s
 
     def start(self) -> None:
         """Start to follow the feed of another instance, or the store itself."""
@@ -414,7 +399,7 @@
             self._rng,
             (kind,),
             self._update_handler(kind),
-            options=self._times.watch_options(kind),
+            options=self._times.by_kind[kind].watch,
             resume_at=position if position is not None and position.era == self._era else None,
             is_lost=lambda: self._has_probe_failed,
         )
