Build progress messages only when one is due, and copy no positions

A source built its progress message ten times a second and sent it three times; each tick copied the positions of all kinds to count them. The message is built for subscribers that are due; positions are asked for by kind (`position`, `is_of_era`), and the copying property is gone. No change of behaviour; the tests of feeds, outages and restored stores pass unchanged.

--- a/src/carobhook/transport/received_objects.py
+++ b/src/carobhook/transport/received_objects.py
@@ -39,11 +39,6 @@
         """Return the revision up to which the objects of each kind were received."""
         return {kind: position.revision for kind, position in self._positions.items()}
 
-    @property
-    def positions(self) -> dict[str, objects.Position]:
-        """Return the position up to which the objects of each kind were received."""
-        return dict(self._positions)
-
     @property
     def orders_item(self) -> feed_messages.FeedObject | None:
         """Return the object of the operators' orders, None if there is none."""
@@ -68,6 +63,10 @@
         """Return the position up to which the objects of a kind were received, or None."""
         return self._positions.get(kind)
 
+    def is_of_era(self, era: int) -> bool:
+        """Return whether all positions are of an era."""
+        return all(position.era == era for position in self._positions.values())
+
     def is_newer(self, kind: str, position: objects.Position) -> bool:
         """Return whether a position is not before that of a kind."""
         return position >= self._positions.get(kind, _NO_POSITION)
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -153,7 +153,7 @@
     @property
     def is_complete(self) -> bool:
         """Return whether the objects of every kind have been received."""
-        return len(self._received.positions) == len(self._times.by_kind)
+        return all(self._received.position(kind) is not None for kind in self._times.by_kind)
 
     @property
     def is_direct(self) -> bool:
@@ -257,7 +257,10 @@
             return
         if not self.is_complete or not self._is_confirmed(now):
             return
-        if any(position.era != self._era for position in self._received.positions.values()):
+        if not self._received.is_of_era(self._era):
+            return
+        due = self._subscribers.due(now)
+        if not due:
             return
         revisions = tuple(sorted(self._received.revisions.items()))
         ages_ms = tuple(
@@ -265,7 +268,7 @@
             for kind, _ in revisions
         )
         progress = feed_messages.FeedProgress(revisions, self._era, ages_ms)
-        for name in self._subscribers.due(now):
+        for name in due:
             self._peers.send(name, progress)
 
     def _is_confirmed(self, now: float) -> bool:
