Let the soak note its configurations where it notes its other periods

The deployment kept a list of written configurations that the run emptied after the start; the run notes them itself now, beside faults of the store. Which kinds a seed draws was a table by four and an exception by eight; it is one table.

--- a/src/carobhook/soak/deployment.py
+++ b/src/carobhook/soak/deployment.py
@@ -51,7 +51,6 @@
         store_proxy: Proxy through which the instances use the store.
         draining_since: Monotonic time in seconds at which each draining server began to drain,
             by its id.
-        config_writes: Version and monotonic time in seconds of each configuration.
     """
 
     def __init__(
@@ -79,7 +78,6 @@
         self.server_proxies: list[proxy.Proxy] = []
         self.store_proxy: proxy.Proxy
         self.draining_since: dict[str, float] = {}
-        self.config_writes: list[tuple[int, float]] = []
         self._starts: dict[str, int] = {}
 
     @property
@@ -148,11 +146,11 @@
             self.draining_since.pop(plan.name, None)
         self._write_server(plan)
 
-    def change_config(self) -> None:
-        """Write a newer version of the routing configuration into the store."""
+    def change_config(self) -> int:
+        """Write a newer configuration into the store, and return its version."""
         self._config_version += 1
         self._write_config()
-        self.config_writes.append((self._config_version, self._reactor.seconds()))
+        return self._config_version
 
     def _write_config(self) -> None:
         spec = demo.config(self._config_version)
--- a/src/carobhook/soak/faults.py
+++ b/src/carobhook/soak/faults.py
@@ -80,6 +80,16 @@
 )
 
 
+# Kinds of faults that a seed draws, by its remainder of a division by eight; others draw all.
+_ALLOWED_BY_REMAINDER = {
+    0: PLANNED,
+    1: HARMLESS_IN_CUTS,
+    4: PLANNED,
+    5: HARMLESS_IN_CUTS,
+    7: STORE_ONLY,
+}
+
+
 @attrs.frozen
 class Step:
     """One fault of a series.
@@ -118,10 +128,7 @@
         duration_s: Length in seconds of the period in which faults begin.
     """
     rng = random.Random(seed)
-    allowed = {0: PLANNED, 1: HARMLESS_IN_CUTS}.get(seed % 4, frozenset(Fault))
-    is_store_only = seed % 8 == 7
-    if is_store_only:
-        allowed = STORE_ONLY
+    allowed = _ALLOWED_BY_REMAINDER.get(seed % 8, frozenset(Fault))
     kinds = sorted(allowed, key=lambda fault: fault.value)
     count = rng.randint(2, max(3, int(duration_s / 2)))
     steps = [
@@ -133,7 +140,7 @@
         )
         for _ in range(count)
     ]
-    if is_store_only:
+    if allowed is STORE_ONLY:
         steps += [_config_change_during(step, rng) for step in steps]
     return sorted(steps, key=lambda step: step.at_s)
 
--- a/src/carobhook/soak/run.py
+++ b/src/carobhook/soak/run.py
@@ -120,6 +120,7 @@
         self._draining_periods: list[tuple[str, float, float]] = []
         self._limited_periods: list[tuple[str, float, float]] = []
         self._clients: list[platform_client.PlatformClient] = []
+        self._config_writes: list[tuple[int, float]] = []
         self._store_faults: list[tuple[float, float]] = []
         self._cut_periods: list[tuple[float, float]] = []
         self._fatal_ids: list[str] = []
@@ -130,8 +131,6 @@
         steps = faults.draw_series(self._seed, self._options.duration_s)
         try:
             await self._deployment.start()
-            # Instances that start have the first one when they are ready.
-            self._deployment.config_writes.clear()
             for server in self._deployment.servers:
                 server.behaviour = attrs.evolve(server.behaviour, echo_id=True)
             load = self._load(self._options.duration_s + 2.0)
@@ -183,7 +182,7 @@
         elif fault in _INSTANCE_FAULTS:
             await self._disturb_instance(instance_index, step)
         elif fault is faults.Fault.CONFIG_CHANGES:
-            system.change_config()
+            self._config_writes.append((system.change_config(), self._reactor.seconds()))
         elif fault.value.startswith("store"):
             started_at = self._reactor.seconds()
             await self._disturb_store(fault, step.duration_s)
@@ -396,7 +395,7 @@
             violations += checks.find_unserved_in_cuts(self._attempts(), self._cut_periods)
         if kinds <= faults.STORE_ONLY and self._options.other_source is None:
             violations += checks.find_late_configs(
-                self._deployment.config_writes,
+                self._config_writes,
                 self._deployment.configs_in_force(),
                 self._store_faults,
                 self._reactor.seconds(),
