--- a/tests/follower_fleet.py
+++ b/tests/follower_fleet.py
@@ -6,6 +6,7 @@
 
 import store_access
 import test_restored_store
+import test_store_feed
 from carobhook.coordination import catalog, objects, steering, store_feed
 from carobhook.platform import names
 from carobhook.state import ids, members
@@ -22,7 +23,7 @@
 ANSWER_DELAY_S = 0.09
 CALL_TIMEOUT_S = 1.5
 STEP_S = 0.01
-CONFIG_PROPAGATION_S = 2.5
+CONFIG_PROPAGATION_S = test_store_feed.CONFIG_PROPAGATION_S
 
 
 class Store(store_access.StoreAccess):
@@ -34,7 +35,6 @@
     Attributes:
         is_silent: Whether the store does not answer calls of this instance.
         is_mute: Whether the store answers probes of this instance, but no other call.
-        calls: Number of calls made so far.
         answered_at: Monotonic time in seconds of the last answer.
         watch_answered_at: The same, of the last answer of a watch.
     """
@@ -43,7 +43,6 @@
         super().__init__(engine, clock)
         self.is_silent = False
         self.is_mute = False
-        self.calls = 0
         self.answered_at = self.watch_answered_at = clock.seconds()
 
     def go_silent(self):
@@ -52,7 +51,6 @@
         self.silence_watches()
 
     async def _await_answer(self, timeout_s, is_probe=False):
-        self.calls += 1
         if self.is_silent or (self.is_mute and not is_probe):
             await task.deferLater(self.clock, timeout_s)
             raise objects.UnavailableError(f"no answer in {timeout_s:g} s")
@@ -109,7 +107,7 @@
                 self.send,
             ),
             supervision.Supervisor(fleet.clock),
-            store_sync.FollowTimes.within(CONFIG_PROPAGATION_S, 2.5, 5.0),
+            test_store_feed.FOLLOW_TIMES,
         )
         self.ticks = task.LoopingCall(self.sync.tick)
         self.heartbeats = task.LoopingCall(self.announce)
@@ -210,24 +208,17 @@
         """Return the number of instances that take the store for unavailable."""
         return sum(i.known.store_lost_at is not None for i in self.instances.values())
 
-    @property
-    def calls(self):
-        """Return the number of calls of all instances."""
-        return sum(instance.store.calls for instance in self.instances.values())
-
     def run(self, seconds):
         """Simulate some seconds."""
         end_at = self.clock.seconds() + seconds
         while self.clock.seconds() < end_at:
             self.clock.advance(STEP_S)
 
-    def stop_answers(self):
-        """Let the store answer nobody."""
+    def play_outage(self, seconds):
+        """Let the store answer nobody for some seconds, and all calls made from then on."""
         for instance in self.instances.values():
             instance.store.go_silent()
-
-    def resume_answers(self):
-        """Let the store answer all calls made from now on."""
+        self.run(seconds)
         for instance in self.instances.values():
             instance.store.is_silent = False
 
--- a/tests/test_old_config_after_outage.py
+++ b/tests/test_old_config_after_outage.py
@@ -8,21 +8,23 @@
 CONFIG_PROPAGATION_S = follower_fleet.CONFIG_PROPAGATION_S
 
 
-def delay_after_outage(size, seed):
-    """Return after how many seconds a change made at the store's return is in force everywhere.
+def late_delays(size, seeds):
+    """Return the delays over the bound of changes that are made at the store's return, by seed.
 
     Args:
-        size: Number of instances.
-        seed: Seed of the length of the outage and of all other times.
+        size: Number of instances, of which the last one counts.
+        seeds: Seeds of the lengths of the outages and of all other times.
     """
-    fleet = follower_fleet.Fleet(size, seed)
-    fleet.stop_answers()
-    fleet.run(random.Random(seed).uniform(3.0, 8.0))
-    fleet.resume_answers()
-    fleet.change_config()
-    delays = fleet.seconds_until_in_force()
-    assert len(delays) == size
-    return max(delays.values())
+    late = {}
+    for seed in seeds:
+        fleet = follower_fleet.Fleet(size, seed)
+        fleet.play_outage(random.Random(seed).uniform(3.0, 8.0))
+        fleet.change_config()
+        delays = fleet.seconds_until_in_force()
+        assert len(delays) == size
+        if max(delays.values()) > CONFIG_PROPAGATION_S:
+            late[seed] = max(delays.values())
+    return late
 
 
 class TestSilentStore:
@@ -30,41 +32,27 @@
 
     def test_instance_that_follows_the_store_itself_is_in_time(self):
         """A call that was sent during the outage does not hold the next one up."""
-        late = {}
-        for seed in range(40):
-            delay_s = delay_after_outage(1, seed)
-            if delay_s > CONFIG_PROPAGATION_S:
-                late[seed] = delay_s
-        assert not late
+        assert not late_delays(1, range(40))
 
     def test_region_is_in_time(self):
         """The last of several instances has the change in time, whichever it follows."""
-        late = {}
-        for seed in (28, 258, 270, *range(1000, 1004)):
-            delay_s = delay_after_outage(3, seed)
-            if delay_s > CONFIG_PROPAGATION_S:
-                late[seed] = delay_s
-        assert not late
+        assert not late_delays(3, (28, 258, 270, *range(1000, 1004)))
 
     def test_store_is_not_taken_for_lost_until_the_next_change(self):
         """An answer without changes is an answer; so is one to a probe of a subscriber."""
-        fleet = follower_fleet.Fleet(3, 1)
-        fleet.stop_answers()
-        fleet.run(5.0)
-        assert fleet.lost_count == 3
-        fleet.resume_answers()
-        fleet.run(10.0)
-        assert fleet.lost_count == 0
+        assert self.lost_count_after(10.0) == 0
 
     def test_return_is_noticed_in_time(self):
         """An instance knows that the store answers again although no object has changed."""
+        assert self.lost_count_after(CONFIG_PROPAGATION_S) == 0
+
+    def lost_count_after(self, seconds):
+        """Return how many of three instances take the store for lost some time after it."""
         fleet = follower_fleet.Fleet(3, 1)
-        fleet.stop_answers()
-        fleet.run(5.0)
+        fleet.play_outage(5.0)
         assert fleet.lost_count == 3
-        fleet.resume_answers()
-        fleet.run(CONFIG_PROPAGATION_S)
-        assert fleet.lost_count == 0
+        fleet.run(seconds)
+        return fleet.lost_count
 
 
 class TestUnconfirmedSource:
--- a/tests/test_receiver_errors.py
+++ b/tests/test_receiver_errors.py
@@ -77,7 +77,7 @@
                 OWN, lambda: [], lambda: [OWN], lambda: [], lambda to, message: True
             ),
             supervision.Supervisor(self.clock),
-            store_sync.FollowTimes.within(2.5, 2.5, 5.0),
+            test_store_feed.FOLLOW_TIMES,
         )
         self.sync.start()
         self.run(3.0)
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -5,7 +5,7 @@
 from twisted.internet import task
 
 import store_access
-from carobhook.coordination import catalog, follow_times, steering, store_feed
+from carobhook.coordination import catalog, steering, store_feed
 from carobhook.platform import names
 from carobhook.state import ids
 from carobhook.transport import store_sync, supervision
@@ -13,7 +13,8 @@
 OWN, OTHER, THIRD = ids.InstanceId("own"), ids.InstanceId("other"), ids.InstanceId("third")
 RELAYS = [OWN, OTHER]
 CONFIG_PROPAGATION_S = 2.5
-TIMES = follow_times.SourceTimes.within(CONFIG_PROPAGATION_S)
+FOLLOW_TIMES = store_sync.FollowTimes.within(CONFIG_PROPAGATION_S, 2.5, 5.0)
+TIMES = FOLLOW_TIMES.source
 
 
 class TestStart:
@@ -158,7 +159,7 @@
             lambda: self.handle_change(name),
             store_sync.FeedPeers(name, lambda: [OTHER], lambda: [OTHER], lambda: [], send),
             supervision.Supervisor(self.clock),
-            store_sync.FollowTimes.within(CONFIG_PROPAGATION_S, 2.5, 5.0),
+            FOLLOW_TIMES,
         )
 
     def handle_change(self, name):
