Test that an answered probe ends the calls from before it

With the renewal and the pause of watch calls taken out, all tests of outages still passed: the shorter waits alone keep 2.5 s. The new test asks for the sum of that path (1.38 s: a probe given up, one answered, the call that it renews); 40 outages hold, and it fails with the renewal taken out (up to 5.5 s).

--- a/tests/test_old_config_after_outage.py
+++ b/tests/test_old_config_after_outage.py
@@ -3,17 +3,29 @@
 import random
 
 import follower_fleet
+import test_store_feed
 from carobhook.coordination import store_feed
 
 CONFIG_PROPAGATION_S = follower_fleet.CONFIG_PROPAGATION_S
+TIMES = test_store_feed.TIMES
 
 
-def late_delays(size, seeds):
-    """Return the delays over the bound of changes that are made at the store's return, by seed.
+# Longest time from the store's return: a probe is given up, the next one is answered, and so is
+# the call that it renews. An instance looks at its sources each tick.
+RETURN_S = (
+    TIMES.probe_timeout_s
+    + TIMES.probe_interval_s
+    + 2 * (follower_fleet.TICK_INTERVAL_S + follower_fleet.ANSWER_DELAY_S)
+)
+
+
+def late_delays(size, seeds, limit_s=CONFIG_PROPAGATION_S):
+    """Return the delays over a limit of changes that are made at the store's return, by seed.
 
     Args:
         size: Number of instances, of which the last one counts.
         seeds: Seeds of the lengths of the outages and of all other times.
+        limit_s: The limit in seconds.
     """
     late = {}
     for seed in seeds:
@@ -22,7 +34,7 @@
         fleet.change_config()
         delays = fleet.seconds_until_in_force()
         assert len(delays) == size
-        if max(delays.values()) > CONFIG_PROPAGATION_S:
+        if max(delays.values()) > limit_s:
             late[seed] = max(delays.values())
     return late
 
@@ -34,6 +46,10 @@
         """A call that was sent during the outage does not hold the next one up."""
         assert not late_delays(1, range(40))
 
+    def test_answered_probe_ends_the_calls_from_before_it(self):
+        """The change is not held up by the rest of such a call, nor by the delay after it."""
+        assert not late_delays(1, range(40), RETURN_S)
+
     def test_region_is_in_time(self):
         """The last of several instances has the change in time, whichever it follows."""
         assert not late_delays(3, (28, 258, 270, *range(1000, 1004)))
