Look for newer versions without sorting all instances

The search listed and sorted all live instances and copied both versions of each, four times a second: 9.0 ms at 6,900 instances (0.11 ms at 195), 3.6 % of a core at a bound of 2.5 s. It walks over them unsorted (`Membership.iter_live`, on which `live` rests) and keeps those that announce a newer version: 2.9 ms, and 0.08 ms at 195. What is asked, and of whom, stays as it is.

--- a/src/carobhook/coordination/membership.py
+++ b/src/carobhook/coordination/membership.py
@@ -4,7 +4,8 @@
 so all instances that know the same live instances choose the same relays and owners.
 """
 
-from collections.abc import Iterable, Sequence
+import operator
+from collections.abc import Iterable, Iterator, Sequence
 
 import attrs
 import xxhash
@@ -66,11 +67,17 @@
         Args:
             now: Monotonic time in seconds.
         """
-        return [
-            member
-            for name, member in sorted(self._members.items())
-            if now - self._last_seen_at[name] <= self.dead_after_s
-        ]
+        return sorted(self.iter_live(now), key=operator.attrgetter("name"))
+
+    def iter_live(self, now: float) -> Iterator[members.Member]:
+        """Yield the live instances in no particular order.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        for name, member in self._members.items():
+            if now - self._last_seen_at[name] <= self.dead_after_s:
+                yield member
 
     def serving(self, now: float) -> list[members.Member]:
         """Return the live instances that accept new work, sorted by name."""
--- a/src/carobhook/coordination/newer_versions.py
+++ b/src/carobhook/coordination/newer_versions.py
@@ -30,7 +30,6 @@
     def instance_to_ask(
         self,
         kind: str,
-        own_version: int,
         announced: Mapping[ids.InstanceId, int],
         preferred: Callable[[], Collection[ids.InstanceId]],
         now: float,
@@ -41,18 +40,17 @@
 
         Args:
             kind: Kind of the object.
-            own_version: Version that this instance applies.
-            announced: Versions that instances apply, with or without this one.
+            announced: Versions, all newer than that of this instance, that others apply.
             preferred: Returns the instances to ask rather than others.
             now: Monotonic time in seconds.
         """
-        newest = max(announced.values(), default=own_version)
-        if newest <= own_version:
+        if not announced:
             self._next_at.pop(kind, None)
             return None
         if now < self._next_at.setdefault(kind, now + self.wait_s):
             return None
         self._next_at[kind] = now + self.wait_s
+        newest = max(announced.values())
         holders = sorted(name for name, version in announced.items() if version == newest)
         first = preferred()
         return self.rng.choice([name for name in holders if name in first] or holders)
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -191,7 +191,7 @@
                 self._settings.place.name,
                 self._feed_candidates,
                 self._region_relays,
-                lambda: self._streams.membership.live(self._reactor.seconds()),
+                lambda: self._streams.membership.iter_live(self._reactor.seconds()),
                 self._streams.send,
             ),
             self._supervisor,
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -2,6 +2,7 @@
 
 import json
 import math
+import operator
 import random
 import typing
 from collections.abc import Callable, Iterable, Mapping
@@ -28,6 +29,11 @@
 
 # No deployment names a bound for operators' orders.
 _ORDERS_BOUND_S = 10.0
+# Version of the object in force that an instance announces, by kind of object.
+_ANNOUNCED_VERSIONS: Mapping[str, Callable[[members.Member], int]] = {
+    names.CONFIG_KIND: operator.attrgetter("version"),
+    orders.STORE_KIND: operator.attrgetter("orders_version"),
+}
 # A watch that failed for a reason other than the store lists its objects anew after a delay.
 _RESTART_DELAYS = backoff.Backoff(first_s=0.2, cap_s=5.0)
 
@@ -74,14 +80,14 @@
         candidates: Returns the instances of the region that can follow the store for it, in
             order of preference.
         relays: Returns the relays of the region, ready or not.
-        members: Returns the live instances of all regions.
+        members: Returns the live instances of all regions, in any order.
         send: Sends a message to an instance; returns False if there is no stream to it.
     """
 
     own: ids.InstanceId
     candidates: Callable[[], list[ids.InstanceId]]
     relays: Callable[[], list[ids.InstanceId]]
-    members: Callable[[], list[members.Member]]
+    members: Callable[[], Iterable[members.Member]]
     send: Callable[[ids.InstanceId, typing.Any], bool]
 
 
@@ -220,14 +226,15 @@
         if now - self._newer_checked_at < self._times.source.newer_wait_s:
             return
         self._newer_checked_at = now
-        known = self._peers.members()
-        announced = {
-            names.CONFIG_KIND: {member.name: member.version for member in known},
-            orders.STORE_KIND: {member.name: member.orders_version for member in known},
-        }
         for kind, version in self._received.versions_in_force.items():
+            version_of = _ANNOUNCED_VERSIONS[kind]
+            announced = {
+                member.name: version_of(member)
+                for member in self._peers.members()
+                if version_of(member) > version
+            }
             name = self._newer_versions.instance_to_ask(
-                kind, version, announced[kind], self._peers.relays, now
+                kind, announced, self._peers.relays, now
             )
             if name is not None:
                 logs.event("newer-version-seen", kind=kind, version=version, instance=name)
--- a/tests/test_newer_versions.py
+++ b/tests/test_newer_versions.py
@@ -17,7 +17,12 @@
 
     def ask(self, announced, now, preferred=()):
         """Return whom it asks."""
-        return self.newer.instance_to_ask("config", 3, announced, lambda: preferred, now)
+        return self.newer.instance_to_ask(
+            "config",
+            {name: version for name, version in announced.items() if version > 3},
+            lambda: preferred,
+            now,
+        )
 
     def test_own_source_has_time_to_bring_it(self):
         """Nobody is asked at once, and again only after the wait."""
