--- a/src/carobhook/coordination/confirmations.py
+++ b/src/carobhook/coordination/confirmations.py
@@ -49,6 +49,10 @@
         found = self._by_kind.get(kind)
         return found.at if found is not None else -math.inf
 
+    def latest(self, kind: str) -> Confirmation | None:
+        """Return the latest confirmation of a kind, None if there was none."""
+        return self._by_kind.get(kind)
+
     def source(self, kind: str) -> ids.InstanceId | str:
         """Return who confirmed a kind last, or an empty text."""
         found = self._by_kind.get(kind)
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -139,7 +139,13 @@
     )
     OBJECTS_LISTED = EventInfo("objects-listed", "All objects of a kind were read anew.")
     CONFIG_IN_FORCE = EventInfo(
-        "config-in-force", "A newer configuration of the store is in force here."
+        "config-in-force",
+        "A newer configuration of the store is in force here; from whom it came, its size, and "
+        "how long it took to decode.",
+    )
+    FEED_SUBSCRIBED = EventInfo(
+        "feed-subscribed",
+        "Another instance subscribed to this one's feed; kinds and octets of what it was sent.",
     )
     WATCHES_RENEWED = EventInfo(
         "watches-renewed",
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -7,7 +7,7 @@
 import attrs
 
 from carobhook import entry_metrics, logs
-from carobhook.coordination import catalog, refusals, request_routing, steering
+from carobhook.coordination import catalog, confirmations, refusals, request_routing, steering
 from carobhook.platform import requests
 from carobhook.protocol import client_api, http1
 from carobhook.state import codes, ids, routing
@@ -24,6 +24,9 @@
 # A client that a stopping instance refuses can send its request to another one at once.
 _LEAVING_RETRY_S = 0.05
 
+# Refusals that depend on the configuration being the newest.
+_CODES_OF_UNKNOWN_ROUTES = frozenset({codes.Code.NO_ROUTE, codes.Code.ROUTE_UNCONFIRMED})
+
 Responder = Callable[[http1.Response], None]
 
 
@@ -41,6 +44,7 @@
         notices: What servers say of themselves in their responses.
         is_slow: Returns whether the machine of this instance is slow.
         is_config_recent: Returns whether the configuration may be taken for the newest.
+        config_evidence: Returns how it is known that it is the newest, None if it never was.
     """
 
     server_catalog: catalog.Catalog
@@ -52,6 +56,7 @@
     notices: notice_board.NoticeBoard
     is_slow: Callable[[], bool] = lambda: False
     is_config_recent: Callable[[], bool] = lambda: True
+    config_evidence: Callable[[], confirmations.Confirmation | None] = lambda: None
 
 
 class EntryRequests:
@@ -117,13 +122,7 @@
         if not is_refused and self._context.quarantine.is_quarantined(request):
             decision = request_flow.quarantine_refusal()
         if isinstance(decision, refusals.Refusal):
-            logs.event(
-                "request-refused",
-                request=requests.request_id(request.head),
-                status=decision.status,
-                code=decision.code.number,
-                detail=decision.detail,
-            )
+            self._log_refusal(request, decision)
             respond(request_flow.refusal_response(decision))
             return None
         flow = self._create_flow(self._accept(request, decision), respond)
@@ -131,6 +130,27 @@
         flow.start()
         return flow
 
+    def _log_refusal(
+        self, request: client_connections.ClientRequest, refusal: refusals.Refusal
+    ) -> None:
+        fields: dict[str, typing.Any] = {}
+        if refusal.code in _CODES_OF_UNKNOWN_ROUTES:
+            config, now = self._context.server_catalog.config, self._reactor.seconds()
+            evidence = self._context.config_evidence()
+            fields["config"] = f"{config.version:08x}" if config is not None else None
+            fields["read_ms"] = round((now - request.received_at) * 1000, 1)
+            if evidence is not None:
+                fields["config_age_ms"] = round((now - evidence.at) * 1000, 1)
+                fields["config_source"] = evidence.source
+        logs.event(
+            "request-refused",
+            request=requests.request_id(request.head),
+            status=refusal.status,
+            code=refusal.code.number,
+            detail=refusal.detail,
+            **fields,
+        )
+
     def limit_to(self, ends_at: float) -> None:
         """Refuse all further requests that might not end before this instance does.
 
--- a/src/carobhook/transport/received_objects.py
+++ b/src/carobhook/transport/received_objects.py
@@ -1,11 +1,12 @@
 """Store objects that this instance has received, and what they say put into force."""
 
 import json
+import time
 import typing
 from collections.abc import Callable, Iterable
 
 from carobhook import logs
-from carobhook.coordination import catalog, evacuations, objects, steering
+from carobhook.coordination import catalog, confirmations, evacuations, objects, steering
 from carobhook.platform import names
 from carobhook.platform import objects as platform_objects
 from carobhook.protocol import feed_messages
@@ -53,6 +54,15 @@
             orders.STORE_KIND: self._orders.in_force.version,
         }
 
+    def octets_held(self, kind: str, items: Iterable[feed_messages.FeedObject]) -> int:
+        """Return the octets of those items that were received already, in that version."""
+        held = self._objects.get(kind, {})
+        return sum(
+            len(item.value or b"")
+            for item in items
+            if item.name in held and held[item.name].version >= item.version
+        )
+
     def newer_item(self, kind: str, version: int) -> feed_messages.FeedObject | None:
         """Return the object in force of a kind if it is newer than a version, else None."""
         if self.versions_in_force.get(kind, 0) <= version:
@@ -107,6 +117,7 @@
         position: objects.Position,
         items: Iterable[feed_messages.FeedObject],
         now: float,
+        source: str = confirmations.STORE,
     ) -> None:
         """Replace the objects of a kind.
 
@@ -115,6 +126,7 @@
             position: Position at which the objects were listed.
             items: All objects of the kind.
             now: Monotonic time in seconds.
+            source: Instance that sent them, or the store, for the log.
         """
         current = {item.name: item for item in items}
         logs.event(
@@ -137,7 +149,7 @@
                 self._catalog.record_older_copy(now)
             self._catalog.retain(frozenset(ids.Server(name) for name in current), now)
         changed = [item for item in current.values() if item != previous.get(item.name)]
-        self._apply(kind, changed, now, is_older_copy)
+        self._apply(kind, changed, now, source, is_older_copy)
 
     def apply_changes(
         self,
@@ -145,6 +157,7 @@
         position: objects.Position,
         items: Iterable[feed_messages.FeedObject],
         now: float,
+        source: str = confirmations.STORE,
     ) -> None:
         """Apply changed and removed objects of a kind.
 
@@ -153,6 +166,7 @@
             position: Position up to which the objects are complete then.
             items: Changed and removed objects.
             now: Monotonic time in seconds.
+            source: Instance that sent them, or the store, for the log.
         """
         current = self._objects.setdefault(kind, {})
         for item in items:
@@ -161,15 +175,20 @@
             else:
                 current[item.name] = item
         self._positions[kind] = max(position, self._positions.get(kind, _NO_POSITION))
-        self._apply(kind, items, now)
+        self._apply(kind, items, now, source)
 
-    def apply_newer(self, kind: str, item: feed_messages.FeedObject) -> None:
+    def apply_newer(self, kind: str, item: feed_messages.FeedObject, source: str) -> None:
         """Put an object that another instance sent into force if its version is newer.
 
         Up to which position objects were received stays as it is.
+
+        Args:
+            kind: Kind of the object.
+            item: The object.
+            source: The instance, for the log.
         """
         if kind == names.CONFIG_KIND:
-            self._apply_config(item)
+            self._apply_config(item, source)
             self._keep_config_in_force()
         elif kind == orders.STORE_KIND:
             self._apply_orders(item)
@@ -185,11 +204,12 @@
         kind: str,
         items: Iterable[feed_messages.FeedObject],
         now: float,
+        source: str,
         is_older_copy: bool = False,
     ) -> None:
         for item in items:
             if kind == names.CONFIG_KIND:
-                self._apply_config(item)
+                self._apply_config(item, source)
             elif kind == names.SERVERS_KIND:
                 self._apply_server(item, now, is_older_copy)
             elif kind == orders.STORE_KIND:
@@ -201,9 +221,10 @@
         if kind == names.CONFIG_KIND:
             self._keep_config_in_force()
 
-    def _apply_config(self, item: feed_messages.FeedObject) -> None:
+    def _apply_config(self, item: feed_messages.FeedObject, source: str) -> None:
         if item.name != names.CONFIG_NAME or item.value is None:
             return
+        began_at = time.monotonic()
         config = _decode_or_warn(
             f"{names.CONFIG_KIND}/{item.name}",
             item.value,
@@ -216,6 +237,9 @@
                 version=f"{config.version:08x}",
                 revision=item.version,
                 routes=len(config.routes),
+                source=source,
+                octets=len(item.value),
+                decode_ms=round((time.monotonic() - began_at) * 1000, 1),
                 homes=[
                     f"{route.name}:{'+'.join(sorted(route.homes))}"
                     for route in config.routes
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -91,6 +91,19 @@
     send: Callable[[ids.InstanceId, typing.Any], bool]
 
 
+@attrs.define
+class FeedOctets:
+    """Octets of objects that other instances sent.
+
+    Attributes:
+        received: All of them.
+        repeated: Those of objects that were held in that version already.
+    """
+
+    received: int = 0
+    repeated: int = 0
+
+
 class StoreSync:
     """Keeps the catalog and the orders of this instance up to date with the store.
 
@@ -107,6 +120,9 @@
         peers: Access to the other instances.
         supervisor: Runs the calls whose failure must not end a watch.
         times: Waits with which the store is followed.
+
+    Attributes:
+        feed_octets: What other instances sent since the start.
     """
 
     def __init__(
@@ -130,6 +146,7 @@
         self._peers = peers
         self._supervisor = supervisor
         self._received = received_objects.ReceivedObjects(server_catalog, order_steering)
+        self.feed_octets = FeedOctets()
         self._confirmations = confirmations.Confirmations()
         self._is_unconfirmed = False
         self._watchers: dict[str, object_watch.ObjectWatcher] = {}
@@ -174,6 +191,11 @@
         """
         return self._confirmations.at(names.CONFIG_KIND)
 
+    @property
+    def config_evidence(self) -> confirmations.Confirmation | None:
+        """Return how it is known that no configuration was missed, None before the first."""
+        return self._confirmations.latest(names.CONFIG_KIND)
+
     @property
     def is_config_recent(self) -> bool:
         """Return whether a newer configuration may exist only for as long as one may take."""
@@ -323,9 +345,7 @@
         now = self._reactor.seconds()
         if isinstance(message, feed_messages.FeedRequest):
             if self._watchers and self.is_complete:
-                self._subscribers.add(sender)
-                for snapshot in self._received.snapshots():
-                    self._peers.send(sender, snapshot)
+                self._subscribe(sender)
         elif isinstance(message, feed_messages.FeedProgress):
             self._handle_progress(sender, message, now)
         elif isinstance(message, feed_messages.ObjectRequest):
@@ -333,17 +353,46 @@
             if item is not None:
                 self._peers.send(sender, feed_messages.ObjectReport(message.kind, item))
         elif isinstance(message, feed_messages.ObjectReport):
-            self._supervisor.run("feed", self._received.apply_newer, message.kind, message.item)
+            self._count_octets(message.kind, (message.item,))
+            apply = self._received.apply_newer
+            self._supervisor.run("feed", apply, message.kind, message.item, sender)
             self._notify_change()
-        elif isinstance(message, feed_messages.FeedSnapshot):
-            position = objects.Position(message.era, message.revision)
+        else:
+            self._count_octets(message.kind, message.items)
+            self._handle_objects(sender, message)
+
+    def _handle_objects(
+        self,
+        sender: ids.InstanceId,
+        message: feed_messages.FeedSnapshot | feed_messages.FeedEvents,
+    ) -> None:
+        """Apply objects of a feed, unless they are older or follow changes that are missing."""
+        position = objects.Position(message.era, message.revision)
+        if isinstance(message, feed_messages.FeedSnapshot):
             if self._received.is_newer(message.kind, position):
-                self._apply_message(self._apply_snapshot, message.kind, position, message.items)
+                self._apply_message(
+                    self._apply_snapshot, message.kind, position, message.items, sender
+                )
         elif self._received.has_reached(message.kind, message.era, message.since):
             if self._received.has_reached(message.kind, message.era, message.revision):
                 return
-            position = objects.Position(message.era, message.revision)
-            self._apply_message(self._apply_changes, message.kind, position, message.items)
+            self._apply_message(
+                self._apply_changes, message.kind, position, message.items, sender
+            )
+
+    def _subscribe(self, name: ids.InstanceId) -> None:
+        """Add a subscriber and send it all objects."""
+        self._subscribers.add(name)
+        snapshots = self._received.snapshots()
+        for snapshot in snapshots:
+            self._peers.send(name, snapshot)
+        octets = sum(_octets(snapshot.items) for snapshot in snapshots)
+        kinds = [snapshot.kind for snapshot in snapshots]
+        logs.event("feed-subscribed", instance=name, kinds=kinds, octets=octets)
+
+    def _count_octets(self, kind: str, items: Iterable[feed_messages.FeedObject]) -> None:
+        self.feed_octets.received += _octets(items)
+        self.feed_octets.repeated += self._received.octets_held(kind, items)
 
     def _handle_progress(
         self, sender: ids.InstanceId, message: feed_messages.FeedProgress, now: float
@@ -374,9 +423,10 @@
         kind: str,
         position: objects.Position,
         items: Iterable[feed_messages.FeedObject],
+        sender: ids.InstanceId,
     ) -> None:
         """Apply objects of a feed; if that fails, receive all objects of their kind anew."""
-        if not self._supervisor.run("feed", apply, kind, position, items):
+        if not self._supervisor.run("feed", apply, kind, position, items, sender):
             self._receive_anew(kind)
         self._notify_change()
 
@@ -533,9 +583,10 @@
         kind: str,
         position: objects.Position,
         items: Iterable[feed_messages.FeedObject],
+        source: str = confirmations.STORE,
     ) -> None:
         self._record_era(position.era)
-        self._received.apply_snapshot(kind, position, items, self._reactor.seconds())
+        self._received.apply_snapshot(kind, position, items, self._reactor.seconds(), source)
         self._restore_orders(kind)
 
     def _apply_changes(
@@ -543,8 +594,9 @@
         kind: str,
         position: objects.Position,
         items: Iterable[feed_messages.FeedObject],
+        source: str = confirmations.STORE,
     ) -> None:
-        self._received.apply_changes(kind, position, items, self._reactor.seconds())
+        self._received.apply_changes(kind, position, items, self._reactor.seconds(), source)
         self._restore_orders(kind)
 
     def _restore_orders(self, kind: str) -> None:
@@ -553,6 +605,11 @@
             self._orders_restore.schedule(self.is_direct)
 
 
+def _octets(items: Iterable[feed_messages.FeedObject]) -> int:
+    """Return the octets of the values of objects."""
+    return sum(len(item.value or b"") for item in items)
+
+
 def _feed_object(item: objects.StoredObject | objects.WatchEvent) -> feed_messages.FeedObject:
     value = None
     if item.value is not None:
