--- a/tests/follower_fleet.py
+++ b/tests/follower_fleet.py
@@ -1,5 +1,7 @@
 """Simulated instances of one region that follow a store, which may stop to answer."""
 
+import json
+import math
 import random
 
 from twisted.internet import task
@@ -9,6 +11,7 @@
 import test_store_feed
 from carobhook.coordination import catalog, objects, steering, store_feed
 from carobhook.platform import names
+from carobhook.protocol import peer_codec
 from carobhook.state import ids, members
 from carobhook.transport import store_sync, supervision
 
@@ -22,10 +25,43 @@
 # Time from a call to its answer, on a connection of its own.
 ANSWER_DELAY_S = 0.09
 CALL_TIMEOUT_S = 1.5
+STRONG_LINK_RATIO = 10.0
+STRONG_COUNT = 4
 STEP_S = 0.01
 CONFIG_PROPAGATION_S = test_store_feed.CONFIG_PROPAGATION_S
 
 
+class Link:
+    """Way of messages in one direction, which arrive in the order in which they were sent.
+
+    Attributes:
+        octets_per_s: Octets that it carries in a second.
+        delay_s: Seconds for which each message is on its way besides.
+    """
+
+    def __init__(self, clock, octets_per_s):
+        self.octets_per_s = octets_per_s
+        self.delay_s = 0.0
+        self._clock = clock
+        self._free_at = 0.0
+        self._arrived_at = 0.0
+
+    def transfer_s(self, octets, wait_s=0.0):
+        """Return after how many seconds octets that come in some seconds have arrived."""
+        now = self._clock.seconds()
+        self._free_at = max(now + wait_s, self._free_at) + octets / self.octets_per_s
+        self._arrived_at = max(self._arrived_at, self._free_at + self.delay_s)
+        return self._arrived_at - now
+
+    def become_late(self, delay_s, within_s):
+        """Let the delay grow steadily to some seconds."""
+        steps = round(within_s / STEP_S)
+        for step in range(1, steps + 1):
+            self._clock.callLater(
+                step * STEP_S, setattr, self, "delay_s", delay_s * step / steps
+            )
+
+
 class Store(store_access.StoreAccess):
     """Access of one instance to the store.
 
@@ -35,12 +71,14 @@
     Attributes:
         is_silent: Whether the store does not answer calls of this instance.
         is_mute: Whether the store answers probes of this instance, but no other call.
+        link: Way of its answers.
         answered_at: Monotonic time in seconds of the last answer.
         watch_answered_at: The same, of the last answer of a watch.
     """
 
-    def __init__(self, engine, clock):
+    def __init__(self, engine, clock, link):
         super().__init__(engine, clock)
+        self.link = link
         self.is_silent = False
         self.is_mute = False
         self.answered_at = self.watch_answered_at = clock.seconds()
@@ -56,23 +94,37 @@
             raise objects.UnavailableError(f"no answer in {timeout_s:g} s")
         await task.deferLater(self.clock, ANSWER_DELAY_S)
 
+    async def _receive(self, values, timeout_s):
+        """Wait until an answer has arrived."""
+        octets = sum(len(json.dumps(value)) for value in values)
+        transfer_s = self.link.transfer_s(octets)
+        if transfer_s > timeout_s:
+            await task.deferLater(self.clock, timeout_s)
+            raise objects.UnavailableError(f"no answer in {timeout_s:g} s")
+        if transfer_s > 0:
+            await task.deferLater(self.clock, transfer_s)
+        self.answered_at = self.clock.seconds()
+
     async def probe(self, timeout_s):
         """Make the cheapest call."""
         await self._await_answer(timeout_s, is_probe=True)
-        self.answered_at = self.clock.seconds()
+        await self._receive((), timeout_s)
 
     async def list(self, kind):
         """Return all objects of one kind."""
         await self._await_answer(CALL_TIMEOUT_S)
         listing = await super().list(kind)
-        self.answered_at = self.clock.seconds()
+        await self._receive((item.value for item in listing.items), CALL_TIMEOUT_S)
         return listing
 
     async def watch(self, kinds, since, wait_s, margin_s):
         """Return the events after ``since`` once there are some, or none after ``wait_s``."""
         await self._await_answer(wait_s + margin_s)
+        called_at = self.clock.seconds()
         batch = await super().watch(kinds, since, wait_s, margin_s)
-        self.answered_at = self.watch_answered_at = self.clock.seconds()
+        left_s = called_at + wait_s + margin_s - self.clock.seconds()
+        await self._receive((event.value for event in batch.events), left_s)
+        self.watch_answered_at = self.clock.seconds()
         return batch
 
 
@@ -89,7 +141,12 @@
         self.fleet = fleet
         self.name = name
         self.region = region
-        self.store = Store(fleet.engine, fleet.clock)
+        # Only instances with strong links follow the store for others.
+        self.weight = STRONG_LINK_RATIO if name in fleet.names[:STRONG_COUNT] else 1.0
+        link_octets_per_s = self.weight * fleet.link_octets_per_s
+        self.incoming = Link(fleet.clock, link_octets_per_s)
+        self.outgoing = Link(fleet.clock, link_octets_per_s)
+        self.store = Store(fleet.engine, fleet.clock, self.incoming)
         self.known = catalog.Catalog()
         self.members = {}
         self.sync = store_sync.StoreSync(
@@ -135,6 +192,7 @@
             members.Phase.READY if self.sync.is_complete else members.Phase.STARTING,
             ids.Version(self.version),
             reaches_store=self.known.store_lost_at is None,
+            weight=self.weight,
         )
 
     def stop(self):
@@ -166,9 +224,10 @@
         receiver = self.fleet.instances.get(to)
         if receiver is None:
             return False
-        self.fleet.clock.callLater(
-            MESSAGE_DELAY_S, receiver.sync.handle_message, self.name, message
-        )
+        octets = len(peer_codec.CODEC.encode(message))
+        sent_s = self.outgoing.transfer_s(octets) + MESSAGE_DELAY_S
+        transfer_s = receiver.incoming.transfer_s(octets, sent_s)
+        self.fleet.clock.callLater(transfer_s, receiver.sync.handle_message, self.name, message)
         return True
 
 
@@ -179,10 +238,12 @@
         size: Number of instances.
         seed: Seed of all random times.
         has_other_region: Whether the last of them stands in another region.
+        link_octets_per_s: Octets that the weakest links carry in a second.
     """
 
-    def __init__(self, size, seed, has_other_region=False):
+    def __init__(self, size, seed, has_other_region=False, link_octets_per_s=math.inf):
         self.rng = random.Random(seed)
+        self.link_octets_per_s = link_octets_per_s
         self.clock = task.Clock()
         self.engine = store_access.create_access(self.clock).engine
         self.names = [ids.InstanceId(f"i{number}") for number in range(size)]
@@ -203,6 +264,11 @@
         """Return the versions of the configuration that are in force at any instance."""
         return {instance.version for instance in self.instances.values()}
 
+    @property
+    def source(self):
+        """Return the instance that follows the store for the others."""
+        return next(i for i in self.instances.values() if i.sync.is_direct)
+
     @property
     def lost_count(self):
         """Return the number of instances that take the store for unavailable."""
@@ -222,15 +288,19 @@
         for instance in self.instances.values():
             instance.store.is_silent = False
 
-    def change_config(self):
-        """Write the next version of the configuration."""
+    def change_config(self, routes=()):
+        """Write the next version of the configuration.
+
+        Args:
+            routes: Its routes.
+        """
         self.version += 1
         now = self.clock.seconds()
         stored = self.engine.get(names.CONFIG_KIND, names.CONFIG_NAME, now)
         self.engine.update(
             names.CONFIG_KIND,
             names.CONFIG_NAME,
-            test_restored_store.config(self.version),
+            {**test_restored_store.config(self.version), "Routes": list(routes)},
             stored.version,
             now,
         )
