End the wait after a failed call when the store is back, whenever it began

Cause: the first answered probe renews calls and waits that began before the probe was sent. A call from before the return that failed while that probe was on its way began its wait after it; with the store still taken for lost, the wait is twice the bound, and nothing ended it. A wait holds nothing that could be lost, so it ends in any case. The new test of object_watch fails without the change.

--- a/src/carobhook/coordination/object_watch.py
+++ b/src/carobhook/coordination/object_watch.py
@@ -133,6 +133,7 @@
         # The call in progress, or the wait for the next one, and when it began.
         self._step: defer.Deferred[None] | None = None
         self._step_began_at = -math.inf
+        self._is_waiting = False
         self._running: defer.Deferred[None] | None = None
 
     @property
@@ -160,10 +161,11 @@
             self._running.cancel()
 
     def renew(self, before: float) -> bool:
-        """Make the next call at once if what it waits for began before a time.
+        """Make the next call at once if it waits, or if the present one was made before a time.
 
         A call that was made while the store answered nothing gets no answer after its return
-        either, and would run to the end of its time.
+        either, and would run to the end of its time. A wait ends whenever it began, as a call
+        from before the return may have failed after it.
 
         Args:
             before: The monotonic time in seconds.
@@ -171,7 +173,9 @@
         Returns:
             Whether a call was ended, or the wait for the next one.
         """
-        if self._step is None or self._step.called or self._step_began_at >= before:
+        if self._step is None or self._step.called:
+            return False
+        if self._step_began_at >= before and not self._is_waiting:
             return False
         self._is_renewed = True
         self._step.cancel()
@@ -180,6 +184,7 @@
     async def _run(self) -> None:
         while True:
             try:
+                self._is_waiting = False
                 await self._begin(defer.ensureDeferred(self._list_or_watch()))
                 self._failures = 0
                 self._has_failed = False
@@ -196,7 +201,7 @@
         if self._is_lost():
             delay_s = self._options.lost_delay_s
         self._failures += 1
-        self._has_failed = True
+        self._has_failed = self._is_waiting = True
         try:
             await self._begin(task.deferLater(self._clock, delay_s))
         except defer.CancelledError:
--- a/tests/test_object_watch.py
+++ b/tests/test_object_watch.py
@@ -95,6 +95,18 @@
         assert watcher.renew(2.0)
         assert self.pop_received() == [("k", "c", 3)]
 
+    def test_renewal_ends_a_wait_that_began_after_the_return(self):
+        """A call from before the store's return failed while its first answer was under way."""
+        watcher = self.watch()
+        self.pop_received()
+        self.access.down = True
+        self.access.cut_watches()
+        self.access.down = False
+        self.engine.create("k", "b", 2, 0.0)
+        assert self.pop_received() == [objects.UnavailableError]
+        assert watcher.renew(-1.0)
+        assert self.pop_received() == [("k", "b", 2)]
+
     def test_stop_after_a_renewal_stops(self):
         """A renewal does not make the watch survive the stop that follows it."""
         watcher = self.watch()
