Count the age of a configuration from the question, not from the arrival of the answer

Cause: an age that started anew at each hop. A subscriber counted the source's age from the arrival of its progress message, and a watch counted as confirmed at the arrival of its answer. Messages that take longer and longer go on to arrive, and each renewed the trust; a late source held its whole region up.

Subscribers now ask for progress (ProgressQuery, protocol version 4) and count the age in the answer from the time at which they asked; a call to the store confirms the time at which it was made, plus its wait if that ran out without an event. After an answer that confirms an earlier time the next call waits for less. Builds before version 4 get progress unasked, as before, and what they send counts from its arrival.

--- a/src/carobhook/coordination/follow_times.py
+++ b/src/carobhook/coordination/follow_times.py
@@ -78,8 +78,8 @@
     Attributes:
         probe_interval_s: Seconds without an answer after which the store is probed.
         probe_timeout_s: Seconds that a probe may take.
-        progress_interval_s: Seconds between two progress messages.
-        progress_lifetime_s: Seconds after a progress message for which a feed is relied on.
+        progress_interval_s: Seconds between two queries for progress.
+        progress_lifetime_s: Seconds after such a query for which a feed is relied on.
         answer_lifetime_s: Seconds after an answer for which the store counts as answering.
         newer_wait_s: Seconds for which others apply a newer version before one is asked for it.
     """
--- a/src/carobhook/coordination/object_watch.py
+++ b/src/carobhook/coordination/object_watch.py
@@ -19,11 +19,13 @@
     Attributes:
         items: The objects by kind.
         revision: Store revision up to which the objects are complete.
+        confirmed_at: Monotonic time in seconds up to which they have all changes.
         era: Era of the revision.
     """
 
     items: Mapping[str, tuple[objects.StoredObject, ...]]
     revision: int
+    confirmed_at: float
     era: int = 0
 
 
@@ -35,18 +37,26 @@
         events: The changes.
         since: Store revision after which the changes were made.
         revision: Store revision up to which the changes are complete.
+        confirmed_at: Monotonic time in seconds up to which they are all changes.
         era: Era of both revisions.
     """
 
     events: tuple[objects.WatchEvent, ...]
     since: int
     revision: int
+    confirmed_at: float
     era: int = 0
 
 
 @attrs.frozen
 class Unchanged:
-    """No change after the previous `Snapshot` or `Changes` up to the present."""
+    """No change after the previous `Snapshot` or `Changes`.
+
+    Attributes:
+        confirmed_at: Monotonic time in seconds up to which there was none.
+    """
+
+    confirmed_at: float
 
 
 @attrs.frozen
@@ -130,6 +140,7 @@
         self._failures = 0
         self._has_failed = False
         self._is_renewed = False
+        self._confirmed_at = -math.inf
         # The call in progress, or the wait for the next one, and when it began.
         self._step: defer.Deferred[None] | None = None
         self._step_began_at = -math.inf
@@ -227,11 +238,11 @@
         if self._since is None:
             await self._list()
             return
-        options = self._options
-        wait_s = (
-            min(options.first_wait_s, options.wait_s) if self._has_failed else options.wait_s
+        called_at = self._clock.seconds()
+        wait_s = self._wait_s(called_at)
+        batch = await self._store.watch(
+            self._kinds, self._since, wait_s, self._options.margin_s
         )
-        batch = await self._store.watch(self._kinds, self._since, wait_s, options.margin_s)
         if batch.era != self._era:
             raise objects.ExpiredError(f"era {self._era} has ended; it is {batch.era} now")
         # Kinds are listed one after another, and the watch resumes at the lowest of their
@@ -241,15 +252,34 @@
             for event in batch.events
             if event.version > self._listed_revisions[event.kind]
         ]
+        # The answer may have been under way for long. It was given after the call was made and,
+        # without an event, after the wait.
+        has_waited = not batch.events and self._clock.seconds() - called_at >= wait_s
+        self._confirmed_at = called_at + wait_s if has_waited else called_at
         if new:
-            self._handler(Changes(tuple(new), self._since, batch.revision, self._era))
+            self._handler(
+                Changes(tuple(new), self._since, batch.revision, self._confirmed_at, self._era)
+            )
         else:
-            self._handler(Unchanged())
+            self._handler(Unchanged(self._confirmed_at))
         self._since = batch.revision
         if new and self._options.batch_delay_s:
             await task.deferLater(self._clock, self._options.batch_delay_s)
 
+    def _wait_s(self, now: float) -> float:
+        """Return how long the next call waits for an event.
+
+        It is shorter after an answer that confirmed an earlier time only, so that no more than
+        one whole wait passes between two confirmations.
+        """
+        options = self._options
+        first_wait_s = min(options.first_wait_s, options.wait_s)
+        if self._has_failed:
+            return first_wait_s
+        return max(first_wait_s, options.wait_s - max(0.0, now - self._confirmed_at))
+
     async def _list(self) -> None:
+        self._confirmed_at = self._clock.seconds()
         listings = {}
         for kind in self._kinds:
             listings[kind] = await self._store.list(kind)
@@ -260,4 +290,4 @@
         self._listed_revisions = {kind: listings[kind].revision for kind in self._kinds}
         self._since = min(self._listed_revisions.values())
         items = {kind: listing.items for kind, listing in listings.items()}
-        self._handler(Snapshot(items, self._since, self._era))
+        self._handler(Snapshot(items, self._since, self._confirmed_at, self._era))
--- a/src/carobhook/coordination/store_feed.py
+++ b/src/carobhook/coordination/store_feed.py
@@ -1,11 +1,11 @@
 """Choice of the instance that follows the store for a region and feeds its changes to others.
 
 Load pattern: every change of an object costs a call for each instance that watches it, so one
-instance of a region watches the store and sends the changes to the others. It also sends
-progress messages several times a second. A progress message says that the store still responds
+instance of a region watches the store and sends the changes to the others. These ask it several
+times a second for its progress. A progress message says that the store still responds
 to the sender, and up to which revision of each kind of object it has sent every change. An
-instance relies on the feed only while these messages arrive; otherwise, it follows the store
-itself.
+instance relies on the feed only while it gets answers to queries that it sent lately;
+otherwise, it follows the store itself.
 """
 
 import math
@@ -76,7 +76,7 @@
         self,
         sender: ids.InstanceId,
         is_current: bool,
-        now: float,
+        asked_at: float,
         fresh_for_s: float = math.inf,
     ) -> None:
         """Record a progress message.
@@ -85,11 +85,12 @@
             sender: Instance that sent it.
             is_current: Whether this instance has every change that the sender has sent; if
                 not, the feed counts as stale until a later progress message.
-            now: Monotonic time in seconds.
-            fresh_for_s: Seconds for which what the sender knows is recent enough.
+            asked_at: Monotonic time in seconds at which the message was asked for.
+            fresh_for_s: Seconds after that for which what the sender knows is recent enough.
         """
         if is_current:
-            self._fresh_until[sender] = now + min(fresh_for_s, self.times.progress_lifetime_s)
+            lifetime_s = min(fresh_for_s, self.times.progress_lifetime_s)
+            self._fresh_until[sender] = asked_at + lifetime_s
         else:
             self._fresh_until.pop(sender, None)
 
@@ -159,19 +160,33 @@
 
     times: follow_times.SourceTimes
     _names: set[ids.InstanceId] = attrs.field(factory=set, init=False)
+    _asking: set[ids.InstanceId] = attrs.field(factory=set, init=False)
     _progress_sent_at: float = attrs.field(default=-math.inf, init=False)
 
+    def __contains__(self, name: ids.InstanceId) -> bool:
+        """Return whether an instance is subscribed."""
+        return name in self._names
+
     @property
     def names(self) -> list[ids.InstanceId]:
         """Return the subscribers, sorted by name."""
         return sorted(self._names)
 
-    def add(self, name: ids.InstanceId) -> None:
-        """Add a subscriber."""
+    def add(self, name: ids.InstanceId, asks_progress: bool = False) -> None:
+        """Add a subscriber.
+
+        Args:
+            name: The subscriber.
+            asks_progress: Whether it asks for progress messages; if not, it gets them unasked.
+        """
         self._names.add(name)
+        if asks_progress:
+            self._asking.add(name)
+        else:
+            self._asking.discard(name)
 
     def due(self, now: float) -> list[ids.InstanceId]:
-        """Return the subscribers to which to send a progress message now.
+        """Return the subscribers to which to send a progress message now, unasked.
 
         The list is empty until an interval after the last messages has passed. The caller must
         send the messages, as the next interval begins with this call.
@@ -182,12 +197,14 @@
         if now - self._progress_sent_at < self.times.progress_interval_s:
             return []
         self._progress_sent_at = now
-        return self.names
+        return [name for name in self.names if name not in self._asking]
 
     def remove(self, name: ids.InstanceId) -> None:
         """Remove a subscriber, if it is one."""
         self._names.discard(name)
+        self._asking.discard(name)
 
     def clear(self) -> None:
         """Remove all subscribers."""
         self._names.clear()
+        self._asking.clear()
--- a/src/carobhook/protocol/feed_messages.py
+++ b/src/carobhook/protocol/feed_messages.py
@@ -17,8 +17,25 @@
 
     The receiver answers with a `FeedSnapshot` of each kind and then sends changes. It ignores
     the message if it does not watch the store, or has not read all kinds yet.
+
+    Attributes:
+        asks_progress: Whether the sender asks for progress by `ProgressQuery`; if not, it gets
+            messages of progress unasked.
+    """
+
+    asks_progress: bool = versions.added_field(False, since=4)
+
+
+@attrs.frozen
+class ProgressQuery:
+    """Asks an instance to whose feed the sender is subscribed for a `FeedProgress`.
+
+    Attributes:
+        number: Number of the query, which the answer states.
     """
 
+    number: int
+
 
 @attrs.frozen
 class FeedObject:
@@ -81,11 +98,14 @@
         era: Era of the revisions.
         ages_ms: Pairs of a kind and the milliseconds since the sender knew that there was no
             further change to it. The time that the message is on its way is not part of them.
+        answers: Number of the query that it answers, 0 if it was sent unasked. The ages count
+            from the time at which the query was sent, as that is before the answer was.
     """
 
     revisions: tuple[tuple[str, int], ...]
     era: int = versions.added_field(0)
     ages_ms: tuple[tuple[str, int], ...] = versions.added_field((), since=3)
+    answers: int = versions.added_field(0, since=4)
 
 
 @attrs.frozen
@@ -114,4 +134,12 @@
     item: FeedObject
 
 
-Message = FeedRequest | FeedSnapshot | FeedEvents | FeedProgress | ObjectRequest | ObjectReport
+Message = (
+    FeedRequest
+    | ProgressQuery
+    | FeedSnapshot
+    | FeedEvents
+    | FeedProgress
+    | ObjectRequest
+    | ObjectReport
+)
--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -10,6 +10,7 @@
 2: `Hello.version`, `SlotReleased.pace`, `Member.is_slow`, `RegionReport.objects`,
    `RegionReport.borrowed`, `RegionReport.is_lent_known`.
 3: `FeedProgress.ages_ms`, `ObjectRequest`, `ObjectReport`.
+4: `ProgressQuery`, `FeedRequest.asks_progress`, `FeedProgress.answers`.
 """
 
 from carobhook.protocol import (
@@ -23,7 +24,7 @@
 
 # Version of the protocol that this build speaks. It rises with each release that adds a message
 # type or a field.
-PROTOCOL_VERSION = 3
+PROTOCOL_VERSION = 4
 
 MESSAGE_TYPES: dict[str, type] = {
     "Challenge": membership_messages.Challenge,
@@ -52,6 +53,7 @@
     "RelayRequest": relay_messages.RelayRequest,
     "RelayResponse": relay_messages.RelayResponse,
     "FeedWanted": feed_messages.FeedRequest,
+    "ProgressQuery": feed_messages.ProgressQuery,
     "FeedSnapshot": feed_messages.FeedSnapshot,
     "FeedEvents": feed_messages.FeedEvents,
     "FeedFresh": feed_messages.FeedProgress,
@@ -60,6 +62,6 @@
 }
 
 # Versions that introduced types after the first, by tag.
-_ADDED_TYPES: dict[str, int] = {"ObjectRequest": 3, "ObjectReport": 3}
+_ADDED_TYPES: dict[str, int] = {"ObjectRequest": 3, "ObjectReport": 3, "ProgressQuery": 4}
 
 CODEC = framing.MessageCodec(MESSAGE_TYPES, PROTOCOL_VERSION, _ADDED_TYPES)
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -19,6 +19,7 @@
     newer_versions,
     object_watch,
     objects,
+    progress_queries,
     steering,
     store_feed,
 )
@@ -157,6 +158,9 @@
         self._has_unhandled_change = False
         self._source_selector = store_feed.SourceSelector(peers.own, times.source)
         self._subscribers = store_feed.Subscribers(times.source)
+        self._progress_queries = progress_queries.ProgressQueries(
+            times.source.progress_interval_s, times.source.progress_lifetime_s
+        )
         self._newer_versions = newer_versions.NewerVersions(times.source.newer_wait_s, rng)
         self._newer_checked_at = -math.inf
         self._running_probe: defer.Deferred | None = None
@@ -216,17 +220,20 @@
     def tick(self) -> None:
         """Select the source of changes and switch to it.
 
-        While the source is the store, it is probed, and subscribers get progress messages as
-        long as it answers.
+        While the source is the store, it is probed.
         """
         now = self._reactor.seconds()
         self._record_era(self._store.era)
         self._received.update_evacuated(now)
+        candidates = self._peers.candidates()
         decision = self._source_selector.decide(
-            self._peers.candidates(), self._peers.relays(), self.is_complete, now
+            candidates, self._peers.relays(), self.is_complete, now
         )
         if decision.subscribe_to is not None:
-            self._peers.send(decision.subscribe_to, feed_messages.FeedRequest())
+            self._peers.send(
+                decision.subscribe_to, feed_messages.FeedRequest(asks_progress=True)
+            )
+        self._ask_for_progress(decision.source, candidates, now)
         if decision.direct and not self._watchers:
             self._start_watching()
         elif not decision.direct and self._watchers:
@@ -243,6 +250,18 @@
             self._ask_for_newer(now)
         self._report_age(now)
 
+    def _ask_for_progress(
+        self,
+        source: ids.InstanceId | None,
+        candidates: list[ids.InstanceId],
+        now: float,
+    ) -> None:
+        """Ask the source in use, and the preferred one, up to where they follow the store."""
+        sources = [*candidates[:1]] if source is None else [source, *candidates[:1]]
+        sources = [name for name in sources if name != self._peers.own]
+        for name, number in self._progress_queries.due(sources, now):
+            self._peers.send(name, feed_messages.ProgressQuery(number))
+
     def _ask_for_newer(self, now: float) -> None:
         """Ask another instance for an object, if it applies a newer version of it."""
         if now - self._newer_checked_at < self._times.source.newer_wait_s:
@@ -281,24 +300,41 @@
             logs.event("config-confirmed", source=source, direct=self.is_direct)
 
     def _send_progress(self, now: float) -> None:
-        """Send progress messages, if the objects of every kind are known to be up to date."""
-        if now - self._store.answered_at > self._times.source.answer_lifetime_s:
+        """Send progress messages to subscribers of earlier builds, which do not ask."""
+        due = self._subscribers.due(now)
+        progress = self._progress(now) if due else None
+        if progress is not None:
+            for name in due:
+                self._peers.send(name, progress)
+
+    def _answer_query(
+        self, sender: ids.InstanceId, query: feed_messages.ProgressQuery, now: float
+    ) -> None:
+        if not self._watchers or sender not in self._subscribers:
             return
+        progress = self._progress(now, query.number)
+        if progress is not None:
+            self._peers.send(sender, progress)
+
+    def _progress(self, now: float, answers: int = 0) -> feed_messages.FeedProgress | None:
+        """Return a progress message, None if it is not known that all objects are current.
+
+        Args:
+            now: Monotonic time in seconds.
+            answers: Number of the query that it answers, 0 if there is none.
+        """
+        if now - self._store.answered_at > self._times.source.answer_lifetime_s:
+            return None
         if not self.is_complete or not self._is_confirmed(now):
-            return
+            return None
         if not self._received.is_of_era(self._era):
-            return
-        due = self._subscribers.due(now)
-        if not due:
-            return
+            return None
         revisions = tuple(sorted(self._received.revisions.items()))
         ages_ms = tuple(
             (kind, math.ceil((now - self._confirmations.at(kind)) * 1000))
             for kind, _ in revisions
         )
-        progress = feed_messages.FeedProgress(revisions, self._era, ages_ms)
-        for name in due:
-            self._peers.send(name, progress)
+        return feed_messages.FeedProgress(revisions, self._era, ages_ms, answers)
 
     def _is_confirmed(self, now: float) -> bool:
         """Return whether the position of each kind was confirmed lately."""
@@ -345,7 +381,9 @@
         now = self._reactor.seconds()
         if isinstance(message, feed_messages.FeedRequest):
             if self._watchers and self.is_complete:
-                self._subscribe(sender)
+                self._subscribe(sender, message)
+        elif isinstance(message, feed_messages.ProgressQuery):
+            self._answer_query(sender, message, now)
         elif isinstance(message, feed_messages.FeedProgress):
             self._handle_progress(sender, message, now)
         elif isinstance(message, feed_messages.ObjectRequest):
@@ -380,9 +418,9 @@
                 self._apply_changes, message.kind, position, message.items, sender
             )
 
-    def _subscribe(self, name: ids.InstanceId) -> None:
+    def _subscribe(self, name: ids.InstanceId, request: feed_messages.FeedRequest) -> None:
         """Add a subscriber and send it all objects."""
-        self._subscribers.add(name)
+        self._subscribers.add(name, request.asks_progress)
         snapshots = self._received.snapshots()
         for snapshot in snapshots:
             self._peers.send(name, snapshot)
@@ -400,8 +438,15 @@
         """Rely on a feed for as long as what the sender knew when it sent the message holds.
 
         The time counts from the sender's own confirmation, not from the message: otherwise it
-        would begin anew with each instance on the way.
+        would begin anew with each instance on the way. The sender's age counts from the query,
+        not from the arrival of the answer, which may have been under way for long.
         """
+        # Builds of earlier versions send the message unasked.
+        asked_at: float | None = now
+        if message.answers:
+            asked_at = self._progress_queries.take_asked_at(sender, message.answers)
+        if asked_at is None:
+            return
         is_current = all(
             self._received.has_reached(kind, message.era, revision)
             for kind, revision in message.revisions
@@ -412,10 +457,10 @@
         ages_s.update((kind, age_ms / 1000) for kind, age_ms in message.ages_ms)
         for kind, age_s in ages_s.items():
             if is_current:
-                self._confirmations.record(kind, now - age_s, sender)
+                self._confirmations.record(kind, asked_at - age_s, sender)
             if kind in self._times.by_kind:
                 fresh_for_s = min(fresh_for_s, self._times.by_kind[kind].max_age_s - age_s)
-        self._source_selector.record_progress(sender, is_current, now, fresh_for_s)
+        self._source_selector.record_progress(sender, is_current, asked_at, fresh_for_s)
 
     def _apply_message(
         self,
@@ -549,7 +594,7 @@
                 logs.warning("store-unavailable", kind=kind, error=update.error)
             self._catalog.record_outage(now)
             return
-        self._confirmations.record(kind, now, confirmations.STORE)
+        self._confirmations.record(kind, update.confirmed_at, confirmations.STORE)
         self._record_answer(kind)
         if isinstance(update, object_watch.Unchanged):
             return
--- a/tests/follower_fleet.py
+++ b/tests/follower_fleet.py
@@ -46,10 +46,10 @@
         self._free_at = 0.0
         self._arrived_at = 0.0
 
-    def transfer_s(self, octets, wait_s=0.0):
-        """Return after how many seconds octets that come in some seconds have arrived."""
+    def transfer_s(self, octets):
+        """Return after how many seconds octets that are sent now have arrived."""
         now = self._clock.seconds()
-        self._free_at = max(now + wait_s, self._free_at) + octets / self.octets_per_s
+        self._free_at = max(now, self._free_at) + octets / self.octets_per_s
         self._arrived_at = max(self._arrived_at, self._free_at + self.delay_s)
         return self._arrived_at - now
 
@@ -226,10 +226,17 @@
             return False
         octets = len(peer_codec.CODEC.encode(message))
         sent_s = self.outgoing.transfer_s(octets) + MESSAGE_DELAY_S
-        transfer_s = receiver.incoming.transfer_s(octets, sent_s)
-        self.fleet.clock.callLater(transfer_s, receiver.sync.handle_message, self.name, message)
+        self.fleet.clock.callLater(sent_s, receiver.receive, self.name, message, octets)
         return True
 
+    def receive(self, sender, message, octets):
+        """Handle a message once it has come in on the link of this instance."""
+        transfer_s = self.incoming.transfer_s(octets)
+        if transfer_s > 0:
+            self.fleet.clock.callLater(transfer_s, self.sync.handle_message, sender, message)
+        else:
+            self.sync.handle_message(sender, message)
+
 
 class Fleet:
     """Instances of a region and their store, on a simulated clock.
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -45,6 +45,7 @@
     ("RelayRequest", relay_messages.RelayRequest, 8),
     ("RelayResponse", relay_messages.RelayResponse, 6),
     ("FeedWanted", feed_messages.FeedRequest, 0),
+    ("ProgressQuery", feed_messages.ProgressQuery, 1),
     ("FeedSnapshot", feed_messages.FeedSnapshot, 3),
     ("FeedEvents", feed_messages.FeedEvents, 4),
     ("FeedFresh", feed_messages.FeedProgress, 1),
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -173,7 +173,7 @@
                 follower.tick()
 
 
-class TestFeed(FeedPair):
+class StartedFeedPair(FeedPair):
     """One instance follows the store, and another subscribes to its feed."""
 
     def setup_method(self):
@@ -189,6 +189,10 @@
             follower.start()
         self.run(3.0)
 
+
+class TestFeed(StartedFeedPair):
+    """How long a subscriber relies on the feed."""
+
     def test_subscriber_makes_no_calls_when_objects_change(self):
         """The feed stays complete when objects of several kinds change in turn."""
         assert self.sync_by_name[OTHER].is_direct and not self.sync_by_name[OWN].is_direct
