Do not send a subscriber again what is on its way to it

Cause: what had not arrived counted as not sent. A subscriber whose feed was stale asked for all objects each 0.6 s, and others for the newer version each 0.3 s; each request brought the whole configuration once more, before the first copy was in.

A source now ignores the request of an instance that is subscribed already, unless that one knows of a gap: the answer to a query comes behind all that was sent before, so what is missing then was lost. A request says what its sender has, and brings the other kinds only.

Evidence: TestRequests fails without it (all kinds were sent on each request).

--- a/src/carobhook/coordination/newer_versions.py
+++ b/src/carobhook/coordination/newer_versions.py
@@ -12,6 +12,8 @@
 
 from carobhook.state import ids
 
+_MAX_DOUBLINGS = 3
+
 
 @attrs.define
 class NewerVersions:
@@ -19,13 +21,15 @@
 
     Attributes:
         wait_s: Seconds for which a newer version is known before an instance is asked for it,
-            as the own source usually brings it sooner, and between two requests.
+            as the own source usually brings it sooner. The wait doubles with each request, as
+            the answer to the one before may still be on its way.
         rng: Random source of the choice, so that not all instances ask the same one.
     """
 
     wait_s: float
     rng: random.Random
     _next_at: dict[str, float] = attrs.field(factory=dict, init=False)
+    _request_counts: dict[str, int] = attrs.field(factory=dict, init=False)
 
     def instance_to_ask(
         self,
@@ -46,10 +50,12 @@
         """
         if not announced:
             self._next_at.pop(kind, None)
+            self._request_counts.pop(kind, None)
             return None
         if now < self._next_at.setdefault(kind, now + self.wait_s):
             return None
-        self._next_at[kind] = now + self.wait_s
+        count = self._request_counts[kind] = self._request_counts.get(kind, 0) + 1
+        self._next_at[kind] = now + self.wait_s * 2 ** min(count, _MAX_DOUBLINGS)
         newest = max(announced.values())
         holders = sorted(name for name, version in announced.items() if version == newest)
         first = preferred()
--- a/src/carobhook/protocol/feed_messages.py
+++ b/src/carobhook/protocol/feed_messages.py
@@ -15,15 +15,23 @@
 class FeedRequest:
     """Subscribes to the feed of an instance that watches the store.
 
-    The receiver answers with a `FeedSnapshot` of each kind and then sends changes. It ignores
-    the message if it does not watch the store, or has not read all kinds yet.
+    The receiver answers with a `FeedSnapshot` of each kind that the sender lacks and then sends
+    changes. It ignores the message if it does not watch the store, or has not read all kinds
+    yet.
 
     Attributes:
         asks_progress: Whether the sender asks for progress by `ProgressQuery`; if not, it gets
-            messages of progress unasked.
+            messages of progress unasked, and all kinds with each request.
+        era: Era of the revisions.
+        revisions: Pairs of a kind and the revision up to which the sender has its objects.
+        has_gap: Whether the sender knows that it missed changes. If not, and it is subscribed
+            already, what it lacks is on its way.
     """
 
     asks_progress: bool = versions.added_field(False, since=4)
+    era: int = versions.added_field(0, since=4)
+    revisions: tuple[tuple[str, int], ...] = versions.added_field((), since=4)
+    has_gap: bool = versions.added_field(False, since=4)
 
 
 @attrs.frozen
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -161,6 +161,8 @@
         self._progress_queries = progress_queries.ProgressQueries(
             times.source.progress_interval_s, times.source.progress_lifetime_s
         )
+        # Monotonic time in seconds at which each source was last told of a gap.
+        self._gap_told_at: dict[ids.InstanceId, float] = {}
         self._newer_versions = newer_versions.NewerVersions(times.source.newer_wait_s, rng)
         self._newer_checked_at = -math.inf
         self._running_probe: defer.Deferred | None = None
@@ -230,9 +232,7 @@
             candidates, self._peers.relays(), self.is_complete, now
         )
         if decision.subscribe_to is not None:
-            self._peers.send(
-                decision.subscribe_to, feed_messages.FeedRequest(asks_progress=True)
-            )
+            self._request_feed(decision.subscribe_to)
         self._ask_for_progress(decision.source, candidates, now)
         if decision.direct and not self._watchers:
             self._start_watching()
@@ -250,6 +250,11 @@
             self._ask_for_newer(now)
         self._report_age(now)
 
+    def _request_feed(self, name: ids.InstanceId, has_gap: bool = False) -> None:
+        revisions = tuple(sorted(self._received.revisions.items()))
+        request = feed_messages.FeedRequest(True, self._era, revisions, has_gap)
+        self._peers.send(name, request)
+
     def _ask_for_progress(
         self,
         source: ids.InstanceId | None,
@@ -365,6 +370,7 @@
             name: The instance.
         """
         self._subscribers.remove(name)
+        self._gap_told_at.pop(name, None)
 
     def handle_message(self, sender: ids.InstanceId, message: feed_messages.Message) -> None:
         """Handle a message of the feed protocol.
@@ -380,8 +386,7 @@
         """
         now = self._reactor.seconds()
         if isinstance(message, feed_messages.FeedRequest):
-            if self._watchers and self.is_complete:
-                self._subscribe(sender, message)
+            self._handle_request(sender, message)
         elif isinstance(message, feed_messages.ProgressQuery):
             self._answer_query(sender, message, now)
         elif isinstance(message, feed_messages.FeedProgress):
@@ -418,15 +423,29 @@
                 self._apply_changes, message.kind, position, message.items, sender
             )
 
-    def _subscribe(self, name: ids.InstanceId, request: feed_messages.FeedRequest) -> None:
-        """Add a subscriber and send it all objects."""
+    def _handle_request(self, name: ids.InstanceId, request: feed_messages.FeedRequest) -> None:
+        """Add a subscriber and send it the objects that it lacks.
+
+        A subscriber that has not got yet what was sent to it may ask again, as the answers to
+        its queries wait behind that; to send it once more would hold it up further.
+        """
+        if not self._watchers or not self.is_complete:
+            return
+        is_waiting = name in self._subscribers and request.asks_progress
+        if is_waiting and not request.has_gap:
+            return
         self._subscribers.add(name, request.asks_progress)
-        snapshots = self._received.snapshots()
+        held = dict(request.revisions) if request.era == self._era else {}
+        snapshots = [
+            snapshot
+            for snapshot in self._received.snapshots()
+            if snapshot.era != request.era or held.get(snapshot.kind) != snapshot.revision
+        ]
         for snapshot in snapshots:
             self._peers.send(name, snapshot)
         octets = sum(_octets(snapshot.items) for snapshot in snapshots)
         kinds = [snapshot.kind for snapshot in snapshots]
-        logs.event("feed-subscribed", instance=name, kinds=kinds, octets=octets)
+        logs.event("feed-subscribed", subscriber=name, kinds=kinds, octets=octets)
 
     def _count_octets(self, kind: str, items: Iterable[feed_messages.FeedObject]) -> None:
         self.feed_octets.received += _octets(items)
@@ -461,6 +480,19 @@
             if kind in self._times.by_kind:
                 fresh_for_s = min(fresh_for_s, self._times.by_kind[kind].max_age_s - age_s)
         self._source_selector.record_progress(sender, is_current, asked_at, fresh_for_s)
+        if not is_current and message.answers:
+            self._report_gap(sender, asked_at, now)
+
+    def _report_gap(self, source: ids.InstanceId, asked_at: float, now: float) -> None:
+        """Ask a source again for what it sent before it answered a query.
+
+        Messages arrive in order, so this is lost. What it sends in return comes before its
+        answers to later queries, so answers to earlier ones are no news.
+        """
+        if asked_at < self._gap_told_at.get(source, -math.inf):
+            return
+        self._gap_told_at[source] = now
+        self._request_feed(source, has_gap=True)
 
     def _apply_message(
         self,
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -7,6 +7,7 @@
 import store_access
 from carobhook.coordination import catalog, steering, store_feed
 from carobhook.platform import names
+from carobhook.protocol import feed_messages
 from carobhook.state import ids
 from carobhook.transport import store_sync, supervision
 
@@ -190,6 +191,71 @@
         self.run(3.0)
 
 
+class TestRequests(StartedFeedPair):
+    """What a subscriber is sent when it asks again."""
+
+    def kinds_sent(self, request):
+        """Return the kinds of which OTHER sends a snapshot on a request of OWN."""
+        kinds = []
+
+        def record(sender, message):
+            if isinstance(message, feed_messages.FeedSnapshot):
+                kinds.append(message.kind)
+
+        subscriber = self.sync_by_name[OWN]
+        handle, subscriber.handle_message = subscriber.handle_message, record
+        self.sync_by_name[OTHER].handle_message(OWN, request)
+        subscriber.handle_message = handle
+        return kinds
+
+    def request(self, lacking=(), has_gap=False):
+        """Return a request of an instance that lacks changes of some kinds."""
+        revisions = self.sync_by_name[OTHER]._received.revisions
+        held = {
+            kind: revision - 1 if kind in lacking else revision
+            for kind, revision in revisions.items()
+        }
+        era = self.engine.era
+        return feed_messages.FeedRequest(True, era, tuple(held.items()), has_gap)
+
+    def test_subscriber_is_not_sent_again_what_is_on_its_way(self):
+        """It lacks the objects for as long as they are on its link."""
+        assert self.kinds_sent(self.request([names.CONFIG_KIND])) == []
+
+    def test_subscriber_that_missed_changes_is_sent_their_kinds(self):
+        """The other kinds it has already."""
+        kinds = self.kinds_sent(self.request([names.CONFIG_KIND], has_gap=True))
+        assert kinds == [names.CONFIG_KIND]
+
+    def test_new_subscriber_is_sent_what_it_lacks(self):
+        """An instance that followed another source has nearly everything."""
+        self.sync_by_name[OTHER].remove_subscriber(OWN)
+        assert self.kinds_sent(self.request([names.SERVERS_KIND])) == [names.SERVERS_KIND]
+        assert OWN in self.sync_by_name[OTHER]._subscribers
+
+    def test_subscriber_of_an_earlier_build_is_sent_everything(self):
+        """It cannot say what it has, and asks only if it lacks something."""
+        assert len(self.kinds_sent(feed_messages.FeedRequest())) == 4
+
+    def test_lost_change_is_noticed_and_sent_again(self):
+        """The answer to a query comes behind all that was sent before it."""
+        subscriber, lost = self.sync_by_name[OWN], []
+        handle = subscriber.handle_message
+
+        def lose_events(sender, message):
+            if isinstance(message, feed_messages.FeedEvents):
+                lost.append(message)
+            else:
+                handle(sender, message)
+
+        subscriber.handle_message = lose_events
+        self.engine.create(names.EVACUATIONS_KIND, "z", {}, self.clock.seconds())
+        self.run(1.0)
+        assert len(lost) == 1
+        assert self.known[OWN].evacuated == {"z"}
+        assert not subscriber.is_direct
+
+
 class TestFeed(StartedFeedPair):
     """How long a subscriber relies on the feed."""
 
