Do not give up a large answer of the store while it arrives

An instance on a link of 5 Mbit/s that follows the store itself could never get a configuration of 1 MB: it takes 1.6 s, a list call may take 1.5 s and the answer of a watch 0.54 s after its wait, and the next call began from the start.

Cause: one limit for the whole answer, whatever its size.

--- a/src/carobhook/platform/store.py
+++ b/src/carobhook/platform/store.py
@@ -12,7 +12,7 @@
 from carobhook.coordination import objects
 from carobhook.platform import names
 from carobhook.protocol import http1
-from carobhook.transport import server_connections
+from carobhook.transport import answer_timeout, server_connections
 
 _JSON = b"application/json"
 _MAX_ERA_DIGITS = 15
@@ -213,21 +213,23 @@
             headers.append((b"Content-Type", _JSON))
             body = json.dumps(payload, separators=(",", ":")).encode()
         head = http1.RequestHead(method, path.encode(), tuple(headers))
+        timeout = answer_timeout.AnswerTimeout(self._reactor, timeout_s)
         pending = defer.ensureDeferred(
-            self._connections.exchange(self._address, head, body, require_fresh=False)
+            self._connections.exchange(
+                self._address, head, body, require_fresh=False, on_data=timeout.record_data
+            )
         )
-        timer = self._reactor.callLater(timeout_s, pending.cancel)
+        timeout.start(pending.cancel)
         try:
             received = await pending
         except defer.CancelledError as error:
-            if timer.active():
+            if timeout.is_running:
                 # The caller cancelled the call, not the timer.
                 raise
             self._connections.discard_idle(self._address)
             raise TimeoutError(f"no answer in {timeout_s:g} s") from error
         finally:
-            if timer.active():
-                timer.cancel()
+            timeout.stop()
         return typing.cast(server_connections.ReceivedResponse, received).response
 
     def _record_era(self, response: http1.Response) -> bool:
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -46,6 +46,10 @@
     return True
 
 
+def _ignore_data() -> None:
+    return None
+
+
 class Fault(enum.Enum):
     """How an exchange with a server failed.
 
@@ -146,6 +150,7 @@
         self._body_size = 0
         self._received_size = 0
         self._match: ResponseMatcher = _match_any
+        self._on_data: Callable[[], object] = _ignore_data
         # Whether the last response named its request.
         self._was_named = False
         self._method = b"GET"
@@ -159,7 +164,11 @@
         self.transport.setTcpNoDelay(True)
 
     def exchange(
-        self, head: http1.RequestHead, body: bytes, match: ResponseMatcher
+        self,
+        head: http1.RequestHead,
+        body: bytes,
+        match: ResponseMatcher,
+        on_data: Callable[[], object] = _ignore_data,
     ) -> defer.Deferred:
         """Send a request.
 
@@ -167,6 +176,7 @@
         closes the connection.
         """
         self._match = match
+        self._on_data = on_data
         self._method = head.method
         self._received_size = 0
         self._expect_response()
@@ -206,6 +216,7 @@
             self.abort()
             return
         self._received_size += len(data)
+        self._on_data()
         try:
             self._parser.receive_data(data)
             self._process_events()
@@ -352,6 +363,7 @@
         require_fresh: bool,
         match: ResponseMatcher = _match_any,
         may_send: Callable[[], bool] = _may_always_send,
+        on_data: Callable[[], object] = _ignore_data,
     ) -> ReceivedResponse:
         """Send a request to a server and return its complete response.
 
@@ -364,6 +376,7 @@
             match: Returns whether a response belongs to this request.
             may_send: Returns whether the request may still be sent; called right before that,
                 as opening a connection takes time.
+            on_data: Called when a part of the response arrives.
 
         Raises:
             ExchangeError: The exchange failed without a complete response.
@@ -374,7 +387,7 @@
         if not may_send():
             self._keep_idle(address, connection)
             raise ExchangeError(Fault.WITHDRAWN, "not sent", False, False)
-        received = await connection.exchange(head, body, match)
+        received = await connection.exchange(head, body, match, on_data)
         self._keep_idle(address, connection)
         return received
 
