Give the sending side of the feed a module of its own, and the log of unknown routes an event

FeedPublisher sends subscribers what they lack, changes and progress; ProgressQueries decides about gaps. Nothing changes for callers or instances.

The age by which a 404 or 1056 was decided is an event of its own, route-unknown: other refusals need no such fields, and test_outer_interface reads the fields of each event from its call. Counting the octets of a message whose objects are malformed could end a stream (test_overlooked_states); it is supervised like their application.

--- a/src/carobhook/coordination/progress_queries.py
+++ b/src/carobhook/coordination/progress_queries.py
@@ -40,6 +40,7 @@
     _last_number: int = attrs.field(default=0, init=False)
     _asked_at: dict[ids.InstanceId, float] = attrs.field(factory=dict, init=False)
     _unanswered: dict[int, _Query] = attrs.field(factory=dict, init=False)
+    _gap_told_at: dict[ids.InstanceId, float] = attrs.field(factory=dict, init=False)
 
     def due(
         self, receivers: Iterable[ids.InstanceId], now: float
@@ -77,10 +78,27 @@
         del self._unanswered[number]
         return query.asked_at
 
+    def is_gap_new(self, sender: ids.InstanceId, asked_at: float, now: float) -> bool:
+        """Return whether an answer shows that changes were lost; the caller must ask for them.
+
+        Messages arrive in order, so what was sent before the answer and is not here was lost.
+        What is sent once more comes before the answers to later queries.
+
+        Args:
+            sender: Instance whose answer names changes that are missing here.
+            asked_at: Monotonic time in seconds at which it was asked.
+            now: Monotonic time in seconds.
+        """
+        if asked_at < self._gap_told_at.get(sender, -math.inf):
+            return False
+        self._gap_told_at[sender] = now
+        return True
+
     def _forget_old(self, wanted: set[ids.InstanceId], now: float) -> None:
         for name in list(self._asked_at):
             if name not in wanted:
                 del self._asked_at[name]
+                self._gap_told_at.pop(name, None)
         for number, query in list(self._unanswered.items()):
             if now - query.asked_at <= self.lifetime_s:
                 # They are in the order in which they were sent.
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -143,6 +143,10 @@
         "A newer configuration of the store is in force here; from whom it came, its size, and "
         "how long it took to decode.",
     )
+    ROUTE_UNKNOWN = EventInfo(
+        "route-unknown",
+        "A request had no route; how old the configuration was, and who confirmed it.",
+    )
     FEED_SUBSCRIBED = EventInfo(
         "feed-subscribed",
         "Another instance subscribed to this one's feed; kinds and octets of what it was sent.",
--- a/src/carobhook/protocol/feed_messages.py
+++ b/src/carobhook/protocol/feed_messages.py
@@ -142,6 +142,7 @@
     item: FeedObject
 
 
+Change = FeedSnapshot | FeedEvents
 Message = (
     FeedRequest
     | ProgressQuery
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -133,23 +133,26 @@
     def _log_refusal(
         self, request: client_connections.ClientRequest, refusal: refusals.Refusal
     ) -> None:
-        fields: dict[str, typing.Any] = {}
-        if refusal.code in _CODES_OF_UNKNOWN_ROUTES:
-            config, now = self._context.server_catalog.config, self._reactor.seconds()
-            evidence = self._context.config_evidence()
-            fields["config"] = f"{config.version:08x}" if config is not None else None
-            fields["read_ms"] = round((now - request.received_at) * 1000, 1)
-            if evidence is not None:
-                fields["config_age_ms"] = round((now - evidence.at) * 1000, 1)
-                fields["config_source"] = evidence.source
+        request_id = requests.request_id(request.head)
         logs.event(
             "request-refused",
-            request=requests.request_id(request.head),
+            request=request_id,
             status=refusal.status,
             code=refusal.code.number,
             detail=refusal.detail,
-            **fields,
         )
+        config = self._context.server_catalog.config
+        evidence = self._context.config_evidence()
+        if refusal.code in _CODES_OF_UNKNOWN_ROUTES and config is not None:
+            now = self._reactor.seconds()
+            logs.event(
+                "route-unknown",
+                request=request_id,
+                config=f"{config.version:08x}",
+                config_age_ms=_elapsed_ms(evidence.at, now) if evidence is not None else None,
+                config_source=evidence.source if evidence is not None else None,
+                read_ms=_elapsed_ms(request.received_at, now),
+            )
 
     def limit_to(self, ends_at: float) -> None:
         """Refuse all further requests that might not end before this instance does.
@@ -321,6 +324,10 @@
             metrics.count(metric.REPEATS, service)
 
 
+def _elapsed_ms(since: float, now: float) -> float:
+    return round((now - since) * 1000, 1)
+
+
 def _path(head: http1.RequestHead) -> str:
     """Return the path of a request, without its query."""
     return head.target.partition(b"?")[0].decode("latin-1")
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -26,7 +26,12 @@
 from carobhook.platform import names, store
 from carobhook.protocol import feed_messages
 from carobhook.state import ids, members, orders
-from carobhook.transport import orders_restore, received_objects, supervision
+from carobhook.transport import (
+    feed_publisher,
+    orders_restore,
+    received_objects,
+    supervision,
+)
 
 # No deployment names a bound for operators' orders.
 _ORDERS_BOUND_S = 10.0
@@ -157,12 +162,12 @@
         self._restart_at: dict[str, float] = {}
         self._has_unhandled_change = False
         self._source_selector = store_feed.SourceSelector(peers.own, times.source)
-        self._subscribers = store_feed.Subscribers(times.source)
+        self._publisher = feed_publisher.FeedPublisher(
+            self._received, self._confirmations, times.by_kind, times.source, peers.send
+        )
         self._progress_queries = progress_queries.ProgressQueries(
             times.source.progress_interval_s, times.source.progress_lifetime_s
         )
-        # Monotonic time in seconds at which each source was last told of a gap.
-        self._gap_told_at: dict[ids.InstanceId, float] = {}
         self._newer_versions = newer_versions.NewerVersions(times.source.newer_wait_s, rng)
         self._newer_checked_at = -math.inf
         self._running_probe: defer.Deferred | None = None
@@ -241,7 +246,7 @@
             self._stop_watching()
         if self._watchers:
             self._restart_failed_watches(now)
-            self._send_progress(now)
+            self._publisher.send_progress(self._store_status(), now)
         if self._watchers or self._catalog.store_lost_at is not None:
             self._probe(now)
         if self._has_unhandled_change:
@@ -250,6 +255,9 @@
             self._ask_for_newer(now)
         self._report_age(now)
 
+    def _store_status(self) -> feed_publisher.StoreStatus:
+        return feed_publisher.StoreStatus(self._era, self._store.answered_at, self.is_complete)
+
     def _request_feed(self, name: ids.InstanceId, has_gap: bool = False) -> None:
         revisions = tuple(sorted(self._received.revisions.items()))
         request = feed_messages.FeedRequest(True, self._era, revisions, has_gap)
@@ -304,50 +312,6 @@
         else:
             logs.event("config-confirmed", source=source, direct=self.is_direct)
 
-    def _send_progress(self, now: float) -> None:
-        """Send progress messages to subscribers of earlier builds, which do not ask."""
-        due = self._subscribers.due(now)
-        progress = self._progress(now) if due else None
-        if progress is not None:
-            for name in due:
-                self._peers.send(name, progress)
-
-    def _answer_query(
-        self, sender: ids.InstanceId, query: feed_messages.ProgressQuery, now: float
-    ) -> None:
-        if not self._watchers or sender not in self._subscribers:
-            return
-        progress = self._progress(now, query.number)
-        if progress is not None:
-            self._peers.send(sender, progress)
-
-    def _progress(self, now: float, answers: int = 0) -> feed_messages.FeedProgress | None:
-        """Return a progress message, None if it is not known that all objects are current.
-
-        Args:
-            now: Monotonic time in seconds.
-            answers: Number of the query that it answers, 0 if there is none.
-        """
-        if now - self._store.answered_at > self._times.source.answer_lifetime_s:
-            return None
-        if not self.is_complete or not self._is_confirmed(now):
-            return None
-        if not self._received.is_of_era(self._era):
-            return None
-        revisions = tuple(sorted(self._received.revisions.items()))
-        ages_ms = tuple(
-            (kind, math.ceil((now - self._confirmations.at(kind)) * 1000))
-            for kind, _ in revisions
-        )
-        return feed_messages.FeedProgress(revisions, self._era, ages_ms, answers)
-
-    def _is_confirmed(self, now: float) -> bool:
-        """Return whether the position of each kind was confirmed lately."""
-        return all(
-            now - self._confirmations.at(kind) <= times.max_age_s
-            for kind, times in self._times.by_kind.items()
-        )
-
     def _record_era(self, era: int) -> None:
         """Record the store's era; when a new one has begun, list the objects again at once."""
         if era <= self._era:
@@ -369,8 +333,7 @@
         Args:
             name: The instance.
         """
-        self._subscribers.remove(name)
-        self._gap_told_at.pop(name, None)
+        self._publisher.remove(name)
 
     def handle_message(self, sender: ids.InstanceId, message: feed_messages.Message) -> None:
         """Handle a message of the feed protocol.
@@ -386,9 +349,11 @@
         """
         now = self._reactor.seconds()
         if isinstance(message, feed_messages.FeedRequest):
-            self._handle_request(sender, message)
+            if self._watchers and self.is_complete:
+                self._publisher.handle_request(sender, message)
         elif isinstance(message, feed_messages.ProgressQuery):
-            self._answer_query(sender, message, now)
+            if self._watchers:
+                self._publisher.answer_query(sender, message, self._store_status(), now)
         elif isinstance(message, feed_messages.FeedProgress):
             self._handle_progress(sender, message, now)
         elif isinstance(message, feed_messages.ObjectRequest):
@@ -396,18 +361,18 @@
             if item is not None:
                 self._peers.send(sender, feed_messages.ObjectReport(message.kind, item))
         elif isinstance(message, feed_messages.ObjectReport):
-            self._count_octets(message.kind, (message.item,))
+            self._supervisor.run("feed", self._count_octets, message.kind, (message.item,))
             apply = self._received.apply_newer
             self._supervisor.run("feed", apply, message.kind, message.item, sender)
             self._notify_change()
         else:
-            self._count_octets(message.kind, message.items)
+            self._supervisor.run("feed", self._count_octets, message.kind, message.items)
             self._handle_objects(sender, message)
 
     def _handle_objects(
         self,
         sender: ids.InstanceId,
-        message: feed_messages.FeedSnapshot | feed_messages.FeedEvents,
+        message: feed_messages.Change,
     ) -> None:
         """Apply objects of a feed, unless they are older or follow changes that are missing."""
         position = objects.Position(message.era, message.revision)
@@ -423,32 +388,8 @@
                 self._apply_changes, message.kind, position, message.items, sender
             )
 
-    def _handle_request(self, name: ids.InstanceId, request: feed_messages.FeedRequest) -> None:
-        """Add a subscriber and send it the objects that it lacks.
-
-        A subscriber that has not got yet what was sent to it may ask again, as the answers to
-        its queries wait behind that; to send it once more would hold it up further.
-        """
-        if not self._watchers or not self.is_complete:
-            return
-        is_waiting = name in self._subscribers and request.asks_progress
-        if is_waiting and not request.has_gap:
-            return
-        self._subscribers.add(name, request.asks_progress)
-        held = dict(request.revisions) if request.era == self._era else {}
-        snapshots = [
-            snapshot
-            for snapshot in self._received.snapshots()
-            if snapshot.era != request.era or held.get(snapshot.kind) != snapshot.revision
-        ]
-        for snapshot in snapshots:
-            self._peers.send(name, snapshot)
-        octets = sum(_octets(snapshot.items) for snapshot in snapshots)
-        kinds = [snapshot.kind for snapshot in snapshots]
-        logs.event("feed-subscribed", subscriber=name, kinds=kinds, octets=octets)
-
     def _count_octets(self, kind: str, items: Iterable[feed_messages.FeedObject]) -> None:
-        self.feed_octets.received += _octets(items)
+        self.feed_octets.received += feed_publisher.octets(items)
         self.feed_octets.repeated += self._received.octets_held(kind, items)
 
     def _handle_progress(
@@ -480,19 +421,10 @@
             if kind in self._times.by_kind:
                 fresh_for_s = min(fresh_for_s, self._times.by_kind[kind].max_age_s - age_s)
         self._source_selector.record_progress(sender, is_current, asked_at, fresh_for_s)
-        if not is_current and message.answers:
-            self._report_gap(sender, asked_at, now)
-
-    def _report_gap(self, source: ids.InstanceId, asked_at: float, now: float) -> None:
-        """Ask a source again for what it sent before it answered a query.
-
-        Messages arrive in order, so this is lost. What it sends in return comes before its
-        answers to later queries, so answers to earlier ones are no news.
-        """
-        if asked_at < self._gap_told_at.get(source, -math.inf):
-            return
-        self._gap_told_at[source] = now
-        self._request_feed(source, has_gap=True)
+        # Builds of earlier versions send what they are asked for again in any case.
+        lacks_changes = not is_current and bool(message.answers)
+        if lacks_changes and self._progress_queries.is_gap_new(sender, asked_at, now):
+            self._request_feed(sender, has_gap=True)
 
     def _apply_message(
         self,
@@ -569,7 +501,7 @@
         watchers, self._watchers = self._watchers, {}
         for watcher in watchers.values():
             watcher.stop()
-        self._subscribers.clear()
+        self._publisher.clear()
 
     def _probe(self, now: float) -> None:
         # While the store is lost, answers to other calls do not put the next probe off.
@@ -634,7 +566,7 @@
             items = tuple(_feed_object(item) for item in update.items[kind])
             position = objects.Position(update.era, update.revision)
             self._apply_snapshot(kind, position, items)
-            feed_message: feed_messages.Message = feed_messages.FeedSnapshot(
+            feed_message: feed_messages.Change = feed_messages.FeedSnapshot(
                 kind, update.revision, items, update.era
             )
         else:
@@ -649,8 +581,7 @@
                 kind, since, update.revision, items, update.era
             )
         self._watch_failures.pop(kind, None)
-        for name in self._subscribers.names:
-            self._peers.send(name, feed_message)
+        self._publisher.publish(feed_message)
         self._notify_change()
 
     # Updates of the catalog and the orders.
@@ -682,11 +613,6 @@
             self._orders_restore.schedule(self.is_direct)
 
 
-def _octets(items: Iterable[feed_messages.FeedObject]) -> int:
-    """Return the octets of the values of objects."""
-    return sum(len(item.value or b"") for item in items)
-
-
 def _feed_object(item: objects.StoredObject | objects.WatchEvent) -> feed_messages.FeedObject:
     value = None
     if item.value is not None:
--- a/tests/test_progress_queries.py
+++ b/tests/test_progress_queries.py
@@ -38,6 +38,13 @@
         assert self.queries.take_asked_at(FIRST, 1) is None
         assert self.queries._unanswered == {}
 
+    def test_gap_is_reported_once(self):
+        """Answers to queries from before the report name the same changes."""
+        assert self.queries.is_gap_new(FIRST, 10.0, 10.4)
+        assert not self.queries.is_gap_new(FIRST, 10.3, 10.5)
+        assert self.queries.is_gap_new(SECOND, 10.3, 10.5)
+        assert self.queries.is_gap_new(FIRST, 10.6, 10.7)
+
 
 class TestOlderBuilds(test_store_feed.StartedFeedPair):
     """Subscribers and sources of builds that know no queries."""
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -231,7 +231,7 @@
         """An instance that followed another source has nearly everything."""
         self.sync_by_name[OTHER].remove_subscriber(OWN)
         assert self.kinds_sent(self.request([names.SERVERS_KIND])) == [names.SERVERS_KIND]
-        assert OWN in self.sync_by_name[OTHER]._subscribers
+        assert OWN in self.sync_by_name[OTHER]._publisher
 
     def test_subscriber_of_an_earlier_build_is_sent_everything(self):
         """It cannot say what it has, and asks only if it lacks something."""
