--- a/src/carobhook/soak/deployment.py
+++ b/src/carobhook/soak/deployment.py
@@ -71,6 +71,7 @@
         self._ports: list[typing.Any] = []
         self._instance_ports: list[dict[str, int]] = []
         self._config_version = 1
+        self._added_routes = 0
         self._reports = 0
         self.store = platform_store.PlatformStoreServer(reactor, memory_store.MemoryStore())
         self.servers: list[platform_server.PlatformBackend] = []
@@ -146,14 +147,23 @@
             self.draining_since.pop(plan.name, None)
         self._write_server(plan)
 
-    def change_config(self) -> int:
-        """Write a newer configuration into the store, and return its version."""
+    def change_config(self, added_routes: int = 0) -> int:
+        """Write a newer configuration into the store, and return its version.
+
+        Args:
+            added_routes: Number of routes that it has more than the one before.
+        """
         self._config_version += 1
+        self._added_routes += added_routes
         self._write_config()
         return self._config_version
 
     def _write_config(self) -> None:
         spec = demo.config(self._config_version)
+        spec["Routes"] += [
+            {**spec["Routes"][0], "Name": f"added-{n}", "PathPrefix": f"/added-{n}/"}
+            for n in range(self._added_routes)
+        ]
         self.store.put(names.CONFIG_KIND, names.CONFIG_NAME, spec)
 
     def write_again(self) -> None:
--- a/src/carobhook/soak/faults.py
+++ b/src/carobhook/soak/faults.py
@@ -37,6 +37,8 @@
     # A request ends the servers that run it, and is sent again and again.
     SERVER_ENDS = "server-ends"
     CONFIG_CHANGES = "config-changes"
+    # The configuration gets so many routes that it takes time to send and to decode.
+    CONFIG_GROWS = "config-grows"
     # An instance is cut from all servers: its connections are silent, or reset and refused.
     PATHS_SILENT = "paths-silent"
     PATHS_RESET = "paths-reset"
@@ -60,9 +62,13 @@
         Fault.STORE_LOSES_ANSWERS,
         Fault.STORE_FORGETS,
         Fault.CONFIG_CHANGES,
+        Fault.CONFIG_GROWS,
     }
 )
 
+# Steps that write a configuration.
+CONFIG_WRITES = frozenset({Fault.CONFIG_CHANGES, Fault.CONFIG_GROWS})
+
 # After these, instances may not know the limit that a server has named: they were restarted or
 # paused, or its answers did not reach them in time.
 EXCUSES_FROM_LIMITS = frozenset(
@@ -80,6 +86,8 @@
 )
 
 
+# Drawn by no seed, but takes the place of changes in some.
+_SUBSTITUTES = frozenset({Fault.CONFIG_GROWS})
 # Kinds of faults that a seed draws, by its remainder of a division by eight; others draw all.
 _ALLOWED_BY_REMAINDER = {
     0: PLANNED,
@@ -90,6 +98,11 @@
 }
 
 
+# Remainder of a division by 16 of the seeds in which the configuration grows, and how often.
+_GROWTH_REMAINDER = 7
+_GROWTH_COUNT = 2
+
+
 @attrs.frozen
 class Step:
     """One fault of a series.
@@ -121,7 +134,8 @@
     Seeds that are multiples of four draw planned work only, during which no request may be
     interrupted. The seed after each of these draws only cuts from servers and what is harmless
     beside them, and each eighth seed, from 7 on, only faults of the store, each with a
-    configuration that is written while it lasts or right at its end.
+    configuration that is written while it lasts or right at its end. In every other one of
+    these the configuration grows with the first two writes.
 
     Args:
         seed: Seed of the random number generator.
@@ -129,7 +143,7 @@
     """
     rng = random.Random(seed)
     allowed = _ALLOWED_BY_REMAINDER.get(seed % 8, frozenset(Fault))
-    kinds = sorted(allowed, key=lambda fault: fault.value)
+    kinds = sorted(allowed - _SUBSTITUTES, key=lambda fault: fault.value)
     count = rng.randint(2, max(3, int(duration_s / 2)))
     steps = [
         Step(
@@ -142,7 +156,18 @@
     ]
     if allowed is STORE_ONLY:
         steps += [_config_change_during(step, rng) for step in steps]
-    return sorted(steps, key=lambda step: step.at_s)
+    steps = sorted(steps, key=lambda step: step.at_s)
+    return _with_growth(steps) if seed % 16 == _GROWTH_REMAINDER else steps
+
+
+def _with_growth(steps: list[Step]) -> list[Step]:
+    """Return a series in which the first changes of the configuration let it grow."""
+    changes = [step for step in steps if step.fault is Fault.CONFIG_CHANGES]
+    growing = changes[:_GROWTH_COUNT]
+    return [
+        attrs.evolve(step, fault=Fault.CONFIG_GROWS) if step in growing else step
+        for step in steps
+    ]
 
 
 def _config_change_during(step: Step, rng: random.Random) -> Step:
--- a/src/carobhook/soak/run.py
+++ b/src/carobhook/soak/run.py
@@ -29,6 +29,8 @@
 _FATAL_EXTRA_S = 7.0
 _CUT_EXTRA_S = checks.CUT_SETTLE_S + 1.0
 _FATAL_SERVICE = "licences"
+# Twice as many come near to the largest object that the store takes.
+_ADDED_ROUTES = 2000
 _CLIENT_ZONES = (("addis", "addis-a"), ("kigali", "kigali-a"))
 
 _PROXY_MODES = {
@@ -181,8 +183,9 @@
             await self._cut_paths(instance_index, fault, step.duration_s + _CUT_EXTRA_S)
         elif fault in _INSTANCE_FAULTS:
             await self._disturb_instance(instance_index, step)
-        elif fault is faults.Fault.CONFIG_CHANGES:
-            self._config_writes.append((system.change_config(), self._reactor.seconds()))
+        elif fault in faults.CONFIG_WRITES:
+            count = _ADDED_ROUTES if fault is faults.Fault.CONFIG_GROWS else 0
+            self._config_writes.append((system.change_config(count), self._reactor.seconds()))
         elif fault.value.startswith("store"):
             started_at = self._reactor.seconds()
             await self._disturb_store(fault, step.duration_s)
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -164,9 +164,9 @@
 class TestRun:
     """Tests with real processes."""
 
-    # 5 and 9 draw cuts from servers, 54 a request that ends its servers, and 47 an outage of
-    # the store in which configurations are written.
-    @pytest.mark.parametrize("seed", [4, 5, 9, 47, 54, *REGRESSIONS])
+    # 5 and 9 draw cuts from servers, 54 a request that ends its servers, and 47 and 39 outages
+    # of the store in which configurations are written, those of 39 with thousands of routes.
+    @pytest.mark.parametrize("seed", [4, 5, 9, 39, 47, 54, *REGRESSIONS])
     def test_short_run_has_no_violation(self, seed, tmp_path):
         """A small deployment has no violation under the faults of a seed."""
         command = [sys.executable, "-m", "carobhook", "soak", "--first", str(seed)]
