End a subscription with the stream on which its changes were sent

Cause: the subscription did not depend on what carries it. A request often comes before the source has opened its own stream to the sender, and a stream that breaks loses what was buffered. Tests: test_store_feed::TestRequests, test_member_streams.

--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -148,6 +148,7 @@
                 self._supervisor.isolate("member-lost", self._on_member_lost),
                 self._supervisor.isolate("members", self._on_members_change),
                 self._supervisor.isolate("new-stream", self._on_new_stream),
+                self._supervisor.isolate("new-stream", self._on_stream_replaced),
             ),
             self._tls.peers if self._tls is not None else None,
             self._relay,
@@ -518,6 +519,9 @@
     def _on_new_stream(self, send: Callable[[typing.Any], object]) -> None:
         self._servers.send_initial(send)
 
+    def _on_stream_replaced(self, name: ids.InstanceId) -> None:
+        self._store_sync.remove_subscriber(name)
+
     def _on_member_lost(self, name: ids.InstanceId) -> None:
         self._allocator.remove_instance(name)
         self._servers.remove_instance(name)
--- a/src/carobhook/transport/feed_publisher.py
+++ b/src/carobhook/transport/feed_publisher.py
@@ -35,7 +35,7 @@
         confirmed: How recently each kind of them was confirmed.
         by_kind: Waits for changes of each kind.
         times: Waits of the feed.
-        send: Sends a message to an instance.
+        send: Sends a message to an instance; returns False if there is no stream to it.
     """
 
     def __init__(
@@ -44,7 +44,7 @@
         confirmed: confirmations.Confirmations,
         by_kind: Mapping[str, follow_times.KindTimes],
         times: follow_times.SourceTimes,
-        send: Callable[[ids.InstanceId, feed_messages.Message], object],
+        send: Callable[[ids.InstanceId, feed_messages.Message], bool],
     ) -> None:
         self._received = received
         self._confirmed = confirmed
@@ -74,20 +74,22 @@
         """Add a subscriber and send it the objects that it lacks.
 
         A subscriber that has not got yet what was sent to it may ask again, as the answers to
-        its queries wait behind that; to send it once more would hold it up further.
+        its queries wait behind that; to send it once more would hold it up further. Without a
+        stream to it nothing is on its way, so it is not subscribed.
         """
         is_waiting = name in self._subscribers and request.asks_progress
         if is_waiting and not request.has_gap:
             return
-        self._subscribers.add(name, request.asks_progress)
         held = dict(request.revisions)
         snapshots = [
             snapshot
             for snapshot in self._received.snapshots()
             if snapshot.era != request.era or held.get(snapshot.kind) != snapshot.revision
         ]
-        for snapshot in snapshots:
-            self._send(name, snapshot)
+        if not all(self._send(name, snapshot) for snapshot in snapshots):
+            self._subscribers.remove(name)
+            return
+        self._subscribers.add(name, request.asks_progress)
         logs.event(
             "feed-subscribed",
             subscriber=name,
--- a/src/carobhook/transport/member_streams.py
+++ b/src/carobhook/transport/member_streams.py
@@ -26,12 +26,15 @@
         on_lost: Called with the name of an instance that is dead or was restarted.
         on_change: Called when the live instances or their phases change.
         on_stream: Called with a function that sends a message on a new stream to an instance.
+        on_stream_replaced: Called with the name of a known instance to which a stream is new.
+            What was sent to it before may be lost.
     """
 
     on_message: Callable[[ids.InstanceId, typing.Any], object]
     on_lost: Callable[[ids.InstanceId], object]
     on_change: Callable[[], object]
     on_stream: Callable[[Callable[[typing.Any], object]], object] = lambda send: None
+    on_stream_replaced: Callable[[ids.InstanceId], object] = lambda name: None
 
 
 class MemberStreams:
@@ -193,6 +196,7 @@
         for member in live:
             if member.peers == address:
                 self._sync.reset_updates(member.name)
+                self._callbacks.on_stream_replaced(member.name)
         self._peers.send(address, membership_messages.Heartbeat(self._own_state()))
         others = tuple(member for member in live if member.name != self._own)
         self._peers.send(address, membership_messages.RosterUpdate(others, (), True))
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -328,10 +328,10 @@
                 self._watch(kind)
 
     def remove_subscriber(self, name: ids.InstanceId) -> None:
-        """Remove an instance that is gone from the subscribers.
+        """Remove an instance from the subscribers: it is gone, or what it was sent may be lost.
 
         Args:
-            name: The instance.
+            name: The instance, which subscribes again if it lives.
         """
         self._publisher.remove(name)
 
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -233,6 +233,15 @@
         assert self.kinds_sent(self.request([names.SERVERS_KIND])) == [names.SERVERS_KIND]
         assert OWN in self.sync_by_name[OTHER]._publisher
 
+    def test_instance_without_a_stream_is_not_subscribed(self):
+        """What it was sent is lost, so it has to be sent again when it asks again."""
+        source = self.sync_by_name[OTHER]
+        source.remove_subscriber(OWN)
+        send, source._publisher._send = source._publisher._send, lambda name, message: False
+        self.kinds_sent(self.request([names.SERVERS_KIND]))
+        source._publisher._send = send
+        assert self.kinds_sent(self.request([names.SERVERS_KIND])) == [names.SERVERS_KIND]
+
     def test_subscriber_of_an_earlier_build_is_sent_everything(self):
         """It cannot say what it has, and asks only if it lacks something."""
         assert len(self.kinds_sent(feed_messages.FeedRequest())) == 4
