--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -8,11 +8,9 @@
 from collections.abc import Callable, Iterable, Mapping
 
 import attrs
-from twisted.internet import defer
 
 from carobhook import logs
 from carobhook.coordination import (
-    backoff,
     catalog,
     confirmations,
     follow_times,
@@ -30,6 +28,7 @@
     feed_publisher,
     orders_restore,
     received_objects,
+    store_watches,
     supervision,
 )
 
@@ -40,8 +39,6 @@
     names.CONFIG_KIND: operator.attrgetter("version"),
     orders.STORE_KIND: operator.attrgetter("orders_version"),
 }
-# A watch that failed for a reason other than the store lists its objects anew after a delay.
-_RESTART_DELAYS = backoff.Backoff(first_s=0.2, cap_s=5.0)
 
 
 @attrs.frozen
@@ -147,7 +144,6 @@
         self._times = times
         self._store = platform_store
         self._catalog = server_catalog
-        self._rng = rng
         self._on_change = on_change
         self._peers = peers
         self._supervisor = supervisor
@@ -155,11 +151,22 @@
         self.feed_octets = FeedOctets()
         self._confirmations = confirmations.Confirmations()
         self._is_unconfirmed = False
-        self._watchers: dict[str, object_watch.ObjectWatcher] = {}
-        # Number of failures of each kind's watch in a row, and the monotonic time in seconds at
-        # which a failed one is started again.
-        self._watch_failures: dict[str, int] = {}
-        self._restart_at: dict[str, float] = {}
+        self._probe = store_watches.StoreProbe(
+            reactor, platform_store, times.source, self._probe_answered, self._probe_failed
+        )
+        self._watches = store_watches.StoreWatches(
+            reactor,
+            platform_store,
+            rng,
+            times.by_kind,
+            store_watches.WatchCallbacks(
+                self._handle_update,
+                self._resume_position,
+                self._received.forget,
+                lambda: self._probe.has_failed,
+            ),
+            supervisor,
+        )
         self._has_unhandled_change = False
         self._source_selector = store_feed.SourceSelector(peers.own, times.source)
         self._publisher = feed_publisher.FeedPublisher(
@@ -170,9 +177,6 @@
         )
         self._newer_versions = newer_versions.NewerVersions(times.source.newer_wait_s, rng)
         self._newer_checked_at = -math.inf
-        self._running_probe: defer.Deferred | None = None
-        self._probed_at = 0.0
-        self._has_probe_failed = False
         self._era = 0
         self._orders_restore = orders_restore.OrdersRestore(
             reactor,
@@ -192,7 +196,7 @@
     @property
     def is_direct(self) -> bool:
         """Return whether this instance watches the store itself."""
-        return bool(self._watchers)
+        return self._watches.is_running
 
     @property
     def config_confirmed_at(self) -> float:
@@ -221,8 +225,7 @@
         """Stop watching the store, and cancel the probe in progress, if there is one."""
         self._stop_watching()
         self._orders_restore.stop()
-        if self._running_probe is not None:
-            self._running_probe.cancel()
+        self._probe.stop()
 
     def tick(self) -> None:
         """Select the source of changes and switch to it.
@@ -239,16 +242,16 @@
         if decision.subscribe_to is not None:
             self._request_feed(decision.subscribe_to)
         self._ask_for_progress(decision.source, candidates, now)
-        if decision.direct and not self._watchers:
+        if decision.direct and not self.is_direct:
             self._start_watching()
-        elif not decision.direct and self._watchers:
+        elif not decision.direct and self.is_direct:
             logs.event("store-followed-by", instance=decision.source)
             self._stop_watching()
-        if self._watchers:
-            self._restart_failed_watches(now)
+        if self.is_direct:
+            self._watches.restart_failed(now)
             self._publisher.send_progress(self._store_status(), now)
-        if self._watchers or self._catalog.store_lost_at is not None:
-            self._probe(now)
+        if self.is_direct or self._catalog.store_lost_at is not None:
+            self._probe.send_if_due(now)
         if self._has_unhandled_change:
             self._notify_change()
         if self.is_complete:
@@ -322,10 +325,7 @@
         logs.warning(
             "store-restored", era=era, before=before, revisions=self._received.revisions
         )
-        for kind, watcher in list(self._watchers.items()):
-            if watcher.era < era:
-                watcher.stop()
-                self._watch(kind)
+        self._watches.restart_older(era)
 
     def remove_subscriber(self, name: ids.InstanceId) -> None:
         """Remove an instance from the subscribers: it is gone, or what it was sent may be lost.
@@ -349,10 +349,10 @@
         """
         now = self._reactor.seconds()
         if isinstance(message, feed_messages.FeedRequest):
-            if self._watchers and self.is_complete:
+            if self.is_direct and self.is_complete:
                 self._publisher.handle_request(sender, message)
         elif isinstance(message, feed_messages.ProgressQuery):
-            if self._watchers:
+            if self.is_direct:
                 self._publisher.answer_query(sender, message, self._store_status(), now)
         elif isinstance(message, feed_messages.FeedProgress):
             self._handle_progress(sender, message, now)
@@ -442,102 +442,43 @@
     def _receive_anew(self, kind: str) -> None:
         """Forget the objects of a kind, and list them anew if this instance watches it."""
         self._received.forget(kind)
-        watcher = self._watchers.get(kind)
-        if watcher is not None:
-            watcher.stop()
-            self._watch(kind)
+        self._watches.restart(kind)
 
     def _notify_change(self) -> None:
         """Report a change of the catalog or the orders; a report that fails is repeated."""
         self._has_unhandled_change = not self._supervisor.run("store-change", self._on_change)
 
-    # Watch of the store.
+    # Updates from the store.
 
     def _start_watching(self) -> None:
         logs.event("store-followed-directly", revisions=self._received.revisions)
-        for kind in self._times.by_kind:
-            self._watch(kind)
-
-    def _watch(self, kind: str) -> None:
-        """Start to watch a kind where this instance has got to, unless the era has ended."""
-        self._restart_at.pop(kind, None)
-        position = self._received.position(kind)
-        watcher = self._watchers[kind] = object_watch.ObjectWatcher(
-            self._store,
-            self._reactor,
-            self._rng,
-            (kind,),
-            self._update_handler(kind),
-            options=self._times.by_kind[kind].watch,
-            resume_at=position if position is not None and position.era == self._era else None,
-            is_lost=lambda: self._has_probe_failed,
-        )
-        watcher.start().addErrback(lambda reason: self._watch_failed(kind, watcher, reason))
-
-    def _watch_failed(
-        self, kind: str, watcher: object_watch.ObjectWatcher, reason: typing.Any
-    ) -> None:
-        """Schedule the next start of a watch that ended because its objects were not applied.
-
-        It lists them anew, as it is not known how many of them were applied.
-        """
-        self._supervisor.record(f"watch-{kind}", reason)
-        if self._watchers.get(kind) is not watcher:
-            return
-        self._received.forget(kind)
-        failures = self._watch_failures.get(kind, 0)
-        self._watch_failures[kind] = failures + 1
-        self._restart_at[kind] = self._reactor.seconds() + _RESTART_DELAYS.delay_s(
-            failures, self._rng
-        )
-
-    def _restart_failed_watches(self, now: float) -> None:
-        for kind, restart_at in list(self._restart_at.items()):
-            if now >= restart_at:
-                self._watch(kind)
+        self._watches.start()
 
     def _stop_watching(self) -> None:
-        self._restart_at.clear()
-        watchers, self._watchers = self._watchers, {}
-        for watcher in watchers.values():
-            watcher.stop()
+        self._watches.stop()
         self._publisher.clear()
 
-    def _probe(self, now: float) -> None:
-        # While the store is lost, answers to other calls do not put the next probe off.
-        answered_at = -math.inf if self._has_probe_failed else self._store.answered_at
-        idle_s = now - max(answered_at, self._probed_at)
-        if self._running_probe is not None or idle_s < self._times.source.probe_interval_s:
-            return
-        self._probed_at = now
-        probe = self._store.probe(self._times.source.probe_timeout_s)
-        self._running_probe = defer.ensureDeferred(probe)
-        self._running_probe.addCallbacks(self._probe_answered, self._probe_failed)
-
-    def _probe_answered(self, _: object) -> None:
-        self._running_probe = None
-        if not self._watchers:
-            self._record_answer(names.PROBE_KIND)
-        if self._has_probe_failed:
-            self._has_probe_failed = False
-            self._renew_watches(self._probed_at)
+    def _resume_position(self, kind: str) -> objects.Position | None:
+        """Return where this instance has got to with a kind, unless the era has ended."""
+        position = self._received.position(kind)
+        return position if position is not None and position.era == self._era else None
 
-    def _renew_watches(self, before: float) -> None:
-        """Make the calls again that were sent, or put off, before the store answered again."""
-        renewed = [kind for kind, watch in self._watchers.items() if watch.renew(before)]
-        if renewed:
-            logs.event("watches-renewed", kinds=renewed)
+    def _probe_answered(self, had_failed: bool, sent_at: float) -> None:
+        if not self._watches.is_running:
+            self._record_answer(names.PROBE_KIND)
+        if had_failed:
+            self._watches.renew(sent_at)
 
     def _probe_failed(self, reason: typing.Any) -> None:
-        self._running_probe = None
-        if reason.check(defer.CancelledError):
-            return
         if not reason.check(objects.StoreError):
             self._supervisor.record("probe", reason)
             return
-        self._has_probe_failed = True
+        self._record_failure(names.PROBE_KIND, reason.value)
+
+    def _record_failure(self, kind: str, error: BaseException) -> None:
+        """Record that the store did not answer a call for a kind of object."""
         if self._catalog.store_lost_at is None:
-            logs.warning("store-unavailable", kind=names.PROBE_KIND, error=reason.value)
+            logs.warning("store-unavailable", kind=kind, error=error)
         self._catalog.record_outage(self._reactor.seconds())
 
     def _record_answer(self, kind: str) -> None:
@@ -548,15 +489,9 @@
             logs.event("store-answers", kind=kind, unavailable_s=round(outage_s, 3))
         self._catalog.record_answer(now)
 
-    def _update_handler(self, kind: str) -> object_watch.Handler:
-        return lambda update: self._handle_update(kind, update)
-
     def _handle_update(self, kind: str, update: object_watch.Update) -> None:
-        now = self._reactor.seconds()
         if isinstance(update, object_watch.WatchFailure):
-            if self._catalog.store_lost_at is None:
-                logs.warning("store-unavailable", kind=kind, error=update.error)
-            self._catalog.record_outage(now)
+            self._record_failure(kind, update.error)
             return
         self._confirmations.record(kind, update.confirmed_at, confirmations.STORE)
         self._record_answer(kind)
@@ -580,7 +515,7 @@
             feed_message = feed_messages.FeedEvents(
                 kind, since, update.revision, items, update.era
             )
-        self._watch_failures.pop(kind, None)
+        self._watches.record_success(kind)
         self._publisher.publish(feed_message)
         self._notify_change()
 
