--- a/tests/follower_fleet.py
+++ b/tests/follower_fleet.py
@@ -149,6 +149,8 @@
         self.store = Store(fleet.engine, fleet.clock, self.incoming)
         self.known = catalog.Catalog()
         self.members = {}
+        # Whether what it sends is lost, as on streams that break.
+        self.loses_messages = False
         self.sync = store_sync.StoreSync(
             fleet.clock,
             self.store,
@@ -224,6 +226,8 @@
         receiver = self.fleet.instances.get(to)
         if receiver is None:
             return False
+        if self.loses_messages:
+            return True
         octets = len(peer_codec.CODEC.encode(message))
         sent_s = self.outgoing.transfer_s(octets) + MESSAGE_DELAY_S
         self.fleet.clock.callLater(sent_s, receiver.receive, self.name, message, octets)
