Say bytes, as the rest of the code does

Names and texts only: metrics carobhook_feed_received_bytes and carobhook_feed_repeated_bytes, field size_bytes of config-in-force and feed-subscribed.

--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -113,16 +113,16 @@
         "Time since it was last known that no newer configuration exists.",
     )
     FEED_RECEIVED = MetricInfo(
-        "carobhook_feed_octets_received",
+        "carobhook_feed_received_bytes",
         Kind.GAUGE,
         (),
-        "Octets of store objects that other instances sent to this one since the start.",
+        "Bytes of store objects that other instances sent to this one since the start.",
     )
     FEED_REPEATED = MetricInfo(
-        "carobhook_feed_octets_repeated",
+        "carobhook_feed_repeated_bytes",
         Kind.GAUGE,
         (),
-        "Those octets of which this instance had the object in that version already.",
+        "Those bytes of which this instance had the object in that version already.",
     )
     ORDERS_VERSION = MetricInfo(
         "carobhook_orders_version", Kind.GAUGE, (), "Version of the operators' orders in force."
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -149,7 +149,7 @@
     )
     FEED_SUBSCRIBED = EventInfo(
         "feed-subscribed",
-        "Another instance subscribed to this one's feed; kinds and octets of what it was sent.",
+        "Another instance subscribed to this one's feed; kinds and bytes of what it was sent.",
     )
     WATCHES_RENEWED = EventInfo(
         "watches-renewed",
--- a/src/carobhook/protocol/compression.py
+++ b/src/carobhook/protocol/compression.py
@@ -1,4 +1,4 @@
-"""Compression of frames, which large objects cross slow links in.
+"""Compression of large frames, for slow links.
 
 Load pattern: a configuration of thousands of routes goes to each instance of a region at the
 same moment, and the links of some carry a few Mbit/s. Its routes resemble each other, so it
@@ -25,7 +25,7 @@
 
     Args:
         data: Data in the zlib format.
-        limit: Largest number of octets to return.
+        limit: Largest number of bytes to return.
 
     Raises:
         DecompressionError: The data is invalid, incomplete or holds more than that.
@@ -36,5 +36,5 @@
     except zlib.error as error:
         raise DecompressionError(str(error)) from error
     if not decompressor.eof:
-        raise DecompressionError(f"data must be complete and hold at most {limit} octets")
+        raise DecompressionError(f"data must be complete and hold at most {limit} bytes")
     return content
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -282,8 +282,8 @@
                 server_catalog.config.version if server_catalog.config else 0
             ),
             metric.CONFIG_AGE: lambda: seconds() - self._store_sync.config_confirmed_at,
-            metric.FEED_RECEIVED: lambda: self._store_sync.feed_octets.received,
-            metric.FEED_REPEATED: lambda: self._store_sync.feed_octets.repeated,
+            metric.FEED_RECEIVED: lambda: self._store_sync.feed_bytes.received,
+            metric.FEED_REPEATED: lambda: self._store_sync.feed_bytes.repeated,
             metric.ORDERS_VERSION: lambda: self._orders.in_force.version,
             metric.READY: lambda: float(self._phase is members.Phase.READY),
             metric.DISPATCH_TIME: lambda: self._allocator.dispatch_s,
--- a/src/carobhook/transport/feed_publisher.py
+++ b/src/carobhook/transport/feed_publisher.py
@@ -94,7 +94,7 @@
             "feed-subscribed",
             subscriber=name,
             kinds=[snapshot.kind for snapshot in snapshots],
-            octets=sum(octets(snapshot.items) for snapshot in snapshots),
+            size_bytes=sum(size_of(snapshot.items) for snapshot in snapshots),
         )
 
     def answer_query(
@@ -163,6 +163,6 @@
         )
 
 
-def octets(items: Iterable[feed_messages.FeedObject]) -> int:
-    """Return the octets of the values of objects."""
+def size_of(items: Iterable[feed_messages.FeedObject]) -> int:
+    """Return the bytes of the values of objects."""
     return sum(len(item.value or b"") for item in items)
--- a/src/carobhook/transport/received_objects.py
+++ b/src/carobhook/transport/received_objects.py
@@ -55,8 +55,8 @@
             orders.STORE_KIND: self._orders.in_force.version,
         }
 
-    def octets_held(self, kind: str, items: Iterable[feed_messages.FeedObject]) -> int:
-        """Return the octets of those items that were received already, in that version."""
+    def bytes_held(self, kind: str, items: Iterable[feed_messages.FeedObject]) -> int:
+        """Return the bytes of those items that were received already, in that version."""
         held = self._objects.get(kind, {})
         return sum(
             len(item.value or b"")
@@ -239,7 +239,7 @@
                 revision=item.version,
                 routes=len(config.routes),
                 source=source,
-                octets=len(item.value),
+                size_bytes=len(item.value),
                 decode_ms=round((time.monotonic() - began_at) * 1000, 1),
                 homes=[
                     f"{route.name}:{'+'.join(sorted(route.homes))}"
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -95,8 +95,8 @@
 
 
 @attrs.define
-class FeedOctets:
-    """Octets of objects that other instances sent.
+class FeedBytes:
+    """Bytes of objects that other instances sent.
 
     Attributes:
         received: All of them.
@@ -125,7 +125,7 @@
         times: Waits with which the store is followed.
 
     Attributes:
-        feed_octets: What other instances sent since the start.
+        feed_bytes: What other instances sent since the start.
     """
 
     def __init__(
@@ -148,7 +148,7 @@
         self._peers = peers
         self._supervisor = supervisor
         self._received = received_objects.ReceivedObjects(server_catalog, order_steering)
-        self.feed_octets = FeedOctets()
+        self.feed_bytes = FeedBytes()
         self._confirmations = confirmations.Confirmations()
         self._is_unconfirmed = False
         self._probe = store_watches.StoreProbe(
@@ -361,12 +361,12 @@
             if item is not None:
                 self._peers.send(sender, feed_messages.ObjectReport(message.kind, item))
         elif isinstance(message, feed_messages.ObjectReport):
-            self._supervisor.run("feed", self._count_octets, message.kind, (message.item,))
+            self._supervisor.run("feed", self._count_bytes, message.kind, (message.item,))
             apply = self._received.apply_newer
             self._supervisor.run("feed", apply, message.kind, message.item, sender)
             self._notify_change()
         else:
-            self._supervisor.run("feed", self._count_octets, message.kind, message.items)
+            self._supervisor.run("feed", self._count_bytes, message.kind, message.items)
             self._handle_objects(sender, message)
 
     def _handle_objects(
@@ -388,9 +388,9 @@
                 self._apply_changes, message.kind, position, message.items, sender
             )
 
-    def _count_octets(self, kind: str, items: Iterable[feed_messages.FeedObject]) -> None:
-        self.feed_octets.received += feed_publisher.octets(items)
-        self.feed_octets.repeated += self._received.octets_held(kind, items)
+    def _count_bytes(self, kind: str, items: Iterable[feed_messages.FeedObject]) -> None:
+        self.feed_bytes.received += feed_publisher.size_of(items)
+        self.feed_bytes.repeated += self._received.bytes_held(kind, items)
 
     def _handle_progress(
         self, sender: ids.InstanceId, message: feed_messages.FeedProgress, now: float
--- a/tests/follower_fleet.py
+++ b/tests/follower_fleet.py
@@ -35,21 +35,21 @@
     """Way of messages in one direction, which arrive in the order in which they were sent.
 
     Attributes:
-        octets_per_s: Octets that it carries in a second.
+        bytes_per_s: Bytes that it carries in a second.
         delay_s: Seconds for which each message is on its way besides.
     """
 
-    def __init__(self, clock, octets_per_s):
-        self.octets_per_s = octets_per_s
+    def __init__(self, clock, bytes_per_s):
+        self.bytes_per_s = bytes_per_s
         self.delay_s = 0.0
         self._clock = clock
         self._free_at = 0.0
         self._arrived_at = 0.0
 
-    def transfer_s(self, octets):
-        """Return after how many seconds octets that are sent now have arrived."""
+    def transfer_s(self, bytes):
+        """Return after how many seconds bytes that are sent now have arrived."""
         now = self._clock.seconds()
-        self._free_at = max(now, self._free_at) + octets / self.octets_per_s
+        self._free_at = max(now, self._free_at) + bytes / self.bytes_per_s
         self._arrived_at = max(self._arrived_at, self._free_at + self.delay_s)
         return self._arrived_at - now
 
@@ -96,8 +96,8 @@
 
     async def _receive(self, values, timeout_s):
         """Wait until an answer has arrived."""
-        octets = sum(len(json.dumps(value)) for value in values)
-        transfer_s = self.link.transfer_s(octets)
+        bytes = sum(len(json.dumps(value)) for value in values)
+        transfer_s = self.link.transfer_s(bytes)
         if transfer_s > timeout_s:
             await task.deferLater(self.clock, timeout_s)
             raise objects.UnavailableError(f"no answer in {timeout_s:g} s")
@@ -143,9 +143,9 @@
         self.region = region
         # Only instances with strong links follow the store for others.
         self.weight = STRONG_LINK_RATIO if name in fleet.names[:STRONG_COUNT] else 1.0
-        link_octets_per_s = self.weight * fleet.link_octets_per_s
-        self.incoming = Link(fleet.clock, link_octets_per_s)
-        self.outgoing = Link(fleet.clock, link_octets_per_s)
+        link_bytes_per_s = self.weight * fleet.link_bytes_per_s
+        self.incoming = Link(fleet.clock, link_bytes_per_s)
+        self.outgoing = Link(fleet.clock, link_bytes_per_s)
         self.store = Store(fleet.engine, fleet.clock, self.incoming)
         self.known = catalog.Catalog()
         self.members = {}
@@ -228,14 +228,14 @@
             return False
         if self.loses_messages:
             return True
-        octets = len(peer_codec.CODEC.encode(message))
-        sent_s = self.outgoing.transfer_s(octets) + MESSAGE_DELAY_S
-        self.fleet.clock.callLater(sent_s, receiver.receive, self.name, message, octets)
+        bytes = len(peer_codec.CODEC.encode(message))
+        sent_s = self.outgoing.transfer_s(bytes) + MESSAGE_DELAY_S
+        self.fleet.clock.callLater(sent_s, receiver.receive, self.name, message, bytes)
         return True
 
-    def receive(self, sender, message, octets):
+    def receive(self, sender, message, bytes):
         """Handle a message once it has come in on the link of this instance."""
-        transfer_s = self.incoming.transfer_s(octets)
+        transfer_s = self.incoming.transfer_s(bytes)
         if transfer_s > 0:
             self.fleet.clock.callLater(transfer_s, self.sync.handle_message, sender, message)
         else:
@@ -249,12 +249,12 @@
         size: Number of instances.
         seed: Seed of all random times.
         has_other_region: Whether the last of them stands in another region.
-        link_octets_per_s: Octets that the weakest links carry in a second.
+        link_bytes_per_s: Bytes that the weakest links carry in a second.
     """
 
-    def __init__(self, size, seed, has_other_region=False, link_octets_per_s=math.inf):
+    def __init__(self, size, seed, has_other_region=False, link_bytes_per_s=math.inf):
         self.rng = random.Random(seed)
-        self.link_octets_per_s = link_octets_per_s
+        self.link_bytes_per_s = link_bytes_per_s
         self.clock = task.Clock()
         self.engine = store_access.create_access(self.clock).engine
         self.names = [ids.InstanceId(f"i{number}") for number in range(size)]
--- a/tests/test_answer_timeout.py
+++ b/tests/test_answer_timeout.py
@@ -70,12 +70,12 @@
         self.connection.makeConnection(test_mixed_builds.Transport())
         self.reactor.advance(0)
 
-    def send_answer(self, octets_per_s):
+    def send_answer(self, bytes_per_s):
         """Send the answer in steps of 0.1 s."""
         item = {"Metadata": {"Name": "main", "Revision": 7}, "Spec": {"Routes": "r" * 900_000}}
         body = json.dumps({"items": [item], "More": False, "CurrentRev": 7}).encode()
         answer = b"HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s" % (len(body), body)
-        step = octets_per_s // 10
+        step = bytes_per_s // 10
         for start in range(0, len(answer), step):
             if self.failed:
                 return
--- a/tests/test_large_config_late.py
+++ b/tests/test_large_config_late.py
@@ -8,7 +8,7 @@
 
 CONFIG_PROPAGATION_S = follower_fleet.CONFIG_PROPAGATION_S
 # 5 Mbit/s.
-LINK_OCTETS_PER_S = 625_000.0
+LINK_BYTES_PER_S = 625_000.0
 SIZE = 14
 LETTERS = "abcdefghijklmnopqrstuvwxyz0123456789"
 
@@ -43,7 +43,7 @@
     def setup_method(self):
         """Start a region with links of 5 Mbit/s."""
         self.rng = random.Random(43)
-        self.fleet = follower_fleet.Fleet(SIZE, 1, link_octets_per_s=LINK_OCTETS_PER_S)
+        self.fleet = follower_fleet.Fleet(SIZE, 1, link_bytes_per_s=LINK_BYTES_PER_S)
         self.routes = []
 
     def change(self, added_count):
@@ -54,9 +54,9 @@
         assert len(delays) == SIZE
         return max(delays.values())
 
-    def repeated_octets(self):
-        """Return the octets that instances were sent of what they had already."""
-        return sum(i.sync.feed_octets.repeated for i in self.fleet.instances.values())
+    def repeated_bytes(self):
+        """Return the bytes that instances were sent of what they had already."""
+        return sum(i.sync.feed_bytes.repeated for i in self.fleet.instances.values())
 
     @pytest.mark.parametrize("count", [1100, 2200, 4000])
     def test_large_config_is_in_force_in_time(self, count):
@@ -70,7 +70,7 @@
 
     def test_large_config_is_sent_to_each_subscriber_once(self):
         """What is under way is not asked for again."""
-        before = self.repeated_octets()
+        before = self.repeated_bytes()
         self.change(3000)
         self.fleet.run(3.0)
-        assert self.repeated_octets() == before
+        assert self.repeated_bytes() == before
