Bound what a compressed frame may hold before its sender is known

Cause: the limit belonged to the bytes received, not to what they become. Before the hello, a compressed frame may hold no more than a hello now; the new test of test_peers saw 16 MiB before.

--- a/src/carobhook/protocol/framing.py
+++ b/src/carobhook/protocol/framing.py
@@ -138,18 +138,19 @@
             del self._kept_frames[next(iter(self._kept_frames))]
         self._kept_frames[id(message), version] = (message, frame)
 
-    def decode(self, frame: object) -> typing.Any:
+    def decode(self, frame: object, limit: int = MAX_FRAME_BYTES) -> typing.Any:
         """Return the message that an unpacked frame encodes.
 
         Args:
             frame: List of the type tag and the list of field values.
+            limit: Largest frame in bytes that a compressed one may hold.
 
         Raises:
             UnknownTypeError: This build does not know the type.
             CodecError: The frame has no type tag or its fields are invalid.
         """
         if _is_frame(frame) and frame[0] == _COMPRESSED_TAG:
-            frame = _decompressed(frame[1])
+            frame = _decompressed(frame[1], limit)
         if not _is_frame(frame):
             raise CodecError("frame must be a pair of type and fields")
         cls = self._types.get(frame[0])
@@ -173,7 +174,7 @@
     return isinstance(frame, list) and len(frame) == 2 and isinstance(frame[0], str)
 
 
-def _decompressed(fields: object) -> object:
+def _decompressed(fields: object, limit: int) -> object:
     """Return the unpacked frame that a compressed frame holds.
 
     Raises:
@@ -182,7 +183,7 @@
     if not isinstance(fields, list) or not fields or not isinstance(fields[0], bytes):
         raise CodecError("a compressed frame must be bytes")
     try:
-        return msgpack.unpackb(compression.decompress(fields[0], MAX_FRAME_BYTES))
+        return msgpack.unpackb(compression.decompress(fields[0], limit))
     except ValueError as error:
         raise CodecError(f"compressed frame: {error}") from error
 
--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -53,8 +53,8 @@
     def encode(self, message: typing.Any, version: int | None = None) -> bytes:
         """Return the frame of a message for a receiver that speaks a version."""
 
-    def decode(self, frame: object) -> typing.Any:
-        """Return the message of an unpacked frame.
+    def decode(self, frame: object, limit: int = framing.MAX_FRAME_BYTES) -> typing.Any:
+        """Return the message of an unpacked frame, or of one of up to `limit` bytes in it.
 
         Raises:
             framing.UnknownTypeError: The type of the message is unknown.
@@ -106,6 +106,7 @@
         self._reactor = reactor
         self._codec = codec
         self._unpacker = codec.unpacker()
+        self._frame_limit = framing.MAX_FRAME_BYTES
         self._skipped_types: set[str] = set()
         self.peer_version = versions.FIRST_VERSION
 
@@ -138,7 +139,7 @@
             except msgpack.OutOfData:
                 return
             try:
-                message = self._codec.decode(frame)
+                message = self._codec.decode(frame, self._frame_limit)
             except framing.UnknownTypeError as problem:
                 self.skip_message(problem)
             else:
@@ -186,6 +187,7 @@
         self._sender: ids.InstanceId | None = None
         # An unauthenticated client must not make this instance buffer more than a hello.
         self._unpacker = self._codec.unpacker(_MAX_HELLO_BYTES)
+        self._frame_limit = _MAX_HELLO_BYTES
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
@@ -213,6 +215,7 @@
             # that of any message.
             remaining = self._unpacker.read_bytes(_MAX_HELLO_BYTES)
             self._unpacker = self._codec.unpacker()
+            self._frame_limit = framing.MAX_FRAME_BYTES
             self._unpacker.feed(remaining)
             return
         if isinstance(message, membership_messages.Heartbeat):
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,12 +2,19 @@
 
 from unittest import mock
 
+import msgpack
 import pytest
 from twisted.internet import error, task, testing
 from twisted.python import failure
 
 from carobhook import logs
-from carobhook.protocol import membership_messages, peer_codec, slot_messages
+from carobhook.protocol import (
+    compression,
+    framing,
+    membership_messages,
+    peer_codec,
+    slot_messages,
+)
 from carobhook.state import ids
 from carobhook.transport import peers
 
@@ -94,6 +101,23 @@
         assert len(accepted.warnings) == 1
         assert accepted.handled == []
 
+    def test_compressed_data_before_the_hello_is_bounded(self, accepted, monkeypatch):
+        """It may hold no more than a hello may, as its sender is not known yet."""
+        limits = []
+
+        def decompress(data, limit):
+            limits.append(limit)
+            raise compression.DecompressionError("too large")
+
+        monkeypatch.setattr(compression, "decompress", decompress)
+        frame = msgpack.packb(["Compressed", [b"x"]])
+        accepted.stream.dataReceived(frame)
+        assert accepted.abort_count == 1
+        other = AcceptedConnection(monkeypatch)
+        other.stream.dataReceived(other.hello(other.nonce))
+        other.stream.dataReceived(frame)
+        assert limits == [64 * 1024, framing.MAX_FRAME_BYTES]
+
     def test_missing_hello(self, accepted):
         """A connection without a hello is aborted after a timeout, with one warning."""
         accepted.clock.advance(10.0)
