--- a/src/carobhook/coordination/confirmations.py
+++ b/src/carobhook/coordination/confirmations.py
@@ -46,7 +46,7 @@
 
     def at(self, kind: str) -> float:
         """Return the time up to which all changes of a kind were received, -inf if unknown."""
-        found = self._by_kind.get(kind)
+        found = self.latest(kind)
         return found.at if found is not None else -math.inf
 
     def latest(self, kind: str) -> Confirmation | None:
@@ -55,5 +55,5 @@
 
     def source(self, kind: str) -> ids.InstanceId | str:
         """Return who confirmed a kind last, or an empty text."""
-        found = self._by_kind.get(kind)
+        found = self.latest(kind)
         return found.source if found is not None else ""
--- a/src/carobhook/coordination/object_watch.py
+++ b/src/carobhook/coordination/object_watch.py
@@ -195,7 +195,6 @@
     async def _run(self) -> None:
         while True:
             try:
-                self._is_waiting = False
                 await self._begin(defer.ensureDeferred(self._list_or_watch()))
                 self._failures = 0
                 self._has_failed = False
@@ -212,14 +211,18 @@
         if self._is_lost():
             delay_s = self._options.lost_delay_s
         self._failures += 1
-        self._has_failed = self._is_waiting = True
+        self._has_failed = True
         try:
-            await self._begin(task.deferLater(self._clock, delay_s))
+            wait = task.deferLater(self._clock, delay_s)
+            await self._begin(wait, is_waiting=True)
         except defer.CancelledError:
             self._accept_renewal()
 
-    def _begin(self, step: defer.Deferred[None]) -> defer.Deferred[None]:
+    def _begin(
+        self, step: defer.Deferred[None], is_waiting: bool = False
+    ) -> defer.Deferred[None]:
         self._step, self._step_began_at = step, self._clock.seconds()
+        self._is_waiting = is_waiting
         return step
 
     def _accept_renewal(self) -> None:
--- a/src/carobhook/coordination/progress_queries.py
+++ b/src/carobhook/coordination/progress_queries.py
@@ -78,14 +78,16 @@
         del self._unanswered[number]
         return query.asked_at
 
-    def is_gap_new(self, sender: ids.InstanceId, asked_at: float, now: float) -> bool:
-        """Return whether an answer shows that changes were lost; the caller must ask for them.
+    def record_gap(self, sender: ids.InstanceId, asked_at: float, now: float) -> bool:
+        """Record that an answer names changes that are missing; return whether this is news.
+
+        The caller must ask for them then.
 
         Messages arrive in order, so what was sent before the answer and is not here was lost.
         What is sent once more comes before the answers to later queries.
 
         Args:
-            sender: Instance whose answer names changes that are missing here.
+            sender: Instance that answered.
             asked_at: Monotonic time in seconds at which it was asked.
             now: Monotonic time in seconds.
         """
--- a/src/carobhook/platform/objects.py
+++ b/src/carobhook/platform/objects.py
@@ -46,9 +46,20 @@
         Raises:
             MalformedObjectError: A field is missing or has an invalid value.
         """
-        raw_routes = _require(spec, "Routes", list)
-        routes = tuple(self._decode_route(raw) for raw in raw_routes)
-        config = _decode_config(spec, routes)
+        try:
+            raw_routes = _require(spec, "Routes", list)
+            routes = tuple(self._decode_route(raw) for raw in raw_routes)
+            policies = [_decode_service(item) for item in _require(spec, "Services", list)]
+            config = routing.RoutingConfig(
+                version=int(_require(spec, "ConfigVersion", str), 16),
+                routes=routes,
+                services={policy.name: policy for policy in policies},
+                limits=_decode_limits(_require(spec, "Limits", dict)),
+            )
+        except MalformedObjectError:
+            raise
+        except (ValueError, TypeError, KeyError, AttributeError) as error:
+            raise MalformedObjectError(f"config: {error}") from error
         self._routes = {
             route.name: (raw, route) for raw, route in zip(raw_routes, routes, strict=True)
         }
@@ -59,29 +70,7 @@
         known = self._routes.get(name) if isinstance(name, str) else None
         if known is not None and known[0] == raw:
             return known[1]
-        try:
-            return _decode_route(raw)
-        except MalformedObjectError:
-            raise
-        except (ValueError, TypeError, KeyError, AttributeError) as error:
-            raise MalformedObjectError(f"route: {error}") from error
-
-
-def _decode_config(
-    spec: typing.Any, routes: tuple[routing.Route, ...]
-) -> routing.RoutingConfig:
-    try:
-        policies = [_decode_service(item) for item in _require(spec, "Services", list)]
-        return routing.RoutingConfig(
-            version=int(_require(spec, "ConfigVersion", str), 16),
-            routes=routes,
-            services={policy.name: policy for policy in policies},
-            limits=_decode_limits(_require(spec, "Limits", dict)),
-        )
-    except MalformedObjectError:
-        raise
-    except (ValueError, TypeError, KeyError) as error:
-        raise MalformedObjectError(f"config: {error}") from error
+        return _decode_route(raw)
 
 
 def decode_server(raw: typing.Any) -> servers.ServerEntry:
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -142,17 +142,17 @@
             detail=refusal.detail,
         )
         config = self._context.server_catalog.config
-        evidence = self._context.config_evidence()
-        if refusal.code in _CODES_OF_UNKNOWN_ROUTES and config is not None:
-            now = self._reactor.seconds()
-            logs.event(
-                "route-unknown",
-                request=request_id,
-                config=f"{config.version:08x}",
-                config_age_ms=_elapsed_ms(evidence.at, now) if evidence is not None else None,
-                config_source=evidence.source if evidence is not None else None,
-                read_ms=_elapsed_ms(request.received_at, now),
-            )
+        if refusal.code not in _CODES_OF_UNKNOWN_ROUTES or config is None:
+            return
+        now, evidence = self._reactor.seconds(), self._context.config_evidence()
+        logs.event(
+            "route-unknown",
+            request=request_id,
+            config=f"{config.version:08x}",
+            config_age_ms=_elapsed_ms(evidence.at, now) if evidence is not None else None,
+            config_source=evidence.source if evidence is not None else None,
+            read_ms=_elapsed_ms(request.received_at, now),
+        )
 
     def limit_to(self, ends_at: float) -> None:
         """Refuse all further requests that might not end before this instance does.
--- a/src/carobhook/transport/feed_publisher.py
+++ b/src/carobhook/transport/feed_publisher.py
@@ -53,10 +53,6 @@
         self._send = send
         self._subscribers = store_feed.Subscribers(times)
 
-    def __contains__(self, name: ids.InstanceId) -> bool:
-        """Return whether an instance is subscribed."""
-        return name in self._subscribers
-
     def remove(self, name: ids.InstanceId) -> None:
         """Remove a subscriber, if it is one."""
         self._subscribers.remove(name)
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -423,7 +423,7 @@
         self._source_selector.record_progress(sender, is_current, asked_at, fresh_for_s)
         # Builds of earlier versions send what they are asked for again in any case.
         lacks_changes = not is_current and bool(message.answers)
-        if lacks_changes and self._progress_queries.is_gap_new(sender, asked_at, now):
+        if lacks_changes and self._progress_queries.record_gap(sender, asked_at, now):
             self._request_feed(sender, has_gap=True)
 
     def _apply_message(
@@ -464,7 +464,7 @@
         return position if position is not None and position.era == self._era else None
 
     def _probe_answered(self, had_failed: bool, sent_at: float) -> None:
-        if not self._watches.is_running:
+        if not self.is_direct:
             self._record_answer(names.PROBE_KIND)
         if had_failed:
             self._watches.renew(sent_at)
--- a/tests/follower_fleet.py
+++ b/tests/follower_fleet.py
@@ -46,10 +46,10 @@
         self._free_at = 0.0
         self._arrived_at = 0.0
 
-    def transfer_s(self, bytes):
-        """Return after how many seconds bytes that are sent now have arrived."""
+    def transfer_s(self, size):
+        """Return after how many seconds a number of bytes that are sent now have arrived."""
         now = self._clock.seconds()
-        self._free_at = max(now, self._free_at) + bytes / self.bytes_per_s
+        self._free_at = max(now, self._free_at) + size / self.bytes_per_s
         self._arrived_at = max(self._arrived_at, self._free_at + self.delay_s)
         return self._arrived_at - now
 
@@ -96,8 +96,8 @@
 
     async def _receive(self, values, timeout_s):
         """Wait until an answer has arrived."""
-        bytes = sum(len(json.dumps(value)) for value in values)
-        transfer_s = self.link.transfer_s(bytes)
+        size = sum(len(json.dumps(value)) for value in values)
+        transfer_s = self.link.transfer_s(size)
         if transfer_s > timeout_s:
             await task.deferLater(self.clock, timeout_s)
             raise objects.UnavailableError(f"no answer in {timeout_s:g} s")
@@ -228,14 +228,14 @@
             return False
         if self.loses_messages:
             return True
-        bytes = len(peer_codec.CODEC.encode(message))
-        sent_s = self.outgoing.transfer_s(bytes) + MESSAGE_DELAY_S
-        self.fleet.clock.callLater(sent_s, receiver.receive, self.name, message, bytes)
+        size = len(peer_codec.CODEC.encode(message))
+        sent_s = self.outgoing.transfer_s(size) + MESSAGE_DELAY_S
+        self.fleet.clock.callLater(sent_s, receiver.receive, self.name, message, size)
         return True
 
-    def receive(self, sender, message, bytes):
+    def receive(self, sender, message, size):
         """Handle a message once it has come in on the link of this instance."""
-        transfer_s = self.incoming.transfer_s(bytes)
+        transfer_s = self.incoming.transfer_s(size)
         if transfer_s > 0:
             self.fleet.clock.callLater(transfer_s, self.sync.handle_message, sender, message)
         else:
--- a/tests/test_progress_queries.py
+++ b/tests/test_progress_queries.py
@@ -40,10 +40,10 @@
 
     def test_gap_is_reported_once(self):
         """Answers to queries from before the report name the same changes."""
-        assert self.queries.is_gap_new(FIRST, 10.0, 10.4)
-        assert not self.queries.is_gap_new(FIRST, 10.3, 10.5)
-        assert self.queries.is_gap_new(SECOND, 10.3, 10.5)
-        assert self.queries.is_gap_new(FIRST, 10.6, 10.7)
+        assert self.queries.record_gap(FIRST, 10.0, 10.4)
+        assert not self.queries.record_gap(FIRST, 10.3, 10.5)
+        assert self.queries.record_gap(SECOND, 10.3, 10.5)
+        assert self.queries.record_gap(FIRST, 10.6, 10.7)
 
 
 class TestOlderBuilds(test_store_feed.StartedFeedPair):
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -231,7 +231,7 @@
         """An instance that followed another source has nearly everything."""
         self.sync_by_name[OTHER].remove_subscriber(OWN)
         assert self.kinds_sent(self.request([names.SERVERS_KIND])) == [names.SERVERS_KIND]
-        assert OWN in self.sync_by_name[OTHER]._publisher
+        assert OWN in self.sync_by_name[OTHER]._publisher._subscribers
 
     def test_instance_without_a_stream_is_not_subscribed(self):
         """What it was sent is lost, so it has to be sent again when it asks again."""
