Show that a cut instance relays through others that are cut without noticing

Cause: what becomes of relayed requests is not told to the paths of the instance that relays them, so one without requests of its own does not notice that it is cut, and answers RESET instead of BUSY. Nothing is fixed.

--- a/review/harness.py
+++ b/review/harness.py
@@ -239,6 +239,10 @@
         self.lost = lambda attempt, head: False
         self.extra_headers = lambda: {}
         self.turns_away = lambda: None
+        # Addresses that are partitioned from it: new connections from them are reset.
+        self._cut = set()
+        # Open connections that carry nothing any more.
+        self._silent = set()
         self.runs = []
         self.arrivals = []
 
@@ -256,6 +260,20 @@
         for writer in list(self._connections):
             writer.transport.abort()
 
+    def cut(self, address, mode):
+        """Partition an address from the server: its connections hang, or are reset."""
+        self._cut.add(address)
+        for writer in list(self._connections):
+            if writer.get_extra_info("peername")[0] == address:
+                if mode == "reset":
+                    writer.transport.abort()
+                else:
+                    self._silent.add(writer)
+
+    def heal(self, address):
+        """End the partition; connections that went silent stay silent."""
+        self._cut.discard(address)
+
     async def _register(self):
         while True:
             if self.is_beating:
@@ -270,6 +288,9 @@
             await asyncio.sleep(self._heartbeat_s)
 
     async def _serve(self, reader, writer):
+        if writer.get_extra_info("peername")[0] in self._cut:
+            writer.transport.abort()
+            return
         self._connections.add(writer)
         try:
             while True:
@@ -278,6 +299,9 @@
                     break
                 first, headers = head
                 body = await read_body(reader, headers)
+                if writer in self._silent:
+                    await self._wait_for_end(reader)
+                    break
                 if not await self._handle(first, headers, body, reader, writer):
                     break
         except (ConnectionError, asyncio.IncompleteReadError):
@@ -286,6 +310,10 @@
             self._connections.discard(writer)
             writer.close()
 
+    async def _wait_for_end(self, reader):
+        while await reader.read(65536):
+            pass
+
     async def _handle(self, first, headers, body, reader, writer):
         method, target, _ = first.split(" ")
         attempt = headers.get("x-attempt-id", "")
@@ -319,6 +347,9 @@
             await asyncio.gather(gone, return_exceptions=True)
         finally:
             self._running -= 1
+        if writer in self._silent:
+            await self._wait_for_end(reader)
+            return False
         if self.lost(attempt, first):
             self._record(f"{self.name} has run {attempt}; its answer is lost")
             return False
@@ -370,6 +401,7 @@
 [regions]
 "pannon-a" = "pannon"
 "pannon-b" = "pannon"
+"alfold-a" = "alfold"
 """
 
 
@@ -391,6 +423,7 @@
         self._is_stopping = False
         self.name = name
         self.zone = zone
+        self.region = zone.partition("-")[0]
         self.ports = {
             key: free_port() for key in ("http", "readiness", "directory", "peers", "metrics")
         }
@@ -406,7 +439,7 @@
     def write_settings(self):
         text = _SETTINGS.format(
             name=self.name,
-            region="pannon",
+            region=self.region,
             zone=self.zone,
             store=self._store.address,
             memory_mb=self._memory_mb,
@@ -470,7 +503,7 @@
 
     async def addresses(self):
         """Return the addresses that the directory of this instance names."""
-        target = f"/-/resolve?Name=x&Region=pannon&Zone={self.zone}"
+        target = f"/-/resolve?Name=x&Region={self.region}&Zone={self.zone}"
         try:
             status, _, body = await call(self.ports["directory"], "GET", target, {}, b"", 1.0)
         except (OSError, TimeoutError):
@@ -540,13 +573,16 @@
     }
 
 
-async def wait_ready(entries, timeout_s=20.0):
-    """Wait until all instances are ready and name two or more; return whether they do."""
+async def wait_ready(entries, least=2, timeout_s=20.0):
+    """Wait until all instances are ready and their directories name enough of them.
+
+    Returns whether they do.
+    """
     end_at = time.monotonic() + timeout_s
     while time.monotonic() < end_at:
         ready = [await entry.is_ready() for entry in entries]
         named = [len(await entry.addresses()) for entry in entries]
-        if all(ready) and all(count >= min(2, len(entries)) for count in named):
+        if all(ready) and all(count >= least for count in named):
             return True
         await asyncio.sleep(0.1)
     return False
