--- a/review/2/case.py
+++ b/review/2/case.py
@@ -4,15 +4,20 @@
 import collections
 import pathlib
 import sys
+import time
 
 FOLDER = pathlib.Path(__file__).resolve().parent
 sys.path.insert(0, str(FOLDER.parent))
 import harness  # noqa: E402
 
 REQUESTS = 60
-# In a second part, the servers lose the answers of this share of the requests that they ran. The
-# largest x of answer_lost in the site file is 0.4.
+# In a second part, some servers lose the answers of a share of the requests that they run. The site
+# file has an entry with share = 0.6, x = 0.4 and for_s = 4.0.
+LOSING_SHARE = 0.5
 LOST_SHARE = 0.4
+LOSING_S = 4.0
+# Requests of the second part that are sent at once, so that all servers get some.
+AT_ONCE = 12
 # ConfigPropagation is 2.5 s; requests are sent later than that after the ack.
 PROPAGATION_S = 2.5
 ADDED = "/v1/services/" if harness.TROUBLE else "/v1/orders/"
@@ -69,14 +74,21 @@
             entry = entries[number % len(entries)]
             await send(record, entry, attempt, sent[attempt], answers)
         if harness.TROUBLE:
-            record(f"servers lose the answers of {LOST_SHARE} of what they run")
-            for server in servers:
-                server.lost = lambda attempt, first: int(attempt, 16) % 100 < 100 * LOST_SHARE
-        for number in range(REQUESTS):
-            attempt = harness.attempt_id()
-            sent[attempt] = f"{ADDED}rendeles/{number}"
-            entry = entries[number % len(entries)]
-            await send(record, entry, attempt, sent[attempt], answers)
+            losing = [s for n, s in enumerate(servers) if n % 6 < 6 * LOSING_SHARE]
+            record(f"{len(losing)} of {len(servers)} servers lose {LOST_SHARE} of the answers")
+            ends_at = time.monotonic() + LOSING_S
+            for server in losing:
+                server.lost = lambda attempt, first: (
+                    time.monotonic() < ends_at and int(attempt, 16) % 100 < 100 * LOST_SHARE
+                )
+        for first_number in range(0, REQUESTS, AT_ONCE):
+            sends = []
+            for number in range(first_number, first_number + AT_ONCE):
+                attempt = harness.attempt_id()
+                sent[attempt] = f"{ADDED}rendeles/{number}"
+                entry = entries[number % len(entries)]
+                sends.append(send(record, entry, attempt, sent[attempt], answers))
+            await asyncio.gather(*sends)
     finally:
         for entry in entries:
             await entry.stop()
--- a/review/harness.py
+++ b/review/harness.py
@@ -389,7 +389,7 @@
 budget_window = "10s"
 budget_slack = 58
 cold_over = 1.5
-cold_slack = 5
+cold_slack = {cold_slack}
 shift_most = 0.15
 config_propagation = "2500ms"
 drain = "2500ms"
@@ -430,6 +430,7 @@
         self.seeds = []
         # Address from which it connects to servers, so that these can tell the machines apart.
         self.outgoing = "127.0.0.1"
+        self.cold_slack = 5
         self.process = None
         self.started_at = 0.0
         self.ends = []
@@ -444,6 +445,7 @@
             store=self._store.address,
             memory_mb=self._memory_mb,
             outgoing=self.outgoing,
+            cold_slack=self.cold_slack,
             seeds=",".join(f'"{seed}"' for seed in self.seeds),
             **self.ports,
         )
