Let a server prove itself although requests from before its failure still hang

What callers saw: during a cut of one instance from all servers, callers in a region with one server for their service got 503 (1012, "running=1/2 waiting=10") for seven seconds, though other instances reached that server.

Cause: after a failed connection a server gets one request at a time until it responds. Requests that were granted before the failure counted as that one. When a connection is silent and another one to the same server is reset, the silent request waits until its deadline and, if it may run once, five seconds longer; for as long the server got nothing.

Why it works: only requests granted since the pause count as the trial. They are still bounded by the slots, which include those that hang. test_dispatcher.py::TestTrialAfterAFailure, first case, failed before.

--- a/src/carobhook/coordination/pooled_server.py
+++ b/src/carobhook/coordination/pooled_server.py
@@ -235,16 +235,20 @@
     def free_slots(self, now: float) -> int:
         """Return the number of free slots.
 
-        A paused server has none. After a failed connection, a server runs only one request at
-        a time until it responds.
+        A paused server has none. After a failed connection, a server gets only one request at a
+        time until it responds. Requests from before do not count for that: they may wait for
+        their deadlines on connections that carry nothing any more.
 
         Args:
             now: Monotonic time in seconds.
         """
         if now < self._paused_until:
             return 0
-        slots = 1 if self._connection_failures else self.slots - self.unavailable_slots
-        return max(0, slots - len(self.running))
+        free = self.slots - self.unavailable_slots - len(self.running)
+        if self._connection_failures:
+            trials = sum(run.started_at >= self._paused_until for run in self.running.values())
+            free = min(free, 1 - trials)
+        return max(0, free)
 
     @property
     def has_usable_slots(self) -> bool:
--- a/tests/test_dispatcher.py
+++ b/tests/test_dispatcher.py
@@ -228,6 +228,47 @@
         assert max_per_s <= 5 + 2 + 1
 
 
+class TestTrialAfterAFailure:
+    """A request on a silent connection kept its server from getting others (issue 49)."""
+
+    def paused_server(self):
+        """Return a dispatcher whose server failed once, and runs a request from before."""
+        dispatcher_ = make_dispatcher(offer("a", slots=3))
+        for number in (1, 2):
+            dispatcher_.submit(make_request(number), 0.0)
+        dispatcher_.release_slot(
+            ids.RequestId("r2"), ids.Server("a"), allocation.AttemptOutcome.BROKEN, 0.1
+        )
+        dispatcher_.decide(1.0)
+        return dispatcher_
+
+    def test_requests_from_before_are_no_trial(self):
+        """The first one may hang until its deadline; the server gets another one."""
+        dispatcher_ = self.paused_server()
+        assert granted_ids(dispatcher_.submit(make_request(3, 1.0), 1.0)) == ["r3"]
+
+    def test_one_trial_at_a_time(self):
+        """More follow when it has responded."""
+        dispatcher_ = self.paused_server()
+        dispatcher_.submit(make_request(3, 1.0), 1.0)
+        assert dispatcher_.submit(make_request(4, 1.0), 1.0) == []
+        decisions = dispatcher_.release_slot(
+            ids.RequestId("r3"), ids.Server("a"), allocation.AttemptOutcome.ANSWERED, 1.1
+        )
+        assert granted_ids(decisions) == ["r4"]
+
+    def test_slots_stay_in_use(self):
+        """A trial gets no slot that a request from before still holds."""
+        dispatcher_ = make_dispatcher(offer("a", slots=2))
+        for number in (1, 2):
+            dispatcher_.submit(make_request(number), 0.0)
+        dispatcher_.release_slot(
+            ids.RequestId("r2"), ids.Server("a"), allocation.AttemptOutcome.BROKEN, 0.1
+        )
+        dispatcher_.register_running(make_request(5), ids.Server("a"), 0.2)
+        assert dispatcher_.submit(make_request(3, 1.0), 1.0) == []
+
+
 class TestSlowness:
     """What says that a server is slow."""
 
