Send nothing that runs once on a path without evidence, here or at a relay

With one or two known servers a cut instance served nothing, and reported sound servers as broken.

Cause: whether an instance reaches servers was assumed until its own requests had failed on three paths. 1. Requests that it relayed told its paths nothing. The sender took a RESET at the relay for proof that the relay reaches the server, and asked it again. 3. A connection that opened cleared a failure, so the instance found and lost its cut by turns (paths-lost and paths-found 0.1 s apart). 4. Three failed paths were needed, also with fewer servers; a reset asked nobody else about the path. 5. One instance that did not reach a server decided that the server was at fault. With connections that live on while new ones are refused, that instance may be cut as well. 6. The dispatcher paused a server whose connection broke at a relay.

Change: `direct_exchange` sends what clients and other instances want sent, and records both. Only a response is evidence. A request that runs once, and any relayed one, is sent where a server was heard within a second and nothing speaks against this path, or after a probe that was answered on the connection to be used. The probe is the health check of a server that does not exist: any server answers it, and none runs it. An instance that does not reach a server says so only if its new connections to others work, and BUSY otherwise. Instances that brought nothing come last for five seconds (`relay_choice`). A failed relay is not held against the server.

Changed expectations of tests, none weaker: a connection that opens is no event of a path any more, a response is (test_server_paths); an instance that refused comes after others until its doubt ends (test_server_exchange); one silent server is checked, as an instance whose requests need one server never found its cut otherwise.

--- a/src/carobhook/coordination/catalog.py
+++ b/src/carobhook/coordination/catalog.py
@@ -271,6 +271,23 @@
         """Return whether a known server has an address."""
         return any(known.entry.address == address for known in self._servers.values())
 
+    @property
+    def server_count(self) -> int:
+        """Return the number of known servers."""
+        return len(self._servers)
+
+    def usable_addresses(self) -> list[str]:
+        """Return the addresses of the servers that may get requests."""
+        usable = (name for name in self._servers if self.is_usable(name))
+        return [self._servers[name].entry.address for name in usable]
+
+    def usable_entry_at(self, address: str) -> servers.ServerEntry | None:
+        """Return the entry of a server at an address that may get requests, or None."""
+        for name, known in self._servers.items():
+            if known.entry.address == address and self.is_usable(name):
+                return known.entry
+        return None
+
     def is_usable(self, name: ids.Server) -> bool:
         """Return whether a server is known and may get requests."""
         known = self._servers.get(name)
--- a/src/carobhook/platform/requests.py
+++ b/src/carobhook/platform/requests.py
@@ -14,6 +14,8 @@
 _LOAD_FIGURES_WITH_PACE = 4
 _PERCENT = 100.0
 _DECIMAL = re.compile(r"[0-9]{1,12}(\.[0-9]{1,12})?")
+# Name that no server has.
+_NO_SERVER = b"none"
 # Headers of the client's request that are set anew in the request to the server.
 _REPLACED_HEADERS = frozenset(
     name.encode() for name in (names.TIME_LEFT_MS, names.EXPECTED_SERVER, "content-length")
@@ -62,6 +64,22 @@
         headers.append((names.EXPECTED_SERVER.encode(), server.encode()))
         return http1.RequestHead(head.method, head.target, tuple(headers))
 
+    def build_probe_head(self, address: str, health_path: str) -> http1.RequestHead:
+        """Return the head of a request that any server answers and none runs.
+
+        It asks for the health check, of a server that does not exist: a server checks the name
+        first, or it answers the check.
+
+        Args:
+            address: Address of the server, ``host:port``.
+            health_path: Path of the health check on the server.
+        """
+        headers = (
+            (b"Host", address.encode()),
+            (names.EXPECTED_SERVER.encode(), _NO_SERVER),
+        )
+        return http1.RequestHead(b"GET", health_path.encode(), headers)
+
     def match_attempt(
         self, response: http1.Response, client_request_id: str | None
     ) -> allocation.ResponseMatch:
--- a/src/carobhook/transport/flow_interfaces.py
+++ b/src/carobhook/transport/flow_interfaces.py
@@ -6,7 +6,7 @@
 
 from carobhook.protocol import http1
 from carobhook.state import allocation, ids, servers
-from carobhook.transport import client_connections, server_connections, server_exchange
+from carobhook.transport import client_connections, direct_exchange, server_connections
 
 
 class RequestCodec(typing.Protocol):
@@ -63,7 +63,7 @@
         """Return whether this instance seems to be cut from all servers."""
 
     async def exchange(
-        self, attempt: server_exchange.Attempt
+        self, attempt: direct_exchange.Attempt
     ) -> server_connections.ReceivedResponse:
         """Send a request to its server and return the complete response."""
 
--- a/src/carobhook/transport/reach_checks.py
+++ b/src/carobhook/transport/reach_checks.py
@@ -13,6 +13,7 @@
 
 from carobhook.protocol import path_messages
 from carobhook.state import ids
+from carobhook.transport import shared_calls
 
 # Number of other instances that are asked.
 _MAX_ASKED = 2
@@ -31,7 +32,8 @@
         rng: Chooses the instances that are asked.
         probe: Returns whether a server accepts a connection of this instance.
         is_known: Returns whether a server has an address; nothing else is probed for others.
-        is_trusted: Returns whether a failed probe of this instance says anything of a server.
+        is_trusted: Returns whether a failed probe of a server by this instance says anything
+            of that server.
         peers: Returns the other instances that can be asked.
         send: Sends a message to an instance; returns False if there is no stream to it.
     """
@@ -42,20 +44,18 @@
         rng: random.Random,
         probe: Callable[[str], Awaitable[bool]],
         is_known: Callable[[str], bool],
-        is_trusted: Callable[[], bool],
+        is_trusted: Callable[[str], Awaitable[bool]],
         peers: Callable[[], Sequence[ids.InstanceId]],
         send: Callable[[ids.InstanceId, typing.Any], bool],
     ) -> None:
         self._reactor = reactor
         self._rng = rng
-        self._probe = probe
         self._is_known = is_known
         self._is_trusted = is_trusted
         self._peers = peers
         self._send = send
         self._pending: dict[str, defer.Deferred] = {}
-        # Probes in progress, by address, with those that wait for their results.
-        self._probes: dict[str, list[defer.Deferred]] = {}
+        self._probes = shared_calls.SharedCalls(probe)
 
     async def has_ended(self, address: str) -> bool:
         """Return whether a server accepts connections neither from here nor from elsewhere.
@@ -63,13 +63,15 @@
         Args:
             address: Address of the server, ``host:port``.
         """
-        if await self._reaches(address):
+        if await self._probes.call(address):
             return False
-        return not await self.is_reached_by_others(address)
+        return await self.reach_of_others(address) is not path_messages.Reach.REACHED
 
-    async def is_reached_by_others(self, address: str) -> bool:
+    async def reach_of_others(self, address: str) -> path_messages.Reach:
         """Return whether one of the other instances that were asked reaches a server.
 
+        UNKNOWN is returned if none of them can tell.
+
         Args:
             address: Address of the server, ``host:port``.
         """
@@ -82,10 +84,14 @@
             answer = self._ask(name, address)
             if answer is not None:
                 answers.append(answer)
+        found = path_messages.Reach.UNKNOWN
         for answer in answers:
-            if await answer is path_messages.Reach.REACHED:
-                return True
-        return False
+            reach = await answer
+            if reach is path_messages.Reach.REACHED:
+                return reach
+            if reach is path_messages.Reach.UNREACHED:
+                found = reach
+        return found
 
     def handle_message(
         self, sender: ids.InstanceId, message: path_messages.ReachMessage
@@ -100,7 +106,7 @@
             unknown = path_messages.ReachReport(message.id, path_messages.Reach.UNKNOWN)
             self._send_report(sender, unknown, _MAX_RESENDS)
             return
-        checked = defer.ensureDeferred(self._reaches(message.address))
+        checked = defer.ensureDeferred(self._reach(message.address))
         checked.addCallback(self._answer, sender, message.id)
 
     def stop(self) -> None:
@@ -108,20 +114,13 @@
         for query_id in list(self._pending):
             self._expire(query_id)
 
-    async def _reaches(self, address: str) -> bool:
-        """Return whether a server accepts a connection; probes at the same time share one."""
-        if address in self._probes:
-            waiting: defer.Deferred = defer.Deferred()
-            self._probes[address].append(waiting)
-            return typing.cast(bool, await waiting)
-        self._probes[address] = []
-        reached = False
-        try:
-            reached = await self._probe(address)
-        finally:
-            for waiting in self._probes.pop(address):
-                waiting.callback(reached)
-        return reached
+    async def _reach(self, address: str) -> path_messages.Reach:
+        """Return whether this instance reaches a server."""
+        if await self._probes.call(address):
+            return path_messages.Reach.REACHED
+        if await self._is_trusted(address):
+            return path_messages.Reach.UNREACHED
+        return path_messages.Reach.UNKNOWN
 
     def _ask(self, name: ids.InstanceId, address: str) -> defer.Deferred | None:
         """Ask an instance; return the deferred answer, None without a stream to it."""
@@ -139,13 +138,9 @@
         if pending is not None:
             pending.callback(path_messages.Reach.UNKNOWN)
 
-    def _answer(self, reached: bool, sender: ids.InstanceId, query_id: str) -> None:
-        if reached:
-            reach = path_messages.Reach.REACHED
-        elif self._is_trusted():
-            reach = path_messages.Reach.UNREACHED
-        else:
-            reach = path_messages.Reach.UNKNOWN
+    def _answer(
+        self, reach: path_messages.Reach, sender: ids.InstanceId, query_id: str
+    ) -> None:
         self._send_report(sender, path_messages.ReachReport(query_id, reach), _MAX_RESENDS)
 
     def _send_report(
--- a/src/carobhook/transport/relay_service.py
+++ b/src/carobhook/transport/relay_service.py
@@ -8,7 +8,7 @@
 from carobhook import logs
 from carobhook.protocol import http1, relay_messages
 from carobhook.state import allocation, ids
-from carobhook.transport import server_connections
+from carobhook.transport import direct_exchange, server_connections
 
 Outcome = relay_messages.RelayOutcome
 
@@ -16,6 +16,7 @@
 _MAX_RELAYED = 256
 OUTCOME_BY_FAULT = {
     server_connections.Fault.CONNECT: Outcome.UNREACHED,
+    server_connections.Fault.NO_PATH: Outcome.BUSY,
     server_connections.Fault.WITHDRAWN: Outcome.WITHDRAWN,
     server_connections.Fault.RESET: Outcome.RESET,
     server_connections.Fault.GARBLED: Outcome.GARBLED,
@@ -29,7 +30,7 @@
     """Relays requests of other instances, within bounds, and only to servers themselves.
 
     Args:
-        servers: Connections to backend servers.
+        direct: Exchanges with backend servers over connections of this instance.
         may_use: Returns whether a server at an address may get requests from this instance.
         can_relay: Returns whether this instance serves and reaches servers.
         match: Returns whether a response belongs to a client's attempt.
@@ -40,7 +41,7 @@
 
     def __init__(
         self,
-        servers: server_connections.ServerConnections,
+        direct: direct_exchange.DirectExchange,
         may_use: Callable[[ids.Server, str], bool],
         can_relay: Callable[[], bool],
         match: Callable[[http1.Response, str | None], allocation.ResponseMatch],
@@ -48,7 +49,7 @@
         max_body_bytes: int,
         on_failure: Callable[[typing.Any], object],
     ) -> None:
-        self._servers = servers
+        self._direct = direct
         self._may_use = may_use
         self._can_relay = can_relay
         self._match = match
@@ -102,14 +103,7 @@
         self, sender: ids.InstanceId, request: relay_messages.RelayRequest
     ) -> relay_messages.RelayResponse:
         try:
-            received = await self._servers.exchange(
-                request.address,
-                http1.RequestHead(request.method, request.target, request.headers),
-                request.body,
-                request.require_fresh,
-                lambda response: self._match(response, request.request_id),
-                lambda: self._may_use(request.server, request.address),
-            )
+            received = await self._direct.exchange_for_other(self._attempt(request))
             self._on_response(request.server, received.response)
             answer = _answer(received.response)
         except server_connections.ExchangeError as error:
@@ -124,6 +118,21 @@
         )
         return answer
 
+    def _attempt(self, request: relay_messages.RelayRequest) -> direct_exchange.Attempt:
+        """Return the attempt to send a request of another instance to its server."""
+        head = http1.RequestHead(request.method, request.target, request.headers)
+        return direct_exchange.Attempt(
+            server=request.server,
+            address=request.address,
+            homes=frozenset(),
+            request_id=request.request_id,
+            build_head=lambda: head,
+            body=request.body,
+            require_fresh=request.require_fresh,
+            match=lambda response: self._match(response, request.request_id),
+            may_send=lambda: self._may_use(request.server, request.address),
+        )
+
 
 def _answer(response: http1.Response) -> relay_messages.RelayResponse:
     if len(response.body) > relay_messages.MAX_BODY_BYTES:
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -14,9 +14,9 @@
 from carobhook.transport import (
     accepted_requests,
     client_connections,
+    direct_exchange,
     flow_interfaces,
     server_connections,
-    server_exchange,
 )
 
 # Time for a response to travel from the server to the client. It is subtracted from the time
@@ -306,6 +306,7 @@
         run = self._observer.run_of(grant.server)
         self._is_sent = False
         received: server_connections.ReceivedResponse | None = None
+        is_path_suspect = False
         try:
             received = await self._servers.exchange(self._build_attempt(accepted, grant))
             outcome = self._codec.attempt_outcome(received.response)
@@ -313,9 +314,10 @@
             pace = self._pace_of(grant.server, received.response)
         except server_connections.ExchangeError as error:
             outcome = self._failed_outcome(error, grant)
+            is_path_suspect = error.is_relayed or self._servers.is_cut
         finally:
             is_delayed = self._is_slow() or (received is not None and received.is_relayed)
-            reported = _reported_outcome(outcome, is_delayed, self._servers.is_cut)
+            reported = _reported_outcome(outcome, is_delayed, is_path_suspect)
             self._allocator.release_slot(accepted.id, reported, rate, pace)
             self._observe(outcome, run, grant)
         if self._stage is Stage.ENDED:
@@ -324,14 +326,14 @@
 
     def _build_attempt(
         self, accepted: accepted_requests.AcceptedRequest, grant: allocation.SlotGrant
-    ) -> server_exchange.Attempt:
+    ) -> direct_exchange.Attempt:
         """Return the attempt to send a request to the server of its slot."""
 
         def build_head() -> http1.RequestHead:
             left_s = accepted.deadline_at - self._reactor.seconds() - _RESPONSE_MARGIN_S
             return self._codec.build_request_head(accepted.request.head, grant.server, left_s)
 
-        return server_exchange.Attempt(
+        return direct_exchange.Attempt(
             server=grant.server,
             address=grant.address,
             homes=accepted.route.homes,
@@ -400,6 +402,10 @@
             self._attempts -= 1
             self._unreachable_count = _MAX_UNREACHABLE + 1
             return allocation.AttemptOutcome.CANCELLED
+        if error.fault is server_connections.Fault.NO_RELAY:
+            self._attempts -= 1
+            self._unreachable_count += 1
+            return allocation.AttemptOutcome.CANCELLED
         if error.fault is server_connections.Fault.CONNECT:
             # The request reached no server, so this attempt counts neither toward the limit
             # on attempts nor toward the retry budget.
@@ -533,7 +539,7 @@
 
 
 def _reported_outcome(
-    outcome: allocation.AttemptOutcome, is_delayed: bool, is_cut: bool
+    outcome: allocation.AttemptOutcome, is_delayed: bool, is_path_suspect: bool
 ) -> allocation.AttemptOutcome:
     """Return the outcome of an attempt as it is reported to the dispatcher.
 
@@ -541,10 +547,11 @@
         outcome: The outcome.
         is_delayed: Whether the time of the response says nothing about the server, as it came
             through another instance or to a slow machine.
-        is_cut: Whether this instance seems to be cut from all servers, so that a connection
-            that broke says nothing about the server.
+        is_path_suspect: Whether a connection that broke says nothing about the server: this
+            instance seems to be cut from all servers, or another one had the connection, and
+            may be cut.
     """
-    if is_cut and outcome is allocation.AttemptOutcome.BROKEN:
+    if is_path_suspect and outcome is allocation.AttemptOutcome.BROKEN:
         return allocation.AttemptOutcome.CANCELLED
     if is_delayed and outcome is allocation.AttemptOutcome.ANSWERED:
         return allocation.AttemptOutcome.RELAYED
--- a/src/carobhook/transport/server_access.py
+++ b/src/carobhook/transport/server_access.py
@@ -8,11 +8,12 @@
 from twisted.internet import defer
 
 from carobhook import entry_settings
-from carobhook.coordination import catalog, objects
+from carobhook.coordination import catalog, objects, relay_choice
 from carobhook.platform import requests
 from carobhook.protocol import http1, path_messages, relay_messages, slot_messages
 from carobhook.state import ids, members
 from carobhook.transport import (
+    direct_exchange,
     member_streams,
     notice_board,
     peers,
@@ -26,6 +27,8 @@
 )
 
 _CONNECT_TIMEOUT_S = 0.5
+# Path of the health check of a service that the configuration does not name.
+_DEFAULT_HEALTH_PATH = "/"
 _BYTES_PER_MB = 1024 * 1024
 # Share of the instance's memory that the bodies of responses may use while they are being
 # received. A complete one is copied twice when it is forwarded.
@@ -116,21 +119,30 @@
             lambda: [member.name for member in self._other_serving()],
             parts.streams.send,
         )
-        self.exchange = server_exchange.ServerExchange(
+        self._direct = direct_exchange.DirectExchange(
             reactor,
             rng,
-            self._place.region,
             self._connections,
+            direct_exchange.KnownServers(
+                lambda: parts.server_catalog.server_count,
+                parts.server_catalog.usable_addresses,
+                self._build_probe,
+            ),
+            self._reach_checks.reach_of_others,
+            lambda reason: parts.supervisor.record("path-check", reason),
+        )
+        self.exchange = server_exchange.ServerExchange(
+            reactor,
+            self._direct,
             self._relays,
+            relay_choice.RelayChoice(rng, self._place.region),
             self._other_serving,
-            self._reach_checks.is_reached_by_others,
             record_response,
-            lambda reason: parts.supervisor.record("path-check", reason),
         )
         self._relay_service = relay_service.RelayService(
-            self._connections,
+            self._direct,
             self._may_relay_to,
-            lambda: parts.is_serving() and self._is_trusted(),
+            lambda: parts.is_serving() and not self._direct.is_cut,
             self._codec.match_attempt,
             record_response,
             int(self._memory_bytes * _RELAY_MEMORY_RATIO),
@@ -207,19 +219,30 @@
     def stop(self) -> None:
         """End all checks, and close all connections."""
         self._reach_checks.stop()
+        self._direct.stop()
         self.quarantine.stop()
         self._relays.stop()
         self._connections.stop()
 
-    def _is_trusted(self) -> bool:
+    async def _is_trusted(self, address: str) -> bool:
         """Return whether a server that this instance does not reach may be at fault."""
-        return not self.exchange.is_cut
+        return await self._direct.opens_connections(address)
 
     def _record_response(self, server: ids.Server, response: http1.Response) -> None:
         """Learn what a response says of its server."""
         self.notices.record_response(server, response)
         self.quarantine.record_response(server)
 
+    def _build_probe(self, address: str) -> http1.RequestHead | None:
+        """Return the head of a probe of a server, or None if it may not get requests."""
+        known = self._parts.server_catalog
+        entry = known.usable_entry_at(address)
+        if entry is None or known.config is None or self.notices.is_resting(entry.name):
+            return None
+        policy = known.config.services.get(entry.service)
+        health_path = policy.health_path if policy is not None else _DEFAULT_HEALTH_PATH
+        return self._codec.build_probe_head(address, health_path)
+
     def _may_relay_to(self, server: ids.Server, address: str) -> bool:
         entry = self._parts.server_catalog.entry(server)
         if entry is None or entry.address != address:
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -8,9 +8,9 @@
 
 import attrs
 import h11
-from twisted.internet import defer, error, protocol, task
+from twisted.internet import defer, error, protocol
 
-from carobhook.protocol import http1
+from carobhook.protocol import http1, path_messages
 from carobhook.state import allocation
 
 # A server closes an idle connection after the timeout that it announces, and a request that is
@@ -56,6 +56,8 @@
     CONNECT: No connection could be opened, so the request was not sent.
     NO_PATH: The same, at an instance that seems to be cut from all servers, so that it says
         nothing about this server.
+    NO_RELAY: The same, where other instances could not tell whether they reach the server, so
+        that it says nothing about this server either.
     WITHDRAWN: When the connection was open, the request might not be sent to this server any
         more, so it was not. After any other fault, the request may have run.
     RESET: The connection was closed before the head of a response arrived.
@@ -65,6 +67,7 @@
 
     CONNECT = "connect"
     NO_PATH = "no-path"
+    NO_RELAY = "no-relay"
     WITHDRAWN = "withdrawn"
     RESET = "reset"
     GARBLED = "garbled"
@@ -78,13 +81,23 @@
         fault: Kind of the failure.
         reused: Whether the connection had carried an exchange before.
         response_started: Whether the head of a response had arrived.
+        is_relayed: Whether the request went through another instance, whose path to the server
+            may be at fault.
     """
 
-    def __init__(self, fault: Fault, text: str, reused: bool, response_started: bool) -> None:
+    def __init__(
+        self,
+        fault: Fault,
+        text: str,
+        reused: bool,
+        response_started: bool,
+        is_relayed: bool = False,
+    ) -> None:
         super().__init__(f"{fault.value}: {text}")
         self.fault = fault
         self.reused = reused
         self.response_started = response_started
+        self.is_relayed = is_relayed
 
 
 @attrs.frozen
@@ -95,12 +108,14 @@
         response: Response with its end-to-end headers.
         raw_headers: All headers, including hop-by-hop ones.
         closing: Whether the connection is closed after this response.
+        reused: Whether the connection had carried an exchange before.
         is_relayed: Whether it came through another instance.
     """
 
     response: http1.Response
     raw_headers: http1.Headers
     closing: bool
+    reused: bool = False
     is_relayed: bool = False
 
 
@@ -301,7 +316,8 @@
         if close and self.transport is not None:
             self.transport.loseConnection()
         if pending is not None:
-            pending.callback(ReceivedResponse(response, raw_headers, close))
+            reused = self.exchange_count > 1
+            pending.callback(ReceivedResponse(response, raw_headers, close, reused))
 
     def _fail(self, fault: Fault, text: str) -> None:
         pending, response_started = self._pending, self._response_head is not None
@@ -330,9 +346,6 @@
         connect_timeout_s: Seconds after which opening a connection fails.
         max_response_bytes: Largest size of all response bodies that are being received.
         local_host: Local IP address of the connections; empty for any.
-
-    Attributes:
-        on_opened: Called with the address of the server when a connection is open.
     """
 
     def __init__(
@@ -348,7 +361,6 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, collections.deque[_ServerConnection]] = {}
         self._opened_count = 0
-        self.on_opened: Callable[[str], object] = lambda address: None
 
     @property
     def opened_count(self) -> int:
@@ -392,27 +404,60 @@
         return received
 
     def has_fresh(self, address: str) -> bool:
-        """Return whether there is an idle connection that worked a moment ago."""
+        """Return whether there is an idle connection that worked a moment ago.
+
+        One that was opened and carried nothing says nothing of the path.
+        """
         now = self._reactor.seconds()
-        idle = self._idle.get(address, ())
-        return any(_is_within_idle_limit(c, now, _MAX_FRESH_IDLE_S) for c in idle)
+        used = [c for c in self._idle.get(address, ()) if c.exchange_count]
+        return any(_is_within_idle_limit(c, now, _MAX_FRESH_IDLE_S) for c in used)
 
-    async def probe(self, address: str, hold_s: float = 0.0) -> bool:
+    async def probe(self, address: str) -> bool:
         """Return whether a server accepts a connection, which is then kept for requests.
 
         Args:
             address: ``host:port`` of the server.
-            hold_s: Seconds for which the connection must stay open.
         """
         try:
             connection = await self._connect(address)
         except ExchangeError:
             return False
-        if hold_s:
-            await task.deferLater(self._reactor, hold_s)
         self._keep_idle(address, connection)
         return connection.is_reusable
 
+    async def probe_response(
+        self,
+        address: str,
+        build_head: Callable[[], http1.RequestHead | None],
+        timeout_s: float,
+    ) -> path_messages.Reach:
+        """Return whether a server responds on a new connection, which is then kept.
+
+        Args:
+            address: ``host:port`` of the server.
+            build_head: Returns the head of the request, or None if the server may not get any;
+                called right before it is sent, as opening a connection takes time.
+            timeout_s: Seconds in which the connection must open and the response arrive.
+        """
+        probing = defer.ensureDeferred(self._probe_response(address, build_head))
+        probing.addTimeout(timeout_s, self._reactor)
+        try:
+            return typing.cast(path_messages.Reach, await probing)
+        except (ExchangeError, defer.TimeoutError):
+            return path_messages.Reach.UNREACHED
+
+    async def _probe_response(
+        self, address: str, build_head: Callable[[], http1.RequestHead | None]
+    ) -> path_messages.Reach:
+        connection = await self._connect(address)
+        head = build_head()
+        if head is None:
+            self._keep_idle(address, connection)
+            return path_messages.Reach.UNKNOWN
+        await connection.exchange(head, b"", _match_any)
+        self._keep_idle(address, connection)
+        return path_messages.Reach.REACHED
+
     def _keep_idle(self, address: str, connection: _ServerConnection) -> None:
         if connection.is_reusable:
             self._idle.setdefault(address, collections.deque()).append(connection)
@@ -469,7 +514,6 @@
         except (error.ConnectError, OSError) as failure:
             raise ExchangeError(Fault.CONNECT, str(failure), False, False) from failure
         self._opened_count += 1
-        self.on_opened(address)
         return connection
 
 
--- a/tests/test_homes_in_force.py
+++ b/tests/test_homes_in_force.py
@@ -8,12 +8,13 @@
 
 import test_request_flow
 from carobhook import entry_metrics
-from carobhook.coordination import catalog, steering
+from carobhook.coordination import catalog, relay_choice, steering
 from carobhook.platform import requests
-from carobhook.protocol import http1
+from carobhook.protocol import http1, path_messages
 from carobhook.state import allocation, ids, routing, servers
 from carobhook.transport import (
     client_connections,
+    direct_exchange,
     entry_requests,
     notice_board,
     peers,
@@ -29,13 +30,13 @@
 POLICY = routing.ServicePolicy(SERVICE, "/health", 100, 3.0, 5.0)
 
 
-def config(version, homes=()):
+def config(version, homes=(), idempotency=routing.Idempotency.REPEATABLE):
     """Return a configuration with one route."""
     route = routing.Route(
         "r",
         "shop.example",
         "/a/",
-        routing.Idempotency.REPEATABLE,
+        idempotency,
         4.0,
         2.0,
         1,
@@ -106,6 +107,7 @@
         assert (region, request.homes) == (SOUTH, {SOUTH})
 
 
+PROBE = http1.RequestHead(b"GET", b"/health", ())
 IDENTITY = peers.Identity(ids.InstanceId("one"), ids.Incarnation("0" * 16), b"")
 CHANGES = {
     "drain": lambda known: known.put(
@@ -122,20 +124,44 @@
     @pytest.mark.parametrize("change", CHANGES)
     def test_no_bytes_leave_after_a_change(self, change):
         """The last look is when the bytes leave, not when the slot was granted."""
+        assert self.sent_after(change, routing.Idempotency.REPEATABLE) == b""
+
+    @pytest.mark.parametrize("change", ["drain", "evacuation"])
+    def test_no_probe_leaves_after_a_change(self, change):
+        """One goes before a request that must not run twice."""
+        assert self.sent_after(change, routing.Idempotency.ONCE) == b""
+
+    def test_no_request_leaves_with_a_probe(self):
+        """Its home moved: the server may be probed, and must not get the request."""
+        assert b"/a/" not in self.sent_after("homes", routing.Idempotency.ONCE)
+
+    def sent_after(self, change, idempotency):
+        """Return the bytes that are sent when the connection opens after a change."""
         reactor, known = testing.MemoryReactorClock(), catalog.Catalog()
-        known.replace_config_if_newer(config(1))
+        known.replace_config_if_newer(config(1, idempotency=idempotency))
         known.put(entry("n1", DOMAIN), 0.0)
         allocator = test_request_flow.FakeSlotAllocator()
-        exchange = server_exchange.ServerExchange(
+        rng = random.Random(1)
+        direct = direct_exchange.DirectExchange(
             reactor,
-            random.Random(1),
-            NORTH,
+            rng,
             server_connections.ServerConnections(reactor, 0.5),
+            direct_exchange.KnownServers(
+                lambda: known.server_count,
+                known.usable_addresses,
+                # The allocator's fake grants servers without their addresses.
+                lambda address: PROBE if known.is_usable("n1") else None,
+            ),
+            lambda address: defer.succeed(path_messages.Reach.UNREACHED),
+            lambda reason: None,
+        )
+        exchange = server_exchange.ServerExchange(
+            reactor,
+            direct,
             relay_connections.RelayConnections(reactor, IDENTITY),
+            relay_choice.RelayChoice(rng, NORTH),
             list,
-            lambda address: defer.succeed(False),
             lambda server, response: None,
-            lambda reason: None,
         )
         start_request(reactor, known, allocator, exchange)
         allocator.grant("n1")
@@ -145,4 +171,4 @@
         transport.setTcpNoDelay = lambda on: None
         connection.makeConnection(transport)
         reactor.advance(0.0)
-        assert transport.value() == b""
+        return transport.value()
--- a/tests/test_reach_checks.py
+++ b/tests/test_reach_checks.py
@@ -24,7 +24,7 @@
                 random.Random(1),
                 self.probe_of(name, reaches[name]),
                 lambda address: address == "s:1",
-                lambda name=name: (is_trusted or {}).get(name, True),
+                lambda address, name=name: defer.succeed((is_trusted or {}).get(name, True)),
                 lambda name=name: [other for other in reaches if other != name],
                 lambda to, message, name=name: self.send(name, to, message),
             )
@@ -46,6 +46,12 @@
             self.clock.callLater(0.01, self.checks[to].handle_message, sender, message)
         return True
 
+    def reach_of_others(self):
+        """Return what the first instance learns from others within three seconds."""
+        result = defer.ensureDeferred(self.checks["a"].reach_of_others("s:1"))
+        self.clock.pump([0.05] * 60)
+        return result.result
+
     def has_ended(self):
         """Return what the first instance finds out within three seconds."""
         result = defer.ensureDeferred(self.checks["a"].has_ended("s:1"))
@@ -103,3 +109,21 @@
         assert [m.reach for m in reports if isinstance(m, path_messages.ReachReport)] == [
             Reach.UNKNOWN
         ]
+
+
+class TestReachOfOthers:
+    """Whether the server or the path to it is at fault, by what others find."""
+
+    @pytest.mark.parametrize(
+        ("reaches", "is_trusted", "expected"),
+        [
+            ({"a": False, "b": True, "c": False}, {}, Reach.REACHED),
+            ({"a": False, "b": False, "c": False}, {}, Reach.UNREACHED),
+            ({"a": False, "b": False, "c": False}, {"b": False, "c": False}, Reach.UNKNOWN),
+            ({"a": False, "b": False, "c": False}, {"b": False}, Reach.UNREACHED),
+            ({"a": False}, {}, Reach.UNKNOWN),
+        ],
+    )
+    def test_only_those_that_can_tell_count(self, reaches, is_trusted, expected):
+        """Instances that are cut themselves say nothing of the server."""
+        assert Fleet(reaches, is_trusted).reach_of_others() is expected
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -42,9 +42,10 @@
             self.failures.append,
         )
 
-    async def exchange(self, address, head, body, require_fresh, match, may_send):
+    async def exchange_for_other(self, attempt):
         """Wait until the test completes the exchange, unless it may not be sent."""
-        if not may_send():
+        address = attempt.address
+        if not attempt.may_send():
             raise server_connections.ExchangeError(Fault.WITHDRAWN, "not sent", False, False)
         self.exchanges.append(defer.Deferred(lambda _: self.cancelled.append(address)))
         return await self.exchanges[-1]
@@ -79,6 +80,7 @@
         ("fault", "outcome"),
         [
             (Fault.CONNECT, Outcome.UNREACHED),
+            (Fault.NO_PATH, Outcome.BUSY),
             (Fault.RESET, Outcome.RESET),
             (Fault.CUT_SHORT, Outcome.CUT_SHORT),
             (Fault.GARBLED, Outcome.GARBLED),
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -57,10 +57,12 @@
 
     def __init__(self):
         self.exchanges = []
+        self.attempts = []
         self.is_cut = False
 
     async def exchange(self, attempt):
         """Wait until the test completes the exchange."""
+        self.attempts.append(attempt)
         self.exchanges.append(defer.Deferred())
         return await self.exchanges[-1]
 
@@ -74,9 +76,9 @@
             server_connections.ReceivedResponse(response, raw_headers, False)
         )
 
-    def fail(self, fault=server_connections.Fault.RESET):
+    def fail(self, fault=server_connections.Fault.RESET, *, is_relayed=False):
         """Fail the running exchange."""
-        error = server_connections.ExchangeError(fault, "broken", False, False)
+        error = server_connections.ExchangeError(fault, "broken", False, False, is_relayed)
         self.exchanges.pop().errback(error)
 
     def discard_idle(self, address):
@@ -320,3 +322,20 @@
         )
         assert case.allocator.outcomes == [allocation.AttemptOutcome.RELAYED]
         assert case.result == (200, codes.Code.OK)
+
+    def test_failure_at_a_relaying_instance_says_nothing_of_the_server(self):
+        """That instance may be cut; the client learns that the request may have run."""
+        case = FlowCase(ONCE)
+        case.allocator.grant()
+        case.servers.fail(is_relayed=True)
+        assert case.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED]
+        assert case.result == (502, codes.Code.BACKEND_LOST)
+
+    def test_no_relay_is_held_against_nobody(self):
+        """The request was not sent, and tries other servers, to which there may be a path."""
+        case = FlowCase(ONCE)
+        for _ in range(5):
+            case.allocator.grant()
+            case.servers.fail(server_connections.Fault.NO_RELAY)
+        assert case.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED] * 5
+        assert case.result == (503, codes.Code.NO_BACKEND)
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -5,12 +5,19 @@
 import pytest
 from twisted.internet import defer, task
 
-from carobhook.protocol import http1, relay_messages
+from carobhook.coordination import relay_choice
+from carobhook.protocol import http1, path_messages, relay_messages
 from carobhook.state import ids, members
-from carobhook.transport import relay_connections, server_connections, server_exchange
+from carobhook.transport import (
+    direct_exchange,
+    relay_connections,
+    server_connections,
+    server_exchange,
+)
 
 Fault = server_connections.Fault
 Outcome = relay_messages.RelayOutcome
+Reach = path_messages.Reach
 HEAD = http1.RequestHead(b"GET", b"/x", ())
 NORTH, SOUTH = ids.Region("north"), ids.Region("south")
 SERVED = relay_messages.RelayResponse(Outcome.RESPONDED, "", 200, b"OK", (), b"served")
@@ -42,18 +49,23 @@
         self.checked = []
         self.asked = []
         self.answers = answers or {}
-        self.on_opened = None
         self.error = server_connections.ExchangeError(Fault.CONNECT, "cut", False, False)
-        self.servers = server_exchange.ServerExchange(
+        rng = random.Random(1)
+        self.direct_exchange = direct_exchange.DirectExchange(
             self.clock,
-            random.Random(1),
-            NORTH,
+            rng,
             self,
+            direct_exchange.KnownServers(lambda: 9, list, lambda address: HEAD),
+            self.reach_of_others,
+            lambda reason: None,
+        )
+        self.servers = server_exchange.ServerExchange(
+            self.clock,
+            self.direct_exchange,
             self,
+            relay_choice.RelayChoice(rng, NORTH),
             lambda: peers,
-            self.is_reached_by_others,
             lambda server, response: None,
-            lambda reason: None,
         )
 
     # Connections to servers.
@@ -71,18 +83,21 @@
             raise answer
         return answer
 
-    async def is_reached_by_others(self, address):
+    async def reach_of_others(self, address):
         """Return what the test says that other instances find."""
         self.checked.append(address)
-        return self.others_reach
+        return Reach.REACHED if self.others_reach else Reach.UNREACHED
 
     def has_fresh(self, address):
         """Return False, as there are no idle connections."""
         return False
 
-    async def probe(self, address, hold_s):
-        """Fail a probe."""
-        return False
+    async def probe_response(self, address, build_head, timeout_s):
+        """Fail a probe, as the direct exchange that it precedes would."""
+        self.direct.append(address)
+        if self.connect_s:
+            await task.deferLater(self.clock, self.connect_s)
+        return Reach.UNREACHED
 
     # Connections to other instances.
 
@@ -98,7 +113,7 @@
 
     def send(self, address="s1:1", homes=(), may_send=True):
         """Send a request; return the status of its response or the fault."""
-        attempt = server_exchange.Attempt(
+        attempt = direct_exchange.Attempt(
             ids.Server("s1"),
             address,
             frozenset(homes),
@@ -117,7 +132,7 @@
         )
         self.clock.advance(self.connect_s / 2)
         if self.connect_s and self.sound_at_half:
-            self.servers._paths.record_response(self.clock.seconds())
+            self.direct_exchange.paths.record_response("s2:1", False, self.clock.seconds())
         self.clock.advance(self.connect_s / 2)
         return found[0]
 
@@ -153,15 +168,19 @@
         ],
     )
     def test_next_instance_is_asked(self, answer):
-        """One that takes no request is left out for a while."""
+        """One that takes no request is left out for a while, and comes after others then."""
         paths = Paths(member("two"), member("far", SOUTH), answers={"two": answer})
         assert paths.send() == 200
         assert paths.asked == ["two", "far"]
         assert paths.send() == 200
         assert paths.asked == ["two", "far", "far"]
         paths.clock.advance(1.1)
+        assert paths.send(homes=[NORTH]) is Fault.NO_RELAY
         assert paths.send() == 200
         assert paths.asked[3:] == ["two", "far"]
+        paths.clock.advance(5.1)
+        assert paths.send() == 200
+        assert paths.asked[5:] == ["two", "far"]
 
     def test_lost_instance_leaves_open_whether_it_ran(self):
         """The request is not sent through a second instance."""
@@ -209,6 +228,54 @@
         assert len(paths.direct) == 3
 
 
+class TestRelaysThatBringNothing:
+    """Instances that relay and are cut themselves (issue 49)."""
+
+    def reset_by(self, *outcomes):
+        """Return paths with one instance for each outcome, of which the first is asked."""
+        answers = {
+            f"p{number}": relay_messages.RelayResponse(outcome)
+            for number, outcome in enumerate(outcomes)
+        }
+        return Paths(*(member(name) for name in answers), answers=answers)
+
+    @pytest.mark.parametrize("outcome", [Outcome.RESET, Outcome.GARBLED, Outcome.CUT_SHORT])
+    def test_failure_proves_no_path(self, outcome):
+        """It may be the server, the other path, or the other instance."""
+        paths = self.reset_by(outcome)
+        paths.send()
+        assert paths.servers.broken_paths == 0
+
+    @pytest.mark.parametrize(
+        "answer",
+        [
+            relay_messages.RelayResponse(Outcome.RESET),
+            relay_connections.RelayLostError("lost"),
+        ],
+    )
+    def test_instance_that_lost_a_request_comes_last(self, answer):
+        """The next request goes to another one, of another region too."""
+        paths = Paths(member("two"), member("far", SOUTH), answers={"two": answer})
+        assert paths.send() is Fault.RESET
+        assert paths.send() == 200
+        assert paths.asked == ["two", "far"]
+
+    def test_two_instances_decide_that_the_server_is_at_fault(self):
+        """One alone may have lost its own path to it."""
+        paths = self.reset_by(Outcome.UNREACHED, Outcome.RESPONDED)
+        assert paths.send() is not Fault.CONNECT
+        paths = self.reset_by(Outcome.UNREACHED, Outcome.UNREACHED, Outcome.UNREACHED)
+        assert paths.send() is Fault.CONNECT
+        assert len(paths.asked) == 2
+
+    def test_refusals_of_all_say_nothing_of_the_server(self):
+        """It is not paused for all instances."""
+        paths = self.reset_by(Outcome.BUSY, Outcome.BUSY)
+        assert paths.send() is Fault.NO_RELAY
+        assert paths.send() is Fault.NO_RELAY
+        assert len(paths.asked) == 2
+
+
 class TestSlowFailure:
     """A connection times out, which takes another instance as long to find out."""
 
--- a/tests/test_server_paths.py
+++ b/tests/test_server_paths.py
@@ -22,7 +22,7 @@
     def test_server_that_answers_meanwhile_disproves_it(self):
         """A zone of servers is lost, and the others go on answering."""
         paths = failed("a", "b", "c")
-        paths.record_response(1.1)
+        paths.record_response("d", False, 1.1)
         assert not paths.is_cut(1.1)
 
     def test_servers_that_nobody_reaches_do_not_count(self):
@@ -38,17 +38,16 @@
         paths.retain(lambda address: True, 6.1)
         assert paths.due_probes(6.1) == []
 
-    def test_connection_that_opens_ends_it(self):
-        """One server that keeps a connection open is enough."""
+    def test_new_connection_that_works_ends_it(self):
+        """One server that responds on one is enough."""
         paths = failed("a", "b", "c")
-        paths.record_reached("a", 2.0)
+        paths.record_response("a", True, 2.0)
         assert not paths.is_cut(2.0)
 
     def test_connections_that_are_reset_at_once_do_not_end_it(self):
         """Something on the path accepts connections and resets them."""
         paths = failed("a", "b", "c")
         for address in "abc":
-            paths.record_opened(address)
             paths.record_failure(address, 2.0)
         assert paths.is_cut(2.0)
 
@@ -64,9 +63,9 @@
         assert paths.is_blocked("a", 1.2)
         assert not paths.is_blocked("b", 1.2)
         assert paths.broken_count == 1
-        paths.record_opened("a")
+        paths.record_response("a", False, 2.0)
         assert paths.is_blocked("a", 2.0)
-        paths.record_reached("a", 3.0)
+        paths.record_response("a", True, 3.0)
         assert not paths.is_blocked("a", 3.0)
 
     def test_all_paths_of_a_cut_instance_are_blocked(self):
@@ -107,4 +106,55 @@
         """A slow service alone is no reason."""
         started = [("a", 0.0), ("b", 0.0), ("c", 0.0)]
         assert server_paths.silent_addresses(started, 0.5, 1.0, 0.6) == []
-        assert server_paths.silent_addresses(started[:2], 0.0, 1.0, 0.6) == []
+
+    def test_one_silent_server_is_checked(self):
+        """An instance whose requests need one server only would never find that it is cut."""
+        assert server_paths.silent_addresses([("a", 0.0)], 0.0, 1.0, 0.6) == ["a"]
+        assert server_paths.silent_addresses([("a", 0.5)], 0.0, 1.0, 0.6) == []
+
+
+class TestFewServers:
+    """An instance that knows fewer servers than the failures that it used to need."""
+
+    def test_all_servers_are_enough(self):
+        """With one or two known servers, it was never found cut."""
+        for count in (1, 2):
+            paths = server_paths.ServerPaths(lambda count=count: count)
+            for number in range(count):
+                assert not paths.is_cut(1.0)
+                paths.record_failure(f"s{number}", 1.0)
+            assert paths.is_cut(1.0)
+
+    def test_no_server_is_known(self):
+        """Without servers there is nothing to be cut from."""
+        assert not server_paths.ServerPaths(lambda: 0).is_cut(1.0)
+
+
+class TestEvidence:
+    """What an instance knows of a path before it sends a request on it."""
+
+    def test_nothing_heard(self):
+        """An instance that just started knows nothing, and one that was quiet any more."""
+        paths = server_paths.ServerPaths()
+        assert not paths.is_proven("a", 1.0)
+        paths.record_response("b", False, 1.0)
+        assert paths.is_proven("a", 1.9)
+        assert not paths.is_proven("a", 2.1)
+
+    def test_new_connections_need_evidence_of_their_own(self):
+        """A connection of before may live on while new ones are refused."""
+        paths = server_paths.ServerPaths()
+        paths.record_response("b", False, 1.0)
+        assert not paths.opened_lately(1.0)
+        paths.record_response("b", True, 1.0)
+        assert paths.opened_lately(1.9)
+        assert not paths.opened_lately(2.1)
+
+    def test_path_that_failed(self):
+        """Other servers that are heard say nothing of it."""
+        paths = failed("a")
+        paths.record_response("b", True, 1.1)
+        assert not paths.is_proven("a", 1.1)
+        assert paths.is_proven("b", 1.1)
+        assert paths.failed_lately("a", 1.4)
+        assert not paths.failed_lately("a", 1.6)
