Give up requests whose path broke under them, and the slots they hold

Cause: nothing ended an exchange on a connection that carries nothing; its slot counted as used although no server worked on it.

Change: when no server has been heard for 0.6 s and a probe of the server fails too, a request that may run again goes through another instance at once, on the slot that it has. One that runs once goes on waiting, as its response may still come, and releases its slot. A server that is only slow answers the probe, and is waited for.

--- a/src/carobhook/transport/direct_exchange.py
+++ b/src/carobhook/transport/direct_exchange.py
@@ -43,6 +43,9 @@
             for a request that must not run twice.
         match: Returns whether a response belongs to this request.
         may_send: Returns whether the request may still be sent; called right before that.
+        on_silence: Called if the path broke after the request was sent, and the request has to
+            wait, as it must not run twice. A response may still come, but no server needs the
+            slot for it any more.
     """
 
     server: ids.Server
@@ -54,6 +57,7 @@
     require_fresh: bool
     match: server_connections.ResponseMatcher
     may_send: Callable[[], bool]
+    on_silence: Callable[[], object] = lambda: None
 
 
 @attrs.define(eq=False)
@@ -63,10 +67,14 @@
     Attributes:
         attempt: The request.
         started_at: Monotonic time in seconds.
+        response: Result of the exchange; cancelling it closes the connection.
+        is_silent: Whether it was found that the path broke.
     """
 
     attempt: Attempt
     started_at: float
+    response: defer.Deferred
+    is_silent: bool = False
 
 
 @attrs.frozen
@@ -164,13 +172,18 @@
             attempt.match,
             attempt.may_send,
         )
-        run = _RunningExchange(attempt, self._reactor.seconds())
+        run = _RunningExchange(attempt, self._reactor.seconds(), defer.ensureDeferred(sending))
         self._running.add(run)
         try:
-            return await sending
+            return typing.cast(server_connections.ReceivedResponse, await run.response)
         except server_connections.ExchangeError as error:
             self._record_failure(attempt.address, error)
             raise
+        except defer.CancelledError:
+            if not run.is_silent:
+                raise
+            text = "the connection carries nothing any more"
+            raise server_connections.ExchangeError(Fault.SILENT, text, True, False) from None
         finally:
             self._running.discard(run)
 
@@ -241,6 +254,30 @@
             heard_at = self._paths.heard_at
             for address in server_paths.silent_addresses(running, heard_at, now, _SILENCE_S):
                 self._start_check(address, self._probe(address))
+            self._give_up_silent(now)
+
+    def _give_up_silent(self, now: float) -> None:
+        """Give up the requests whose paths broke under them, and those slots that they hold.
+
+        Load pattern: an instance is cut from all servers, and its open connections carry
+        nothing any more. Its requests would hold their slots until their deadlines, for which
+        the clients of all instances would wait.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        if now - self._paths.heard_at < _SILENCE_S:
+            return
+        for run in list(self._running):
+            is_old = now - run.started_at >= _SILENCE_S
+            is_broken = is_old and self._paths.is_blocked(run.attempt.address, now)
+            if not is_broken or run.is_silent:
+                continue
+            run.is_silent = True
+            if run.attempt.require_fresh:
+                run.attempt.on_silence()
+            else:
+                run.response.cancel()
 
     def _record_failure(self, address: str, error: server_connections.ExchangeError) -> None:
         """Record what a failed exchange says of the path to its server."""
--- a/src/carobhook/transport/relay_service.py
+++ b/src/carobhook/transport/relay_service.py
@@ -18,6 +18,7 @@
     server_connections.Fault.CONNECT: Outcome.UNREACHED,
     server_connections.Fault.NO_PATH: Outcome.BUSY,
     server_connections.Fault.WITHDRAWN: Outcome.WITHDRAWN,
+    server_connections.Fault.SILENT: Outcome.RESET,
     server_connections.Fault.RESET: Outcome.RESET,
     server_connections.Fault.GARBLED: Outcome.GARBLED,
     server_connections.Fault.CUT_SHORT: Outcome.CUT_SHORT,
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -343,6 +343,9 @@
             require_fresh=not accepted.route.repeatable,
             match=self._match_attempt,
             may_send=lambda: self._may_send(accepted, grant.server),
+            on_silence=lambda: self._allocator.release_slot(
+                accepted.id, allocation.AttemptOutcome.CANCELLED
+            ),
         )
 
     def _may_send(
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -60,6 +60,7 @@
         that it says nothing about this server either.
     WITHDRAWN: When the connection was open, the request might not be sent to this server any
         more, so it was not. After any other fault, the request may have run.
+    SILENT: The request was sent, and then the path to the server broke.
     RESET: The connection was closed before the head of a response arrived.
     GARBLED: The response is invalid or too large, or belongs to another request.
     CUT_SHORT: The connection was closed before the response was complete.
@@ -69,6 +70,7 @@
     NO_PATH = "no-path"
     NO_RELAY = "no-relay"
     WITHDRAWN = "withdrawn"
+    SILENT = "silent"
     RESET = "reset"
     GARBLED = "garbled"
     CUT_SHORT = "cut-short"
--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -100,6 +100,8 @@
                 # A request that may run again finds out itself whether the path works.
                 return await self._direct.exchange(attempt, verify_path=attempt.require_fresh)
             except server_connections.ExchangeError as error:
+                if error.fault is Fault.SILENT:
+                    return await self._relay_again(attempt, error)
                 if error.fault is not Fault.CONNECT:
                     raise
                 if self._is_server_suspect(started_at):
@@ -107,6 +109,19 @@
                     raise
         return await self._relay(attempt)
 
+    async def _relay_again(
+        self, attempt: direct_exchange.Attempt, error: server_connections.ExchangeError
+    ) -> server_connections.ReceivedResponse:
+        """Send a request through another instance that may have run already.
+
+        Raises:
+            server_connections.ExchangeError: The given error, as the request may have run.
+        """
+        try:
+            return await self._relay(attempt)
+        except server_connections.ExchangeError:
+            raise error from None
+
     def _is_server_suspect(self, started_at: float) -> bool:
         """Return whether a connection timed out while other servers were heard.
 
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -67,7 +67,7 @@
         self.asked.append(address)
         return self.others
 
-    def start(self, address, *, for_other=False, once=True):
+    def start(self, address, *, for_other=False, once=True, on_silence=lambda: None):
         """Start to send a request; return the deferred response."""
         attempt = direct_exchange.Attempt(
             ids.Server(address),
@@ -79,6 +79,7 @@
             once,
             lambda response: True,
             lambda: True,
+            on_silence,
         )
         if for_other:
             return defer.ensureDeferred(self.exchange.exchange_for_other(attempt))
@@ -169,3 +170,42 @@
         assert paths.asked == ["a"]
         assert paths.exchange.paths.is_confirmed("a") == (reach is Reach.REACHED)
         assert paths.exchange.paths.has_failed("a") == (reach is not Reach.UNREACHED)
+
+
+class TestSilentPath:
+    """Requests whose path broke after they were sent."""
+
+    def run(self, paths, *, once):
+        """Send a request, cut the instance, and let a while pass; return the outcome."""
+        found, silences = [], []
+        paths.send("a")
+        paths.pending = defer.Deferred()
+        sending = paths.start("a", once=once, on_silence=lambda: silences.append(True))
+        sending.addBoth(found.append)
+        paths.working.clear()
+        for _ in range(30):
+            paths.clock.advance(0.1)
+            paths.exchange.tick(lambda address: True)
+        return found, silences
+
+    def test_repeatable_request_is_given_up(self, paths):
+        """Another instance can send it."""
+        found, silences = self.run(paths, once=False)
+        assert found[0].value.fault is Fault.SILENT
+        assert silences == []
+
+    def test_request_that_runs_once_waits_without_its_slot(self, paths):
+        """Its response may still come, and others can use the slot."""
+        found, silences = self.run(paths, once=True)
+        assert (found, silences) == ([], [True])
+
+    def test_slow_server_is_waited_for(self, paths):
+        """The server answers probes: nothing is wrong with the path."""
+        found = []
+        paths.pending = defer.Deferred()
+        paths.start("a", once=False).addBoth(found.append)
+        for _ in range(30):
+            paths.clock.advance(0.1)
+            paths.exchange.tick(lambda address: True)
+        assert found == []
+        assert paths.probed
--- a/tests/test_relays_cut_unnoticed.py
+++ b/tests/test_relays_cut_unnoticed.py
@@ -75,6 +75,10 @@
         """A connection that opens and stays open is no evidence of a path."""
         await self.play_cut("begin_reset", "reset_after_request")
 
+    async def test_new_connections_silent(self):
+        """Nor is one on which nothing comes back."""
+        await self.play_cut("begin_silent", "silence_new")
+
     async def test_new_connections_hang(self):
         """A relay that was found cut is not waited for again and again."""
         await self.play_cut("begin_silent", "hang")
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -339,3 +339,13 @@
             case.servers.fail(server_connections.Fault.NO_RELAY)
         assert case.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED] * 5
         assert case.result == (503, codes.Code.NO_BACKEND)
+
+    def test_request_on_a_broken_path_holds_no_slot(self):
+        """It waits for its response, and others get the slot meanwhile."""
+        case = FlowCase(ONCE)
+        case.allocator.grant()
+        case.servers.attempts[0].on_silence()
+        assert case.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED]
+        assert case.responses == []
+        case.servers.respond()
+        assert case.result == (200, codes.Code.OK)
