Compare a relayed response with its request, rather than test an Enum for truth

What callers could see: the response of another request, from a relaying instance that mixes them up. None was seen: the relaying instance matches responses itself, so this was its second guard.

Cause: "if not attempt.match(response)" is never true, as a member of an Enum is truthy.

test_server_exchange.py::TestRelayedExchange::test_response_to_another_request_is_not_returned failed before (200 in place of GARBLED).

--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -11,7 +11,7 @@
 from carobhook import logs
 from carobhook.coordination import relay_choice
 from carobhook.protocol import http1, relay_messages
-from carobhook.state import ids, members
+from carobhook.state import allocation, ids, members
 from carobhook.transport import direct_exchange, relay_connections, server_connections
 
 Fault = server_connections.Fault
@@ -252,7 +252,7 @@
         self._choice.record_response(peer.name)
         self._direct.paths.record_reached_by_other(attempt.address, now)
         response = http1.Response(answer.status, answer.reason, answer.headers, answer.body)
-        if not attempt.match(response):
+        if attempt.match(response) is allocation.ResponseMatch.OTHER:
             raise server_connections.ExchangeError(
                 Fault.GARBLED, text, False, False, is_relayed=True
             )
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -7,7 +7,7 @@
 
 from carobhook.coordination import relay_choice
 from carobhook.protocol import http1, path_messages, relay_messages
-from carobhook.state import ids, members
+from carobhook.state import allocation, ids, members
 from carobhook.transport import (
     direct_exchange,
     relay_connections,
@@ -18,6 +18,7 @@
 Fault = server_connections.Fault
 Outcome = relay_messages.RelayOutcome
 Reach = path_messages.Reach
+ResponseMatch = allocation.ResponseMatch
 HEAD = http1.RequestHead(b"GET", b"/x", ())
 NORTH, SOUTH = ids.Region("north"), ids.Region("south")
 SERVED = relay_messages.RelayResponse(Outcome.RESPONDED, "", 200, b"OK", (), b"served")
@@ -111,7 +112,7 @@
     def keep(self, name, connection):
         """Do nothing."""
 
-    def send(self, address="s1:1", homes=(), may_send=True):
+    def send(self, address="s1:1", homes=(), may_send=True, match=ResponseMatch.NAMED):
         """Send a request; return the status of its response or the fault."""
         attempt = direct_exchange.Attempt(
             ids.Server("s1"),
@@ -121,7 +122,7 @@
             lambda: HEAD,
             b"",
             True,
-            lambda response: True,
+            lambda response: match,
             lambda: may_send,
         )
         found = []
@@ -147,6 +148,11 @@
         assert paths.send() == 200
         assert (paths.direct, paths.asked) == (["s1:1"], ["two", "two"])
 
+    def test_response_to_another_request_is_not_returned(self):
+        """The check compared nothing: a member of an Enum is always true (issue 49)."""
+        assert Paths(member("two")).send(match=ResponseMatch.OTHER) is Fault.GARBLED
+        assert Paths(member("two")).send(match=ResponseMatch.UNNAMED) == 200
+
     def test_homes_bind_the_instance_too(self):
         """The body of a request goes to no instance outside its homes."""
         paths = Paths(member("two"), member("far", SOUTH))
