Ask the routes before the product's own interface

Cause: `EntryRequests.handle` took every target below /v1/services/ for a call by service name, before it looked at the configuration. Service, path and what may be repeated then came from path and method.

Change: a route of the configuration comes first, whatever its prefix. A call that waits when such a route comes into force becomes the route's request, with its own head, and is never sent as a call any more. The rank and deadline headers of the own interface mean nothing on a route's request. Looked at too: /v1/lookup, /-/resolve, /-/readiness and /metrics have addresses of their own, so no route meets them.

--- a/src/carobhook/protocol/client_api.py
+++ b/src/carobhook/protocol/client_api.py
@@ -2,7 +2,8 @@
 
 A client looks up the addresses of instances with ``/v1/lookup?region=R&failure_domain=D`` at
 the address of the directory. A client that does not know the routes can name a service instead:
-it sends the request to ``/v1/services/NAME/PATH`` at the address for requests.
+it sends the request to ``/v1/services/NAME/PATH`` at the address for requests. A route of the
+configuration for that host and path comes first.
 """
 
 import json
--- a/src/carobhook/transport/accepted_requests.py
+++ b/src/carobhook/transport/accepted_requests.py
@@ -3,6 +3,7 @@
 import attrs
 
 from carobhook.coordination import refusals
+from carobhook.protocol import http1
 from carobhook.state import ids, routing
 from carobhook.transport import client_connections
 
@@ -26,6 +27,8 @@
         deadline_at: Monotonic time in seconds by which the client gets a final response.
         config_version: Version of the configuration that the request was routed with.
         domain: Failure domain of this instance.
+        called: Head as the client sent it, if it named its service and no route had its path;
+            ``request`` has the head for that service. None for a request with a route.
     """
 
     request: client_connections.ClientRequest
@@ -41,6 +44,7 @@
     deadline_at: float
     config_version: int
     domain: ids.FailureDomain | None = None
+    called: http1.RequestHead | None = None
 
 
 @attrs.frozen
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -107,13 +107,15 @@
         Returns:
             The started request, or None if it was refused at once.
         """
+        call: client_api.ServiceCall | None = None
+        called: http1.RequestHead | None = None
         try:
-            call = client_api.parse_service_call(request.head)
+            call = self._service_call(request.head)
             decision = self._route(request, call)
         except ValueError as error:
-            call = None
             decision = refusals.Refusal(codes.Code.BAD_REQUEST, detail=str(error))
         if call is not None:
+            called = request.head
             request = attrs.evolve(request, head=call.head)
             respond = _with_ok_headers(respond)
         if not isinstance(decision, refusals.Refusal) and decision.deadline_at > self._ends_at:
@@ -125,7 +127,7 @@
             self._log_refusal(request, decision)
             respond(request_flow.refusal_response(decision))
             return None
-        flow = self._create_flow(self._accept(request, decision), respond)
+        flow = self._create_flow(self._accept(request, decision, called), respond)
         self._active_flows.add(flow)
         flow.start()
         return flow
@@ -173,6 +175,23 @@
         for flow in list(self._active_flows):
             flow.abort()
 
+    def _service_call(self, head: http1.RequestHead) -> client_api.ServiceCall | None:
+        """Return the service call that a request encodes, None if it goes by its route.
+
+        A route comes first, whatever its prefix: operators decide what their hosts serve. While
+        a newer configuration may have a route for it, a request in the manner of the platform's
+        clients is no call either.
+
+        Raises:
+            ValueError: The rank or deadline header is not a number.
+        """
+        config = self._context.server_catalog.config
+        if config is None or _match(config, head) is not None:
+            return None
+        if requests.request_id(head) is not None and not self._context.is_config_recent():
+            return None
+        return client_api.parse_service_call(head)
+
     def _route(
         self, request: client_connections.ClientRequest, call: client_api.ServiceCall | None
     ) -> request_routing.RoutingDecision | refusals.Refusal:
@@ -200,6 +219,7 @@
         self,
         request: client_connections.ClientRequest,
         decision: request_routing.RoutingDecision,
+        called: http1.RequestHead | None,
     ) -> accepted_requests.AcceptedRequest:
         self._accepted_count += 1
         config = self._context.server_catalog.config
@@ -217,6 +237,7 @@
             deadline_at=decision.deadline_at,
             config_version=config.version if config is not None else 0,
             domain=self._domain,
+            called=called,
         )
 
     def _create_flow(
@@ -249,6 +270,9 @@
         if self._context.notices.is_resting(server):
             return False
         route = self._changed_route(accepted)
+        if route is not None and accepted.called is not None:
+            # It was no route's request when it was accepted, and is sent as one or not at all.
+            return False
         if route is None or not route.homes:
             return True
         return self._context.orders.regions.get(entry.failure_domain) in route.homes
@@ -263,11 +287,7 @@
         config = self._context.server_catalog.config
         if config is None or config.version == accepted.config_version:
             return None
-        if not accepted.route.host:
-            # The request named its service, so it has no route.
-            return None
-        head = accepted.request.head
-        return config.match(head.get("host") or "", _path(head))
+        return _match(config, accepted.called or accepted.request.head)
 
     def _reroute(
         self, accepted: accepted_requests.AcceptedRequest
@@ -284,8 +304,13 @@
         decision = self._router.route_again(
             route, accepted.service, accepted.target_at, accepted.deadline_at
         )
+        request = accepted.request
+        if accepted.called is not None:
+            request = attrs.evolve(request, head=accepted.called)
         return attrs.evolve(
             accepted,
+            request=request,
+            called=None,
             route=decision.route,
             service=decision.service,
             region=decision.region,
@@ -328,6 +353,11 @@
     return round((now - since) * 1000, 1)
 
 
+def _match(config: routing.RoutingConfig, head: http1.RequestHead) -> routing.Route | None:
+    """Return the route of a request in a configuration, or None."""
+    return config.match(head.get("host") or "", _path(head))
+
+
 def _path(head: http1.RequestHead) -> str:
     """Return the path of a request, without its query."""
     return head.target.partition(b"?")[0].decode("latin-1")
--- a/tests/test_homes_in_force.py
+++ b/tests/test_homes_in_force.py
@@ -55,8 +55,8 @@
     )
 
 
-def start_request(reactor, known, allocator, connections):
-    """Start a request at an instance in the north."""
+def start_request(reactor, known, allocator, connections, target=b"/a/x", **context_fields):
+    """Start a request at an instance in the north; return its responses."""
     metrics = entry_metrics.EntryMetrics(dict.fromkeys(entry_metrics.EntryMetric, float))
     context = entry_requests.RequestContext(
         known,
@@ -68,13 +68,18 @@
         notice_board.NoticeBoard(
             reactor, requests.ServerCodec(), known, lambda: None, lambda message: None
         ),
+        **context_fields,
     )
     handler = entry_requests.EntryRequests(
         reactor, NORTH, DOMAIN, ids.Incarnation("0" * 16), context
     )
     headers = ((b"Host", b"shop.example"), (b"X-Attempt-Id", b"id-1"))
-    head = http1.RequestHead(b"GET", b"/a/x", headers)
-    handler.handle(client_connections.ClientRequest(head, b"", "10.0.0.1", 0.0), [].append)
+    head = http1.RequestHead(b"GET", target, headers)
+    responses = []
+    handler.handle(
+        client_connections.ClientRequest(head, b"", "10.0.0.1", 0.0), responses.append
+    )
+    return responses
 
 
 class TestHomesInForce:
