Let SIGHUP end no instance that has not finished its start

Cause: the handler of SIGHUP was installed when the reactor ran, 0.4 s after the start of the process here. Until then the signal had its default effect. A second fault on the same way: a change between the reading of the settings and the start of their watch was taken for what is in force, and never applied.

The watch compares the file with the settings that were read, once the instance runs. What remains is the time that the interpreter needs to run the first statement (0.05 s here).

--- a/src/carobhook/cli/serve.py
+++ b/src/carobhook/cli/serve.py
@@ -1,6 +1,7 @@
 """Commands `serve` and `check-settings`, which run a daemon and check its settings."""
 
 import pathlib
+import signal
 from typing import Annotated
 
 import typer
@@ -40,11 +41,13 @@
     in use, and 6 when the start fails otherwise. A store that is out of reach is no reason
     not to start: the daemon keeps trying and says so at /readyz.
     """
+    # Loading takes a while, and the settings are compared with their file when the daemon runs.
+    signal.signal(signal.SIGHUP, signal.SIG_IGN)
     loaded = _load_or_exit(settings_file)
     # Imported here, because check-settings needs no reactor.
-    from carobhook import entry
+    from carobhook import entry_process
 
-    entry.run(settings_file, loaded)
+    entry_process.run(settings_file, loaded)
 
 
 def _load_or_exit(file: pathlib.Path) -> entry_settings.EntrySettings:
--- a/src/carobhook/transport/settings_watch.py
+++ b/src/carobhook/transport/settings_watch.py
@@ -15,16 +15,20 @@
     Args:
         path: The settings file.
         on_change: Called with the new settings after each change to a valid text.
+        in_force: Settings that were read from the file before, which may have changed since;
+            None if the settings in force are those that are in the file now.
     """
 
     def __init__(
         self,
         path: pathlib.Path,
         on_change: Callable[[entry_settings.EntrySettings], object],
+        in_force: entry_settings.EntrySettings | None = None,
     ) -> None:
         self._path = path
         self._on_change = on_change
-        self._text = self._read()
+        self._in_force = in_force
+        self._text = None if in_force is not None else self._read()
 
     def check(self, signalled: bool = False) -> None:
         """Read the file, and pass on its settings if its text has changed and is valid.
@@ -45,6 +49,9 @@
             for fault in errors.exceptions:
                 logs.error("settings-faulty", path=self._path, fault=fault)
             return
+        if loaded == self._in_force:
+            return
+        self._in_force = loaded
         self._on_change(loaded)
 
     def _read(self) -> str | None:
