Do not relay a request that runs once when its silent exchange is cancelled

Cause: a request that runs once waits on after its path broke. Five seconds after its deadline the flow cancels it, and that cancellation was taken for the one by which a repeatable request is given up: the request went through another instance.

Change: only an exchange that `DirectExchange` itself cancels ends as silent, and only a request that may run again is relayed after that.

test_direct_exchange.py::TestSilentPath::test_request_that_runs_once_is_cancelled_after_its_silence and test_server_exchange.py::TestSilentExchange failed before.

--- a/src/carobhook/transport/direct_exchange.py
+++ b/src/carobhook/transport/direct_exchange.py
@@ -69,12 +69,14 @@
         started_at: Monotonic time in seconds.
         response: Result of the exchange; cancelling it closes the connection.
         is_silent: Whether it was found that the path broke.
+        is_given_up: Whether this class cancelled it for that.
     """
 
     attempt: Attempt
     started_at: float
     response: defer.Deferred
     is_silent: bool = False
+    is_given_up: bool = False
 
 
 @attrs.frozen
@@ -180,7 +182,8 @@
             self._record_failure(attempt.address, error)
             raise
         except defer.CancelledError:
-            if not run.is_silent:
+            if not run.is_given_up:
+                # The request was cancelled by whoever sent it, perhaps long after its silence.
                 raise
             text = "the connection carries nothing any more"
             raise server_connections.ExchangeError(Fault.SILENT, text, True, False) from None
@@ -277,6 +280,7 @@
             if run.attempt.require_fresh:
                 run.attempt.on_silence()
             else:
+                run.is_given_up = True
                 run.response.cancel()
 
     def _record_failure(self, address: str, error: server_connections.ExchangeError) -> None:
--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -100,7 +100,7 @@
                 # A request that may run again finds out itself whether the path works.
                 return await self._direct.exchange(attempt, verify_path=attempt.require_fresh)
             except server_connections.ExchangeError as error:
-                if error.fault is Fault.SILENT:
+                if error.fault is Fault.SILENT and not attempt.require_fresh:
                     return await self._relay_again(attempt, error)
                 if error.fault is not Fault.CONNECT:
                     raise
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -199,6 +199,22 @@
         found, silences = self.run(paths, once=True)
         assert (found, silences) == ([], [True])
 
+    def test_request_that_runs_once_is_cancelled_after_its_silence(self, paths):
+        """It was taken for one that may go through another instance, and ran twice."""
+        sending, silences = [], []
+        paths.send("a")
+        paths.pending = defer.Deferred()
+        sending = paths.start("a", on_silence=lambda: silences.append(True))
+        paths.working.clear()
+        for _ in range(30):
+            paths.clock.advance(0.1)
+            paths.exchange.tick(lambda address: True)
+        assert silences == [True]
+        found = []
+        sending.addErrback(lambda reason: found.append(reason.type))
+        sending.cancel()
+        assert found == [defer.CancelledError]
+
     def test_slow_server_is_waited_for(self, paths):
         """The server answers probes: nothing is wrong with the path."""
         found = []
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -47,6 +47,7 @@
         self.connect_s = 0.0
         self.sound_at_half = False
         self.others_reach = False
+        self.reached = False
         self.checked = []
         self.asked = []
         self.answers = answers or {}
@@ -98,7 +99,7 @@
         self.direct.append(address)
         if self.connect_s:
             await task.deferLater(self.clock, self.connect_s)
-        return Reach.UNREACHED
+        return Reach.REACHED if self.reached else Reach.UNREACHED
 
     # Connections to other instances.
 
@@ -112,7 +113,9 @@
     def keep(self, name, connection):
         """Do nothing."""
 
-    def send(self, address="s1:1", homes=(), may_send=True, match=ResponseMatch.NAMED):
+    def send(
+        self, address="s1:1", homes=(), may_send=True, match=ResponseMatch.NAMED, once=True
+    ):
         """Send a request; return the status of its response or the fault."""
         attempt = direct_exchange.Attempt(
             ids.Server("s1"),
@@ -121,7 +124,7 @@
             "id-1",
             lambda: HEAD,
             b"",
-            True,
+            once,
             lambda response: match,
             lambda: may_send,
         )
@@ -282,6 +285,19 @@
         assert len(paths.asked) == 2
 
 
+class TestSilentExchange:
+    """Requests whose connection fell silent after they were sent."""
+
+    @pytest.mark.parametrize("once", [True, False])
+    def test_only_what_may_run_again_is_relayed(self, once):
+        """A request that runs once has been sent, and is not sent again."""
+        paths = Paths(member("two"))
+        paths.reached = True
+        paths.error = server_connections.ExchangeError(Fault.SILENT, "silent", True, False)
+        assert paths.send(once=once) == (Fault.SILENT if once else 200)
+        assert paths.asked == ([] if once else ["two"])
+
+
 class TestSlowFailure:
     """A connection times out, which takes another instance as long to find out."""
 
