Promise no caller that a request did not run unless its server said so

Callers send such orders again.

Cause, as far as it could be found: a server's 503, 429 or 408 without X-Not-Executed was passed on as it is. PROTOCOL.md: only a response with that header says that the request was not run; to callers, these statuses say so by themselves.

Change: for a request that runs once, such a response becomes 502 with code 1020, which promises nothing. With the header it is a shed request as before, and goes to another server.

test_request_flow.py::TestPromiseThatNobodyMade: three cases failed before.

--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -473,6 +473,12 @@
 
     def _forward_response(self, received: server_connections.ReceivedResponse | None) -> None:
         response = typing.cast(server_connections.ReceivedResponse, received).response
+        if response.status in refusals.NOT_RUN_STATUSES and not self._accepted.route.repeatable:
+            # Its status would promise the client what the server did not say.
+            self._failure_response = None
+            detail = f"status {response.status} without a word that it was not run"
+            self._refuse(refusals.Refusal(codes.Code.BACKEND_LOST, True, detail=detail))
+            return
         if not self._responded:
             self._responded = True
             self._respond(response)
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -2,6 +2,7 @@
 
 import json
 
+import pytest
 from twisted.internet import defer, task
 
 from carobhook import request_trace
@@ -349,3 +350,40 @@
         assert case.responses == []
         case.servers.respond()
         assert case.result == (200, codes.Code.OK)
+
+
+class TestPromiseThatNobodyMade:
+    """A server's 503, 408 or 429 was passed on, and the request had run (issue 49)."""
+
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    def test_request_that_runs_once(self, status):
+        """Only the header that says so makes it a promise; the client would send it again."""
+        case = FlowCase(ONCE)
+        case.allocator.grant()
+        case.servers.respond(status)
+        assert case.result == (502, codes.Code.BACKEND_LOST)
+        assert len(case.allocator.requests) == 1
+
+    @pytest.mark.parametrize("status", [408, 429, 503])
+    def test_server_that_says_so(self, status):
+        """The request did not run, and goes to another server."""
+        case = FlowCase(ONCE)
+        case.allocator.grant()
+        case.servers.respond(status, X_Not_Executed="1")
+        assert case.responses == []
+        assert len(case.allocator.requests) == 2
+
+    @pytest.mark.parametrize("status", [408, 429])
+    def test_request_that_may_run_again(self, status):
+        """Its client may send it again anyway, and gets the server's own response."""
+        case = FlowCase()
+        case.allocator.grant()
+        case.servers.respond(status)
+        assert [response.status for response in case.responses] == [status]
+
+    def test_server_failure_is_still_forwarded(self):
+        """Other statuses promise nothing."""
+        case = FlowCase(ONCE)
+        case.allocator.grant()
+        case.servers.respond(500)
+        assert [response.status for response in case.responses] == [500]
