Free the body of a request when it ends, and count it until then

Cause: (1) what ended stayed in memory until the cycle collector ran: the flow referred to a callback that refers to the flow; a timer that has run, an idle connection to a server, and the traceback of a failure referred to it too. (2) The body of a client that left, or was answered at its deadline, no longer counted for the limit of all bodies, while work for the request went on with it.

Change: a flow drops its callback and its timer when it ends, a connection forgets its request, and the traceback of a failure is dropped. The memory of a body is released when the work for the request ends (`call_at_end`).

--- a/src/carobhook/standins/platform_server.py
+++ b/src/carobhook/standins/platform_server.py
@@ -66,6 +66,10 @@
     on_cancel: Callable[[], None]
     is_fatal: bool = False
 
+    def call_at_end(self, function: Callable[[], object]) -> None:
+        """Call a function now, as the body is not needed any more."""
+        function()
+
     def client_disconnected(self) -> None:
         """Cancel the request, unless it is one that ends the server."""
         if self.timer.active() and not self.is_fatal:
--- a/src/carobhook/standins/platform_store.py
+++ b/src/carobhook/standins/platform_store.py
@@ -47,6 +47,10 @@
     timer: typing.Any = None
     on_cancel: Callable[["_Watch"], None] = lambda watch: None
 
+    def call_at_end(self, function: Callable[[], object]) -> None:
+        """Call a function now, as the body is not needed any more."""
+        function()
+
     def client_disconnected(self) -> None:
         """Cancel the watch."""
         if self.timer is not None and self.timer.active():
--- a/src/carobhook/transport/client_connections.py
+++ b/src/carobhook/transport/client_connections.py
@@ -53,6 +53,12 @@
     def client_disconnected(self) -> None:
         """Report that the client's connection was closed."""
 
+    def call_at_end(self, function: Callable[[], object]) -> None:
+        """Call a function when the request needs its body no more, which may be now.
+
+        Work for it may go on after its client left, or was answered.
+        """
+
 
 Handler = Callable[[ClientRequest, Callable[[http1.Response], None]], ActiveRequest | None]
 
@@ -235,8 +241,8 @@
         if not self._awaiting_response or self.transport is None or not self.connected:
             return
         self._awaiting_response = False
-        self._active_request = None
         self._release_body()
+        self._active_request = None
         close = self._close_requested or self._listener.closes_after_response
         self.transport.write(http1.encode_response(response, self._response_has_body, close))
         if close:
@@ -271,8 +277,12 @@
         self._timer = self._reactor.callLater(_LINGER_S, self.transport.loseConnection)
 
     def _release_body(self) -> None:
-        self._listener.release_body(self._body_size)
-        self._body_size = 0
+        """Release the memory of the body, at once or when the work for the request ends."""
+        size, self._body_size = self._body_size, 0
+        if self._active_request is None:
+            self._listener.release_body(size)
+        elif size:
+            self._active_request.call_at_end(lambda: self._listener.release_body(size))
 
     def _start_timer(self, delay_s: float, for_head: bool = False) -> None:
         self._stop_timer()
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -50,6 +50,10 @@
     ENDED = "ended"
 
 
+def _do_nothing() -> None:
+    return None
+
+
 class RequestFlow:
     """Processing of one request; implements `client_connections.ActiveRequest`.
 
@@ -124,6 +128,7 @@
         self._responded = False
         self._outcome_reported = False
         self._failure_response: server_connections.ReceivedResponse | None = None
+        self._at_end: list[Callable[[], object]] = []
 
     @property
     def stage(self) -> Stage:
@@ -153,6 +158,13 @@
                 self._end()
                 self._cancel()
 
+    def call_at_end(self, function: Callable[[], object]) -> None:
+        """Call a function when nothing more is done for the request, which may be now."""
+        if self._stage is Stage.ENDED:
+            function()
+        else:
+            self._at_end.append(function)
+
     def refuse_if_waiting(self, refusal: refusals.Refusal) -> None:
         """Refuse the request if it waits for a slot, as this instance stops.
 
@@ -207,6 +219,8 @@
     def _on_error(self, reason: typing.Any) -> None:
         """Log an unexpected error and refuse the request as one that may have run."""
         if reason.check(defer.CancelledError):
+            # Its traceback refers to the request, and to itself.
+            reason.cleanFailure()
             return
         logs.error(
             "exchange-failed",
@@ -313,6 +327,8 @@
             rate = self._rate_statement(received.response, grant.server)
             pace = self._pace_of(grant.server, received.response)
         except server_connections.ExchangeError as error:
+            # Its traceback refers to the request, and to itself.
+            error.__traceback__ = None
             outcome = self._failed_outcome(error, grant)
             is_path_suspect = error.is_relayed or self._servers.is_cut
         finally:
@@ -517,7 +533,14 @@
         self._stage = Stage.ENDED
         if self._timer is not None and self._timer.active():
             self._timer.cancel()
-        self._on_finished()
+        # What refers to this object is dropped, so that its body does not stay in memory until
+        # the next run of the cycle collector.
+        self._timer = None
+        on_finished, self._on_finished = self._on_finished, _do_nothing
+        on_finished()
+        at_end, self._at_end = self._at_end, []
+        for function in at_end:
+            function()
 
     def _report_outcome(self, status: int, refusal: refusals.Refusal | None) -> None:
         """Report the outcome, or log the end of a request whose outcome was reported before."""
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -218,11 +218,16 @@
         self._body_size = 0
         self._memory.release(self)
 
+    def _forget_request(self) -> None:
+        """Drop what refers to the request, which would stay in memory with its body."""
+        self._match, self._on_data = _match_any, _ignore_data
+
     def abort(self) -> None:
         """Close the connection at once, which makes the server cancel a running request."""
         self.is_reusable = False
         self._parser = None
         self._pending = None
+        self._forget_request()
         self._clear_body()
         if self.transport is not None:
             self.transport.abortConnection()
@@ -315,6 +320,7 @@
         self.idle_limit_s = _idle_limit_s(raw_headers)
         self.is_reusable = self.is_reusable and not close
         pending, self._pending = self._pending, None
+        self._forget_request()
         if close and self.transport is not None:
             self.transport.loseConnection()
         if pending is not None:
--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -5,6 +5,7 @@
 the bytes take the way through an instance that reaches the server.
 """
 
+import contextlib
 import typing
 from collections.abc import Callable, Sequence
 
@@ -101,7 +102,9 @@
                 return await self._direct.exchange(attempt, verify_path=attempt.require_fresh)
             except server_connections.ExchangeError as error:
                 if error.fault is Fault.SILENT and not attempt.require_fresh:
-                    return await self._relay_again(attempt, error)
+                    # The request may have run, so a failure of the relay does not say more.
+                    with contextlib.suppress(server_connections.ExchangeError):
+                        return await self._relay(attempt)
                 if error.fault is not Fault.CONNECT:
                     raise
                 if self._is_server_suspect(started_at):
@@ -109,19 +112,6 @@
                     raise
         return await self._relay(attempt)
 
-    async def _relay_again(
-        self, attempt: direct_exchange.Attempt, error: server_connections.ExchangeError
-    ) -> server_connections.ReceivedResponse:
-        """Send a request through another instance that may have run already.
-
-        Raises:
-            server_connections.ExchangeError: The given error, as the request may have run.
-        """
-        try:
-            return await self._relay(attempt)
-        except server_connections.ExchangeError:
-            raise error from None
-
     def _is_server_suspect(self, started_at: float) -> bool:
         """Return whether a connection timed out while other servers were heard.
 
