Send nothing for a request that was answered, or whose client has left

What callers could see: an order whose connection or relay took until its deadline got 504 and was sent to a server after that, with a time limit of a millisecond; one whose client had left was sent as well. None was refused with a promise on this way, but that rested on each cancellation reaching its wait.

Cause: what runs once is not cancelled in an attempt, as a server may be running it; whether it had been sent already made no difference.

--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -367,9 +367,14 @@
     def _may_send(
         self, accepted: accepted_requests.AcceptedRequest, server: ids.Server
     ) -> bool:
-        """Return whether the request may be sent now, in which case it is."""
-        self._is_sent = self._may_use(accepted, server) and not self._observer.is_quarantined(
-            accepted.request
+        """Return whether the request may be sent now, in which case it is.
+
+        One that was answered, or whose client has left, is not sent any more.
+        """
+        self._is_sent = (
+            not self._responded
+            and self._may_use(accepted, server)
+            and not self._observer.is_quarantined(accepted.request)
         )
         return self._is_sent
 
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -387,3 +387,26 @@
         case.allocator.grant()
         case.servers.respond(500)
         assert [response.status for response in case.responses] == [500]
+
+
+class TestAnsweredBeforeItIsSent:
+    """A request that still waited for a connection was sent after its answer (issue 49)."""
+
+    def test_deadline(self):
+        """The client was told that its time is over."""
+        case = FlowCase(ONCE)
+        case.allocator.grant()
+        assert case.servers.attempts[0].may_send()
+        case.clock.advance(1.0)
+        assert [response.status for response in case.responses] == [504]
+        assert not case.servers.attempts[0].may_send()
+
+    def test_client_that_left(self):
+        """Nobody waits for it."""
+        case = FlowCase(ONCE)
+        case.allocator.grant()
+        case.flow.client_disconnected()
+        assert not case.servers.attempts[0].may_send()
+        case.servers.fail(server_connections.Fault.WITHDRAWN)
+        assert case.finished == [True]
+        assert case.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED]
