Let an instance that has met no other use a tenth of each limit for a while

Cause: an instance that reaches none of its seeds takes itself for the only one. The share by which limits are divided counts instances that were known lately, and it has known none, so each used the whole.

Change: while an instance whose settings name others has met none since its start, it uses a tenth of each limit, for ten seconds at most. Settings come to name live instances before that, and the first one met ends it.

--- a/src/carobhook/coordination/membership_sync.py
+++ b/src/carobhook/coordination/membership_sync.py
@@ -7,6 +7,7 @@
 holds only the changes since the previous one.
 """
 
+import math
 from collections.abc import Iterable, Mapping
 
 import attrs
@@ -18,6 +19,11 @@
 # Dead instances stay in the list of peers to connect to this long. After a longer network
 # partition, the two sides no longer have each other's addresses and may not reconnect.
 _RECENT_LIFETIME_S = 120.0
+# An instance that has met no other since its start looks for them for this long, in which its
+# settings come to name instances that are up.
+_SEARCH_S = 10.0
+# Share of each limit that it may use meanwhile: others may have started alone as well.
+_SEARCHING_SHARE = 0.1
 # Streams that the exchange of membership does not need are closed this long after their last
 # use.
 _STREAM_IDLE_TIMEOUT_S = 10.0
@@ -44,6 +50,8 @@
         factory=dict, init=False
     )
     _stream_used_at: dict[ids.InstanceId, float] = attrs.field(factory=dict, init=False)
+    # Time until which this instance looks for others, or -inf once it has met one.
+    _search_until: float = attrs.field(default=-math.inf, init=False)
     _sent_members: dict[ids.InstanceId, dict[ids.InstanceId, members.Member]] = attrs.field(
         factory=dict, init=False
     )
@@ -51,6 +59,29 @@
         factory=dict, init=False
     )
 
+    def begin_search(self, now: float) -> None:
+        """Record that this instance starts, and that there should be others.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        self._search_until = now + _SEARCH_S
+
+    def limit_share(self, region: ids.Region, now: float) -> float:
+        """Return the share of each limit that this instance may use as a dispatcher.
+
+        Load pattern: instances start while those that their settings name are down. Each of
+        them knows no other, so that it dispatches for all regions; with the whole of each
+        limit, they would send a server several times what it may get.
+
+        Args:
+            region: Region of the servers.
+            now: Monotonic time in seconds.
+        """
+        if now < self._search_until:
+            return _SEARCHING_SHARE
+        return self.visible_share(region, now)
+
     def record_heartbeat(self, member: members.Member, now: float) -> None:
         """Record a heartbeat that came from the instance itself."""
         self._direct_heartbeat_at[member.name] = now
@@ -249,6 +280,8 @@
         return membership_messages.RosterUpdate(changed, removed, is_whole)
 
     def _record(self, member: members.Member, now: float) -> None:
+        if member.name != self.own:
+            self._search_until = -math.inf
         self.table.record_heartbeat(member, now)
         self._recently_live[member.name] = (member, now)
 
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -215,7 +215,7 @@
             self._orders,
             self._streams,
             self._slot_limits(),
-            self._streams.visible_share,
+            self._streams.limit_share,
         )
 
     def _slot_limits(self) -> shard_dispatchers.SlotLimits:
--- a/src/carobhook/transport/member_streams.py
+++ b/src/carobhook/transport/member_streams.py
@@ -95,8 +95,12 @@
         """
         host, _, port = address.rpartition(":")
         self._peers.listen(host, int(port))
-        self.membership.record_heartbeat(self._own_state(), self._reactor.seconds())
-        self.connect_seeds(seeds)
+        now = self._reactor.seconds()
+        self.membership.record_heartbeat(self._own_state(), now)
+        addresses = tuple(seeds)
+        if set(addresses) - {address}:
+            self._sync.begin_search(now)
+        self.connect_seeds(addresses)
 
     def connect_seeds(self, addresses: typing.Iterable[str]) -> None:
         """Replace the seeds, and connect to them."""
@@ -145,6 +149,10 @@
         """Return the fraction of a region's recently known instances that are live."""
         return self._sync.visible_share(region, self._reactor.seconds())
 
+    def limit_share(self, region: ids.Region) -> float:
+        """Return the share of each limit that this instance may use as a dispatcher."""
+        return self._sync.limit_share(region, self._reactor.seconds())
+
     async def stop(self) -> None:
         """Close all streams."""
         await self._peers.stop()
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -79,8 +79,8 @@
         owner_of: Returns the instance that dispatches for a shard, or None.
         send: Sends a message to an instance, which may be this one.
         live_names: Returns the names of the live instances.
-        visible_share: Returns the fraction of a region's recently known instances that are
-            live.
+        limit_share: Returns the share of each limit that this instance may use for the
+            servers of a region.
     """
 
     def __init__(
@@ -94,7 +94,7 @@
         owner_of: Callable[[Shard], ids.InstanceId | None],
         send: Callable[[ids.InstanceId, typing.Any], bool],
         live_names: Callable[[], Collection[ids.InstanceId]],
-        visible_share: Callable[[ids.Region], float],
+        limit_share: Callable[[ids.Region], float],
     ) -> None:
         self._reactor = reactor
         self._own = own
@@ -105,7 +105,7 @@
         self._owner_of = owner_of
         self._send = send
         self._live_names = live_names
-        self._visible_share = visible_share
+        self._limit_share = limit_share
         self._shards: dict[Shard, shard_state.ShardState] = {}
         self._dispatch_s = 0.0
         self._ticked_at = math.inf
@@ -237,7 +237,7 @@
 
         Instances that it does not see may have a dispatcher of their own, which uses the rest.
         """
-        return None if max_per_s is None else max_per_s * self._visible_share(shard[0])
+        return None if max_per_s is None else max_per_s * self._limit_share(shard[0])
 
     def handle_held_slots(
         self, sender: ids.InstanceId, message: slot_messages.HeldSlotsReport
@@ -518,8 +518,8 @@
             borrowed.update(report.lent)
         offers = []
         own_servers = []
-        visible_share = self._visible_share(region)
-        cold_rate = self._cold_rate(service, visible_share)
+        limit_share = self._limit_share(region)
+        cold_rate = self._cold_rate(service, limit_share)
         limits = state.limits.in_force(now)
         for view in self._catalog.servers_of(service, now):
             entry = view.entry
@@ -539,17 +539,17 @@
                 offers.append(pooled_server.ServerOffer(view, server_region, slots, cold_rate))
         state.withheld = self._orders.withheld_slots(service, region, own_servers)
         state.dispatcher.pool.replace(offers, now)
-        state.dispatcher.retry_budget.share = visible_share
+        state.dispatcher.retry_budget.share = limit_share
         self._update_unavailable_slots(state, now)
 
-    def _cold_rate(self, service: ids.Service, visible_share: float) -> float | None:
+    def _cold_rate(self, service: ids.Service, limit_share: float) -> float | None:
         """Return the requests a second that a dispatcher may send to a cold server.
 
         None means no limit.
 
         Args:
             service: Service of the server.
-            visible_share: Fraction of the region's recently known instances that are live.
+            limit_share: Share of each limit that this instance may use.
         """
         config = self._catalog.config
         policy = config.services.get(service) if config is not None else None
@@ -558,9 +558,7 @@
         max_per_s = (
             policy.cold_requests_per_s * self._limits.cold_factor + self._limits.cold_slack
         )
-        return pooled_server.cold_rate_limit(
-            policy.cold_requests_per_s, max_per_s, visible_share
-        )
+        return pooled_server.cold_rate_limit(policy.cold_requests_per_s, max_per_s, limit_share)
 
     def _update_unavailable_slots(self, state: shard_state.ShardState, now: float) -> None:
         """Update how many slots of each server the dispatcher must not grant.
--- a/src/carobhook/transport/slot_allocator.py
+++ b/src/carobhook/transport/slot_allocator.py
@@ -38,8 +38,8 @@
         orders: Operators' orders in force.
         peers: Sends messages to other instances.
         limits: Limits on retries, cold-server requests and loan changes.
-        visible_share: Returns the fraction of a region's recently known instances that are
-            live.
+        limit_share: Returns the share of each limit that this instance may use for the
+            servers of a region.
     """
 
     def __init__(
@@ -52,7 +52,7 @@
         orders: steering.Steering,
         peers: PeerSender,
         limits: shard_dispatchers.SlotLimits,
-        visible_share: Callable[[ids.Region], float],
+        limit_share: Callable[[ids.Region], float],
     ) -> None:
         self._reactor = reactor
         self._own = own
@@ -75,7 +75,7 @@
             self._owner_of,
             self._send,
             self._live_names,
-            visible_share,
+            limit_share,
         )
 
     @property
