--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -15,6 +15,7 @@
     accepted_requests,
     client_connections,
     notice_board,
+    refusal_responses,
     request_flow,
     request_quarantine,
     server_exchange,
@@ -122,10 +123,10 @@
             decision = _leaving_refusal()
         is_refused = isinstance(decision, refusals.Refusal)
         if not is_refused and self._context.quarantine.is_quarantined(request):
-            decision = request_flow.quarantine_refusal()
+            decision = refusal_responses.quarantine_refusal()
         if isinstance(decision, refusals.Refusal):
             self._log_refusal(request, decision)
-            respond(request_flow.refusal_response(decision))
+            respond(refusal_responses.refusal_response(decision))
             return None
         flow = self._create_flow(self._accept(request, decision, called), respond)
         self._active_flows.add(flow)
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -9,13 +9,13 @@
 
 from carobhook import logs
 from carobhook.coordination import refusals
-from carobhook.protocol import client_api, http1
+from carobhook.protocol import http1
 from carobhook.state import allocation, codes, ids, servers
 from carobhook.transport import (
     accepted_requests,
-    client_connections,
     direct_exchange,
     flow_interfaces,
+    refusal_responses,
     server_connections,
 )
 
@@ -30,8 +30,6 @@
 # attempts do not count toward the route's limit on attempts, so without a limit of their own a
 # request would be sent to one unreachable server after another until its deadline.
 _MAX_UNREACHABLE = 4
-# Time after which a client may repeat a quarantined request, sent as Retry-After.
-_QUARANTINE_RETRY_S = 10.0
 # A server stops its work at the deadline that it was sent. After the deadline of work that must
 # not run twice, its result is awaited for this long, for the log and the use of the slot only.
 _LATE_RESULT_WAIT_S = 5.0
@@ -302,7 +300,7 @@
         accepted = self._accepted
         if self._observer.is_quarantined(accepted.request):
             self._allocator.release_slot(accepted.id, allocation.AttemptOutcome.CANCELLED)
-            self._refuse(quarantine_refusal(self._may_have_run))
+            self._refuse(refusal_responses.quarantine_refusal(self._may_have_run))
             return False
         time_left_s = accepted.deadline_at - self._reactor.seconds() - _RESPONSE_MARGIN_S
         if time_left_s < _MIN_WORK_S:
@@ -517,7 +515,7 @@
             return
         if not self._responded:
             self._responded = True
-            self._respond(refusal_response(refusal))
+            self._respond(refusal_responses.refusal_response(refusal))
         self._report_outcome(refusal.status, refusal)
         still_running = (
             self._stage is Stage.RUNNING
@@ -593,24 +591,3 @@
     if is_delayed and outcome is allocation.AttemptOutcome.ANSWERED:
         return allocation.AttemptOutcome.RELAYED
     return outcome
-
-
-def quarantine_refusal(may_have_run: bool = False) -> refusals.Refusal:
-    """Return the refusal of a quarantined request.
-
-    Args:
-        may_have_run: Whether an earlier attempt may have run it.
-    """
-    return refusals.Refusal(codes.Code.POISONED, may_have_run, _QUARANTINE_RETRY_S)
-
-
-def refusal_response(refusal: refusals.Refusal) -> http1.Response:
-    """Return the response that reports a refusal to a client."""
-    info = refusal.code.value
-    headers = [
-        (b"Content-Type", b"text/plain; charset=utf-8"),
-        *client_api.result_headers(refusal.code, refusal.may_have_run),
-    ]
-    if refusal.status == 503 and refusal.retry_after_s is not None:
-        headers.append((b"Retry-After", f"{refusal.retry_after_s:.3f}".encode()))
-    return client_connections.local_response(refusal.status, info.text, tuple(headers))
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -12,6 +12,7 @@
 
 from carobhook.protocol import http1, path_messages
 from carobhook.state import allocation
+from carobhook.transport import response_memory
 
 # A server closes an idle connection after the timeout that it announces, and a request that is
 # on its way at that moment is lost. A connection is therefore not reused once less than this is
@@ -121,43 +122,12 @@
     is_relayed: bool = False
 
 
-class ResponseMemory:
-    """Limits the memory of the response bodies that are being received.
-
-    If they exceed it, the exchange with the largest body fails, because a body without end
-    outgrows all others.
-
-    Args:
-        max_bytes: Largest size of all bodies together.
-    """
-
-    def __init__(self, max_bytes: int) -> None:
-        self._max_bytes = max_bytes
-        self._used_bytes = 0
-        self._receiving: dict[_ServerConnection, int] = {}
-
-    @property
-    def used_bytes(self) -> int:
-        """Return the size of all bodies that are being received."""
-        return self._used_bytes
-
-    def reserve(self, connection: "_ServerConnection", size: int) -> None:
-        """Add bytes to the body of a connection's response; fail the largest if needed."""
-        self._receiving[connection] = self._receiving.get(connection, 0) + size
-        self._used_bytes += size
-        if self._used_bytes > self._max_bytes:
-            largest = max(self._receiving, key=lambda other: self._receiving[other])
-            largest.fail_too_large()
-
-    def release(self, connection: "_ServerConnection") -> None:
-        """Remove the body of a connection's response."""
-        self._used_bytes -= self._receiving.pop(connection, 0)
-
-
 class _ServerConnection(protocol.Protocol):
     """One connection to a server."""
 
-    def __init__(self, seconds: Callable[[], float], memory: ResponseMemory) -> None:
+    def __init__(
+        self, seconds: Callable[[], float], memory: response_memory.ResponseMemory
+    ) -> None:
         self._seconds = seconds
         self._memory = memory
         self._parser: h11.Connection | None = None
@@ -365,7 +335,7 @@
     ) -> None:
         self._reactor = reactor
         self._local_address = (local_host, 0) if local_host else None
-        self._memory = ResponseMemory(max_response_bytes)
+        self._memory = response_memory.ResponseMemory(max_response_bytes)
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, collections.deque[_ServerConnection]] = {}
         self._opened_count = 0
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -5,7 +5,7 @@
 
 from carobhook.platform import requests
 from carobhook.protocol import http1
-from carobhook.transport import server_connections
+from carobhook.transport import response_memory, server_connections
 
 HEAD = http1.RequestHead(b"GET", b"/", ((b"Host", b"x"),))
 PIECE_BYTES = 16 * 1024
@@ -27,7 +27,7 @@
     """
 
     def __init__(self, memory=None):
-        memory = memory or server_connections.ResponseMemory(MEMORY_BYTES)
+        memory = memory or response_memory.ResponseMemory(MEMORY_BYTES)
         self.connection = server_connections._ServerConnection(task.Clock().seconds, memory)
         self.transport = testing.StringTransport()
         self.transport.setTcpNoDelay = lambda on: None
@@ -93,7 +93,7 @@
     )
     def test_endless_bodies_share_bounded_memory(self, head, piece):
         """Endless bodies are ended before they fill the memory; a short one beside is not."""
-        memory = server_connections.ResponseMemory(MEMORY_BYTES)
+        memory = response_memory.ResponseMemory(MEMORY_BYTES)
         endless = [Exchange(memory) for _ in range(3)]
         short = Exchange(memory)
         short.receive(b"HTTP/1.1 200 OK\r\nX-Attempt-Id: own\r\nContent-Length: 4\r\n\r\nha")
--- a/tests/test_sighup_at_start.py
+++ b/tests/test_sighup_at_start.py
@@ -18,6 +18,7 @@
 INTERPRETER_S = 0.1
 SIGNAL_INTERVAL_S = 0.02
 START_LIMIT_S = 15.0
+PORT_KEYS = ("http", "readiness", "directory", "peers", "metrics", "operators", "store")
 COMMANDS = {
     "entry": ["carobhook.entry"],
     "serve": ["carobhook", "serve", "--settings"],
@@ -32,9 +33,8 @@
     def __init__(self, directory, command):
         self.path = directory / "settings.toml"
         self.log_path = directory / "log"
-        keys = ("http", "readiness", "directory", "peers", "metrics", "operators", "store")
-        numbers = unused_ports.find("127.0.0.1", len(keys))
-        self.fields = dict(zip(keys, numbers, strict=True))
+        numbers = unused_ports.find("127.0.0.1", len(PORT_KEYS))
+        self.fields = dict(zip(PORT_KEYS, numbers, strict=True))
         self.write_settings("")
         arguments = list(COMMANDS[command])
         if command == "serve":
@@ -116,34 +116,27 @@
 class TestChangeWhileLoading:
     """The file changes between its reading and the start of its watch."""
 
-    def test_change_is_passed_on(self, tmp_path):
-        """The watch took the changed text for that of the settings in force."""
-        path = tmp_path / "settings.toml"
-        fields = dict.fromkeys(
-            ("http", "readiness", "directory", "peers", "metrics", "operators", "store"), 1
-        )
-        fields |= {key: number for number, key in enumerate(fields, start=1)}
+    def received_from(self, path, change):
+        """Return the settings that a watch passes on of a file that was changed."""
+        fields = {key: number for number, key in enumerate(PORT_KEYS, start=1)}
         text = test_entry.SETTINGS.format(
             name="one", seeds="", operator_hash="0" * 64, reader_hash="1" * 64, **fields
         )
-        path.write_text(text.replace('ttl_max = "5s"', 'ttl_max = "4s"'))
+        path.write_text(change(text))
         received = []
         watch = settings_watch.SettingsWatch(path, received.append, entry_settings.loads(text))
         watch.check()
         watch.check(signalled=True)
+        return received
+
+    def test_change_is_passed_on(self, tmp_path):
+        """The watch took the changed text for that of the settings in force."""
+        received = self.received_from(
+            tmp_path / "settings.toml",
+            lambda text: text.replace('ttl_max = "5s"', 'ttl_max = "4s"'),
+        )
         assert [changed.bounds.ttl_max_s for changed in received] == [4.0]
 
     def test_unchanged_file_is_not(self, tmp_path):
         """Nothing is put into force again."""
-        path = tmp_path / "settings.toml"
-        fields = dict.fromkeys(
-            ("http", "readiness", "directory", "peers", "metrics", "operators", "store"), 1
-        )
-        fields |= {key: number for number, key in enumerate(fields, start=1)}
-        text = test_entry.SETTINGS.format(
-            name="one", seeds="", operator_hash="0" * 64, reader_hash="1" * 64, **fields
-        )
-        path.write_text(text)
-        received = []
-        settings_watch.SettingsWatch(path, received.append, entry_settings.loads(text)).check()
-        assert received == []
+        assert self.received_from(tmp_path / "settings.toml", lambda text: text) == []
