--- a/src/carobhook/coordination/catalog.py
+++ b/src/carobhook/coordination/catalog.py
@@ -111,6 +111,11 @@
         """Return the evacuated failure domains, whose servers must get no requests."""
         return self._evacuated
 
+    @property
+    def server_count(self) -> int:
+        """Return the number of known servers."""
+        return len(self._servers)
+
     @property
     def store_lost_at(self) -> float | None:
         """Return the monotonic time since which the store has not answered, or None."""
@@ -271,11 +276,6 @@
         """Return whether a known server has an address."""
         return any(known.entry.address == address for known in self._servers.values())
 
-    @property
-    def server_count(self) -> int:
-        """Return the number of known servers."""
-        return len(self._servers)
-
     def usable_addresses(self) -> list[str]:
         """Return the addresses of the servers that may get requests."""
         usable = (name for name in self._servers if self.is_usable(name))
--- a/src/carobhook/entry.py
+++ b/src/carobhook/entry.py
@@ -4,7 +4,7 @@
 
 
 def main() -> None:
-    """Run an instance, from the start of which on SIGHUP ends nothing.
+    """Run an instance, which SIGHUP does not end, however early it comes.
 
     The platform may send the signal at any moment, and loading the program takes a while. The
     settings are read after that, and compared with their file once more when the instance runs.
--- a/src/carobhook/transport/direct_exchange.py
+++ b/src/carobhook/transport/direct_exchange.py
@@ -260,7 +260,7 @@
             self._give_up_silent(now)
 
     def _give_up_silent(self, now: float) -> None:
-        """Give up the requests whose paths broke under them, and those slots that they hold.
+        """Give up the requests whose paths broke under them, or the slots that they hold.
 
         Load pattern: an instance is cut from all servers, and its open connections carry
         nothing any more. Its requests would hold their slots until their deadlines, for which
