Check the share of relays by weight, and the settings of a signal at the start, more closely

- test_relay_choice: an instance with half the weight must come first in 30 to 37 of 100 cases, for 25 to 75 before; the share that the weights ask for is a third.
- test_sighup_at_start: the instance must connect to the seed that its new settings name.
The test before waited for a log line and went on without it.
- relay_service: the table of outcomes is private.

--- a/src/carobhook/transport/relay_service.py
+++ b/src/carobhook/transport/relay_service.py
@@ -14,7 +14,7 @@
 
 # Requests of others that are relayed at the same time.
 _MAX_RELAYED = 256
-OUTCOME_BY_FAULT = {
+_OUTCOME_BY_FAULT = {
     server_connections.Fault.CONNECT: Outcome.UNREACHED,
     server_connections.Fault.NO_PATH: Outcome.BUSY,
     server_connections.Fault.WITHDRAWN: Outcome.WITHDRAWN,
@@ -108,7 +108,7 @@
             self._on_response(request.server, received.response)
             answer = _answer(received.response)
         except server_connections.ExchangeError as error:
-            answer = relay_messages.RelayResponse(OUTCOME_BY_FAULT[error.fault], str(error))
+            answer = relay_messages.RelayResponse(_OUTCOME_BY_FAULT[error.fault], str(error))
         logs.event(
             "request-relayed",
             request=request.request_id,
--- a/tests/test_relay_choice.py
+++ b/tests/test_relay_choice.py
@@ -61,4 +61,4 @@
         choice = self.choice()
         peers = [attrs.evolve(NEAR[0], weight=1.0), attrs.evolve(NEAR[1], weight=2.0)]
         first = [names(choice, 0.0, peers=peers)[0] for _ in range(3000)]
-        assert 0.25 < first.count("near-0") / 3000 < 0.75
+        assert 0.3 < first.count("near-0") / 3000 < 0.37
--- a/tests/test_sighup_at_start.py
+++ b/tests/test_sighup_at_start.py
@@ -1,8 +1,8 @@
 """SIGHUP ended an instance that had not finished its start (issue 49, review/4)."""
 
 import os
-import pathlib
 import signal
+import socket
 import subprocess
 import sys
 import time
@@ -99,17 +99,13 @@
         assert instance.process.poll() is None
 
     def test_change_comes_into_force(self, instance):
-        """It may come after the settings were read, with a signal that has no effect."""
-
-        def change():
-            if not pathlib.Path(instance.path).read_text().count("127.0.0.1:1999"):
-                instance.write_settings('"127.0.0.1:1999"')
-                instance.process.send_signal(signal.SIGHUP)
-
-        instance.wait_for("instance-started", change)
-        end_at = time.monotonic() + 5.0
-        while time.monotonic() < end_at and not instance.has_logged("settings-reloaded"):
-            time.sleep(0.1)
+        """The instance connects to the seed that its settings name since the signal."""
+        with socket.create_server(("127.0.0.1", 0)) as seed:
+            seed.settimeout(START_LIMIT_S)
+            instance.write_settings(f'"127.0.0.1:{seed.getsockname()[1]}"')
+            instance.process.send_signal(signal.SIGHUP)
+            connection, _ = seed.accept()
+            connection.close()
         assert instance.process.poll() is None
 
 
