--- a/src/carobhook/platform/store.py
+++ b/src/carobhook/platform/store.py
@@ -12,7 +12,7 @@
 from carobhook.coordination import objects
 from carobhook.platform import names
 from carobhook.protocol import http1
-from carobhook.transport import answer_timeout, server_connections
+from carobhook.transport import answer_timeout, exchange_results, server_connections
 
 _JSON = b"application/json"
 _MAX_ERA_DIGITS = 15
@@ -165,7 +165,7 @@
     async def _read(self, path: str, timeout_s: float) -> http1.Response:
         try:
             response = await self._call(b"GET", path, None, timeout_s)
-        except (server_connections.ExchangeError, TimeoutError) as error:
+        except (exchange_results.ExchangeError, TimeoutError) as error:
             raise objects.UnavailableError(f"GET {path}: {error}") from error
         if not self._record_era(response):
             raise objects.UnavailableError(f"GET {path}: answer of an era that has ended")
@@ -181,8 +181,8 @@
             response = await self._call(method, path, payload, self._timeout_s)
         except TimeoutError as error:
             raise objects.OutcomeUnknownError(f"{path}: {error}") from error
-        except server_connections.ExchangeError as error:
-            if error.fault is server_connections.Fault.CONNECT:
+        except exchange_results.ExchangeError as error:
+            if error.fault is exchange_results.Fault.CONNECT:
                 raise objects.UnavailableError(f"{path}: {error}") from error
             raise objects.OutcomeUnknownError(f"{path}: {error}") from error
         if not self._record_era(response):
@@ -204,7 +204,7 @@
 
         Raises:
             TimeoutError: No response came in time; the connection was closed.
-            server_connections.ExchangeError: The exchange failed without a whole response.
+            exchange_results.ExchangeError: The exchange failed without a whole response.
         """
         self._calls += 1
         headers = [(b"Host", self._address.encode())]
@@ -230,7 +230,7 @@
             raise TimeoutError(f"no answer in {timeout_s:g} s") from error
         finally:
             timeout.stop()
-        return typing.cast(server_connections.ReceivedResponse, received).response
+        return typing.cast(exchange_results.ReceivedResponse, received).response
 
     def _record_era(self, response: http1.Response) -> bool:
         """Record the era of a response; return False if a later era has begun since."""
--- a/src/carobhook/soak/run.py
+++ b/src/carobhook/soak/run.py
@@ -14,7 +14,7 @@
 from carobhook.protocol import http1
 from carobhook.soak import checks, deployment, faults, proxy
 from carobhook.standins import platform_client, platform_server
-from carobhook.transport import server_connections
+from carobhook.transport import exchange_results, server_connections
 
 _REQUESTS_PER_S = 40.0
 _RECOVERY_LOAD_S = 3.0
@@ -331,7 +331,7 @@
         )
         try:
             await exchange.addTimeout(3.0, self._reactor)
-        except (server_connections.ExchangeError, defer.TimeoutError):
+        except (exchange_results.ExchangeError, defer.TimeoutError):
             return
 
     async def _change_behaviour(
--- a/src/carobhook/standins/platform_client.py
+++ b/src/carobhook/standins/platform_client.py
@@ -12,7 +12,7 @@
 
 from carobhook.platform import names
 from carobhook.protocol import http1
-from carobhook.transport import server_connections
+from carobhook.transport import exchange_results, server_connections
 
 _CONNECT_TIMEOUT_S = 1.0
 _LOOKUP_TIMEOUT_S = 1.0
@@ -197,8 +197,8 @@
         )
         try:
             response = await self._exchange(address, head, remaining_s + _RESPONSE_MARGIN_S)
-        except server_connections.ExchangeError as error:
-            if error.fault is server_connections.Fault.CONNECT:
+        except exchange_results.ExchangeError as error:
+            if error.fault is exchange_results.Fault.CONNECT:
                 # Nothing was sent, so the request is safe to send to another address.
                 self._unreachable.add(address)
                 elapsed_s = self._reactor.seconds() - started_at
@@ -222,7 +222,7 @@
         """Send a request and return its response.
 
         Raises:
-            server_connections.ExchangeError: The exchange failed without a whole response.
+            exchange_results.ExchangeError: The exchange failed without a whole response.
             defer.TimeoutError: No response came in time.
         """
         exchange = defer.ensureDeferred(
@@ -252,7 +252,7 @@
             head = http1.RequestHead(b"GET", target.encode(), ((b"Host", address.encode()),))
             try:
                 response = await self._exchange(address, head, _LOOKUP_TIMEOUT_S)
-            except (server_connections.ExchangeError, defer.TimeoutError):
+            except (exchange_results.ExchangeError, defer.TimeoutError):
                 continue
             if response.status == 200:
                 return list(json.loads(response.body)["Addresses"])
--- a/src/carobhook/transport/direct_exchange.py
+++ b/src/carobhook/transport/direct_exchange.py
@@ -14,9 +14,14 @@
 from carobhook.coordination import server_paths
 from carobhook.protocol import http1, path_messages
 from carobhook.state import ids
-from carobhook.transport import server_connections, shared_calls
-
-Fault = server_connections.Fault
+from carobhook.transport import (
+    exchange_results,
+    server_connection,
+    server_connections,
+    shared_calls,
+)
+
+Fault = exchange_results.Fault
 Reach = path_messages.Reach
 
 # Servers are checked if requests run and no server was heard for this long.
@@ -55,7 +60,7 @@
     build_head: Callable[[], http1.RequestHead]
     body: bytes
     require_fresh: bool
-    match: server_connections.ResponseMatcher
+    match: server_connection.ResponseMatcher
     may_send: Callable[[], bool]
     on_silence: Callable[[], object] = lambda: None
 
@@ -146,7 +151,7 @@
 
     async def exchange(
         self, attempt: Attempt, verify_path: bool
-    ) -> server_connections.ReceivedResponse:
+    ) -> exchange_results.ReceivedResponse:
         """Send a request to its server and return the complete response.
 
         Args:
@@ -155,7 +160,7 @@
                 answers a probe first.
 
         Raises:
-            server_connections.ExchangeError: The exchange failed without a complete response.
+            exchange_results.ExchangeError: The exchange failed without a complete response.
             twisted.internet.defer.CancelledError: The exchange was cancelled.
         """
         if verify_path:
@@ -165,7 +170,7 @@
         self._paths.record_response(attempt.address, not received.reused, now)
         return received
 
-    async def _send(self, attempt: Attempt) -> server_connections.ReceivedResponse:
+    async def _send(self, attempt: Attempt) -> exchange_results.ReceivedResponse:
         sending = self._connections.exchange(
             attempt.address,
             attempt.build_head(),
@@ -177,8 +182,8 @@
         run = _RunningExchange(attempt, self._reactor.seconds(), defer.ensureDeferred(sending))
         self._running.add(run)
         try:
-            return typing.cast(server_connections.ReceivedResponse, await run.response)
-        except server_connections.ExchangeError as error:
+            return typing.cast(exchange_results.ReceivedResponse, await run.response)
+        except exchange_results.ExchangeError as error:
             self._record_failure(attempt.address, error)
             raise
         except defer.CancelledError:
@@ -186,25 +191,25 @@
                 # The request was cancelled by whoever sent it, perhaps long after its silence.
                 raise
             text = "the connection carries nothing any more"
-            raise server_connections.ExchangeError(Fault.SILENT, text, True, False) from None
+            raise exchange_results.ExchangeError(Fault.SILENT, text, True, False) from None
         finally:
             self._running.discard(run)
 
-    async def exchange_for_other(self, attempt: Attempt) -> server_connections.ReceivedResponse:
+    async def exchange_for_other(self, attempt: Attempt) -> exchange_results.ReceivedResponse:
         """Send a request that another instance relays through this one.
 
         Raises:
-            server_connections.ExchangeError: The exchange failed without a complete response.
+            exchange_results.ExchangeError: The exchange failed without a complete response.
                 The fault NO_PATH says that it was not sent, and nothing about the server.
             twisted.internet.defer.CancelledError: The exchange was cancelled.
         """
         try:
             return await self.exchange(attempt, verify_path=True)
-        except server_connections.ExchangeError as error:
+        except exchange_results.ExchangeError as error:
             is_unreached = error.fault is Fault.CONNECT
             if is_unreached and not await self.opens_connections(attempt.address):
                 text = "this instance reaches no other server either"
-                raise server_connections.ExchangeError(
+                raise exchange_results.ExchangeError(
                     Fault.NO_PATH, text, False, False
                 ) from error
             raise
@@ -283,7 +288,7 @@
                 run.is_given_up = True
                 run.response.cancel()
 
-    def _record_failure(self, address: str, error: server_connections.ExchangeError) -> None:
+    def _record_failure(self, address: str, error: exchange_results.ExchangeError) -> None:
         """Record what a failed exchange says of the path to its server."""
         is_new_reset = error.fault is Fault.RESET and not error.reused
         if not is_new_reset and error.fault is not Fault.CONNECT:
@@ -297,7 +302,7 @@
         """Make sure that a request will reach its server, as far as can be known.
 
         Raises:
-            server_connections.ExchangeError: It would not; the fault is CONNECT.
+            exchange_results.ExchangeError: It would not; the fault is CONNECT.
         """
         now = self._reactor.seconds()
         if self._paths.is_proven(address, now) or self._connections.has_fresh(address):
@@ -305,7 +310,7 @@
         is_failing = self._paths.failed_lately(address, now)
         if is_failing or await self._probes.call(address) is Reach.UNREACHED:
             text = "the path to the server does not work"
-            raise server_connections.ExchangeError(Fault.CONNECT, text, False, False)
+            raise exchange_results.ExchangeError(Fault.CONNECT, text, False, False)
 
     async def _ask_others(self, address: str) -> None:
         """Find out whether a server or the path to it is at fault."""
--- /dev/null
+++ b/src/carobhook/transport/exchange_results.py
@@ -0,0 +1,78 @@
+"""Results of exchanges with servers: a complete response, or the way in which there is none."""
+
+import enum
+
+import attrs
+
+from carobhook.protocol import http1
+
+
+class Fault(enum.Enum):
+    """How an exchange with a server failed.
+
+    CONNECT: No connection could be opened, so the request was not sent.
+    NO_PATH: The same, at an instance that seems to be cut from all servers, so that it says
+        nothing about this server.
+    NO_RELAY: The same, where other instances could not tell whether they reach the server, so
+        that it says nothing about this server either.
+    WITHDRAWN: When the connection was open, the request might not be sent to this server any
+        more, so it was not. After any other fault, the request may have run.
+    SILENT: The request was sent, and then the path to the server broke.
+    RESET: The connection was closed before the head of a response arrived.
+    GARBLED: The response is invalid or too large, or belongs to another request.
+    CUT_SHORT: The connection was closed before the response was complete.
+    """
+
+    CONNECT = "connect"
+    NO_PATH = "no-path"
+    NO_RELAY = "no-relay"
+    WITHDRAWN = "withdrawn"
+    SILENT = "silent"
+    RESET = "reset"
+    GARBLED = "garbled"
+    CUT_SHORT = "cut-short"
+
+
+class ExchangeError(Exception):
+    """An exchange with a server failed without a complete response.
+
+    Attributes:
+        fault: Kind of the failure.
+        reused: Whether the connection had carried an exchange before.
+        response_started: Whether the head of a response had arrived.
+        is_relayed: Whether the request went through another instance, whose path to the server
+            may be at fault.
+    """
+
+    def __init__(
+        self,
+        fault: Fault,
+        text: str,
+        reused: bool,
+        response_started: bool,
+        is_relayed: bool = False,
+    ) -> None:
+        super().__init__(f"{fault.value}: {text}")
+        self.fault = fault
+        self.reused = reused
+        self.response_started = response_started
+        self.is_relayed = is_relayed
+
+
+@attrs.frozen
+class ReceivedResponse:
+    """A complete response.
+
+    Attributes:
+        response: Response with its end-to-end headers.
+        raw_headers: All headers, including hop-by-hop ones.
+        closing: Whether the connection is closed after this response.
+        reused: Whether the connection had carried an exchange before.
+        is_relayed: Whether it came through another instance.
+    """
+
+    response: http1.Response
+    raw_headers: http1.Headers
+    closing: bool
+    reused: bool = False
+    is_relayed: bool = False
--- a/src/carobhook/transport/flow_interfaces.py
+++ b/src/carobhook/transport/flow_interfaces.py
@@ -6,7 +6,11 @@
 
 from carobhook.protocol import http1
 from carobhook.state import allocation, ids, servers
-from carobhook.transport import client_connections, direct_exchange, server_connections
+from carobhook.transport import (
+    client_connections,
+    direct_exchange,
+    exchange_results,
+)
 
 
 class RequestCodec(typing.Protocol):
@@ -64,7 +68,7 @@
 
     async def exchange(
         self, attempt: direct_exchange.Attempt
-    ) -> server_connections.ReceivedResponse:
+    ) -> exchange_results.ReceivedResponse:
         """Send a request to its server and return the complete response."""
 
     def discard_idle(self, address: str) -> None:
--- a/src/carobhook/transport/relay_service.py
+++ b/src/carobhook/transport/relay_service.py
@@ -8,20 +8,20 @@
 from carobhook import logs
 from carobhook.protocol import http1, relay_messages
 from carobhook.state import allocation, ids
-from carobhook.transport import direct_exchange, server_connections
+from carobhook.transport import direct_exchange, exchange_results
 
 Outcome = relay_messages.RelayOutcome
 
 # Requests of others that are relayed at the same time.
 _MAX_RELAYED = 256
 _OUTCOME_BY_FAULT = {
-    server_connections.Fault.CONNECT: Outcome.UNREACHED,
-    server_connections.Fault.NO_PATH: Outcome.BUSY,
-    server_connections.Fault.WITHDRAWN: Outcome.WITHDRAWN,
-    server_connections.Fault.SILENT: Outcome.RESET,
-    server_connections.Fault.RESET: Outcome.RESET,
-    server_connections.Fault.GARBLED: Outcome.GARBLED,
-    server_connections.Fault.CUT_SHORT: Outcome.CUT_SHORT,
+    exchange_results.Fault.CONNECT: Outcome.UNREACHED,
+    exchange_results.Fault.NO_PATH: Outcome.BUSY,
+    exchange_results.Fault.WITHDRAWN: Outcome.WITHDRAWN,
+    exchange_results.Fault.SILENT: Outcome.RESET,
+    exchange_results.Fault.RESET: Outcome.RESET,
+    exchange_results.Fault.GARBLED: Outcome.GARBLED,
+    exchange_results.Fault.CUT_SHORT: Outcome.CUT_SHORT,
 }
 
 Respond = Callable[[relay_messages.RelayResponse], None]
@@ -107,7 +107,7 @@
             received = await self._direct.exchange_for_other(self._attempt(request))
             self._on_response(request.server, received.response)
             answer = _answer(received.response)
-        except server_connections.ExchangeError as error:
+        except exchange_results.ExchangeError as error:
             answer = relay_messages.RelayResponse(_OUTCOME_BY_FAULT[error.fault], str(error))
         logs.event(
             "request-relayed",
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -14,9 +14,9 @@
 from carobhook.transport import (
     accepted_requests,
     direct_exchange,
+    exchange_results,
     flow_interfaces,
     refusal_responses,
-    server_connections,
 )
 
 # Time for a response to travel from the server to the client. It is subtracted from the time
@@ -125,7 +125,7 @@
         self._timer: typing.Any = None
         self._responded = False
         self._outcome_reported = False
-        self._failure_response: server_connections.ReceivedResponse | None = None
+        self._failure_response: exchange_results.ReceivedResponse | None = None
         self._at_end: list[Callable[[], object]] = []
 
     @property
@@ -317,14 +317,14 @@
         pace: float | None = None
         run = self._observer.run_of(grant.server)
         self._is_sent = False
-        received: server_connections.ReceivedResponse | None = None
+        received: exchange_results.ReceivedResponse | None = None
         is_path_suspect = False
         try:
             received = await self._servers.exchange(self._build_attempt(accepted, grant))
             outcome = self._codec.attempt_outcome(received.response)
             rate = self._rate_statement(received.response, grant.server)
             pace = self._pace_of(grant.server, received.response)
-        except server_connections.ExchangeError as error:
+        except exchange_results.ExchangeError as error:
             # Its traceback refers to the request, and to itself.
             error.__traceback__ = None
             outcome = self._failed_outcome(error, grant)
@@ -405,7 +405,7 @@
         return self._codec.match_attempt(response, self._accepted.client_request_id)
 
     def _failed_outcome(
-        self, error: server_connections.ExchangeError, grant: allocation.SlotGrant
+        self, error: exchange_results.ExchangeError, grant: allocation.SlotGrant
     ) -> allocation.AttemptOutcome:
         """Log a failed exchange and return the outcome of its attempt."""
         logs.event(
@@ -416,26 +416,26 @@
             reused=error.reused,
             error=error,
         )
-        if error.fault is server_connections.Fault.WITHDRAWN:
+        if error.fault is exchange_results.Fault.WITHDRAWN:
             self._attempts -= 1
             return allocation.AttemptOutcome.CANCELLED
-        if error.fault is server_connections.Fault.NO_PATH:
+        if error.fault is exchange_results.Fault.NO_PATH:
             # There is no other path either, so further attempts would fail as well.
             self._attempts -= 1
             self._unreachable_count = _MAX_UNREACHABLE + 1
             return allocation.AttemptOutcome.CANCELLED
-        if error.fault is server_connections.Fault.NO_RELAY:
+        if error.fault is exchange_results.Fault.NO_RELAY:
             self._attempts -= 1
             self._unreachable_count += 1
             return allocation.AttemptOutcome.CANCELLED
-        if error.fault is server_connections.Fault.CONNECT:
+        if error.fault is exchange_results.Fault.CONNECT:
             # The request reached no server, so this attempt counts neither toward the limit
             # on attempts nor toward the retry budget.
             self._attempts -= 1
             self._unreachable_count += 1
             return allocation.AttemptOutcome.UNREACHABLE
         self._may_have_run = True
-        if error.reused and error.fault is server_connections.Fault.RESET:
+        if error.reused and error.fault is exchange_results.Fault.RESET:
             # The server may have closed the idle connection before the request reached it. It
             # may have closed its other idle connections too, so they are not reused.
             self._servers.discard_idle(grant.address)
@@ -444,7 +444,7 @@
     def _handle_outcome(
         self,
         outcome: allocation.AttemptOutcome,
-        received: server_connections.ReceivedResponse | None,
+        received: exchange_results.ReceivedResponse | None,
         grant: allocation.SlotGrant,
     ) -> bool:
         """Respond to the client or prepare a retry; return whether to request another slot."""
@@ -490,8 +490,8 @@
             return False
         return self._accepted.deadline_at - self._reactor.seconds() > _MIN_WORK_S
 
-    def _forward_response(self, received: server_connections.ReceivedResponse | None) -> None:
-        response = typing.cast(server_connections.ReceivedResponse, received).response
+    def _forward_response(self, received: exchange_results.ReceivedResponse | None) -> None:
+        response = typing.cast(exchange_results.ReceivedResponse, received).response
         if response.status in refusals.NOT_RUN_STATUSES and not self._accepted.route.repeatable:
             # Its status would promise the client what the server did not say.
             self._failure_response = None
--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -13,9 +13,13 @@
 from carobhook.coordination import relay_choice
 from carobhook.protocol import http1, relay_messages
 from carobhook.state import allocation, ids, members
-from carobhook.transport import direct_exchange, relay_connections, server_connections
+from carobhook.transport import (
+    direct_exchange,
+    exchange_results,
+    relay_connections,
+)
 
-Fault = server_connections.Fault
+Fault = exchange_results.Fault
 Outcome = relay_messages.RelayOutcome
 
 # Instances that are asked to relay one request before it is given up.
@@ -81,11 +85,11 @@
 
     async def exchange(
         self, attempt: direct_exchange.Attempt
-    ) -> server_connections.ReceivedResponse:
+    ) -> exchange_results.ReceivedResponse:
         """Send a request to its server and return the complete response.
 
         Raises:
-            server_connections.ExchangeError: The exchange failed without a complete response.
+            exchange_results.ExchangeError: The exchange failed without a complete response.
             twisted.internet.defer.CancelledError: The exchange was cancelled.
         """
         received = await self._exchange(attempt)
@@ -94,16 +98,16 @@
 
     async def _exchange(
         self, attempt: direct_exchange.Attempt
-    ) -> server_connections.ReceivedResponse:
+    ) -> exchange_results.ReceivedResponse:
         if self._direct.is_usable(attempt.address):
             started_at = self._reactor.seconds()
             try:
                 # A request that may run again finds out itself whether the path works.
                 return await self._direct.exchange(attempt, verify_path=attempt.require_fresh)
-            except server_connections.ExchangeError as error:
+            except exchange_results.ExchangeError as error:
                 if error.fault is Fault.SILENT and not attempt.require_fresh:
                     # The request may have run, so a failure of the relay does not say more.
-                    with contextlib.suppress(server_connections.ExchangeError):
+                    with contextlib.suppress(exchange_results.ExchangeError):
                         return await self._relay(attempt)
                 if error.fault is not Fault.CONNECT:
                     raise
@@ -136,11 +140,11 @@
 
     async def _relay(
         self, attempt: direct_exchange.Attempt
-    ) -> server_connections.ReceivedResponse:
+    ) -> exchange_results.ReceivedResponse:
         """Send a request through another instance.
 
         Raises:
-            server_connections.ExchangeError: The exchange failed without a complete response.
+            exchange_results.ExchangeError: The exchange failed without a complete response.
         """
         peers = self._candidates(attempt)
         now = self._reactor.seconds()
@@ -165,7 +169,7 @@
 
     def _unreached_error(
         self, attempt: direct_exchange.Attempt, is_server_fault: bool, has_peers: bool
-    ) -> server_connections.ExchangeError:
+    ) -> exchange_results.ExchangeError:
         """Return the error of a request that was not sent, with who seems to be at fault.
 
         Args:
@@ -180,7 +184,7 @@
             fault = Fault.NO_PATH
         elif has_peers and not is_server_fault:
             fault = Fault.NO_RELAY
-        return server_connections.ExchangeError(fault, "no path to the server", False, False)
+        return exchange_results.ExchangeError(fault, "no path to the server", False, False)
 
     async def _relay_through(
         self, peer: members.Member, attempt: direct_exchange.Attempt
@@ -188,7 +192,7 @@
         """Return the answer of an instance, or None if it did not take the request.
 
         Raises:
-            server_connections.ExchangeError: The instance was lost, or the request may not be
+            exchange_results.ExchangeError: The instance was lost, or the request may not be
                 sent any more.
         """
         try:
@@ -197,7 +201,7 @@
             return None
         if not attempt.may_send():
             self._relays.keep(peer.name, connection)
-            raise server_connections.ExchangeError(Fault.WITHDRAWN, "not sent", False, False)
+            raise exchange_results.ExchangeError(Fault.WITHDRAWN, "not sent", False, False)
         head = attempt.build_head()
         request = relay_messages.RelayRequest(
             attempt.server,
@@ -214,7 +218,7 @@
         except relay_connections.RelayLostError as error:
             self._choice.record_loss(peer.name, self._reactor.seconds())
             text = f"{peer.name} was lost: {error}"
-            raise server_connections.ExchangeError(
+            raise exchange_results.ExchangeError(
                 Fault.RESET, text, False, False, is_relayed=True
             ) from error
         return None if answer.outcome is Outcome.BUSY else answer
@@ -224,11 +228,11 @@
         answer: relay_messages.RelayResponse,
         peer: members.Member,
         attempt: direct_exchange.Attempt,
-    ) -> server_connections.ReceivedResponse:
+    ) -> exchange_results.ReceivedResponse:
         """Return the response of a relayed request, and record what it says of the path.
 
         Raises:
-            server_connections.ExchangeError: There is none.
+            exchange_results.ExchangeError: There is none.
         """
         self._relayed_count += 1
         now = self._reactor.seconds()
@@ -238,15 +242,15 @@
             if fault is not Fault.WITHDRAWN:
                 # The other instance, its path or the server may be at fault.
                 self._choice.record_loss(peer.name, now)
-            raise server_connections.ExchangeError(fault, text, False, False, is_relayed=True)
+            raise exchange_results.ExchangeError(fault, text, False, False, is_relayed=True)
         self._choice.record_response(peer.name)
         self._direct.paths.record_reached_by_other(attempt.address, now)
         response = http1.Response(answer.status, answer.reason, answer.headers, answer.body)
         if attempt.match(response) is allocation.ResponseMatch.OTHER:
-            raise server_connections.ExchangeError(
+            raise exchange_results.ExchangeError(
                 Fault.GARBLED, text, False, False, is_relayed=True
             )
-        return server_connections.ReceivedResponse(
+        return exchange_results.ReceivedResponse(
             response, answer.headers, False, is_relayed=True
         )
 
--- a/tests/test_clock_steps.py
+++ b/tests/test_clock_steps.py
@@ -12,7 +12,7 @@
 import test_dispatcher
 import test_entry
 from carobhook.state import allocation
-from carobhook.transport import server_connections
+from carobhook.transport import exchange_results
 
 # Runs an instance whose time of day steps back by five seconds at SIGUSR1.
 _STEPPING_INSTANCE = """
@@ -62,7 +62,7 @@
         """Return whether the instance answers that it is ready."""
         try:
             response = await self.request("/-/readiness", instance="two", port="readiness")
-        except server_connections.ExchangeError:
+        except exchange_results.ExchangeError:
             return False
         return response.status == 200
 
--- a/tests/test_cut_instance.py
+++ b/tests/test_cut_instance.py
@@ -6,7 +6,7 @@
 
 import test_entry
 from carobhook.state import members
-from carobhook.transport import server_connections
+from carobhook.transport import exchange_results, server_connections
 
 CONNECT_TIMEOUT_S = 0.5
 
@@ -29,8 +29,8 @@
 
     async def refuse(self, address):
         """Refuse a new connection."""
-        fault = server_connections.Fault.CONNECT
-        raise server_connections.ExchangeError(fault, "cut", False, False)
+        fault = exchange_results.Fault.CONNECT
+        raise exchange_results.ExchangeError(fault, "cut", False, False)
 
     async def hang(self, address):
         """Let a new connection time out."""
@@ -103,7 +103,7 @@
         try:
             response = yield defer.ensureDeferred(sent)
             status = response.status
-        except server_connections.ExchangeError:
+        except exchange_results.ExchangeError:
             status = 0
         self.statuses[phase, instance].append(status)
 
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -7,12 +7,12 @@
 
 from carobhook.protocol import http1, path_messages
 from carobhook.state import ids
-from carobhook.transport import direct_exchange, server_connections
+from carobhook.transport import direct_exchange, exchange_results
 
-Fault = server_connections.Fault
+Fault = exchange_results.Fault
 Reach = path_messages.Reach
 HEAD = http1.RequestHead(b"GET", b"/x", ())
-RESPONSE = server_connections.ReceivedResponse(http1.Response(200, b"OK", (), b""), (), False)
+RESPONSE = exchange_results.ReceivedResponse(http1.Response(200, b"OK", (), b""), (), False)
 
 
 class Connections:
@@ -50,7 +50,7 @@
         if self.pending is not None:
             return await self.pending
         if address not in self.working:
-            raise server_connections.ExchangeError(self.fault, "cut", False, False)
+            raise exchange_results.ExchangeError(self.fault, "cut", False, False)
         return RESPONSE
 
     def has_fresh(self, address):
--- a/tests/test_late_stop.py
+++ b/tests/test_late_stop.py
@@ -4,7 +4,7 @@
 
 import test_entry
 from carobhook.state import members
-from carobhook.transport import server_connections
+from carobhook.transport import exchange_results
 
 # Of the grace period of `test_entry.SETTINGS`, in which requests are aborted after 1.7 s.
 GRACE_S = 2.0
@@ -37,7 +37,7 @@
             response = await self.request(
                 instance=instance, X_Attempt_Id=name, X_Deadline_Ms=str(deadline_ms)
             )
-        except server_connections.ExchangeError as error:
+        except exchange_results.ExchangeError as error:
             return error.fault.value, None
         return response.status, response.get("retry-after")
 
--- a/tests/test_overlooked_states.py
+++ b/tests/test_overlooked_states.py
@@ -19,7 +19,7 @@
 from carobhook.platform import names
 from carobhook.protocol import feed_messages
 from carobhook.state import allocation, ids
-from carobhook.transport import server_connections
+from carobhook.transport import exchange_results
 
 HOME, FAR = test_dispatcher.HOME, test_dispatcher.FAR
 OWN, OTHER = test_store_feed.OWN, test_store_feed.OTHER
@@ -180,7 +180,7 @@
             await task.deferLater(reactor, 0.1, lambda: None)
             try:
                 response = await self.request("/metrics", instance="two", port="metrics")
-            except server_connections.ExchangeError:
+            except exchange_results.ExchangeError:
                 continue
             lines = dict(
                 line.rsplit(" ", 1)
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -6,10 +6,10 @@
 from carobhook.coordination import catalog
 from carobhook.protocol import http1, relay_messages
 from carobhook.state import allocation, ids, servers
-from carobhook.transport import relay_service, server_connections
+from carobhook.transport import exchange_results, relay_service
 
 Outcome = relay_messages.RelayOutcome
-Fault = server_connections.Fault
+Fault = exchange_results.Fault
 ENTRY = servers.ServerEntry(
     ids.Server("s"),
     ids.Service("svc"),
@@ -46,7 +46,7 @@
         """Wait until the test completes the exchange, unless it may not be sent."""
         address = attempt.address
         if not attempt.may_send():
-            raise server_connections.ExchangeError(Fault.WITHDRAWN, "not sent", False, False)
+            raise exchange_results.ExchangeError(Fault.WITHDRAWN, "not sent", False, False)
         self.exchanges.append(defer.Deferred(lambda _: self.cancelled.append(address)))
         return await self.exchanges[-1]
 
@@ -68,7 +68,7 @@
         relay = Relay()
         relay.send()
         response = http1.Response(200, b"OK", ((b"A", b"b"),), b"served")
-        relay.exchanges[0].callback(server_connections.ReceivedResponse(response, (), False))
+        relay.exchanges[0].callback(exchange_results.ReceivedResponse(response, (), False))
         assert relay.answers == [
             relay_messages.RelayResponse(
                 Outcome.RESPONDED, "", 200, b"OK", ((b"A", b"b"),), b"served"
@@ -90,7 +90,7 @@
         """The sender learns whether the request may have run."""
         relay = Relay()
         relay.send()
-        relay.exchanges[0].errback(server_connections.ExchangeError(fault, "", False, False))
+        relay.exchanges[0].errback(exchange_results.ExchangeError(fault, "", False, False))
         assert relay.outcomes == [outcome]
 
     def test_unexpected_error_leaves_open_whether_it_ran(self):
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -12,8 +12,8 @@
 from carobhook.transport import (
     accepted_requests,
     client_connections,
+    exchange_results,
     request_flow,
-    server_connections,
 )
 
 ONCE = routing.Idempotency.ONCE
@@ -74,12 +74,12 @@
         )
         response = http1.Response(status, b"Status", raw_headers, b"body")
         self.exchanges.pop().callback(
-            server_connections.ReceivedResponse(response, raw_headers, False)
+            exchange_results.ReceivedResponse(response, raw_headers, False)
         )
 
-    def fail(self, fault=server_connections.Fault.RESET, *, is_relayed=False):
+    def fail(self, fault=exchange_results.Fault.RESET, *, is_relayed=False):
         """Fail the running exchange."""
-        error = server_connections.ExchangeError(fault, "broken", False, False, is_relayed)
+        error = exchange_results.ExchangeError(fault, "broken", False, False, is_relayed)
         self.exchanges.pop().errback(error)
 
     def discard_idle(self, address):
@@ -308,7 +308,7 @@
         """No second slot is requested, as it could not be used either."""
         case = FlowCase()
         case.allocator.grant()
-        case.servers.fail(server_connections.Fault.NO_PATH)
+        case.servers.fail(exchange_results.Fault.NO_PATH)
         assert case.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED]
         assert case.result == (503, codes.Code.NO_BACKEND)
         assert len(case.allocator.requests) == 1
@@ -319,7 +319,7 @@
         case.allocator.grant()
         response = http1.Response(200, b"OK", (), b"body")
         case.servers.exchanges.pop().callback(
-            server_connections.ReceivedResponse(response, (), False, is_relayed=True)
+            exchange_results.ReceivedResponse(response, (), False, is_relayed=True)
         )
         assert case.allocator.outcomes == [allocation.AttemptOutcome.RELAYED]
         assert case.result == (200, codes.Code.OK)
@@ -337,7 +337,7 @@
         case = FlowCase(ONCE)
         for _ in range(5):
             case.allocator.grant()
-            case.servers.fail(server_connections.Fault.NO_RELAY)
+            case.servers.fail(exchange_results.Fault.NO_RELAY)
         assert case.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED] * 5
         assert case.result == (503, codes.Code.NO_BACKEND)
 
@@ -407,6 +407,6 @@
         case.allocator.grant()
         case.flow.client_disconnected()
         assert not case.servers.attempts[0].may_send()
-        case.servers.fail(server_connections.Fault.WITHDRAWN)
+        case.servers.fail(exchange_results.Fault.WITHDRAWN)
         assert case.finished == [True]
         assert case.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED]
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -5,7 +5,11 @@
 
 from carobhook.platform import requests
 from carobhook.protocol import http1
-from carobhook.transport import response_memory, server_connections
+from carobhook.transport import (
+    exchange_results,
+    response_memory,
+    server_connection,
+)
 
 HEAD = http1.RequestHead(b"GET", b"/", ((b"Host", b"x"),))
 PIECE_BYTES = 16 * 1024
@@ -28,7 +32,7 @@
 
     def __init__(self, memory=None):
         memory = memory or response_memory.ResponseMemory(MEMORY_BYTES)
-        self.connection = server_connections._ServerConnection(task.Clock().seconds, memory)
+        self.connection = server_connection.ServerConnection(task.Clock().seconds, memory)
         self.transport = testing.StringTransport()
         self.transport.setTcpNoDelay = lambda on: None
         self.connection.makeConnection(self.transport)
@@ -78,7 +82,7 @@
         for _ in range(MAX_PIECES):
             exchange.receive(repeated * (PIECE_BYTES // len(repeated)))
         assert exchange.is_closed
-        assert [error.fault for error in exchange.errors] == [server_connections.Fault.GARBLED]
+        assert [error.fault for error in exchange.errors] == [exchange_results.Fault.GARBLED]
 
     @pytest.mark.parametrize(
         ("head", "piece"),
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -10,12 +10,12 @@
 from carobhook.state import allocation, ids, members
 from carobhook.transport import (
     direct_exchange,
+    exchange_results,
     relay_connections,
-    server_connections,
     server_exchange,
 )
 
-Fault = server_connections.Fault
+Fault = exchange_results.Fault
 Outcome = relay_messages.RelayOutcome
 Reach = path_messages.Reach
 ResponseMatch = allocation.ResponseMatch
@@ -51,7 +51,7 @@
         self.checked = []
         self.asked = []
         self.answers = answers or {}
-        self.error = server_connections.ExchangeError(Fault.CONNECT, "cut", False, False)
+        self.error = exchange_results.ExchangeError(Fault.CONNECT, "cut", False, False)
         rng = random.Random(1)
         self.direct_exchange = direct_exchange.DirectExchange(
             self.clock,
@@ -293,7 +293,7 @@
         """A request that runs once has been sent, and is not sent again."""
         paths = Paths(member("two"))
         paths.reached = True
-        paths.error = server_connections.ExchangeError(Fault.SILENT, "silent", True, False)
+        paths.error = exchange_results.ExchangeError(Fault.SILENT, "silent", True, False)
         assert paths.send(once=once) == (Fault.SILENT if once else 200)
         assert paths.asked == ([] if once else ["two"])
 
--- a/tests/test_stuck_reader.py
+++ b/tests/test_stuck_reader.py
@@ -14,7 +14,7 @@
 
 from carobhook.protocol import http1
 from carobhook.soak import deployment
-from carobhook.transport import server_connections
+from carobhook.transport import exchange_results, server_connections
 
 _REQUESTS_PER_S = 150.0
 # The instance with the unread output gets half of the requests. It logs each in a line of about
@@ -58,7 +58,7 @@
                 received = await connections.exchange(address, head, b"", require_fresh=True)
                 if received.response.status == 200:
                     break
-            except server_connections.ExchangeError:
+            except exchange_results.ExchangeError:
                 pass
             await task.deferLater(reactor, 0.1)
         connections.stop()
