Log each refusal by a server with its connection, and what comes when nothing is due

- server-refused: request, server, address, connection, its exchanges, and the wait; a relay logs the same in request-relayed
- server-probed: the connection of a probe
- response-surplus, and carobhook_surplus_responses: responses that no request waits for

--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -79,6 +79,12 @@
         (),
         "Connections to backend servers opened since the start.",
     )
+    SURPLUS_RESPONSES = MetricInfo(
+        "carobhook_surplus_responses",
+        Kind.GAUGE,
+        (),
+        "Responses of backend servers since the start that belonged to no request under way.",
+    )
     STORE_CALLS = MetricInfo(
         "carobhook_store_calls", Kind.GAUGE, (), "Calls to the store since the start."
     )
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -198,6 +198,16 @@
     EXCHANGE_BROKEN = EventInfo(
         "exchange-broken", "A connection to a backend server brought no whole answer."
     )
+    SERVER_REFUSED = EventInfo(
+        "server-refused",
+        "A server said that it did not run a request, and on which connection it said so.",
+    )
+    SERVER_PROBED = EventInfo(
+        "server-probed", "A server answered a probe, which shows that it is reached."
+    )
+    RESPONSE_SURPLUS = EventInfo(
+        "response-surplus", "A server's response belonged to no request under way."
+    )
     SERVER_LIMIT = EventInfo(
         "server-limit",
         "A server's answer named another limit of requests a second than before, or none.",
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -272,6 +272,7 @@
             metric.IN_FLIGHT: lambda: self._requests.in_flight,
             metric.CLIENT_CONNECTIONS: lambda: self._request_listener.open_connections,
             metric.SERVER_CONNECTIONS: lambda: self._servers.opened_count,
+            metric.SURPLUS_RESPONSES: lambda: self._servers.surplus_count,
             metric.STORE_CALLS: lambda: self._store.calls,
             metric.STORE_LOST: lambda: float(server_catalog.store_lost_at is not None),
             metric.STORE_ERA: lambda: self._store.era,
--- a/src/carobhook/transport/exchange_results.py
+++ b/src/carobhook/transport/exchange_results.py
@@ -59,6 +59,21 @@
         self.is_relayed = is_relayed
 
 
+@attrs.frozen
+class ConnectionUse:
+    """How a connection had been used when a response came on it.
+
+    Attributes:
+        connection: Number of the connection, counted from the start of the process.
+        exchange_count: Number of exchanges that it had carried, with that of the response.
+        wait_s: Seconds from the request to the response.
+    """
+
+    connection: int
+    exchange_count: int
+    wait_s: float
+
+
 @attrs.frozen
 class ReceivedResponse:
     """A complete response.
@@ -69,6 +84,7 @@
         closing: Whether the connection is closed after this response.
         reused: Whether the connection had carried an exchange before.
         is_relayed: Whether it came through another instance.
+        use: The use of its connection, None if that is another instance's.
     """
 
     response: http1.Response
@@ -76,3 +92,4 @@
     closing: bool
     reused: bool = False
     is_relayed: bool = False
+    use: ConnectionUse | None = None
--- a/src/carobhook/transport/relay_service.py
+++ b/src/carobhook/transport/relay_service.py
@@ -103,8 +103,10 @@
     async def _relay(
         self, sender: ids.InstanceId, request: relay_messages.RelayRequest
     ) -> relay_messages.RelayResponse:
+        use: exchange_results.ConnectionUse | None = None
         try:
             received = await self._direct.exchange_for_other(self._attempt(request))
+            use = received.use
             self._on_response(request.server, received.response)
             answer = _answer(received.response)
         except exchange_results.ExchangeError as error:
@@ -116,6 +118,9 @@
             server=request.server,
             outcome=answer.outcome,
             status=answer.status,
+            connection=use.connection if use is not None else None,
+            exchanges=use.exchange_count if use is not None else None,
+            wait_ms=round(use.wait_s * 1000, 1) if use is not None else None,
         )
         return answer
 
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -33,6 +33,10 @@
 # A server stops its work at the deadline that it was sent. After the deadline of work that must
 # not run twice, its result is awaited for this long, for the log and the use of the slot only.
 _LATE_RESULT_WAIT_S = 5.0
+# By these, a server says that it did not run a request.
+_NOT_RUN_OUTCOMES = frozenset(
+    {allocation.AttemptOutcome.SHED, allocation.AttemptOutcome.MISDIRECTED}
+)
 
 
 class Stage(enum.Enum):
@@ -324,6 +328,8 @@
             outcome = self._codec.attempt_outcome(received.response)
             rate = self._rate_statement(received.response, grant.server)
             pace = self._pace_of(grant.server, received.response)
+            if outcome in _NOT_RUN_OUTCOMES:
+                self._log_refusal(received, grant)
         except exchange_results.ExchangeError as error:
             # Its traceback refers to the request, and to itself.
             error.__traceback__ = None
@@ -404,6 +410,23 @@
     def _match_attempt(self, response: http1.Response) -> allocation.ResponseMatch:
         return self._codec.match_attempt(response, self._accepted.client_request_id)
 
+    def _log_refusal(
+        self, received: exchange_results.ReceivedResponse, grant: allocation.SlotGrant
+    ) -> None:
+        """Log that a server did not run the request, and on which connection it said so."""
+        use = received.use
+        logs.event(
+            "server-refused",
+            request=self._accepted.client_request_id,
+            server=grant.server,
+            address=grant.address,
+            status=received.response.status,
+            relayed=received.is_relayed,
+            connection=use.connection if use is not None else None,
+            exchanges=use.exchange_count if use is not None else None,
+            wait_ms=round(use.wait_s * 1000, 1) if use is not None else None,
+        )
+
     def _failed_outcome(
         self, error: exchange_results.ExchangeError, grant: allocation.SlotGrant
     ) -> allocation.AttemptOutcome:
--- a/src/carobhook/transport/server_access.py
+++ b/src/carobhook/transport/server_access.py
@@ -163,6 +163,11 @@
         """Return the number of connections to servers opened since the start."""
         return self._connections.opened_count
 
+    @property
+    def surplus_count(self) -> int:
+        """Return the number of responses since the start that belonged to no request."""
+        return self._connections.surplus_count
+
     @property
     def relays_in_flight(self) -> int:
         """Return the number of requests that are relayed for other instances."""
--- a/src/carobhook/transport/server_connection.py
+++ b/src/carobhook/transport/server_connection.py
@@ -4,9 +4,11 @@
 import typing
 from collections.abc import Callable
 
+import attrs
 import h11
 from twisted.internet import defer, error, protocol
 
+from carobhook import logs
 from carobhook.protocol import http1
 from carobhook.state import allocation
 from carobhook.transport import exchange_results, response_memory
@@ -39,14 +41,43 @@
     """Do nothing as a part of a response arrives."""
 
 
+@attrs.define
+class SurplusCount:
+    """Counts the responses that belonged to no request under way.
+
+    Attributes:
+        count: How many came since the start.
+    """
+
+    count: int = 0
+
+
 class ServerConnection(protocol.Protocol):
-    """One connection to a server."""
+    """One connection to a server.
+
+    Args:
+        seconds: Returns the monotonic time in seconds.
+        memory: Memory that the bodies of responses share.
+        surplus: Counts the responses that belong to no request under way.
+
+    Attributes:
+        number: Number of the connection, for the log.
+        exchange_count: Number of exchanges that it has carried, with the one in progress.
+        idle_since: Monotonic time in seconds at which the last exchange ended.
+        idle_limit_s: Seconds for which it may be idle and still be reused.
+        is_reusable: Whether it may carry another exchange.
+    """
 
     def __init__(
-        self, seconds: Callable[[], float], memory: response_memory.ResponseMemory
+        self,
+        seconds: Callable[[], float],
+        memory: response_memory.ResponseMemory,
+        surplus: SurplusCount | None = None,
     ) -> None:
         self._seconds = seconds
         self._memory = memory
+        self._surplus = surplus or SurplusCount()
+        self._sent_at = 0.0
         self._parser: h11.Connection | None = None
         self._pending: defer.Deferred | None = None
         self._response_head: typing.Any = None
@@ -59,6 +90,7 @@
         self._was_named = False
         self._method = b"GET"
         self._had_unmatched_response = False
+        self.number = 0
         self.exchange_count = 0
         self.idle_since = seconds()
         self.idle_limit_s = _MAX_IDLE_S
@@ -87,6 +119,7 @@
         self._expect_response()
         self._pending = defer.Deferred(lambda _: self.abort())
         self.exchange_count += 1
+        self._sent_at = self._seconds()
         self.transport.write(http1.encode_request(head, body))
         return self._pending
 
@@ -124,6 +157,7 @@
         """Parse a part of the response, or close the connection if no request waits."""
         if self._parser is None:
             # There is no request that this data can respond to.
+            self._record_surplus("no request")
             self.abort()
             return
         self._received_size += len(data)
@@ -189,11 +223,13 @@
         match = self._match(response)
         if match is allocation.ResponseMatch.UNNAMED and self._was_named:
             # The server names requests, so this may be a late copy of an earlier response.
+            self._record_surplus("unnamed")
             self._fail(Fault.GARBLED, "the answer names no request")
             return
         if match is allocation.ResponseMatch.OTHER:
             # This is a surplus response to an earlier request. The response to the current
             # request may follow it.
+            self._record_surplus("another request")
             self._had_unmatched_response = True
             if at_eof or parser.their_state is not h11.DONE:
                 self._fail(Fault.GARBLED, "the answer belongs to another request")
@@ -214,11 +250,25 @@
         if close and self.transport is not None:
             self.transport.loseConnection()
         if pending is not None:
+            use = exchange_results.ConnectionUse(
+                self.number, self.exchange_count, self._seconds() - self._sent_at
+            )
             reused = self.exchange_count > 1
             pending.callback(
-                exchange_results.ReceivedResponse(response, raw_headers, close, reused)
+                exchange_results.ReceivedResponse(response, raw_headers, close, reused, use=use)
             )
 
+    def _record_surplus(self, kind: str) -> None:
+        """Count and log a response that belongs to no request under way."""
+        self._surplus.count += 1
+        logs.event(
+            "response-surplus",
+            connection=self.number,
+            exchanges=self.exchange_count,
+            kind=kind,
+            wait_ms=round((self._seconds() - self._sent_at) * 1000, 1),
+        )
+
     def _fail(self, fault: Fault, text: str) -> None:
         pending, response_started = self._pending, self._response_head is not None
         self.abort()
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -6,6 +6,7 @@
 
 from twisted.internet import defer, error, protocol
 
+from carobhook import logs
 from carobhook.protocol import http1, path_messages
 from carobhook.transport import exchange_results, response_memory, server_connection
 
@@ -48,12 +49,18 @@
         self._connect_timeout_s = connect_timeout_s
         self._idle: dict[str, collections.deque[Connection]] = {}
         self._opened_count = 0
+        self._surplus = server_connection.SurplusCount()
 
     @property
     def opened_count(self) -> int:
         """Return the number of connections opened since the start."""
         return self._opened_count
 
+    @property
+    def surplus_count(self) -> int:
+        """Return the number of responses since the start that belonged to no request."""
+        return self._surplus.count
+
     async def exchange(
         self,
         address: str,
@@ -141,7 +148,13 @@
         if head is None:
             self._keep_idle(address, connection)
             return path_messages.Reach.UNKNOWN
-        await connection.exchange(head, b"", server_connection.match_any)
+        received = await connection.exchange(head, b"", server_connection.match_any)
+        logs.event(
+            "server-probed",
+            address=address,
+            status=received.response.status,
+            connection=connection.number,
+        )
         self._keep_idle(address, connection)
         return path_messages.Reach.REACHED
 
@@ -196,6 +209,7 @@
             Connection,
             self._reactor.seconds,
             self._memory,
+            self._surplus,
         )
         try:
             connection = await creator.connectTCP(
@@ -206,6 +220,7 @@
                 Fault.CONNECT, str(failure), False, False
             ) from failure
         self._opened_count += 1
+        connection.number = self._opened_count
         return connection
 
 
