Show that the copy of a refusal is taken for the answer of an order that runs

The stand-in of a backend server sends refusals, or answers, a second time: at once, a moment later, or where the next answer is due. It repeats the id that a request bore, and none where there was none; it sent an empty one before, by which a copy could be told.

--- a/src/carobhook/standins/platform_server.py
+++ b/src/carobhook/standins/platform_server.py
@@ -1,5 +1,6 @@
 """Stand-in of a backend server of the platform, with failures that tests switch on."""
 
+import enum
 import typing
 from collections.abc import Callable
 
@@ -15,9 +16,25 @@
 _MAX_CONNECTIONS = 256
 _MAX_BUFFERED_BYTES = 64 * 1024 * 1024
 
+# Delay of a copy that is sent whether or not another request has arrived by then.
+_COPY_DELAY_S = 0.02
+
 Respond = Callable[[http1.Response], None]
 
 
+class CopyTiming(enum.Enum):
+    """When the copy of a response is sent, on the connection of the response.
+
+    AT_ONCE: Right behind the response.
+    DELAYED: A moment later.
+    WITH_NEXT: When the next request on the connection arrives, ahead of its response.
+    """
+
+    AT_ONCE = "at-once"
+    DELAYED = "delayed"
+    WITH_NEXT = "with-next"
+
+
 @attrs.define
 class Behaviour:
     """Settings of the stand-in's responses and failures.
@@ -30,6 +47,8 @@
             an open request, which is then closed.
         reset: Whether, in place of a response, every connection with an open request is reset.
         extra: Bytes sent after each response, on every open connection.
+        refusal_copies: When each refusal is sent a second time, or None for never.
+        answer_copies: The same of the responses to requests that ran.
         shed: Whether requests are refused with 503 and the header `names.NOT_EXECUTED`.
         body: Body of the responses.
         echo_id: Whether the body is the id of the attempt instead of ``body``.
@@ -48,6 +67,8 @@
     raw: bytes | None = None
     reset: bool = False
     extra: bytes = b""
+    refusal_copies: CopyTiming | None = None
+    answer_copies: CopyTiming | None = None
     shed: bool = False
     body: bytes = b"served"
     echo_id: bool = False
@@ -82,6 +103,41 @@
             self.timer.cancel()
 
 
+class _Connection(client_connections.ClientConnection):
+    """A connection on which a response may be sent a second time."""
+
+    def __init__(
+        self,
+        listener: client_connections.ClientListener,
+        on_receive: Callable[["_Connection"], None],
+    ) -> None:
+        super().__init__(listener)
+        self._on_receive = on_receive
+        self._pending_copy = b""
+
+    def dataReceived(self, data: bytes) -> None:
+        """Send the copy that waits for the next request, and read the request."""
+        copy, self._pending_copy = self._pending_copy, b""
+        if copy:
+            self.transport.write(copy)
+        self._on_receive(self)
+        super().dataReceived(data)
+
+    def send_copy(self, response: http1.Response, timing: CopyTiming) -> None:
+        """Send a response that was sent before once more."""
+        copy = http1.encode_response(response, True, False)
+        if timing is CopyTiming.WITH_NEXT:
+            self._pending_copy += copy
+        elif timing is CopyTiming.DELAYED:
+            self._reactor.callLater(_COPY_DELAY_S, self._send_if_open, copy)
+        else:
+            self._send_if_open(copy)
+
+    def _send_if_open(self, data: bytes) -> None:
+        if self.connected:
+            self.transport.write(data)
+
+
 class PlatformBackend:
     """A backend server on a port.
 
@@ -108,7 +164,8 @@
         self._restart: typing.Any = None
         self._running: set[_RunningRequest] = set()
         self.name = name
-        self._connections: list[client_connections.ClientConnection] = []
+        self._connections: list[_Connection] = []
+        self._receiving: _Connection | None = None
         self.behaviour = Behaviour()
         self.started_ids: list[str] = []
         self.starts: list[tuple[str, float]] = []
@@ -127,9 +184,10 @@
             """Records the connections, so that raw bytes can be sent on them."""
 
             def buildProtocol(self, addr: typing.Any) -> protocol.Protocol | None:
-                connection = super().buildProtocol(addr)
-                if isinstance(connection, client_connections.ClientConnection):
-                    backend._connections.append(connection)
+                if self.open_connections >= _MAX_CONNECTIONS:
+                    return None
+                connection = _Connection(self, backend._set_receiving)
+                backend._connections.append(connection)
                 return connection
 
         listener = Listener(
@@ -169,6 +227,22 @@
         self.listen(host, port)
         self.on_restart()
 
+    def _set_receiving(self, connection: _Connection) -> None:
+        self._receiving = connection
+
+    def _copying(self, respond: Respond, is_refusal: bool) -> Respond:
+        """Return a function that sends a response, and its copy if there is to be one."""
+        connection = self._receiving
+
+        def respond_and_copy(response: http1.Response) -> None:
+            behaviour = self.behaviour
+            timing = behaviour.refusal_copies if is_refusal else behaviour.answer_copies
+            respond(response)
+            if timing is not None and connection is not None:
+                connection.send_copy(response, timing)
+
+        return respond_and_copy
+
     def _handle(
         self, inbound: client_connections.ClientRequest, respond: Respond
     ) -> client_connections.ActiveRequest | None:
@@ -176,15 +250,17 @@
         self.heads.append(head)
         self.received_at.append(self._reactor.seconds())
         expected = head.get(names.EXPECTED_SERVER)
+        refuse = self._copying(respond, is_refusal=True)
         if expected is not None and expected != self.name:
-            respond(self._build_response(head, 421, b""))
+            refuse(self._build_response(head, 421, b""))
             return None
         if self.behaviour.shed:
             headers = [(names.NOT_EXECUTED.encode(), b"1")]
             if self.behaviour.retry_after is not None:
                 headers.append((b"Retry-After", self.behaviour.retry_after.encode()))
-            respond(self._build_response(head, 503, b"", tuple(headers)))
+            refuse(self._build_response(head, 503, b"", tuple(headers)))
             return None
+        respond = self._copying(respond, is_refusal=False)
         attempt_id = head.get(names.REQUEST_ID) or ""
         self.started_ids.append(attempt_id)
         self.starts.append((attempt_id, self._reactor.seconds()))
@@ -228,13 +304,14 @@
         body: bytes,
         headers: tuple[tuple[bytes, bytes], ...] = (),
     ) -> http1.Response:
-        attempt_id = (head.get(names.REQUEST_ID) or "").encode()
+        attempt_id = head.get(names.REQUEST_ID)
+        if attempt_id is not None:
+            headers += ((names.REQUEST_ID.encode(), attempt_id.encode()),)
         if self.behaviour.limit is not None:
             headers += ((names.SERVER_LIMIT.encode(), self.behaviour.limit.encode()),)
         if self.behaviour.is_leaving:
             headers += ((names.SERVER_LEAVING.encode(), b"1"),)
         all_headers = (
-            (names.REQUEST_ID.encode(), attempt_id),
             (names.SERVER_ID.encode(), self.name.encode()),
             (b"Server", b"standin"),
             *headers,
