Send no request on a connection where a copy could be taken for its answer

Cause: a response was known by its connection and its id, but several responses on a connection may bear one id, or none. A server may send the copy of a refusal where the next answer is due.

Change: one rule for all sends. A connection carries no request id twice, and what has no id, in the request or in the response, shares no connection. Probes get connections of their own.

Why this works: every response on a connection then bears an id that was sent on it once, so a copy of an earlier one names another request and is skipped, wherever the copy comes from.

Two tests of TestLateCopies held the old assumption, that a request without an id, or to a server that names none, may share a connection. They assert now that it does not, and one new test that no id comes twice; the other cases are as strict as before, with two ids in place of one.

--- a/src/carobhook/transport/direct_exchange.py
+++ b/src/carobhook/transport/direct_exchange.py
@@ -143,11 +143,11 @@
         """Return whether this instance seems to be cut from all servers."""
         return self._paths.is_cut(self._reactor.seconds())
 
-    def is_usable(self, address: str) -> bool:
+    def is_usable(self, attempt: Attempt) -> bool:
         """Return whether to try the direct path: a connection works, or a new one may."""
-        if not self._paths.is_blocked(address, self._reactor.seconds()):
+        if not self._paths.is_blocked(attempt.address, self._reactor.seconds()):
             return True
-        return self._connections.has_fresh(address)
+        return self._connections.has_fresh(attempt.address, attempt.request_id)
 
     async def exchange(
         self, attempt: Attempt, verify_path: bool
@@ -164,7 +164,7 @@
             twisted.internet.defer.CancelledError: The exchange was cancelled.
         """
         if verify_path:
-            await self._verify(attempt.address)
+            await self._verify(attempt)
         received = await self._send(attempt)
         now = self._reactor.seconds()
         self._paths.record_response(attempt.address, not received.reused, now)
@@ -176,7 +176,7 @@
             attempt.build_head(),
             attempt.body,
             attempt.require_fresh,
-            attempt.match,
+            server_connection.Identification(attempt.request_id, attempt.match),
             attempt.may_send,
         )
         run = _RunningExchange(attempt, self._reactor.seconds(), defer.ensureDeferred(sending))
@@ -298,14 +298,17 @@
             # The request may have run, so no other instance finds out by sending it.
             self.check_others(address)
 
-    async def _verify(self, address: str) -> None:
+    async def _verify(self, attempt: Attempt) -> None:
         """Make sure that a request will reach its server, as far as can be known.
 
         Raises:
             exchange_results.ExchangeError: It would not; the fault is CONNECT.
         """
         now = self._reactor.seconds()
-        if self._paths.is_proven(address, now) or self._connections.has_fresh(address):
+        address = attempt.address
+        if self._paths.is_proven(address, now):
+            return
+        if self._connections.has_fresh(address, attempt.request_id):
             return
         is_failing = self._paths.failed_lately(address, now)
         if is_failing or await self._probes.call(address) is Reach.UNREACHED:
@@ -327,7 +330,7 @@
             await self._ask_others(address)
 
     async def _send_probe(self, address: str) -> Reach:
-        """Find out whether a server answers on a new connection, which is kept for requests."""
+        """Find out whether a server answers on a new connection."""
         reach = await self._connections.probe_response(
             address, lambda: self._known_servers.build_probe(address), _PROBE_TIMEOUT_S
         )
--- a/src/carobhook/transport/server_connection.py
+++ b/src/carobhook/transport/server_connection.py
@@ -9,6 +9,7 @@
 from twisted.internet import defer, error, protocol
 
 from carobhook import logs
+from carobhook.coordination import carried_requests
 from carobhook.protocol import http1
 from carobhook.state import allocation
 from carobhook.transport import exchange_results, response_memory
@@ -32,11 +33,27 @@
 ResponseMatcher = Callable[[http1.Response], allocation.ResponseMatch]
 
 
-def match_any(response: http1.Response) -> allocation.ResponseMatch:
-    """Take any response for that of the request, which bears no id."""
+def _match_any(response: http1.Response) -> allocation.ResponseMatch:
     return allocation.ResponseMatch.UNKNOWN
 
 
+@attrs.frozen
+class Identification:
+    """How the response to a request is told from copies of responses to others.
+
+    Attributes:
+        request_id: Id that the server repeats in its response, or None if the request has none.
+        match: Returns whether a response belongs to the request.
+    """
+
+    request_id: str | None
+    match: ResponseMatcher
+
+
+# Of requests without an id to servers that may send a response twice.
+UNIDENTIFIED = Identification(None, _match_any)
+
+
 def ignore_data() -> None:
     """Do nothing as a part of a response arrives."""
 
@@ -84,10 +101,9 @@
         self._body_chunks: list[bytes] = []
         self._body_size = 0
         self._received_size = 0
-        self._match: ResponseMatcher = match_any
+        self._match: ResponseMatcher = _match_any
         self._on_data: Callable[[], object] = ignore_data
-        # Whether the last response named its request.
-        self._was_named = False
+        self._carried = carried_requests.CarriedRequests()
         self._method = b"GET"
         self._had_unmatched_response = False
         self.number = 0
@@ -100,19 +116,36 @@
         """Send requests without delay."""
         self.transport.setTcpNoDelay(True)
 
+    def may_carry(self, request_id: str | None) -> bool:
+        """Return whether the response to a request could be told from copies of others.
+
+        Args:
+            request_id: Id of the request, or None.
+        """
+        return self._carried.may_carry(request_id)
+
     def exchange(
         self,
         head: http1.RequestHead,
         body: bytes,
-        match: ResponseMatcher,
+        identification: Identification | None,
         on_data: Callable[[], object] = ignore_data,
     ) -> defer.Deferred:
         """Send a request.
 
         The result fires with `ReceivedResponse` or fails with `ExchangeError`; cancelling it
         closes the connection.
+
+        Args:
+            head: Request line and headers, without Content-Length.
+            body: Request body.
+            identification: How the response is told from copies of others, or None if the
+                server sends each response once.
+            on_data: Called when a part of the response arrives.
         """
-        self._match = match
+        if identification is not None:
+            self._match = identification.match
+            self._carried.add(identification.request_id)
         self._on_data = on_data
         self._method = head.method
         self._received_size = 0
@@ -141,7 +174,7 @@
 
     def _forget_request(self) -> None:
         """Drop what refers to the request, which would stay in memory with its body."""
-        self._match, self._on_data = match_any, ignore_data
+        self._match, self._on_data = _match_any, ignore_data
 
     def abort(self) -> None:
         """Close the connection at once, which makes the server cancel a running request."""
@@ -221,8 +254,8 @@
         )
         close = bool(extra) or at_eof or parser.their_state is not h11.DONE
         match = self._match(response)
-        if match is allocation.ResponseMatch.UNNAMED and self._was_named:
-            # The server names requests, so this may be a late copy of an earlier response.
+        if match is allocation.ResponseMatch.UNNAMED and self.exchange_count > 1:
+            # The server named the earlier requests, so this may be a late copy of something.
             self._record_surplus("unnamed")
             self._fail(Fault.GARBLED, "the answer names no request")
             return
@@ -238,9 +271,9 @@
             if extra:
                 parser.receive_data(extra)
             return
-        if match is not allocation.ResponseMatch.UNKNOWN:
-            self._was_named = match is allocation.ResponseMatch.NAMED
-        close = close or self._had_unmatched_response
+        if match is allocation.ResponseMatch.UNNAMED:
+            self._carried.record_unnamed_response()
+        close = close or self._had_unmatched_response or self._carried.is_exhausted
         self._clear_body()
         self.idle_since = self._seconds()
         self.idle_limit_s = _idle_limit_s(raw_headers)
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -67,7 +67,7 @@
         head: http1.RequestHead,
         body: bytes,
         require_fresh: bool,
-        match: server_connection.ResponseMatcher = server_connection.match_any,
+        identification: server_connection.Identification | None = None,
         may_send: Callable[[], bool] = _may_always_send,
         on_data: Callable[[], object] = server_connection.ignore_data,
     ) -> exchange_results.ReceivedResponse:
@@ -79,7 +79,8 @@
             body: Request body.
             require_fresh: Whether to use only a new connection or one that was idle only
                 briefly, as for a request that must not run twice.
-            match: Returns whether a response belongs to this request.
+            identification: How its response is told from copies of others, which decides on
+                what connections it may be sent; None if the server sends each response once.
             may_send: Returns whether the request may still be sent; called right before that,
                 as opening a connection takes time.
             on_data: Called when a part of the response arrives.
@@ -89,22 +90,31 @@
             twisted.internet.defer.CancelledError: The exchange was cancelled; the connection
                 is closed.
         """
-        connection = self._pop_idle(address, require_fresh) or await self._connect(address)
+        connection = self._pop_idle(address, require_fresh, identification)
+        if connection is None:
+            connection = await self._connect(address)
         if not may_send():
             self._keep_idle(address, connection)
             raise exchange_results.ExchangeError(Fault.WITHDRAWN, "not sent", False, False)
-        received = await connection.exchange(head, body, match, on_data)
+        received = await connection.exchange(head, body, identification, on_data)
         self._keep_idle(address, connection)
         return received
 
-    def has_fresh(self, address: str) -> bool:
-        """Return whether there is an idle connection that worked a moment ago.
+    def has_fresh(self, address: str, request_id: str | None) -> bool:
+        """Return whether a request would get an idle connection that worked a moment ago.
 
         One that was opened and carried nothing says nothing of the path.
+
+        Args:
+            address: Address of the server, ``host:port``.
+            request_id: Id of the request, or None.
         """
         now = self._reactor.seconds()
         used = [c for c in self._idle.get(address, ()) if c.exchange_count]
-        return any(_is_within_idle_limit(c, now, _MAX_FRESH_IDLE_S) for c in used)
+        return any(
+            _is_within_idle_limit(c, now, _MAX_FRESH_IDLE_S) and c.may_carry(request_id)
+            for c in used
+        )
 
     async def probe(self, address: str) -> bool:
         """Return whether a server accepts a connection, which is then kept for requests.
@@ -125,7 +135,7 @@
         build_head: Callable[[], http1.RequestHead | None],
         timeout_s: float,
     ) -> path_messages.Reach:
-        """Return whether a server responds on a new connection, which is then kept.
+        """Return whether a server responds on a new connection, which carries nothing else.
 
         Args:
             address: ``host:port`` of the server.
@@ -148,14 +158,13 @@
         if head is None:
             self._keep_idle(address, connection)
             return path_messages.Reach.UNKNOWN
-        received = await connection.exchange(head, b"", server_connection.match_any)
+        received = await connection.exchange(head, b"", server_connection.UNIDENTIFIED)
         logs.event(
             "server-probed",
             address=address,
             status=received.response.status,
             connection=connection.number,
         )
-        self._keep_idle(address, connection)
         return path_messages.Reach.REACHED
 
     def _keep_idle(self, address: str, connection: Connection) -> None:
@@ -189,18 +198,31 @@
         for connection in self._idle.pop(address, ()):
             connection.abort()
 
-    def _pop_idle(self, address: str, require_fresh: bool) -> Connection | None:
+    def _pop_idle(
+        self,
+        address: str,
+        require_fresh: bool,
+        identification: server_connection.Identification | None,
+    ) -> Connection | None:
+        """Return the idle connection used last that may carry a request, or None."""
         now = self._reactor.seconds()
         idle = self._idle.get(address)
-        while idle:
+        passed_over = []
+        found: Connection | None = None
+        while idle and found is None:
             connection = idle.pop()
             max_idle_s = connection.idle_limit_s
             if require_fresh:
                 max_idle_s = min(max_idle_s, _MAX_FRESH_IDLE_S)
-            if _is_within_idle_limit(connection, now, max_idle_s):
-                return connection
-            connection.abort()
-        return None
+            if not _is_within_idle_limit(connection, now, max_idle_s):
+                connection.abort()
+            elif identification is None or connection.may_carry(identification.request_id):
+                found = connection
+            else:
+                passed_over.append(connection)
+        if idle is not None:
+            idle.extend(reversed(passed_over))
+        return found
 
     async def _connect(self, address: str) -> Connection:
         host, _, port = address.rpartition(":")
--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -99,7 +99,7 @@
     async def _exchange(
         self, attempt: direct_exchange.Attempt
     ) -> exchange_results.ReceivedResponse:
-        if self._direct.is_usable(attempt.address):
+        if self._direct.is_usable(attempt):
             started_at = self._reactor.seconds()
             try:
                 # A request that may run again finds out itself whether the path works.
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -44,7 +44,7 @@
             lambda reason: None,
         )
 
-    async def answer(self, address, head, body, require_fresh, match, may_send):
+    async def answer(self, address, head, body, require_fresh, identification, may_send):
         """Answer a request, or fail it."""
         self.sent.append(address)
         if self.pending is not None:
@@ -53,7 +53,7 @@
             raise exchange_results.ExchangeError(self.fault, "cut", False, False)
         return RESPONSE
 
-    def has_fresh(self, address):
+    def has_fresh(self, address, request_id):
         """Return False, as no connection is idle."""
         return False
 
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -18,9 +18,12 @@
 MEMORY_BYTES = 4 * 1024 * 1024
 
 
-def match(response):
-    """Return whether a response has the attempt id of the request."""
-    return requests.ServerCodec().match_attempt(response, "own")
+def identification(request_id):
+    """Return how the response to a request with an id, or None, is told from others."""
+    return server_connection.Identification(
+        request_id,
+        lambda response: requests.ServerCodec().match_attempt(response, request_id),
+    )
 
 
 class Exchange:
@@ -38,7 +41,7 @@
         self.connection.makeConnection(self.transport)
         self.errors = []
         self.responses = []
-        self.connection.exchange(HEAD, b"", match).addCallbacks(
+        self.connection.exchange(HEAD, b"", identification("own")).addCallbacks(
             self.responses.append, lambda reason: self.errors.append(reason.value)
         )
 
@@ -136,7 +139,7 @@
     """Requests one after another on one connection to a server.
 
     Args:
-        first: Bytes that answer the first request.
+        first: Bytes that answer the first request, whose id is "own".
     """
 
     def __init__(self, first):
@@ -144,11 +147,12 @@
         self.exchange.receive(first)
         self.bodies = [received.response.body for received in self.exchange.responses]
 
-    def request(self, match=match):
-        """Send another request; return False if the connection is not used again."""
-        if not self.exchange.connection.is_reusable:
+    def request(self, request_id="second"):
+        """Send another request; return False if the connection may not carry it."""
+        connection = self.exchange.connection
+        if not connection.is_reusable or not connection.may_carry(request_id):
             return False
-        self.exchange.connection.exchange(HEAD, b"", match).addCallbacks(
+        connection.exchange(HEAD, b"", identification(request_id)).addCallbacks(
             lambda received: self.bodies.append(received.response.body),
             lambda reason: self.exchange.errors.append(reason.value),
         )
@@ -158,14 +162,14 @@
 class TestLateCopies:
     """A second copy of an answer on a connection that is in use again."""
 
-    @pytest.mark.parametrize("request_id", [b"other", None])
+    @pytest.mark.parametrize("request_id", [b"own", b"other", None])
     def test_copy_before_the_answer(self, request_id):
         """It is not taken for the answer, whether it names its request or not."""
         conversation = Conversation(answer(b"own", b"first"))
         assert conversation.request()
         conversation.exchange.receive(answer(request_id, b"late"))
         assert b"late" not in conversation.bodies
-        conversation.exchange.receive(answer(b"own", b"second"))
+        conversation.exchange.receive(answer(b"second", b"second"))
         assert conversation.bodies in ([b"first"], [b"first", b"second"])
         assert not conversation.exchange.connection.is_reusable
 
@@ -183,21 +187,37 @@
         conversation.exchange.receive(answer(request_id, b"late"))
         assert not conversation.request()
 
-    def test_request_without_a_name_between_named_ones(self):
-        """Its answer names no request either, and late copies are still told from answers."""
+    @pytest.mark.parametrize("between", [0, 1, 5])
+    def test_same_request_again(self, between):
+        """The copy of its first answer could not be told from the second one."""
         conversation = Conversation(answer(b"own", b"first"))
-        assert conversation.request(
-            lambda response: requests.ServerCodec().match_attempt(response, None)
-        )
-        conversation.exchange.receive(answer(None, b"second"))
-        assert conversation.bodies == [b"first", b"second"]
+        for number in range(between):
+            assert conversation.request(f"other-{number}")
+            conversation.exchange.receive(answer(b"other-%d" % number, b"other"))
+        assert not conversation.request("own")
+        assert conversation.request("second")
+
+    def test_request_without_a_name_after_a_named_one(self):
+        """Any answer could be its own, so it needs a connection that has carried nothing."""
+        conversation = Conversation(answer(b"own", b"first"))
+        assert not conversation.request(None)
         assert conversation.request()
-        conversation.exchange.receive(answer(None, b"late"))
-        assert conversation.bodies == [b"first", b"second"]
 
-    def test_server_that_names_no_request(self):
-        """Nothing can be told of its answers; each is taken for the one that is due."""
+    @pytest.mark.parametrize("request_id", ["second", None])
+    def test_server_that_names_no_request(self, request_id):
+        """Its answers can't be told apart, so each needs a connection of its own."""
         conversation = Conversation(answer(None, b"first"))
-        assert conversation.request()
-        conversation.exchange.receive(answer(None, b"second"))
-        assert conversation.bodies == [b"first", b"second"]
+        assert conversation.bodies == [b"first"]
+        assert not conversation.request(request_id)
+        assert conversation.exchange.is_closed
+
+    def test_number_of_requests_is_bounded(self):
+        """A connection remembers each of its requests, so it carries only so many."""
+        conversation = Conversation(answer(b"own", b"first"))
+        count = 1
+        while conversation.request(f"id-{count}"):
+            conversation.exchange.receive(answer(b"id-%d" % count, b"next"))
+            count += 1
+        assert count == 256
+        assert len(conversation.bodies) == 256
+        assert conversation.exchange.is_closed
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -90,7 +90,7 @@
         self.checked.append(address)
         return Reach.REACHED if self.others_reach else Reach.UNREACHED
 
-    def has_fresh(self, address):
+    def has_fresh(self, address, request_id):
         """Return False, as there are no idle connections."""
         return False
 
