Believe a relayed response only if it can't be the copy of another

The origin of a relayed request turned away only what named another request.

Change: an instance that relays tells that its connection had nothing to confuse a response with (RelayResponse.is_identified, protocol version 5). Without that word, a response is believed only if it names the request, and the request had not been sent before; else the request may have run.

Result: test_server_exchange.TestRelayOfAnOlderBuild; of its cases, the repeat and the response without an id were believed before.

--- a/src/carobhook/protocol/relay_messages.py
+++ b/src/carobhook/protocol/relay_messages.py
@@ -8,7 +8,7 @@
 
 import attrs
 
-from carobhook.state import ids
+from carobhook.state import ids, versions
 
 # Largest body that is relayed, in bytes. With the headers it has to fit into one frame.
 MAX_BODY_BYTES = 12 * 1024 * 1024
@@ -73,6 +73,8 @@
         reason: Reason phrase of the response.
         headers: Headers of the response, without those that concern one connection.
         body: Body of the response.
+        is_identified: Whether it can't be the copy of a response to another request, or to an
+            earlier attempt of the same one.
     """
 
     outcome: RelayOutcome
@@ -81,3 +83,4 @@
     reason: bytes = b""
     headers: tuple[tuple[bytes, bytes], ...] = ()
     body: bytes = b""
+    is_identified: bool = versions.added_field(False, since=5)
--- a/src/carobhook/transport/direct_exchange.py
+++ b/src/carobhook/transport/direct_exchange.py
@@ -51,6 +51,7 @@
         on_silence: Called if the path broke after the request was sent, and the request has to
             wait, as it must not run twice. A response may still come, but no server needs the
             slot for it any more.
+        is_repeat: Whether the request was sent before.
     """
 
     server: ids.Server
@@ -63,6 +64,7 @@
     match: server_connection.ResponseMatcher
     may_send: Callable[[], bool]
     on_silence: Callable[[], object] = lambda: None
+    is_repeat: bool = False
 
 
 @attrs.define(eq=False)
--- a/src/carobhook/transport/relay_service.py
+++ b/src/carobhook/transport/relay_service.py
@@ -150,6 +150,7 @@
         response.reason,
         response.headers,
         response.body,
+        is_identified=True,
     )
 
 
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -366,6 +366,7 @@
             on_silence=lambda: self._allocator.release_slot(
                 accepted.id, allocation.AttemptOutcome.CANCELLED
             ),
+            is_repeat=self._attempts > 1,
         )
 
     def _may_send(
--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -246,7 +246,7 @@
         self._choice.record_response(peer.name)
         self._direct.paths.record_reached_by_other(attempt.address, now)
         response = http1.Response(answer.status, answer.reason, answer.headers, answer.body)
-        if attempt.match(response) is allocation.ResponseMatch.OTHER:
+        if not _is_own(answer, attempt.match(response), attempt.is_repeat):
             raise exchange_results.ExchangeError(
                 Fault.GARBLED, text, False, False, is_relayed=True
             )
@@ -262,3 +262,18 @@
             logs.warning("paths-lost", relayed=self._relayed_count)
         else:
             logs.event("paths-found", relayed=self._relayed_count, broken=self.broken_paths)
+
+
+def _is_own(
+    answer: relay_messages.RelayResponse, match: allocation.ResponseMatch, is_repeat: bool
+) -> bool:
+    """Return whether a relayed response is that of the request, and no copy of another.
+
+    An older build may take a copy for the response: of one that bears no id, or of that to the
+    same request when it was sent before.
+    """
+    if match is allocation.ResponseMatch.OTHER:
+        return False
+    if answer.is_identified:
+        return True
+    return match is allocation.ResponseMatch.NAMED and not is_repeat
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -71,7 +71,13 @@
         relay.exchanges[0].callback(exchange_results.ReceivedResponse(response, (), False))
         assert relay.answers == [
             relay_messages.RelayResponse(
-                Outcome.RESPONDED, "", 200, b"OK", ((b"A", b"b"),), b"served"
+                Outcome.RESPONDED,
+                "",
+                200,
+                b"OK",
+                ((b"A", b"b"),),
+                b"served",
+                is_identified=True,
             )
         ]
         assert relay.service.in_flight == 0
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -2,6 +2,7 @@
 
 import random
 
+import attrs
 import pytest
 from twisted.internet import defer, task
 
@@ -21,7 +22,9 @@
 ResponseMatch = allocation.ResponseMatch
 HEAD = http1.RequestHead(b"GET", b"/x", ())
 NORTH, SOUTH = ids.Region("north"), ids.Region("south")
-SERVED = relay_messages.RelayResponse(Outcome.RESPONDED, "", 200, b"OK", (), b"served")
+SERVED = relay_messages.RelayResponse(
+    Outcome.RESPONDED, "", 200, b"OK", (), b"served", is_identified=True
+)
 
 
 def member(name, region=NORTH):
@@ -114,7 +117,13 @@
         """Do nothing."""
 
     def send(
-        self, address="s1:1", homes=(), may_send=True, match=ResponseMatch.NAMED, once=True
+        self,
+        address="s1:1",
+        homes=(),
+        may_send=True,
+        match=ResponseMatch.NAMED,
+        once=True,
+        is_repeat=False,
     ):
         """Send a request; return the status of its response or the fault."""
         attempt = direct_exchange.Attempt(
@@ -127,6 +136,7 @@
             once,
             lambda response: match,
             lambda: may_send,
+            is_repeat=is_repeat,
         )
         found = []
         result = defer.ensureDeferred(self.servers.exchange(attempt))
@@ -237,6 +247,31 @@
         assert len(paths.direct) == 3
 
 
+class TestRelayOfAnOlderBuild:
+    """Another instance took the copy of an earlier response for that of the request."""
+
+    @pytest.mark.parametrize(
+        ("match", "is_repeat", "found"),
+        [
+            (ResponseMatch.NAMED, False, 200),
+            (ResponseMatch.NAMED, True, Fault.GARBLED),
+            (ResponseMatch.UNNAMED, False, Fault.GARBLED),
+            (ResponseMatch.UNKNOWN, False, Fault.GARBLED),
+            (ResponseMatch.OTHER, False, Fault.GARBLED),
+        ],
+    )
+    def test_only_the_name_of_a_first_send_tells(self, match, is_repeat, found):
+        """The response to a repeat may be the copy of the refusal before it."""
+        older = attrs.evolve(SERVED, is_identified=False)
+        paths = Paths(member("two"), answers={ids.InstanceId("two"): older})
+        assert paths.send(match=match, is_repeat=is_repeat) == found
+
+    @pytest.mark.parametrize("match", [ResponseMatch.UNNAMED, ResponseMatch.UNKNOWN])
+    def test_newer_build_tells_by_its_connection(self, match):
+        """It uses none on which a copy could come."""
+        assert Paths(member("two")).send(match=match, is_repeat=True) == 200
+
+
 class TestRelaysThatBringNothing:
     """Instances that relay and are cut themselves (issue 49)."""
 
