Give each slot request of a request an id of its own

A request that is retried asked for its second slot under the id of its first one. The late decision of a former dispatcher on the first was then taken for that on the second: a grant sent the request to the server that had refused it, and a refusal ended it, though nobody had refused the retry.

Change: the second and later slot requests have a number in their ids, and a slot is released under the id that it was granted for.

Result: both tests of test_request_flow.TestLateDecision fail without the change.

--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -120,6 +120,7 @@
         self._region = accepted.region
         self._task: defer.Deferred | None = None
         self._avoided_servers: frozenset[ids.Server] = frozenset()
+        self._slot_request_count = 0
         self._attempts = 0
         self._unreachable_count = 0
         self._may_have_run = False
@@ -255,7 +256,7 @@
                 # The dispatcher's information on the server can be older than this instance's,
                 # and a configuration may have come into force since the request was routed.
                 self._allocator.release_slot(
-                    self._accepted.id, allocation.AttemptOutcome.CANCELLED
+                    decision.ask_id, allocation.AttemptOutcome.CANCELLED
                 )
                 self._avoided_servers |= {decision.server}
                 continue
@@ -285,8 +286,9 @@
 
     def _slot_request(self) -> allocation.SlotRequest:
         accepted = self._accepted
+        self._slot_request_count += 1
         return allocation.SlotRequest(
-            id=accepted.id,
+            id=_slot_request_id(accepted.id, self._slot_request_count),
             service=accepted.service,
             route=accepted.route.name,
             object_key=accepted.object_key if accepted.route.object_affinity else None,
@@ -303,12 +305,12 @@
         """Make one attempt on the granted slot; return whether to request another slot."""
         accepted = self._accepted
         if self._observer.is_quarantined(accepted.request):
-            self._allocator.release_slot(accepted.id, allocation.AttemptOutcome.CANCELLED)
+            self._allocator.release_slot(grant.ask_id, allocation.AttemptOutcome.CANCELLED)
             self._refuse(refusal_responses.quarantine_refusal(self._may_have_run))
             return False
         time_left_s = accepted.deadline_at - self._reactor.seconds() - _RESPONSE_MARGIN_S
         if time_left_s < _MIN_WORK_S:
-            self._allocator.release_slot(accepted.id, allocation.AttemptOutcome.CANCELLED)
+            self._allocator.release_slot(grant.ask_id, allocation.AttemptOutcome.CANCELLED)
             self._refuse(
                 refusals.Refusal(codes.Code.DEADLINE_UNMEETABLE, self._may_have_run, 1.0)
             )
@@ -338,7 +340,7 @@
         finally:
             is_delayed = self._is_slow() or (received is not None and received.is_relayed)
             reported = _reported_outcome(outcome, is_delayed, is_path_suspect)
-            self._allocator.release_slot(accepted.id, reported, rate, pace)
+            self._allocator.release_slot(grant.ask_id, reported, rate, pace)
             self._observe(outcome, run, grant)
         if self._stage is Stage.ENDED:
             return False
@@ -364,7 +366,7 @@
             match=self._match_attempt,
             may_send=lambda: self._may_send(accepted, grant.server),
             on_silence=lambda: self._allocator.release_slot(
-                accepted.id, allocation.AttemptOutcome.CANCELLED
+                grant.ask_id, allocation.AttemptOutcome.CANCELLED
             ),
             is_repeat=self._attempts > 1,
         )
@@ -597,6 +599,19 @@
         )
 
 
+def _slot_request_id(request_id: ids.RequestId, number: int) -> ids.RequestId:
+    """Return the id of one slot request of a request.
+
+    Each has an id of its own: the late decision of a former dispatcher on one must not be taken
+    for that on the next.
+
+    Args:
+        request_id: Id of the request.
+        number: Number of the slot request, from 1.
+    """
+    return request_id if number == 1 else ids.RequestId(f"{request_id}-{number}")
+
+
 def _reported_outcome(
     outcome: allocation.AttemptOutcome, is_delayed: bool, is_path_suspect: bool
 ) -> allocation.AttemptOutcome:
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -7,13 +7,14 @@
 
 from carobhook import request_trace
 from carobhook.platform import requests
-from carobhook.protocol import http1
+from carobhook.protocol import http1, slot_messages
 from carobhook.state import allocation, codes, ids, routing, servers
 from carobhook.transport import (
     accepted_requests,
     client_connections,
     exchange_results,
     request_flow,
+    slot_client,
 )
 
 ONCE = routing.Idempotency.ONCE
@@ -107,9 +108,16 @@
 class FlowCase:
     """A started `RequestFlow` with fakes around it."""
 
-    def __init__(self, idempotency=REPEATABLE, attempts=2, timeout_s=1.0, fallback=None):
+    def __init__(
+        self,
+        idempotency=REPEATABLE,
+        attempts=2,
+        timeout_s=1.0,
+        fallback=None,
+        create_allocator=lambda clock: FakeSlotAllocator(),
+    ):
         self.clock = task.Clock()
-        self.allocator, self.servers = FakeSlotAllocator(), FakeServers()
+        self.allocator, self.servers = create_allocator(self.clock), FakeServers()
         self.responses, self.outcomes, self.finished = [], [], []
         route = routing.Route(
             "r",
@@ -161,6 +169,51 @@
         return (self.responses[0].status if self.responses else 0), code
 
 
+class TestLateDecision:
+    """A former dispatcher decides on the first slot request while the second one waits."""
+
+    def retried(self):
+        """Return a retried request whose shard has changed its dispatcher, and the messages."""
+        sent = []
+
+        def send(to, message):
+            sent.append((to, message))
+            return True
+
+        case = FlowCase(
+            create_allocator=lambda clock: slot_client.SlotClient(
+                clock, lambda shard: ids.InstanceId("now"), send, lambda: None
+            )
+        )
+        case.allocator.handle_grant(ids.InstanceId("now"), self.grant(sent[0][1].id))
+        case.servers.respond(503, X_Not_Executed="1")
+        return case, sent
+
+    def grant(self, slot_request_id):
+        """Return the grant of a slot request."""
+        return allocation.SlotGrant(slot_request_id, ids.Server("s1"), "s:1", 0.1)
+
+    def test_late_grant_is_given_back(self):
+        """The second send would go to the server that the first one was refused by."""
+        case, sent = self.retried()
+        first_id = sent[0][1].id
+        case.allocator.handle_grant(ids.InstanceId("former"), self.grant(first_id))
+        assert len(case.servers.attempts) == 1
+        withdrawn = slot_messages.SlotRequestWithdrawn(
+            first_id, ids.Region("north"), ids.Service("svc")
+        )
+        assert sent[-1] == (ids.InstanceId("former"), withdrawn)
+
+    def test_late_refusal_refuses_nothing(self):
+        """The second slot request is still to be decided."""
+        case, sent = self.retried()
+        code = codes.Code.DEADLINE_UNMEETABLE
+        case.allocator.handle_refusal(allocation.SlotRefusal(sent[0][1].id, code, 1.0))
+        assert case.responses == []
+        case.allocator.handle_grant(ids.InstanceId("now"), self.grant(sent[-1][1].id))
+        assert len(case.servers.attempts) == 2
+
+
 class TestWaitingForSlot:
     """Requests that wait for a slot."""
 
