Apply what a response says of its server to the run that the request was sent to

A server may run anew under its id. Server-Leaving, or the rest of a refusal, in a response of its former run was applied to the run of that id at the time of the response: the new one got no requests any more from any instance, and callers 503.

Change: the run is looked up before the request is sent, here and at a relay; what a run says that is over by then is dropped.

Result: test_server_notices.TestWordOfAFormerRun fails without the change (503 for 200).

--- a/src/carobhook/transport/notice_board.py
+++ b/src/carobhook/transport/notice_board.py
@@ -54,20 +54,24 @@
         self._rests = server_notices.Rests()
         self._odd_loads: set[servers.ServerRun] = set()
 
-    def record_response(self, server: ids.Server, response: http1.Response) -> None:
-        """Apply what a response says of its server."""
+    def record_response(self, run: servers.ServerRun, response: http1.Response) -> None:
+        """Apply what a response says of its server.
+
+        Args:
+            run: Run of the server that the request was sent to. It may have ended since then.
+            response: The response.
+        """
         try:
             notice = self._codec.notice(response)
         except ValueError as error:
-            logs.warning("server-notice-malformed", server=server, error=error)
+            logs.warning("server-notice-malformed", server=run.server, error=error)
             return
-        entry = self._catalog.entry(server)
-        if notice is None or entry is None:
+        if notice is None or self._catalog.run_of(run.server) != run:
             return
         if notice.rest_s is not None:
-            self._rests.add(entry.run, notice.rest_s, self._reactor.seconds())
+            self._rests.add(run, notice.rest_s, self._reactor.seconds())
         if notice.is_leaving:
-            self.apply_leaving(path_messages.ServerLeaving(server, entry.started_at_ms))
+            self.apply_leaving(path_messages.ServerLeaving(run.server, run.started_at_ms))
 
     def apply_leaving(self, message: path_messages.ServerLeaving) -> None:
         """Stop the use of a server that leaves, and tell the other instances if it is news."""
--- a/src/carobhook/transport/relay_service.py
+++ b/src/carobhook/transport/relay_service.py
@@ -7,7 +7,7 @@
 
 from carobhook import logs
 from carobhook.protocol import http1, relay_messages
-from carobhook.state import allocation, ids
+from carobhook.state import allocation, ids, servers
 from carobhook.transport import direct_exchange, exchange_results
 
 Outcome = relay_messages.RelayOutcome
@@ -35,7 +35,8 @@
         may_use: Returns whether a server at an address may get requests from this instance.
         can_relay: Returns whether this instance serves and reaches servers.
         match: Returns whether a response belongs to a client's attempt.
-        on_response: Called with the server and each response.
+        run_of: Returns the present run of a server, or None if it is not known.
+        on_response: Called with each response and the run that its request was sent to.
         max_body_bytes: Largest size of the bodies of all relayed requests.
         on_failure: Called with an unexpected error.
     """
@@ -46,7 +47,8 @@
         may_use: Callable[[ids.Server, str], bool],
         can_relay: Callable[[], bool],
         match: Callable[[http1.Response, str | None], allocation.ResponseMatch],
-        on_response: Callable[[ids.Server, http1.Response], object],
+        run_of: Callable[[ids.Server], servers.ServerRun | None],
+        on_response: Callable[[servers.ServerRun, http1.Response], object],
         max_body_bytes: int,
         on_failure: Callable[[typing.Any], object],
     ) -> None:
@@ -54,6 +56,7 @@
         self._may_use = may_use
         self._can_relay = can_relay
         self._match = match
+        self._run_of = run_of
         self._on_response = on_response
         self._max_body_bytes = max_body_bytes
         self._on_failure = on_failure
@@ -104,10 +107,12 @@
         self, sender: ids.InstanceId, request: relay_messages.RelayRequest
     ) -> relay_messages.RelayResponse:
         use: exchange_results.ConnectionUse | None = None
+        run = self._run_of(request.server)
         try:
             received = await self._direct.exchange_for_other(self._attempt(request))
             use = received.use
-            self._on_response(request.server, received.response)
+            if run is not None:
+                self._on_response(run, received.response)
             answer = _answer(received.response)
         except exchange_results.ExchangeError as error:
             answer = relay_messages.RelayResponse(_OUTCOME_BY_FAULT[error.fault], str(error))
--- a/src/carobhook/transport/server_access.py
+++ b/src/carobhook/transport/server_access.py
@@ -11,7 +11,7 @@
 from carobhook.coordination import catalog, objects, relay_choice
 from carobhook.platform import requests
 from carobhook.protocol import http1, path_messages, relay_messages, slot_messages
-from carobhook.state import ids, members
+from carobhook.state import ids, members, servers
 from carobhook.transport import (
     direct_exchange,
     member_streams,
@@ -137,6 +137,7 @@
             self._relays,
             relay_choice.RelayChoice(rng, self._place.region),
             self._other_serving,
+            parts.server_catalog.run_of,
             record_response,
         )
         self._relay_service = relay_service.RelayService(
@@ -144,6 +145,7 @@
             self._may_relay_to,
             lambda: parts.is_serving() and not self._direct.is_cut,
             self._codec.match_attempt,
+            parts.server_catalog.run_of,
             record_response,
             int(self._memory_bytes * _RELAY_MEMORY_RATIO),
             lambda reason: parts.supervisor.record("relay", reason),
@@ -233,10 +235,10 @@
         """Return whether a server that this instance does not reach may be at fault."""
         return await self._direct.opens_connections(address)
 
-    def _record_response(self, server: ids.Server, response: http1.Response) -> None:
+    def _record_response(self, run: servers.ServerRun, response: http1.Response) -> None:
         """Learn what a response says of its server."""
-        self.notices.record_response(server, response)
-        self.quarantine.record_response(server)
+        self.notices.record_response(run, response)
+        self.quarantine.record_response(run.server)
 
     def _build_probe(self, address: str) -> http1.RequestHead | None:
         """Return the head of a probe of a server, or None if it may not get requests."""
--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -12,7 +12,7 @@
 from carobhook import logs
 from carobhook.coordination import relay_choice
 from carobhook.protocol import http1, relay_messages
-from carobhook.state import allocation, ids, members
+from carobhook.state import allocation, ids, members, servers
 from carobhook.transport import (
     direct_exchange,
     exchange_results,
@@ -47,7 +47,8 @@
         relays: Connections to instances that relay.
         choice: Chooses among the instances that can relay.
         peers: Returns the other instances that accept new work.
-        on_response: Called with the server and each response.
+        run_of: Returns the present run of a server, or None if it is not known.
+        on_response: Called with each response and the run that its request was sent to.
     """
 
     def __init__(
@@ -57,13 +58,15 @@
         relays: relay_connections.RelayConnections,
         choice: relay_choice.RelayChoice,
         peers: Callable[[], Sequence[members.Member]],
-        on_response: Callable[[ids.Server, http1.Response], object],
+        run_of: Callable[[ids.Server], servers.ServerRun | None],
+        on_response: Callable[[servers.ServerRun, http1.Response], object],
     ) -> None:
         self._reactor = reactor
         self._direct = direct
         self._relays = relays
         self._choice = choice
         self._peers = peers
+        self._run_of = run_of
         self._on_response = on_response
         self._was_cut = False
         self._relayed_count = 0
@@ -92,8 +95,10 @@
             exchange_results.ExchangeError: The exchange failed without a complete response.
             twisted.internet.defer.CancelledError: The exchange was cancelled.
         """
+        run = self._run_of(attempt.server)
         received = await self._exchange(attempt)
-        self._on_response(attempt.server, received.response)
+        if run is not None:
+            self._on_response(run, received.response)
         return received
 
     async def _exchange(
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -37,7 +37,8 @@
             lambda server, address: self.catalog.is_usable(server),
             lambda: can_relay,
             lambda response, _: allocation.ResponseMatch.NAMED,
-            lambda server, response: None,
+            self.catalog.run_of,
+            lambda run, response: None,
             max_body_bytes,
             self.failures.append,
         )
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -8,7 +8,7 @@
 
 from carobhook.coordination import relay_choice
 from carobhook.protocol import http1, path_messages, relay_messages
-from carobhook.state import allocation, ids, members
+from carobhook.state import allocation, ids, members, servers
 from carobhook.transport import (
     direct_exchange,
     exchange_results,
@@ -70,7 +70,8 @@
             self,
             relay_choice.RelayChoice(rng, NORTH),
             lambda: peers,
-            lambda server, response: None,
+            servers.ServerRun,
+            lambda run, response: None,
         )
 
     # Connections to servers.
--- a/tests/test_server_notices.py
+++ b/tests/test_server_notices.py
@@ -121,6 +121,27 @@
         assert (await self.request()).status == 200
 
 
+class TestWordOfAFormerRun(NoticeCase):
+    """A server runs anew under its id before a response of its former run arrives."""
+
+    server_count = 1
+
+    async def request_across_a_restart(self, **fields):
+        """Send a request whose response comes from the former run; return its status."""
+        self.set_behaviour(work_s=0.6, **fields)
+        sent = defer.ensureDeferred(self.request())
+        await task.deferLater(reactor, 0.3, lambda: None)
+        self.register("i-0", born=2)
+        response = await sent
+        self.set_behaviour()
+        return response.status
+
+    async def test_next_run_does_not_leave(self):
+        """It was the former one that said so."""
+        assert await self.request_across_a_restart(is_leaving=True) == 200
+        assert (await self.request(X_Attempt_Id="second")).status == 200
+
+
 class TestResting(NoticeCase):
     """A server that turns requests away and says for how long."""
 
