--- a/tests/test_homes_in_force.py
+++ b/tests/test_homes_in_force.py
@@ -166,7 +166,8 @@
             relay_connections.RelayConnections(reactor, IDENTITY),
             relay_choice.RelayChoice(rng, NORTH),
             list,
-            lambda server, response: None,
+            known.run_of,
+            lambda run, response: None,
         )
         start_request(reactor, known, allocator, exchange)
         allocator.grant("n1")
