--- a/src/carobhook/soak/run.py
+++ b/src/carobhook/soak/run.py
@@ -1,65 +1,20 @@
 """Runs one seed of the soak: load with faults, recovery, then the checks."""
 
-import itertools
 import pathlib
 import random
-import signal
 import typing
 
 import attrs
 from twisted.internet import defer, task
 
 from carobhook import demo
-from carobhook.platform import names
-from carobhook.protocol import http1
-from carobhook.soak import checks, deployment, faults, proxy
-from carobhook.standins import platform_client, platform_server
-from carobhook.transport import exchange_results, server_connections
+from carobhook.soak import checks, deployment, faults, injections
+from carobhook.standins import platform_client
 
 _REQUESTS_PER_S = 40.0
 _RECOVERY_LOAD_S = 3.0
-_RESTART_S = 0.3
-# Outage before the store comes back from an older copy, and the time after which servers and
-# operators write again what it has lost.
-_RESTORE_OUTAGE_S = 0.5
-_REWRITE_S = 0.5
-# A request that ends its servers is sent again after this time, for some time longer than the
-# fault lasts; a cut from servers lasts longer as well, so that its effects settle.
-_FATAL_INTERVAL_S = 0.3
-_FATAL_EXTRA_S = 7.0
-_CUT_EXTRA_S = checks.CUT_SETTLE_S + 1.0
-_FATAL_SERVICE = "licences"
-# Twice as many come near to the largest object that the store takes.
-_ADDED_ROUTES = 2000
-# Time for which an id of a server and the next one are registered before, and after, the server
-# takes the next one; and how many ids it has until it refuses all requests under one.
-_ID_OVERLAP_S = 0.25
-_SHED_INTERVAL = 4
 _CLIENT_ZONES = (("addis", "addis-a"), ("kigali", "kigali-a"))
 
-_PROXY_MODES = {
-    faults.Fault.STORE_REFUSES: proxy.Mode.REFUSE,
-    faults.Fault.STORE_SILENT: proxy.Mode.SILENT,
-    faults.Fault.STORE_DELAYED: proxy.Mode.DELAY,
-    faults.Fault.STORE_LOSES_ANSWERS: proxy.Mode.NO_ANSWERS,
-    faults.Fault.SERVER_SILENT: proxy.Mode.SILENT,
-    faults.Fault.SERVER_DELAYED: proxy.Mode.DELAY,
-}
-_INSTANCE_FAULTS = frozenset(
-    {
-        faults.Fault.TERM,
-        faults.Fault.KILL,
-        faults.Fault.KILL_ALL,
-        faults.Fault.PAUSE,
-        faults.Fault.RELOAD,
-    }
-)
-_BEHAVIOURS: dict[faults.Fault, dict[str, typing.Any]] = {
-    faults.Fault.SERVER_SHEDS: {"shed": True},
-    faults.Fault.SERVER_FAILS: {"status": 500},
-    faults.Fault.SERVER_GARBLES: {"raw": b"HTTP/1.1 2oo ?\r\n\r\n"},
-}
-
 
 @attrs.frozen
 class SoakOptions:
@@ -122,15 +77,8 @@
             reactor, directory, options.instances, options.servers, options.other_source
         )
         self._rng = random.Random(seed)
-        self._injections: list[defer.Deferred] = []
-        self._draining_periods: list[tuple[str, float, float]] = []
-        self._limited_periods: list[tuple[str, float, float]] = []
+        self._injector = injections.FaultInjector(reactor, self._deployment, options.instances)
         self._clients: list[platform_client.PlatformClient] = []
-        self._config_writes: list[tuple[int, float]] = []
-        self._store_faults: list[tuple[float, float]] = []
-        self._cut_periods: list[tuple[float, float]] = []
-        self._fatal_ids: list[str] = []
-        self._connections = server_connections.ServerConnections(reactor, 1.0)
 
     async def run(self) -> Verdict:
         """Start the deployment, inject the faults under load, and check the result."""
@@ -140,9 +88,9 @@
             for server in self._deployment.servers:
                 server.behaviour = attrs.evolve(server.behaviour, echo_id=True)
             load = self._load(self._options.duration_s + 2.0)
-            await self._inject_faults(steps)
+            await self._injector.inject(steps)
             await load
-            await defer.gatherResults(self._injections)
+            await self._injector.settle()
             attempts_before_recovery = list(self._attempts())
             await task.deferLater(self._reactor, checks.RECOVERY_S)
             sent, served = self._totals()
@@ -151,7 +99,7 @@
         finally:
             for client in self._clients:
                 client.stop()
-            self._connections.stop()
+            self._injector.stop()
             await self._deployment.stop()
 
     def _load(self, duration_s: float) -> defer.Deferred:
@@ -172,236 +120,6 @@
             )
         return defer.gatherResults(running)
 
-    async def _inject_faults(self, steps: list[faults.Step]) -> None:
-        started_at = self._reactor.seconds()
-        for step in steps:
-            wait_s = started_at + step.at_s - self._reactor.seconds()
-            await task.deferLater(self._reactor, max(0.0, wait_s))
-            self._injections.append(defer.ensureDeferred(self._inject(step)))
-
-    async def _inject(self, step: faults.Step) -> None:
-        fault, system = step.fault, self._deployment
-        instance_index = step.target % self._options.instances
-        server_index = step.target % len(system.servers)
-        if fault in faults.PATH_CUTS:
-            await self._cut_paths(instance_index, fault, step.duration_s + _CUT_EXTRA_S)
-        elif fault in _INSTANCE_FAULTS:
-            await self._disturb_instance(instance_index, step)
-        elif fault in faults.CONFIG_WRITES:
-            count = _ADDED_ROUTES if fault is faults.Fault.CONFIG_GROWS else 0
-            self._config_writes.append((system.change_config(count), self._reactor.seconds()))
-        elif fault.value.startswith("store"):
-            started_at = self._reactor.seconds()
-            await self._disturb_store(fault, step.duration_s)
-            self._store_faults.append((started_at, self._reactor.seconds()))
-        else:
-            await self._disturb_server(server_index, fault, step.duration_s)
-
-    async def _disturb_instance(self, instance_index: int, step: faults.Step) -> None:
-        """Stop, kill, pause or reload an instance, or kill all of them."""
-        fault, system = step.fault, self._deployment
-        if fault in (faults.Fault.TERM, faults.Fault.KILL):
-            signal_number = signal.SIGTERM if fault is faults.Fault.TERM else signal.SIGKILL
-            await self._restart(instance_index, signal_number)
-        elif fault is faults.Fault.KILL_ALL:
-            await defer.gatherResults(
-                [
-                    defer.ensureDeferred(self._restart(index, signal.SIGKILL))
-                    for index in range(self._options.instances)
-                ]
-            )
-        elif fault is faults.Fault.PAUSE:
-            system.send_signal(instance_index, signal.SIGSTOP)
-            await task.deferLater(self._reactor, step.duration_s)
-            system.send_signal(instance_index, signal.SIGCONT)
-        else:
-            system.write_settings(instance_index, ttl_max_s=3 + step.target % 3)
-            system.send_signal(instance_index, signal.SIGHUP)
-
-    async def _disturb_server(
-        self, server_index: int, fault: faults.Fault, duration_s: float
-    ) -> None:
-        """Let a server drain, limit its rate, fail or end, or disturb its connections."""
-        system = self._deployment
-        if fault is faults.Fault.SERVER_DRAINS:
-            await self._drain(server_index, duration_s)
-        elif fault is faults.Fault.SERVER_LIMITS:
-            await self._limit(system.servers[server_index], duration_s)
-        elif fault is faults.Fault.SERVER_COPIES:
-            await self._send_copies(duration_s)
-        elif fault is faults.Fault.SERVER_RESETS:
-            system.server_proxies[server_index].reset()
-        elif fault is faults.Fault.SERVER_ENDS:
-            await self._send_fatal_requests(duration_s + _FATAL_EXTRA_S)
-        elif fault in _BEHAVIOURS:
-            await self._change_behaviour(system.servers[server_index], fault, duration_s)
-        else:
-            changed_proxy = system.server_proxies[server_index]
-            await self._change_proxy_mode(changed_proxy, _PROXY_MODES[fault], duration_s)
-
-    async def _disturb_store(self, fault: faults.Fault, duration_s: float) -> None:
-        """Let the store forget its history, come back from a copy, or fail for a while."""
-        system = self._deployment
-        if fault is faults.Fault.STORE_FORGETS:
-            system.store.compact()
-        elif fault is faults.Fault.STORE_RESTORED:
-            await self._restore_store(duration_s)
-        else:
-            mode = _PROXY_MODES[fault]
-            await self._change_proxy_mode(system.store_proxy, mode, duration_s)
-
-    async def _restart(self, index: int, signal_number: signal.Signals) -> None:
-        self._deployment.send_signal(index, signal_number)
-        if signal_number is signal.SIGKILL:
-            # A process that another fault has paused must exit as well.
-            self._deployment.send_signal(index, signal.SIGCONT)
-        await self._deployment.wait_for_exit(index)
-        await task.deferLater(self._reactor, _RESTART_S)
-        self._deployment.start_instance(index)
-
-    async def _restore_store(self, duration_s: float) -> None:
-        """Restore the store to a copy as old as the step lasts, after a short outage."""
-        system = self._deployment
-        saved = system.store.save()
-        await task.deferLater(self._reactor, duration_s)
-        await self._change_proxy_mode(system.store_proxy, proxy.Mode.REFUSE, _RESTORE_OUTAGE_S)
-        system.store.restore(saved)
-        await task.deferLater(self._reactor, _REWRITE_S)
-        system.write_again()
-
-    async def _drain(self, server_index: int, duration_s: float) -> None:
-        plan = self._deployment.server_plans[server_index]
-        if plan.name in self._deployment.draining_since:
-            return
-        started_at = self._reactor.seconds()
-        self._deployment.set_state(server_index, "draining")
-        await task.deferLater(self._reactor, duration_s + checks.DRAIN_LIMIT_S)
-        self._draining_periods.append((plan.name, started_at, self._reactor.seconds()))
-        self._deployment.set_state(server_index, "ready")
-
-    async def _limit(self, server: platform_server.PlatformBackend, duration_s: float) -> None:
-        """Let a server name a limit until its rate has settled, and for a while after that."""
-        if server.behaviour.limit is not None:
-            return
-        started_at = self._reactor.seconds()
-        server.behaviour = attrs.evolve(server.behaviour, limit=str(checks.LIMIT_PER_S))
-        await task.deferLater(self._reactor, checks.LIMIT_SETTLE_S + duration_s)
-        self._limited_periods.append((server.name, started_at, self._reactor.seconds()))
-        server.behaviour = attrs.evolve(server.behaviour, limit=None)
-
-    async def _send_copies(self, duration_s: float) -> None:
-        """Let all servers send copies, refuse requests, and change their ids."""
-        end_at = self._reactor.seconds() + duration_s
-        sending = [
-            self._send_copies_of(n, end_at) for n in range(len(self._deployment.servers))
-        ]
-        await defer.gatherResults([defer.ensureDeferred(each) for each in sending])
-
-    async def _send_copies_of(self, server_index: int, end_at: float) -> None:
-        """Let a server send copies; each of its ids overlaps with the next one in the store."""
-        system = self._deployment
-        server, plan = system.servers[server_index], system.server_plans[server_index]
-        timings = itertools.cycle(platform_server.CopyTiming)
-        for number in itertools.count(1):
-            if self._reactor.seconds() > end_at:
-                break
-            timing = next(timings)
-            former, name = server.name, f"{plan.name}-{number}"
-            system.add_entry(server_index, name)
-            await task.deferLater(self._reactor, _ID_OVERLAP_S)
-            server.name = name
-            server.behaviour = attrs.evolve(
-                server.behaviour,
-                refusal_copies=timing,
-                answer_copies=timing,
-                shed=number % _SHED_INTERVAL == 0,
-            )
-            await task.deferLater(self._reactor, _ID_OVERLAP_S)
-            system.remove_entry(former)
-        server.behaviour = attrs.evolve(
-            server.behaviour, refusal_copies=None, answer_copies=None, shed=False
-        )
-        system.add_entry(server_index, plan.name)
-        await task.deferLater(self._reactor, _ID_OVERLAP_S)
-        former, server.name = server.name, plan.name
-        await task.deferLater(self._reactor, _ID_OVERLAP_S)
-        system.remove_entry(former)
-
-    async def _cut_paths(
-        self, instance_index: int, fault: faults.Fault, duration_s: float
-    ) -> None:
-        """Cut an instance from all servers for a while; its open connections die.
-
-        New ones are accepted and reset: on loopback, a proxy cannot do otherwise.
-        """
-        host = self._deployment.outgoing_host(instance_index)
-        is_reset = fault is faults.Fault.PATHS_RESET
-        started_at = self._reactor.seconds()
-        for each_proxy in self._deployment.server_proxies:
-            each_proxy.caller_modes[host] = proxy.Mode.REFUSE
-            if is_reset:
-                each_proxy.reset_caller(host)
-            else:
-                each_proxy.silence_caller(host)
-        await task.deferLater(self._reactor, duration_s)
-        self._cut_periods.append((started_at, self._reactor.seconds()))
-        for each_proxy in self._deployment.server_proxies:
-            each_proxy.caller_modes.pop(host, None)
-
-    async def _send_fatal_requests(self, duration_s: float) -> None:
-        """Send a request that ends its servers, again and again, to all instances in turn."""
-        target = f"/{_FATAL_SERVICE}/fatal"
-        for server in self._deployment.servers:
-            server.behaviour = attrs.evolve(server.behaviour, fatal_target=target.encode())
-        end_at = self._reactor.seconds() + duration_s
-        sent = []
-        for index in itertools.cycle(range(self._options.instances)):
-            if self._reactor.seconds() > end_at:
-                break
-            request_id = f"fatal-{len(self._fatal_ids)}"
-            self._fatal_ids.append(request_id)
-            address = self._deployment.entry_address(index)
-            sent.append(defer.ensureDeferred(self._send_fatal(address, target, request_id)))
-            await task.deferLater(self._reactor, _FATAL_INTERVAL_S)
-        await defer.gatherResults(sent)
-
-    async def _send_fatal(self, address: str, target: str, request_id: str) -> None:
-        headers = {"Host": demo.SERVED_HOST, names.REQUEST_ID: request_id}
-        headers[names.TIME_LEFT_MS] = "2000"
-        raw = tuple((name.encode(), value.encode()) for name, value in headers.items())
-        head = http1.RequestHead(b"POST", target.encode(), raw)
-        exchange = defer.ensureDeferred(
-            self._connections.exchange(address, head, b"", require_fresh=True)
-        )
-        try:
-            await exchange.addTimeout(3.0, self._reactor)
-        except (exchange_results.ExchangeError, defer.TimeoutError):
-            return
-
-    async def _change_behaviour(
-        self, server: platform_server.PlatformBackend, fault: faults.Fault, duration_s: float
-    ) -> None:
-        changes = _BEHAVIOURS[fault]
-        # Only these are restored, as other faults may have changed more in between.
-        previous = {name: getattr(server.behaviour, name) for name in changes}
-        server.behaviour = attrs.evolve(server.behaviour, **changes)
-        await task.deferLater(self._reactor, duration_s)
-        server.behaviour = attrs.evolve(server.behaviour, **previous)
-
-    async def _change_proxy_mode(
-        self, changed_proxy: proxy.Proxy, mode: proxy.Mode, duration_s: float
-    ) -> None:
-        changed_proxy.mode = mode
-        if mode is proxy.Mode.REFUSE:
-            changed_proxy.reset()
-        await task.deferLater(self._reactor, duration_s)
-        changed_proxy.mode = proxy.Mode.PASS
-        if mode in (proxy.Mode.SILENT, proxy.Mode.NO_ANSWERS):
-            # These connections lost data and cannot work again. They are removed from the
-            # set, but not closed.
-            for connection in list(changed_proxy.connections):
-                changed_proxy.connections.discard(connection)
-
     def _attempts(
         self,
     ) -> typing.Iterator[tuple[platform_client.RequestPlan, platform_client.Attempt]]:
@@ -425,7 +143,7 @@
             checks.Run(attempt_id, server.name, started_at)
             for server in self._deployment.servers
             for attempt_id, started_at in server.starts
-            if attempt_id not in self._fatal_ids
+            if attempt_id not in self._injector.fatal_ids
         ]
         sent, served = self._totals()
         violations = checks.find_violations(runs, list(self._attempts()))
@@ -434,17 +152,19 @@
         store_faults = any(step.fault.value.startswith("store") for step in steps)
         # During a fault of the store, instances may learn too late that a server drains.
         if not store_faults:
-            violations += checks.find_late_sends(runs, self._draining_periods)
+            violations += checks.find_late_sends(runs, self._injector.draining_periods)
         if not {step.fault for step in steps} & faults.EXCUSES_FROM_LIMITS:
-            violations += checks.find_over_limit(runs, self._limited_periods)
+            violations += checks.find_over_limit(runs, self._injector.limited_periods)
         kinds = {step.fault for step in steps}
         if kinds <= faults.HARMLESS_IN_CUTS:
-            violations += checks.find_unserved_in_cuts(self._attempts(), self._cut_periods)
+            violations += checks.find_unserved_in_cuts(
+                self._attempts(), self._injector.cut_periods
+            )
         if kinds <= faults.STORE_ONLY and self._options.other_source is None:
             violations += checks.find_late_configs(
-                self._config_writes,
+                self._injector.config_writes,
                 self._deployment.configs_in_force(),
-                self._store_faults,
+                self._injector.store_faults,
                 self._reactor.seconds(),
             )
         ends = [at for server in self._deployment.servers for at in server.ends]
