--- a/src/carobhook/protocol/slot_messages.py
+++ b/src/carobhook/protocol/slot_messages.py
@@ -15,7 +15,7 @@
     """Asks the dispatcher of a shard for a slot.
 
     Attributes:
-        id: Id of the request, assigned by the sender.
+        id: Id of the slot request, assigned by the sender.
         region: Region of the shard.
         service: Service of the shard.
         route: Name of the request's route.
--- a/src/carobhook/standins/platform_server.py
+++ b/src/carobhook/standins/platform_server.py
@@ -184,7 +184,7 @@
             """Records the connections, so that raw bytes can be sent on them."""
 
             def buildProtocol(self, addr: typing.Any) -> protocol.Protocol | None:
-                if self.open_connections >= _MAX_CONNECTIONS:
+                if super().buildProtocol(addr) is None:
                     return None
                 connection = _Connection(self, backend._set_receiving)
                 backend._connections.append(connection)
--- a/src/carobhook/state/allocation.py
+++ b/src/carobhook/state/allocation.py
@@ -83,7 +83,7 @@
     """Asks a dispatcher for a slot in which to run one request.
 
     Attributes:
-        id: Id of the request, assigned by the requesting instance.
+        id: Id of the slot request, assigned by the requesting instance.
         service: Service that must run the request.
         route: Name of the request's route.
         object_key: Key of the request's object on a route with object affinity, else None.
--- a/src/carobhook/transport/exchange_results.py
+++ b/src/carobhook/transport/exchange_results.py
@@ -61,17 +61,19 @@
 
 @attrs.frozen
 class ConnectionUse:
-    """How a connection had been used when a response came on it.
+    """How a connection had been used when a response came on it, for the log.
+
+    All is None if the connection is another instance's, or there is no response.
 
     Attributes:
         connection: Number of the connection, counted from the start of the process.
         exchange_count: Number of exchanges that it had carried, with that of the response.
-        wait_s: Seconds from the request to the response.
+        wait_ms: Milliseconds from the request to the response.
     """
 
-    connection: int
-    exchange_count: int
-    wait_s: float
+    connection: int | None = None
+    exchange_count: int | None = None
+    wait_ms: float | None = None
 
 
 @attrs.frozen
@@ -84,7 +86,7 @@
         closing: Whether the connection is closed after this response.
         reused: Whether the connection had carried an exchange before.
         is_relayed: Whether it came through another instance.
-        use: The use of its connection, None if that is another instance's.
+        use: The use of its connection.
     """
 
     response: http1.Response
@@ -92,4 +94,4 @@
     closing: bool
     reused: bool = False
     is_relayed: bool = False
-    use: ConnectionUse | None = None
+    use: ConnectionUse = ConnectionUse()
--- a/src/carobhook/transport/relay_service.py
+++ b/src/carobhook/transport/relay_service.py
@@ -106,7 +106,7 @@
     async def _relay(
         self, sender: ids.InstanceId, request: relay_messages.RelayRequest
     ) -> relay_messages.RelayResponse:
-        use: exchange_results.ConnectionUse | None = None
+        use = exchange_results.ConnectionUse()
         run = self._run_of(request.server)
         try:
             received = await self._direct.exchange_for_other(self._attempt(request))
@@ -123,9 +123,9 @@
             server=request.server,
             outcome=answer.outcome,
             status=answer.status,
-            connection=use.connection if use is not None else None,
-            exchanges=use.exchange_count if use is not None else None,
-            wait_ms=round(use.wait_s * 1000, 1) if use is not None else None,
+            connection=use.connection,
+            exchanges=use.exchange_count,
+            wait_ms=use.wait_ms,
         )
         return answer
 
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -425,9 +425,9 @@
             address=grant.address,
             status=received.response.status,
             relayed=received.is_relayed,
-            connection=use.connection if use is not None else None,
-            exchanges=use.exchange_count if use is not None else None,
-            wait_ms=round(use.wait_s * 1000, 1) if use is not None else None,
+            connection=use.connection,
+            exchanges=use.exchange_count,
+            wait_ms=use.wait_ms,
         )
 
     def _failed_outcome(
--- a/src/carobhook/transport/server_connection.py
+++ b/src/carobhook/transport/server_connection.py
@@ -274,6 +274,12 @@
         if match is allocation.ResponseMatch.UNNAMED:
             self._carried.record_unnamed_response()
         close = close or self._had_unmatched_response or self._carried.is_exhausted
+        self._end_exchange(response, raw_headers, close)
+
+    def _end_exchange(
+        self, response: http1.Response, raw_headers: http1.Headers, close: bool
+    ) -> None:
+        """Deliver the response, and keep the connection for the next request or close it."""
         self._clear_body()
         self.idle_since = self._seconds()
         self.idle_limit_s = _idle_limit_s(raw_headers)
@@ -284,7 +290,7 @@
             self.transport.loseConnection()
         if pending is not None:
             use = exchange_results.ConnectionUse(
-                self.number, self.exchange_count, self._seconds() - self._sent_at
+                self.number, self.exchange_count, self._wait_ms()
             )
             reused = self.exchange_count > 1
             pending.callback(
@@ -299,9 +305,13 @@
             connection=self.number,
             exchanges=self.exchange_count,
             kind=kind,
-            wait_ms=round((self._seconds() - self._sent_at) * 1000, 1),
+            wait_ms=self._wait_ms(),
         )
 
+    def _wait_ms(self) -> float:
+        """Return the milliseconds since the last request was sent."""
+        return round((self._seconds() - self._sent_at) * 1000, 1)
+
     def _fail(self, fault: Fault, text: str) -> None:
         pending, response_started = self._pending, self._response_head is not None
         self.abort()
--- a/tests/test_response_copies.py
+++ b/tests/test_response_copies.py
@@ -5,23 +5,12 @@
 from hypothesis import strategies
 from twisted.internet import task, testing
 
-from carobhook.platform import requests
-from carobhook.protocol import http1
+import test_server_connections
 from carobhook.transport import response_memory, server_connection
 
-HEAD = http1.RequestHead(b"GET", b"/", ((b"Host", b"x"),))
-MEMORY_BYTES = 1024 * 1024
 IDS = ("a", "b", "c", None)
 
 
-def identification(request_id):
-    """Return how the response to a request with an id, or None, is told from others."""
-    return server_connection.Identification(
-        request_id,
-        lambda response: requests.ServerCodec().match_attempt(response, request_id),
-    )
-
-
 @attrs.define
 class Send:
     """A request that was sent, and the body of its answer, which no other answer has."""
@@ -45,7 +34,7 @@
 
     def open(self):
         """Open a new connection, on which nothing was answered yet."""
-        memory = response_memory.ResponseMemory(MEMORY_BYTES)
+        memory = response_memory.ResponseMemory(test_server_connections.MEMORY_BYTES)
         self.connection = server_connection.ServerConnection(task.Clock().seconds, memory)
         self.transport = testing.StringTransport()
         self.transport.setTcpNoDelay = lambda on: None
@@ -62,7 +51,11 @@
         send = Send(request_id, b"%d" % len(self.sends))
         self.sends.append(send)
         self.pending = send
-        result = self.connection.exchange(HEAD, b"", identification(request_id))
+        result = self.connection.exchange(
+            test_server_connections.HEAD,
+            b"",
+            test_server_connections.identification(request_id),
+        )
         result.addCallbacks(
             lambda received: send.taken.append(received.response.body), lambda reason: None
         )
@@ -72,11 +65,9 @@
         if self.pending is None:
             return
         send, self.pending = self.pending, None
-        named = b""
-        if self.is_naming and send.request_id is not None:
-            named = b"X-Attempt-Id: " + send.request_id.encode() + b"\r\n"
-        length = b"Content-Length: %d\r\n\r\n" % len(send.body)
-        self.answers.append(b"HTTP/1.1 503 No\r\n" + named + length + send.body)
+        is_named = self.is_naming and send.request_id is not None
+        request_id = send.request_id.encode() if is_named else None
+        self.answers.append(test_server_connections.answer(request_id, send.body))
         self.deliver(self.answers[-1])
 
     def copy(self, number):
