Add the types of client accounts, and the account of a slot request

Cause: two customers use accounts with keys and quotas, which no part of the product knew. Result: nothing reads them yet; the tests of the codec and of slot requests pass.

--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -12,6 +12,7 @@
 3: `FeedProgress.ages_ms`, `ObjectRequest`, `ObjectReport`.
 4: `ProgressQuery`, the fields of `FeedRequest`, `FeedProgress.answers`, compressed frames.
 5: `RelayResponse.is_identified`.
+6: `SlotRequested.account`.
 """
 
 from carobhook.protocol import (
@@ -25,7 +26,7 @@
 
 # Version of the protocol that this build speaks. It rises with each release that adds a message
 # type or a field.
-PROTOCOL_VERSION = 5
+PROTOCOL_VERSION = 6
 
 MESSAGE_TYPES: dict[str, type] = {
     "Challenge": membership_messages.Challenge,
--- a/src/carobhook/protocol/slot_messages.py
+++ b/src/carobhook/protocol/slot_messages.py
@@ -28,6 +28,7 @@
         avoided: Servers that must not run the request, such as those on which it failed.
         homes: Regions whose servers may run the request; empty for all regions.
         domain: Failure domain of the sender, None if unknown.
+        account: Client account of the request, or None.
     """
 
     id: ids.RequestId
@@ -42,6 +43,7 @@
     avoided: frozenset[ids.Server]
     homes: frozenset[ids.Region]
     domain: ids.FailureDomain | None
+    account: ids.Account | None = versions.added_field(None, since=6)
 
 
 @attrs.frozen
--- a/src/carobhook/state/allocation.py
+++ b/src/carobhook/state/allocation.py
@@ -95,6 +95,7 @@
         avoided: Servers that must not run the request, such as those on which it failed.
         homes: Regions whose servers may run the request; empty for all regions.
         domain: Failure domain of the requesting instance, None if unknown.
+        account: Client account of the request, or None.
     """
 
     id: ids.RequestId
@@ -108,6 +109,7 @@
     avoided: frozenset[ids.Server] = frozenset()
     homes: frozenset[ids.Region] = frozenset()
     domain: ids.FailureDomain | None = None
+    account: ids.Account | None = None
 
 
 @attrs.frozen
--- a/src/carobhook/state/ids.py
+++ b/src/carobhook/state/ids.py
@@ -17,6 +17,9 @@
 Server = NewType("Server", str)
 """Id of one backend server."""
 
+Account = NewType("Account", str)
+"""Name of a client account."""
+
 RequestId = NewType("RequestId", str)
 OrderId = NewType("OrderId", str)
 """Id that an operator's client assigns to an order; a resent order keeps its id."""
--- a/src/carobhook/state/routing.py
+++ b/src/carobhook/state/routing.py
@@ -6,7 +6,7 @@
 import attrs
 from attrs import validators
 
-from carobhook.state import ids
+from carobhook.state import client_accounts, ids
 
 
 class Idempotency(enum.Enum):
@@ -43,6 +43,8 @@
         object_affinity: Whether a server runs requests for an object faster if it recently ran
             others for it; if so, slot requests carry the key of the object.
         homes: Regions that may run the requests; empty for all regions.
+        needs_key: Whether requests must carry the key of an account, if the configuration has
+            accounts.
     """
 
     name: str
@@ -56,6 +58,7 @@
     max_attempts: int
     object_affinity: bool
     homes: frozenset[ids.Region] = frozenset()
+    needs_key: bool = True
 
     @property
     def repeatable(self) -> bool:
@@ -133,12 +136,14 @@
         routes: All routes.
         services: Policies by service name.
         limits: Limits on client requests.
+        accounts: The client accounts, or None if requests need no key.
     """
 
     version: int
     routes: tuple[Route, ...]
     services: Mapping[ids.Service, ServicePolicy]
     limits: ClientLimits = attrs.field(factory=ClientLimits)
+    accounts: client_accounts.AccountTable | None = None
     _by_host: dict[str, _HostRoutes] = attrs.field(init=False, eq=False, repr=False)
 
     def __attrs_post_init__(self) -> None:
--- a/src/carobhook/transport/accepted_requests.py
+++ b/src/carobhook/transport/accepted_requests.py
@@ -29,6 +29,7 @@
         domain: Failure domain of this instance.
         called: Head as the client sent it, if it named its service and no route had its path;
             ``request`` has the head for that service. None for a request with a route.
+        account: Client account of the request, or None.
     """
 
     request: client_connections.ClientRequest
@@ -45,6 +46,7 @@
     config_version: int
     domain: ids.FailureDomain | None = None
     called: http1.RequestHead | None = None
+    account: ids.Account | None = None
 
 
 @attrs.frozen
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -299,6 +299,7 @@
             avoided=self._avoided_servers | self._resting(),
             homes=accepted.route.homes,
             domain=accepted.domain,
+            account=accepted.account,
         )
 
     async def _attempt(self, grant: allocation.SlotGrant) -> bool:
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -144,6 +144,7 @@
             avoided=message.avoided,
             homes=message.homes,
             domain=message.domain,
+            account=message.account,
         )
         state = self.get_or_create(shard)
         state.requesters[request.id] = sender
--- a/src/carobhook/transport/slot_client.py
+++ b/src/carobhook/transport/slot_client.py
@@ -299,4 +299,5 @@
         request.avoided,
         request.homes,
         request.domain,
+        request.account,
     )
