Take a response whose status HTTP doesn't define for no answer

Callers got statuses 600 to 999 as answers: h11 refuses 000 to 199 and lines that aren't three digits, but lets these through, and a relayed response was not looked at. The server may have run the request, so the client gets 502, or the next server's answer where it may run again.

--- a/src/carobhook/protocol/http1.py
+++ b/src/carobhook/protocol/http1.py
@@ -18,6 +18,9 @@
 # before h11 gets them, as complete heads.
 _H11_BUFFER_BYTES = 1024 * 1024
 
+# Statuses of final responses. h11 also accepts 600 to 999, which HTTP does not define.
+_FINAL_STATUSES = range(200, 600)
+
 Headers = tuple[tuple[bytes, bytes], ...]
 
 _HOP_BY_HOP = frozenset(
@@ -232,3 +235,8 @@
     if body or head.method in (b"POST", b"PUT", b"PATCH"):
         lines.append(b"Content-Length: " + str(len(body)).encode())
     return b"\r\n".join(lines) + _HEAD_END + body
+
+
+def is_final_status(status: int) -> bool:
+    """Return whether HTTP defines a status for final responses."""
+    return status in _FINAL_STATUSES
--- a/src/carobhook/transport/server_connection.py
+++ b/src/carobhook/transport/server_connection.py
@@ -231,6 +231,9 @@
             if event in (h11.NEED_DATA, h11.PAUSED):
                 return
             if isinstance(event, h11.Response):
+                if not http1.is_final_status(event.status_code):
+                    self._fail(Fault.GARBLED, f"status {event.status_code} is not defined")
+                    return
                 self._response_head = event
             elif isinstance(event, h11.Data):
                 self._body_size += len(event.data)
--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -251,7 +251,9 @@
         self._choice.record_response(peer.name)
         self._direct.paths.record_reached_by_other(attempt.address, now)
         response = http1.Response(answer.status, answer.reason, answer.headers, answer.body)
-        if not _is_own(answer, attempt.match(response), attempt.is_repeat):
+        # Builds before version 6 relay any status.
+        is_valid = http1.is_final_status(answer.status)
+        if not is_valid or not _is_own(answer, attempt.match(response), attempt.is_repeat):
             raise exchange_results.ExchangeError(
                 Fault.GARBLED, text, False, False, is_relayed=True
             )
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -116,6 +116,45 @@
         assert memory.used_bytes == 0
 
 
+class TestStatusLines:
+    """Status lines that are none, which must not reach a client as an answer."""
+
+    @pytest.mark.parametrize(
+        "status",
+        [
+            b"000",
+            b"001",
+            b"099",
+            b"101",
+            b"600",
+            b"700",
+            b"999",
+            b"20",
+            b"2000",
+            b"0200",
+            b"+20",
+        ],
+    )
+    def test_status_outside_of_the_protocol_fails_the_exchange(self, status):
+        """A server in trouble once had its status 000 forwarded."""
+        exchange = Exchange()
+        exchange.receive(
+            b"HTTP/1.1 %s X\r\nX-Attempt-Id: own\r\nContent-Length: 2\r\n\r\nno" % status
+        )
+        assert exchange.responses == []
+        assert [error.fault for error in exchange.errors] == [exchange_results.Fault.GARBLED]
+        assert exchange.is_closed
+
+    @pytest.mark.parametrize("status", [b"200", b"299", b"304", b"404", b"500", b"599"])
+    def test_other_statuses_are_answers(self, status):
+        """The statuses that the check must let through."""
+        exchange = Exchange()
+        exchange.receive(
+            b"HTTP/1.1 %s X\r\nX-Attempt-Id: own\r\nContent-Length: 0\r\n\r\n" % status
+        )
+        assert [received.response.status for received in exchange.responses] == [int(status)]
+
+
 class TestLateBytes:
     """Bytes after the exchange."""
 
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -273,6 +273,17 @@
         assert Paths(member("two")).send(match=match, is_repeat=True) == 200
 
 
+class TestRelayedStatus:
+    """Status of a relayed response, which an older build passes on as it came."""
+
+    @pytest.mark.parametrize("status", [0, 99, 101, 199, 600, 700, 999])
+    def test_status_outside_of_the_protocol_is_no_answer(self, status):
+        """The server may have run the request, as after any invalid response."""
+        relayed = attrs.evolve(SERVED, status=status)
+        paths = Paths(member("two"), answers={ids.InstanceId("two"): relayed})
+        assert paths.send() is Fault.GARBLED
+
+
 class TestRelaysThatBringNothing:
     """Instances that relay and are cut themselves (issue 49)."""
 
