--- a/tests/region_simulation.py
+++ b/tests/region_simulation.py
@@ -94,7 +94,8 @@
         self.region_of = {}
         self.busy = collections.Counter()
         self.warm = collections.defaultdict(collections.OrderedDict)
-        self.runs, self.refused, self.overfilled = [], 0, []
+        self.runs, self.overfilled = [], []
+        self.refused = collections.Counter()
         self.cut = set()
         self.memberships, self.allocators = {}, {}
         self._count = 0
@@ -209,7 +210,7 @@
 
     def _decide(self, decision, home, request, load, noise):
         if isinstance(decision, allocation.SlotRefusal):
-            self.refused += 1
+            self.refused[home] += 1
             return
         server, now = decision.server, self.clock.seconds()
         pool = self.shard(home).dispatcher.pool
