Accept requests only with the key of a client account

Cause: the configuration of two customers contains accounts, and no part of the product decoded them or looked at a request's key.

- platform/objects decodes Tenants and AuthExempt; the texts of errors contain no keys.
- coordination/account_access decides: 401 (1060) only if the configuration is known to be the newest, otherwise 503 with Retry-After (1061); 503 (1062) if route and account have no common home region.
The account's priority replaces the route's; operators' ranks still come first.
- The head loses Api-Key and X-Tenant when the request is accepted, and again when it is sent, as accounts may have come into force in between.
The server receives the account's name.
- Rerouting applies the account of the configuration in force, or the accepted one if it is gone.
- Representations of heads and stored objects contain no values; the error of an object that is no UTF-8 contained all of it, and went to the log.
- request-refused and request-ended have account; key-unknown tells the configuration's age; carobhook_keys_refused_total counts 1060 and 1061.

--- a/src/carobhook/coordination/objects.py
+++ b/src/carobhook/coordination/objects.py
@@ -48,7 +48,8 @@
     kind: str
     name: str
     version: int
-    value: typing.Any
+    # A configuration contains the keys of client accounts, which a log must not contain.
+    value: typing.Any = attrs.field(repr=False)
     era: int = 0
 
 
--- a/src/carobhook/coordination/refusals.py
+++ b/src/carobhook/coordination/refusals.py
@@ -2,7 +2,7 @@
 
 import attrs
 
-from carobhook.state import codes
+from carobhook.state import codes, ids
 
 # These tell the client that the request was not run. They are not sent if it may have run, as a
 # client that repeats it could have it run twice.
@@ -20,12 +20,14 @@
         may_have_run: Whether a server may have run the request.
         retry_after_s: Seconds after which the client may send the request again, or None.
         detail: Details of the cause, for the log.
+        account: Client account of the request where it is known, for the log.
     """
 
     code: codes.Code
     may_have_run: bool = False
     retry_after_s: float | None = None
     detail: str = ""
+    account: ids.Account | None = None
 
     @property
     def status(self) -> int:
--- a/src/carobhook/coordination/request_routing.py
+++ b/src/carobhook/coordination/request_routing.py
@@ -2,9 +2,9 @@
 
 import attrs
 
-from carobhook.coordination import refusals, smooth_round_robin, steering
+from carobhook.coordination import account_access, refusals, smooth_round_robin, steering
 from carobhook.protocol import client_api
-from carobhook.state import codes, ids, routing
+from carobhook.state import client_accounts, codes, ids, routing
 
 # Time left that is assumed for a client that states none. The timeout of a matching route also
 # applies.
@@ -27,13 +27,15 @@
     """Where a request is sent and how long it may take.
 
     Attributes:
-        route: Route of the request; made from the call if the request names its service.
+        route: Route of the request, with the priority and homes that its account gives it;
+            made from the call if the request names its service.
         service: Service that runs the request.
         region: Region whose dispatcher is asked for a slot.
         fallback: Region to ask if the first refuses, None for none.
         priority: Rank of the request; 0 is the most urgent.
         target_at: Monotonic time in seconds after which a response is late and worth less.
         deadline_at: Monotonic time in seconds by which the client must get its final response.
+        account: Client account of the request, or None.
     """
 
     route: routing.Route
@@ -43,6 +45,7 @@
     priority: int
     target_at: float
     deadline_at: float
+    account: client_accounts.ClientAccount | None = None
 
 
 @attrs.define
@@ -76,6 +79,7 @@
         time_left_s: float | None,
         received_at: float,
         is_confirmed: bool = True,
+        key: str | None = None,
     ) -> RoutingDecision | refusals.Refusal:
         """Return where a request is sent, or the reason to refuse it.
 
@@ -86,12 +90,19 @@
             time_left_s: Seconds that the client will still wait, None if it states none.
             received_at: Monotonic time in seconds at which the request was received.
             is_confirmed: Whether the configuration is known to be the newest.
+            key: Key of a client account that the request states, None without one.
         """
         if config is None:
             return refusals.Refusal(codes.Code.NO_CONFIG, retry_after_s=0.5)
-        route = config.match(host, path)
-        if route is None:
+        matched = config.match(host, path)
+        if matched is None:
             return _unroutable(f"{host}{path}", is_confirmed)
+        account = account_access.find_account(config, matched.needs_key, key, is_confirmed)
+        if isinstance(account, refusals.Refusal):
+            return account
+        route = account_access.account_route(matched, account)
+        if isinstance(route, refusals.Refusal):
+            return route
         left_s = _DEFAULT_TIME_LEFT_S if time_left_s is None else time_left_s
         longest_s = max(self._longest_time_left_s.get(route.name, 0.0), left_s)
         self._longest_time_left_s[route.name] = longest_s
@@ -100,7 +111,7 @@
         service = self.choose_service(route)
         priority = self.orders.route_priority(route.name, route.priority)
         target_at = received_at + route.target_s - waited_s
-        return self._apply_orders(route, service, priority, target_at, deadline_at)
+        return self._apply_orders(route, service, priority, target_at, deadline_at, account)
 
     def route_call(
         self,
@@ -108,6 +119,7 @@
         call: client_api.ServiceCall,
         received_at: float,
         is_confirmed: bool = True,
+        key: str | None = None,
     ) -> RoutingDecision | refusals.Refusal:
         """Return where a request that names its service is sent, or the reason to refuse it.
 
@@ -116,13 +128,17 @@
             call: The request.
             received_at: Monotonic time in seconds at which the request was received.
             is_confirmed: Whether the configuration is known to be the newest.
+            key: Key of a client account that the request states, None without one.
         """
         if config is None:
             return refusals.Refusal(codes.Code.NO_CONFIG, retry_after_s=0.5)
         if call.service not in config.services:
             return _unroutable(f"no service {call.service!r}", is_confirmed)
+        account = account_access.find_account(config, True, key, is_confirmed)
+        if isinstance(account, refusals.Refusal):
+            return account
         left_s = _DEFAULT_TIME_LEFT_S if call.time_left_s is None else call.time_left_s
-        route = routing.Route(
+        called = routing.Route(
             name=f"service/{call.service}",
             host="",
             prefix="/",
@@ -134,9 +150,14 @@
             max_attempts=_CALL_MAX_ATTEMPTS,
             object_affinity=False,
         )
+        route = account_access.account_route(called, account)
+        if isinstance(route, refusals.Refusal):
+            return route
         target_at = received_at + route.target_s
         deadline_at = received_at + left_s - _CLIENT_MARGIN_S
-        return self._apply_orders(route, call.service, call.priority, target_at, deadline_at)
+        return self._apply_orders(
+            route, call.service, route.priority, target_at, deadline_at, account
+        )
 
     def route_again(
         self,
@@ -144,19 +165,21 @@
         service: ids.Service,
         target_at: float,
         deadline_at: float,
+        account: client_accounts.ClientAccount | None = None,
     ) -> RoutingDecision:
         """Return where a request is sent by another version of its route.
 
         Args:
-            route: The route in the configuration in force.
+            route: The route in the configuration in force, for the account.
             service: Service that was chosen before; it is kept if the route still has it.
             target_at: Monotonic time in seconds after which a response is late.
             deadline_at: Monotonic time in seconds by which the client must get its response.
+            account: Client account of the request, or None.
         """
         services = {weighted.service for weighted in route.weighted_services}
         kept = service if service in services else self.choose_service(route)
         priority = self.orders.route_priority(route.name, route.priority)
-        return self._apply_orders(route, kept, priority, target_at, deadline_at)
+        return self._apply_orders(route, kept, priority, target_at, deadline_at, account)
 
     def choose_service(self, route: routing.Route) -> ids.Service:
         """Return the service for a route's next request.
@@ -178,13 +201,14 @@
         priority: int,
         target_at: float,
         deadline_at: float,
+        account: client_accounts.ClientAccount | None,
     ) -> RoutingDecision:
         """Return where a request is sent, after operators' shifts have chosen the region."""
         home = self._home_region(route)
         region = self.orders.choose_region(service, home, priority, route.homes)
         fallback = home if region != home else None
         return RoutingDecision(
-            route, service, region, fallback, priority, target_at, deadline_at
+            route, service, region, fallback, priority, target_at, deadline_at, account
         )
 
     def _home_region(self, route: routing.Route) -> ids.Region:
--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -67,6 +67,12 @@
     LOOKUPS = MetricInfo(
         "carobhook_lookups_total", Kind.COUNTER, ("status",), "Answers of the directory."
     )
+    KEYS_REFUSED = MetricInfo(
+        "carobhook_keys_refused_total",
+        Kind.COUNTER,
+        ("code",),
+        "Requests refused as their key is missing or unknown, by result code.",
+    )
     IN_FLIGHT = MetricInfo(
         "carobhook_requests_in_flight", Kind.GAUGE, (), "Requests that wait or run."
     )
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -147,6 +147,11 @@
         "route-unknown",
         "A request had no route; how old the configuration was, and who confirmed it.",
     )
+    KEY_UNKNOWN = EventInfo(
+        "key-unknown",
+        "A request had no key of a client account; how old the configuration was, and who "
+        "confirmed it.",
+    )
     FEED_SUBSCRIBED = EventInfo(
         "feed-subscribed",
         "Another instance subscribed to this one's feed; kinds and bytes of what it was sent.",
--- a/src/carobhook/platform/names.py
+++ b/src/carobhook/platform/names.py
@@ -11,6 +11,10 @@
 TIME_LEFT_MS = "x-deadline-ms"
 # Key of the object that the request concerns.
 OBJECT_KEY = "x-affinity-key"
+# Key of the client account, which the platform calls tenant, on whose behalf a request is sent.
+API_KEY = "api-key"
+# Name of that account, in requests to backend servers.
+TENANT = "x-tenant"
 # Id of the backend server that the request is meant for.
 EXPECTED_SERVER = "x-expected-instance"
 # Id of the backend server that answered.
--- a/src/carobhook/platform/objects.py
+++ b/src/carobhook/platform/objects.py
@@ -1,9 +1,10 @@
 """Decodes objects of the platform's store into the types of `carobhook.state`."""
 
+import math
 import typing
 
 from carobhook.platform import durations
-from carobhook.state import ids, routing, servers
+from carobhook.state import client_accounts, ids, routing, servers
 
 _IDEMPOTENCY_OF_KIND = {
     "safe": routing.Idempotency.REPEATABLE,
@@ -55,6 +56,7 @@
                 routes=routes,
                 services={policy.name: policy for policy in policies},
                 limits=_decode_limits(_require(spec, "Limits", dict)),
+                accounts=_decode_accounts(spec.get("Tenants")),
             )
         except MalformedObjectError:
             raise
@@ -146,9 +148,86 @@
         max_attempts=max(1, int(raw.get("MaxAttempts", 1))),
         object_affinity=bool(raw.get("SessionAffinity", False)),
         homes=frozenset(ids.Region(home) for home in raw.get("HomeRegions") or ()),
+        needs_key=not _decode_exemption(raw.get("AuthExempt")),
     )
 
 
+def _decode_exemption(value: typing.Any) -> bool:
+    """Return whether a route is exempt; another value than a bool must not open it to all.
+
+    Raises:
+        MalformedObjectError: The value is neither a bool nor missing.
+    """
+    if value is not None and not isinstance(value, bool):
+        raise MalformedObjectError(f"AuthExempt must be bool, got {value!r:.60}")
+    return bool(value)
+
+
+def _decode_accounts(raw: typing.Any) -> client_accounts.AccountTable | None:
+    """Return the client accounts, which the platform calls tenants, or None without them.
+
+    The texts of errors are logged, so they contain no keys, and no values that may hold keys.
+
+    Raises:
+        MalformedObjectError: An account has an invalid value, or two have one name or key.
+    """
+    if raw is None:
+        return None
+    if not isinstance(raw, list):
+        raise MalformedObjectError("Tenants must be list")
+    entries = [(_decode_account(item), _decode_keys(item)) for item in raw]
+    try:
+        return client_accounts.AccountTable.build(entries)
+    except ValueError as error:
+        raise MalformedObjectError(f"Tenants: {error}") from error
+
+
+def _decode_account(raw: typing.Any) -> client_accounts.ClientAccount:
+    name = _require(raw, "Name", str)
+    # The name becomes the value of a header.
+    if not name.isprintable() or not name or name != name.strip():
+        raise MalformedObjectError(f"Name of a tenant must be printable, got {name!r:.60}")
+    priority = raw.get("Priority")
+    if priority is not None and (_int_or_none(priority) is None or priority < 0):
+        raise MalformedObjectError(f"Priority of tenant {name!r} must be a whole number")
+    homes = raw.get("HomeRegions") or []
+    if not isinstance(homes, list) or not all(isinstance(home, str) for home in homes):
+        raise MalformedObjectError(f"HomeRegions of tenant {name!r} must be list of str")
+    rate_per_s = _decode_amount(raw, "RatePerS", name)
+    burst = _decode_amount(raw, "Burst", name)
+    return client_accounts.ClientAccount(
+        name=ids.Account(name),
+        quota=client_accounts.Quota(rate_per_s, burst) if rate_per_s > 0 else None,
+        priority=priority,
+        homes=frozenset(ids.Region(home) for home in homes),
+    )
+
+
+def _decode_amount(raw: typing.Any, key: str, name: str) -> float:
+    """Return a number of at least 0; a missing one is 0."""
+    value = raw.get(key)
+    if value is None:
+        return 0.0
+    is_number = isinstance(value, int | float) and not isinstance(value, bool)
+    if not is_number or not math.isfinite(value) or value < 0:
+        raise MalformedObjectError(f"{key} of tenant {name!r} must be a number of at least 0")
+    return float(value)
+
+
+def _decode_keys(raw: typing.Any) -> list[str]:
+    keys = raw.get("ApiKeys")
+    if not isinstance(keys, list) or not all(map(_is_key, keys)):
+        raise MalformedObjectError(
+            f"ApiKeys of tenant {raw['Name']!r} must be list of printable str"
+        )
+    return keys
+
+
+def _is_key(value: typing.Any) -> bool:
+    """Return whether a value can be a key; an empty one would be that of any request."""
+    return isinstance(value, str) and bool(value) and value.isprintable()
+
+
 def _decode_service(raw: typing.Any) -> routing.ServicePolicy:
     return routing.ServicePolicy(
         name=ids.Service(_require(raw, "Name", str)),
--- a/src/carobhook/platform/requests.py
+++ b/src/carobhook/platform/requests.py
@@ -2,6 +2,7 @@
 
 import json
 import re
+from collections.abc import Callable
 
 from carobhook.platform import names
 from carobhook.protocol import client_api, http1
@@ -21,6 +22,9 @@
     name.encode() for name in (names.TIME_LEFT_MS, names.EXPECTED_SERVER, "content-length")
 )
 
+_API_KEY = names.API_KEY.encode()
+_ACCOUNT_HEADERS = frozenset((_API_KEY, names.TENANT.encode()))
+
 
 def request_id(head: http1.RequestHead) -> str | None:
     """Return the id that the client gave a request, or None."""
@@ -41,11 +45,43 @@
     return http1.header_seconds(head, names.TIME_LEFT_MS, _MAX_TIME_LEFT_MS)
 
 
+def account_key(head: http1.RequestHead) -> str | None:
+    """Return the key of the client account that a request states.
+
+    None means that there is no key, or several: which of them counts would be a guess.
+    """
+    values = [value for name, value in head.headers if name.lower() == _API_KEY]
+    if len(values) != 1:
+        return None
+    # As in the configuration, where it is Unicode text.
+    return values[0].decode("utf-8", "surrogateescape")
+
+
+def without_account(head: http1.RequestHead) -> http1.RequestHead:
+    """Return a head without the key and name of a client account."""
+    headers = tuple(
+        (name, value) for name, value in head.headers if name.lower() not in _ACCOUNT_HEADERS
+    )
+    return http1.RequestHead(head.method, head.target, headers)
+
+
 class ServerCodec:
-    """Encodes request heads for backend servers and interprets their responses."""
+    """Encodes request heads for backend servers and interprets their responses.
+
+    Args:
+        has_accounts: Returns whether the configuration in force has client accounts. While it
+            has, no key is passed on, and no account that the client names itself.
+    """
+
+    def __init__(self, has_accounts: Callable[[], bool] = lambda: False) -> None:
+        self._has_accounts = has_accounts
 
     def build_request_head(
-        self, head: http1.RequestHead, server: ids.Server, time_left_s: float
+        self,
+        head: http1.RequestHead,
+        server: ids.Server,
+        time_left_s: float,
+        account: ids.Account | None = None,
     ) -> http1.RequestHead:
         """Return the head of a request as it is sent to a backend server.
 
@@ -53,12 +89,17 @@
             head: Head of the client's request.
             server: Id of the server that is to run it.
             time_left_s: Seconds until the deadline of the request.
+            account: Client account whose name the server receives, None for none.
         """
+        if account is not None or self._has_accounts():
+            head = without_account(head)
         headers = [
             (name, value)
             for name, value in http1.end_to_end_headers(head.headers)
             if name.lower() not in _REPLACED_HEADERS
         ]
+        if account is not None:
+            headers.append((names.TENANT.encode(), account.encode()))
         time_left_ms = max(1, int(time_left_s * 1000))
         headers.append((names.TIME_LEFT_MS.encode(), str(time_left_ms).encode()))
         headers.append((names.EXPECTED_SERVER.encode(), server.encode()))
--- a/src/carobhook/protocol/feed_messages.py
+++ b/src/carobhook/protocol/feed_messages.py
@@ -57,7 +57,8 @@
 
     name: str
     version: int
-    value: bytes | None
+    # A configuration contains the keys of client accounts, which a log must not contain.
+    value: bytes | None = attrs.field(repr=False)
 
 
 @attrs.frozen
--- a/src/carobhook/protocol/http1.py
+++ b/src/carobhook/protocol/http1.py
@@ -60,7 +60,8 @@
 
     method: bytes
     target: bytes
-    headers: Headers
+    # The values may hold secrets of clients, which a log must not contain.
+    headers: Headers = attrs.field(repr=lambda headers: repr([name for name, _ in headers]))
 
     def get(self, name: str) -> str | None:
         """Return the first value of a header, None without the header.
--- a/src/carobhook/state/codes.py
+++ b/src/carobhook/state/codes.py
@@ -91,6 +91,27 @@
         True,
         "No route serves the request, but there may be a newer configuration.",
     )
+    KEY_UNKNOWN = CodeInfo(
+        1060,
+        401,
+        RunStatus.NOT_RUN,
+        False,
+        "The request has no key, or one that belongs to no client account.",
+    )
+    KEY_UNCONFIRMED = CodeInfo(
+        1061,
+        503,
+        RunStatus.NOT_RUN,
+        True,
+        "No client account has the request's key, but there may be a newer configuration.",
+    )
+    NO_COMMON_HOME = CodeInfo(
+        1062,
+        503,
+        RunStatus.NOT_RUN,
+        True,
+        "No region is a home region of both the route and the client account.",
+    )
     BACKEND_LOST = CodeInfo(
         1020,
         502,
--- a/src/carobhook/transport/accepted_requests.py
+++ b/src/carobhook/transport/accepted_requests.py
@@ -4,7 +4,7 @@
 
 from carobhook.coordination import refusals
 from carobhook.protocol import http1
-from carobhook.state import ids, routing
+from carobhook.state import client_accounts, ids, routing
 from carobhook.transport import client_connections
 
 
@@ -30,6 +30,7 @@
         called: Head as the client sent it, if it named its service and no route had its path;
             ``request`` has the head for that service. None for a request with a route.
         account: Client account of the request, or None.
+        account_terms: That account by the configuration that the request was routed with.
     """
 
     request: client_connections.ClientRequest
@@ -47,6 +48,7 @@
     domain: ids.FailureDomain | None = None
     called: http1.RequestHead | None = None
     account: ids.Account | None = None
+    account_terms: client_accounts.ClientAccount | None = None
 
 
 @attrs.frozen
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -10,7 +10,7 @@
 from carobhook.coordination import catalog, confirmations, refusals, request_routing, steering
 from carobhook.platform import requests
 from carobhook.protocol import client_api, http1
-from carobhook.state import codes, ids, routing
+from carobhook.state import codes, ids
 from carobhook.transport import (
     accepted_requests,
     client_connections,
@@ -18,6 +18,7 @@
     refusal_responses,
     request_flow,
     request_quarantine,
+    routes_in_force,
     server_exchange,
     slot_allocator,
 )
@@ -27,6 +28,7 @@
 
 # Refusals that depend on the configuration being the newest.
 _CODES_OF_UNKNOWN_ROUTES = frozenset({codes.Code.NO_ROUTE, codes.Code.ROUTE_UNCONFIRMED})
+_CODES_OF_UNKNOWN_KEYS = frozenset({codes.Code.KEY_UNKNOWN, codes.Code.KEY_UNCONFIRMED})
 
 Responder = Callable[[http1.Response], None]
 
@@ -84,7 +86,10 @@
         self._incarnation = incarnation
         self._context = context
         self._router = request_routing.RequestRouter(region, context.orders)
-        self._codec = requests.ServerCodec()
+        self._routes = routes_in_force.RoutesInForce(
+            context.server_catalog, context.orders, context.notices, self._router
+        )
+        self._codec = requests.ServerCodec(self._has_accounts)
         self._active_flows: set[request_flow.RequestFlow] = set()
         self._accepted_count = 0
         self._ends_at = math.inf
@@ -115,15 +120,16 @@
             decision = self._route(request, call)
         except ValueError as error:
             decision = refusals.Refusal(codes.Code.BAD_REQUEST, detail=str(error))
+        if self._has_accounts():
+            # From here on, the key is not needed any more, and nothing can pass it on.
+            request = attrs.evolve(request, head=requests.without_account(request.head))
+            call = call and attrs.evolve(call, head=requests.without_account(call.head))
         if call is not None:
             called = request.head
             request = attrs.evolve(request, head=call.head)
             respond = _with_ok_headers(respond)
-        if not isinstance(decision, refusals.Refusal) and decision.deadline_at > self._ends_at:
-            decision = _leaving_refusal()
-        is_refused = isinstance(decision, refusals.Refusal)
-        if not is_refused and self._context.quarantine.is_quarantined(request):
-            decision = refusal_responses.quarantine_refusal()
+        if not isinstance(decision, refusals.Refusal):
+            decision = self._refusal(request, decision) or decision
         if isinstance(decision, refusals.Refusal):
             self._log_refusal(request, decision)
             respond(refusal_responses.refusal_response(decision))
@@ -133,6 +139,26 @@
         flow.start()
         return flow
 
+    def _has_accounts(self) -> bool:
+        """Return whether the configuration in force has client accounts."""
+        config = self._context.server_catalog.config
+        return config is not None and config.accounts is not None
+
+    def _refusal(
+        self,
+        request: client_connections.ClientRequest,
+        decision: request_routing.RoutingDecision,
+    ) -> refusals.Refusal | None:
+        """Return the reason to refuse a request that the configuration allows, or None."""
+        refusal: refusals.Refusal | None = None
+        if decision.deadline_at > self._ends_at:
+            refusal = _leaving_refusal()
+        elif self._context.quarantine.is_quarantined(request):
+            refusal = refusal_responses.quarantine_refusal()
+        if refusal is None or decision.account is None:
+            return refusal
+        return attrs.evolve(refusal, account=decision.account.name)
+
     def _log_refusal(
         self, request: client_connections.ClientRequest, refusal: refusals.Refusal
     ) -> None:
@@ -143,19 +169,36 @@
             status=refusal.status,
             code=refusal.code.number,
             detail=refusal.detail,
+            account=refusal.account,
         )
         config = self._context.server_catalog.config
-        if refusal.code not in _CODES_OF_UNKNOWN_ROUTES or config is None:
+        if config is None:
             return
         now, evidence = self._reactor.seconds(), self._context.config_evidence()
-        logs.event(
-            "route-unknown",
-            request=request_id,
-            config=f"{config.version:08x}",
-            config_age_ms=_elapsed_ms(evidence.at, now) if evidence is not None else None,
-            config_source=evidence.source if evidence is not None else None,
-            read_ms=_elapsed_ms(request.received_at, now),
-        )
+        version = f"{config.version:08x}"
+        age_ms = _elapsed_ms(evidence.at, now) if evidence is not None else None
+        source = evidence.source if evidence is not None else None
+        read_ms = _elapsed_ms(request.received_at, now)
+        if refusal.code in _CODES_OF_UNKNOWN_ROUTES:
+            logs.event(
+                "route-unknown",
+                request=request_id,
+                config=version,
+                config_age_ms=age_ms,
+                config_source=source,
+                read_ms=read_ms,
+            )
+        elif refusal.code in _CODES_OF_UNKNOWN_KEYS:
+            logs.event(
+                "key-unknown",
+                request=request_id,
+                config=version,
+                config_age_ms=age_ms,
+                config_source=source,
+                read_ms=read_ms,
+            )
+            number = str(refusal.code.number)
+            self._context.metrics.count(entry_metrics.EntryMetric.KEYS_REFUSED, number)
 
     def limit_to(self, ends_at: float) -> None:
         """Refuse all further requests that might not end before this instance does.
@@ -187,7 +230,7 @@
             ValueError: The rank or deadline header is not a number.
         """
         config = self._context.server_catalog.config
-        if config is None or _match(config, head) is not None:
+        if config is None or routes_in_force.match(config, head) is not None:
             return None
         if requests.request_id(head) is not None and not self._context.is_config_recent():
             return None
@@ -203,17 +246,19 @@
         """
         config = self._context.server_catalog.config
         is_recent = self._context.is_config_recent()
-        if call is not None:
-            return self._router.route_call(config, call, request.received_at, is_recent)
         head = request.head
+        key = requests.account_key(head)
+        if call is not None:
+            return self._router.route_call(config, call, request.received_at, is_recent, key)
         time_left_s = requests.time_left_s(head)
         return self._router.route_request(
             config,
             head.get("host") or "",
-            _path(head),
+            routes_in_force.path_of(head),
             time_left_s,
             request.received_at,
             is_recent,
+            key,
         )
 
     def _accept(
@@ -223,7 +268,7 @@
         called: http1.RequestHead | None,
     ) -> accepted_requests.AcceptedRequest:
         self._accepted_count += 1
-        config = self._context.server_catalog.config
+        config, account = self._context.server_catalog.config, decision.account
         return accepted_requests.AcceptedRequest(
             request=request,
             id=ids.RequestId(f"{self._incarnation[:8]}-{self._accepted_count:x}"),
@@ -239,6 +284,8 @@
             config_version=config.version if config is not None else 0,
             domain=self._domain,
             called=called,
+            account=account.name if account is not None else None,
+            account_terms=account,
         )
 
     def _create_flow(
@@ -254,72 +301,14 @@
             self._record_outcome,
             lambda: self._active_flows.discard(flow),
             self._context.quarantine,
-            self._may_use,
-            self._reroute,
+            self._routes.may_use,
+            self._routes.reroute,
             self._context.notices.resting,
             self._context.notices.pace_of,
             self._context.is_slow,
         )
         return flow
 
-    def _may_use(self, accepted: accepted_requests.AcceptedRequest, server: ids.Server) -> bool:
-        """Return whether a request may be sent to a server, by what is in force at present."""
-        known = self._context.server_catalog
-        entry = known.entry(server)
-        if entry is None or not known.is_usable(server):
-            return False
-        if self._context.notices.is_resting(server):
-            return False
-        route = self._changed_route(accepted)
-        if route is not None and accepted.called is not None:
-            # It was no route's request when it was accepted, and is sent as one or not at all.
-            return False
-        if route is None or not route.homes:
-            return True
-        return self._context.orders.regions.get(entry.failure_domain) in route.homes
-
-    def _changed_route(
-        self, accepted: accepted_requests.AcceptedRequest
-    ) -> routing.Route | None:
-        """Return a request's route if another configuration is in force than it was routed by.
-
-        None is returned if that is not so, or if the configuration has no route for it.
-        """
-        config = self._context.server_catalog.config
-        if config is None or config.version == accepted.config_version:
-            return None
-        return _match(config, accepted.called or accepted.request.head)
-
-    def _reroute(
-        self, accepted: accepted_requests.AcceptedRequest
-    ) -> accepted_requests.AcceptedRequest:
-        """Return a request as the configuration in force routes it.
-
-        Its times stay as they are. A request whose route is gone was accepted before that, and
-        is still served.
-        """
-        route = self._changed_route(accepted)
-        config = self._context.server_catalog.config
-        if route is None or config is None:
-            return accepted
-        decision = self._router.route_again(
-            route, accepted.service, accepted.target_at, accepted.deadline_at
-        )
-        request = accepted.request
-        if accepted.called is not None:
-            request = attrs.evolve(request, head=accepted.called)
-        return attrs.evolve(
-            accepted,
-            request=request,
-            called=None,
-            route=decision.route,
-            service=decision.service,
-            region=decision.region,
-            fallback=decision.fallback,
-            priority=decision.priority,
-            config_version=config.version,
-        )
-
     def _record_outcome(self, outcome: accepted_requests.RequestOutcome) -> None:
         """Record an outcome in metrics and log."""
         accepted, refusal = outcome.accepted, outcome.refusal
@@ -337,6 +326,7 @@
             config=f"{accepted.config_version:08x}",
             waited_ms=round(outcome.slot_wait_s * 1000, 1),
             total_ms=round(outcome.total_s * 1000, 1),
+            account=accepted.account,
         )
 
     def _update_metrics(self, outcome: accepted_requests.RequestOutcome) -> None:
@@ -354,16 +344,6 @@
     return round((now - since) * 1000, 1)
 
 
-def _match(config: routing.RoutingConfig, head: http1.RequestHead) -> routing.Route | None:
-    """Return the route of a request in a configuration, or None."""
-    return config.match(head.get("host") or "", _path(head))
-
-
-def _path(head: http1.RequestHead) -> str:
-    """Return the path of a request, without its query."""
-    return head.target.partition(b"?")[0].decode("latin-1")
-
-
 def _leaving_refusal() -> refusals.Refusal:
     return refusals.Refusal(codes.Code.INSTANCE_LEAVING, retry_after_s=_LEAVING_RETRY_S)
 
--- a/src/carobhook/transport/flow_interfaces.py
+++ b/src/carobhook/transport/flow_interfaces.py
@@ -17,7 +17,11 @@
     """Encodes requests for backend servers and interprets the responses."""
 
     def build_request_head(
-        self, head: http1.RequestHead, server: ids.Server, time_left_s: float
+        self,
+        head: http1.RequestHead,
+        server: ids.Server,
+        time_left_s: float,
+        account: ids.Account | None = None,
     ) -> http1.RequestHead:
         """Return the head of a request as it is sent to a server."""
 
--- a/src/carobhook/transport/received_objects.py
+++ b/src/carobhook/transport/received_objects.py
@@ -238,6 +238,7 @@
                 version=f"{config.version:08x}",
                 revision=item.version,
                 routes=len(config.routes),
+                accounts=len(config.accounts.accounts) if config.accounts is not None else None,
                 source=source,
                 size_bytes=len(item.value),
                 decode_ms=round((time.monotonic() - began_at) * 1000, 1),
@@ -315,6 +316,10 @@
     """
     try:
         return decode(json.loads(value))
+    except UnicodeDecodeError as error:
+        # Its own representation contains the whole value, with the keys of client accounts.
+        logs.warning("object-malformed", object=name, error=f"{error.reason} at {error.start}")
+        return None
     except Exception as error:
         logs.warning("object-malformed", object=name, error=repr(error))
         return None
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -71,7 +71,8 @@
         observer: Learns of lost attempts, and tells which requests are quarantined.
         may_use: Returns whether a request may be sent to a server, by what is in force at the
             time of the call.
-        reroute: Returns a request as the configuration in force routes it.
+        reroute: Returns a request as the configuration in force routes it, or the reason to
+            refuse it.
         resting: Returns the servers that want no requests from this instance for now.
         pace_of: Returns what a server's response says about how long work takes on it at the
             moment, or None.
@@ -94,7 +95,8 @@
             [accepted_requests.AcceptedRequest, ids.Server], bool
         ] = lambda accepted, server: True,
         reroute: Callable[
-            [accepted_requests.AcceptedRequest], accepted_requests.AcceptedRequest
+            [accepted_requests.AcceptedRequest],
+            accepted_requests.AcceptedRequest | refusals.Refusal,
         ] = lambda accepted: accepted,
         resting: Callable[[], frozenset[ids.Server]] = frozenset,
         pace_of: Callable[
@@ -236,7 +238,8 @@
     async def _run(self) -> None:
         """Request slots and make attempts until the request has a response or a refusal."""
         while True:
-            self._apply_configuration()
+            if not self._apply_configuration():
+                return
             decision = await self._allocator.request_slot(self._slot_request(), self._region)
             if isinstance(decision, allocation.SlotRefusal):
                 if self._switch_to_fallback():
@@ -263,15 +266,23 @@
             if not await self._attempt(decision):
                 return
 
-    def _apply_configuration(self) -> None:
-        """Route the request anew if another configuration is in force than on its arrival."""
+    def _apply_configuration(self) -> bool:
+        """Route the request anew if another configuration is in force than on its arrival.
+
+        Returns:
+            Whether it may still be served; if not, it is refused.
+        """
         before = self._accepted
         routed = self._reroute(before)
+        if isinstance(routed, refusals.Refusal):
+            self._refuse(attrs.evolve(routed, may_have_run=self._may_have_run))
+            return False
         if self._may_have_run and not routed.route.repeatable:
-            return
+            return True
         self._accepted = routed
         if (self._accepted.service, self._accepted.region) != (before.service, before.region):
             self._region = self._accepted.region
+        return True
 
     def _switch_to_fallback(self) -> bool:
         """Switch to the fallback region; return whether there is one that was not asked yet.
@@ -354,7 +365,9 @@
 
         def build_head() -> http1.RequestHead:
             left_s = accepted.deadline_at - self._reactor.seconds() - _RESPONSE_MARGIN_S
-            return self._codec.build_request_head(accepted.request.head, grant.server, left_s)
+            account = accepted.account if accepted.route.needs_key else None
+            head = accepted.request.head
+            return self._codec.build_request_head(head, grant.server, left_s, account)
 
         return direct_exchange.Attempt(
             server=grant.server,
