Let the soak and the stand-in of clients use accounts

Cause: no run with processes showed what servers and logs learn of keys. Change: seeds whose remainder by 3 is 2 have two accounts and an exempt route in the configuration; clients send keys and a forged X-Tenant. Servers must receive the account's name and no key, and no instance may log a key.

--- a/src/carobhook/cli/standin.py
+++ b/src/carobhook/cli/standin.py
@@ -97,18 +97,21 @@
     rate: Annotated[float, typer.Option("--rate", min=0.01, help="Requests a second.")] = 20.0,
     duration_s: Annotated[float, typer.Option("--duration", min=0.1, help="Seconds.")] = 10.0,
     seed: Annotated[int, typer.Option("--seed")] = 0,
+    key: Annotated[str, typer.Option("--key", help="Key of the client account.")] = "",
 ) -> None:
     """Send requests at an open rate, then print a report as JSON."""
     from twisted.internet import defer, reactor, task
 
+    from carobhook.platform import names
     from carobhook.standins import platform_client
 
     plans = [platform_client.RequestPlan(host, prefix) for prefix in repeatable]
     plans += [platform_client.RequestPlan(host, prefix, repeatable=False) for prefix in once]
     if not plans:
         exits.exit_with(exits.Exit.USAGE, "error: give --repeatable or --once at least once")
+    headers = ((names.API_KEY.encode(), key.encode()),) if key else ()
     client = platform_client.PlatformClient(
-        reactor, directory, region, failure_domain, random.Random(seed)
+        reactor, directory, region, failure_domain, random.Random(seed), headers
     )
 
     async def _run(_reactor: object) -> None:
--- a/src/carobhook/soak/deployment.py
+++ b/src/carobhook/soak/deployment.py
@@ -10,13 +10,14 @@
 import sys
 import time
 import typing
+from collections.abc import Sequence
 
 import attrs
 from twisted.internet import defer, task
 
 from carobhook import demo
 from carobhook.platform import names
-from carobhook.soak import checks, proxy
+from carobhook.soak import accounts, checks, proxy
 from carobhook.standins import (
     memory_store,
     platform_server,
@@ -43,6 +44,7 @@
         servers: Number of servers of each service.
         other_source: Folder that has the package of another build, with which some instances
             run; None to run all with this build.
+        client_accounts: Accounts in the configuration; without any, requests need no key.
 
     Attributes:
         store: Stand-in of the store.
@@ -61,12 +63,14 @@
         instances: int,
         servers: int,
         other_source: pathlib.Path | None = None,
+        client_accounts: Sequence[accounts.SoakAccount] = (),
     ) -> None:
         self._reactor = reactor
         self._directory = directory
         self._instance_count = instances
         self._servers_per_service = servers
         self._other_source = other_source
+        self._client_accounts = client_accounts
         self._start_counts: collections.Counter[int] = collections.Counter()
         self._processes: dict[int, subprocess.Popen] = {}
         self._ports: list[typing.Any] = []
@@ -165,6 +169,8 @@
             {**spec["Routes"][0], "Name": f"added-{n}", "PathPrefix": f"/added-{n}/"}
             for n in range(self._added_routes)
         ]
+        if self._client_accounts:
+            accounts.add_to_config(spec, self._client_accounts)
         self.store.put(names.CONFIG_KIND, names.CONFIG_NAME, spec)
 
     def add_entry(self, index: int, name: str) -> None:
@@ -260,8 +266,7 @@
         """Return the configurations that came into force, as the instances logged them."""
         monotonic_offset_s = self._reactor.seconds() - time.time()
         found = []
-        for index in range(self._instance_count):
-            text = (self._directory / f"i{index}.log").read_text("utf-8", "replace")
+        for index, text in enumerate(self.logs().values()):
             for line in text.splitlines():
                 if '"config-in-force"' not in line:
                     continue
@@ -274,6 +279,13 @@
                 )
         return found
 
+    def logs(self) -> dict[str, str]:
+        """Return the text of the log of each instance, by the name of the file."""
+        return {
+            name: (self._directory / name).read_text("utf-8", "replace")
+            for name in (f"i{index}.log" for index in range(self._instance_count))
+        }
+
     def send_signal(self, index: int, signal_number: signal.Signals) -> None:
         """Send a signal to the process of an instance if it is running."""
         process = self._processes.get(index)
--- a/src/carobhook/soak/injections.py
+++ b/src/carobhook/soak/injections.py
@@ -63,6 +63,7 @@
         reactor: Source of time and connections.
         system: The deployment.
         instance_count: Number of its instances.
+        headers: Further headers of the requests that end servers.
 
     Attributes:
         draining_periods: Server, start and end of each period in which it reported draining.
@@ -74,11 +75,16 @@
     """
 
     def __init__(
-        self, reactor: typing.Any, system: deployment.Deployment, instance_count: int
+        self,
+        reactor: typing.Any,
+        system: deployment.Deployment,
+        instance_count: int,
+        headers: http1.Headers = (),
     ) -> None:
         self._reactor = reactor
         self._deployment = system
         self._instance_count = instance_count
+        self._headers = headers
         self._injections: list[defer.Deferred] = []
         self._connections = server_connections.ServerConnections(reactor, 1.0)
         self.draining_periods: list[tuple[str, float, float]] = []
@@ -294,7 +300,7 @@
         headers = {"Host": demo.SERVED_HOST, names.REQUEST_ID: request_id}
         headers[names.TIME_LEFT_MS] = "2000"
         raw = tuple((name.encode(), value.encode()) for name, value in headers.items())
-        head = http1.RequestHead(b"POST", target.encode(), raw)
+        head = http1.RequestHead(b"POST", target.encode(), raw + self._headers)
         exchange = defer.ensureDeferred(
             self._connections.exchange(address, head, b"", require_fresh=True)
         )
--- a/src/carobhook/soak/run.py
+++ b/src/carobhook/soak/run.py
@@ -8,7 +8,8 @@
 from twisted.internet import defer, task
 
 from carobhook import demo
-from carobhook.soak import checks, deployment, faults, injections
+from carobhook.protocol import http1
+from carobhook.soak import accounts, checks, deployment, faults, injections
 from carobhook.standins import platform_client
 
 _REQUESTS_PER_S = 40.0
@@ -73,11 +74,20 @@
         self._reactor = reactor
         self._seed = seed
         self._options = options
+        # A build without accounts would pass the keys on.
+        self._accounts = () if options.other_source else accounts.accounts_of(seed)
         self._deployment = deployment.Deployment(
-            reactor, directory, options.instances, options.servers, options.other_source
+            reactor,
+            directory,
+            options.instances,
+            options.servers,
+            options.other_source,
+            self._accounts,
         )
         self._rng = random.Random(seed)
-        self._injector = injections.FaultInjector(reactor, self._deployment, options.instances)
+        self._injector = injections.FaultInjector(
+            reactor, self._deployment, options.instances, self._headers(0)
+        )
         self._clients: list[platform_client.PlatformClient] = []
 
     async def run(self) -> Verdict:
@@ -106,13 +116,14 @@
         """Send requests from clients of two regions; the result fires when all have ended."""
         plans = demo.request_plans()
         running = []
-        for region, zone in _CLIENT_ZONES:
+        for index, (region, zone) in enumerate(_CLIENT_ZONES):
             client = platform_client.PlatformClient(
                 self._reactor,
                 self._deployment.directories,
                 region,
                 zone,
                 random.Random(self._rng.getrandbits(64)),
+                self._headers(index),
             )
             self._clients.append(client)
             running.append(
@@ -120,6 +131,25 @@
             )
         return defer.gatherResults(running)
 
+    def _headers(self, index: int) -> http1.Headers:
+        """Return the headers by which the clients of a region name their account."""
+        return self._accounts[index].headers if self._accounts else ()
+
+    def _find_wrong_accounts(self) -> list[str]:
+        """Return what servers and logs learned of accounts that they must not, a line each."""
+        expected: dict[str, str | None] = dict.fromkeys(
+            self._injector.fatal_ids, self._accounts[0].name
+        )
+        # Each load has one client for each region, in the same order.
+        for index, client in enumerate(self._clients):
+            name = self._accounts[index % len(_CLIENT_ZONES)].name
+            for plan, attempt in client.attempts:
+                expected[attempt.id] = None if accounts.is_exempt(plan.prefix) else name
+        heads = [head for server in self._deployment.servers for head in server.heads]
+        return accounts.find_wrong_accounts(heads, expected) + accounts.find_logged_keys(
+            self._deployment.logs(), self._accounts
+        )
+
     def _attempts(
         self,
     ) -> typing.Iterator[tuple[platform_client.RequestPlan, platform_client.Attempt]]:
@@ -167,6 +197,8 @@
                 self._injector.store_faults,
                 self._reactor.seconds(),
             )
+        if self._accounts:
+            violations += self._find_wrong_accounts()
         ends = [at for server in self._deployment.servers for at in server.ends]
         violations += checks.find_late_ends(ends)
         violations += checks.check_recovery(served - served_before, sent - sent_before)
--- a/src/carobhook/standins/platform_client.py
+++ b/src/carobhook/standins/platform_client.py
@@ -106,6 +106,7 @@
         region: Region of the clients.
         domain: Failure domain of the clients.
         rng: Random number generator.
+        headers: Further headers of each request, such as the key of a client account.
 
     Attributes:
         report: Counts of all requests so far.
@@ -119,12 +120,14 @@
         region: str,
         domain: str,
         rng: random.Random,
+        headers: http1.Headers = (),
     ) -> None:
         self._reactor = reactor
         self._directories = tuple(directories)
         self._region = region
         self._domain = domain
         self._rng = rng
+        self._headers = headers
         self._connections = server_connections.ServerConnections(reactor, _CONNECT_TIMEOUT_S)
         self._addresses: list[str] = []
         self._looked_up_at = -_LOOKUP_TTL_S
@@ -153,8 +156,8 @@
         """Send one request, with retries, and return its last attempt.
 
         An attempt is retried if the response says that it was not run, or if the request is
-        repeatable and the status is not 404. There is no retry if the wait before it would
-        take more than a third of the remaining time.
+        repeatable and the status is neither 401 nor 404. There is no retry if the wait before
+        it would take more than a third of the remaining time.
         """
         started_at = self._reactor.seconds()
         deadline_at = started_at + plan.time_left_s
@@ -174,7 +177,9 @@
                 return attempt
             remaining_s = deadline_at - self._reactor.seconds()
             wait_s = attempt.retry_after_s or 0.05
-            retryable = attempt.not_run or (plan.repeatable and attempt.status != 404)
+            retryable = attempt.not_run or (
+                plan.repeatable and attempt.status not in (401, 404)
+            )
             if not retryable or wait_s > remaining_s / 3:
                 return attempt
             await task.deferLater(self._reactor, wait_s)
@@ -193,6 +198,7 @@
                 (names.REQUEST_ID.encode(), attempt_id.encode()),
                 (names.OBJECT_KEY.encode(), key.encode()),
                 (names.TIME_LEFT_MS.encode(), str(max(1, int(remaining_s * 1000))).encode()),
+                *self._headers,
             ),
         )
         try:
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,7 +6,10 @@
 
 import pytest
 
-from carobhook.soak import checks, faults
+from carobhook import demo
+from carobhook.platform import objects as platform_objects
+from carobhook.protocol import http1
+from carobhook.soak import accounts, checks, faults
 from carobhook.standins import platform_client
 
 ONCE = platform_client.RequestPlan("h", "/u/", repeatable=False)
@@ -145,6 +148,53 @@
         assert checks.check_recovery(0, 0)
 
 
+class TestAccounts:
+    """Tests of the checks of what servers and logs learn of client accounts."""
+
+    @pytest.mark.parametrize(
+        ("attempt_id", "headers", "expected"),
+        [
+            ("a", [("X-Tenant", "one")], 0),
+            ("exempt", [], 0),
+            (None, [], 0),
+            ("a", [], 1),
+            ("a", [("X-Tenant", "forged")], 1),
+            ("a", [("x-tenant", "one"), ("X-Tenant", "forged")], 1),
+            ("exempt", [("X-Tenant", "one")], 1),
+            ("a", [("X-Tenant", "one"), ("Api-Key", "k")], 1),
+            ("exempt", [("api-key", "k")], 1),
+        ],
+    )
+    def test_key_or_wrong_name_at_a_server_is_found(self, attempt_id, headers, expected):
+        """A server may receive the name of the request's account, and nothing else of it."""
+        found = [*headers, *([("X-Attempt-Id", attempt_id)] if attempt_id else [])]
+        raw = tuple((name.encode(), value.encode()) for name, value in found)
+        head = http1.RequestHead(b"GET", b"/", raw)
+        wrong = accounts.find_wrong_accounts([head], {"a": "one", "exempt": None})
+        assert len(wrong) == expected
+
+    def test_key_in_a_log_is_found(self):
+        """Nor may an instance write one down."""
+        key = accounts.ACCOUNTS[1].key
+        logs = {"i0.log": "{}", "i1.log": f"error={key!r}"}
+        assert len(accounts.find_logged_keys(logs, accounts.ACCOUNTS)) == 1
+
+    def test_configuration_has_the_accounts(self):
+        """The keys that the soak's clients send are those that the store serves."""
+        spec = demo.config(1)
+        accounts.add_to_config(spec, accounts.ACCOUNTS)
+        config = platform_objects.ConfigDecoder().decode(spec)
+        for account in accounts.ACCOUNTS:
+            assert config.accounts.find(account.key).name == account.name
+        assert [route.needs_key for route in config.routes].count(False) == 1
+
+    def test_accounts_meet_every_kind_of_seed(self):
+        """Some seeds use them, whatever faults those draw."""
+        used = {seed for seed in range(48) if accounts.accounts_of(seed)}
+        assert {seed % 16 for seed in used} == set(range(16))
+        assert len(used) == 16
+
+
 class TestSeries:
     """Tests of the faults that a seed draws."""
 
