Send a request again through the dispatcher when its home regions got fewer

Cause: a relay is chosen by the homes that a request was routed with. Where a newer configuration leaves fewer, the server's region was checked before the request was sent, and the relay's was not, so the body could go to an instance outside the homes. Change: with accounts in the configuration, such a request is routed anew before it is sent. Tests for this, for a grant without common homes, for an exempt request whose configuration loses its accounts, and for the codec alone; each of the last three fails without its half of the rule.

--- a/src/carobhook/transport/routes_in_force.py
+++ b/src/carobhook/transport/routes_in_force.py
@@ -37,18 +37,8 @@
         if entry is None or not known.is_usable(server) or self.notices.is_resting(server):
             return False
         config = self._newer_config(accepted)
-        if config is None:
-            return True
-        matched = match(config, accepted.called or accepted.request.head)
-        if matched is not None and accepted.called is not None:
-            # It was no route's request when it was accepted, and is sent as one or not at all.
-            return False
-        route = self._route(config, accepted, matched)
-        if isinstance(route, refusals.Refusal):
-            return False
-        if route is None or not route.homes:
-            return True
-        return self.orders.regions.get(entry.failure_domain) in route.homes
+        region = self.orders.regions.get(entry.failure_domain)
+        return config is None or self._allows(config, accepted, region)
 
     def reroute(
         self, accepted: accepted_requests.AcceptedRequest
@@ -85,6 +75,34 @@
             account_terms=account,
         )
 
+    def _allows(
+        self,
+        config: routing.RoutingConfig,
+        accepted: accepted_requests.AcceptedRequest,
+        region: ids.Region | None,
+    ) -> bool:
+        """Return whether a newer configuration lets a request run in a region as it is routed.
+
+        Args:
+            config: The configuration.
+            accepted: The request.
+            region: Region of the server, None if it is not known.
+        """
+        matched = match(config, accepted.called or accepted.request.head)
+        if matched is not None and accepted.called is not None:
+            # It was no route's request when it was accepted, and is sent as one or not at all.
+            return False
+        route = self._route(config, accepted, matched)
+        if isinstance(route, refusals.Refusal):
+            return False
+        if route is None or not route.homes:
+            return True
+        known_homes = accepted.route.homes
+        if config.accounts is not None and not (known_homes and known_homes <= route.homes):
+            # Another instance that relays the request was chosen by the wider homes.
+            return False
+        return region in route.homes
+
     def _newer_config(
         self, accepted: accepted_requests.AcceptedRequest
     ) -> routing.RoutingConfig | None:
--- a/tests/test_account_access.py
+++ b/tests/test_account_access.py
@@ -19,6 +19,7 @@
 from carobhook.transport import (
     client_connections,
     entry_requests,
+    exchange_results,
     notice_board,
     received_objects,
 )
@@ -218,6 +219,21 @@
         entry.allocator.grant("n1")
         assert entry.names_sent() == [b"books"]
 
+    def test_accounts_removed_while_an_exempt_request_waits(self):
+        """It was accepted while keys were not passed on, so its key isn't later either."""
+        entry = Entry(config(1, table(), needs_key=False))
+        entry.send(KEY, headers=((b"X-Tenant", b"music"),))
+        entry.known.replace_config_if_newer(config(2))
+        entry.allocator.grant("n1")
+        assert entry.names_sent() == []
+
+    def test_codec_replaces_a_name_that_the_client_sent(self):
+        """It does so for a request with an account, whatever is in force by then."""
+        head = http1.RequestHead(b"GET", b"/", ((b"X-Tenant", b"music"), (b"Api-Key", b"k")))
+        sent = requests.ServerCodec().build_request_head(head, "n1", 1.0, BOOKS.name)
+        assert dict(sent.headers)[b"x-tenant"] == b"books"
+        assert not {b"X-Tenant", b"Api-Key"} & set(dict(sent.headers))
+
     def test_relayed_request(self):
         """What goes to another instance contained the client's headers."""
         entry = Entry(config(1, table()))
@@ -385,6 +401,22 @@
         assert entry.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED]
         assert entry.slot_request.homes == {SOUTH}
 
+    def test_relay_that_was_chosen_by_wider_homes(self):
+        """The server's region is a home, but that of a relay that was chosen may not be one."""
+        entry = Entry(config(1, table()))
+        entry.send(KEY)
+        entry.allocator.grant("s1")
+        attempt = entry.servers.attempts[-1]
+        assert attempt.homes == set()
+        account = attrs.evolve(BOOKS, homes=frozenset({SOUTH}))
+        entry.known.replace_config_if_newer(config(2, table(account)))
+        assert not attempt.may_send()
+        entry.servers.fail(exchange_results.Fault.WITHDRAWN)
+        entry.allocator.grant("s1")
+        attempt = entry.servers.attempts[-1]
+        assert attempt.homes == {SOUTH}
+        assert attempt.may_send()
+
     def test_terms_that_are_withdrawn(self):
         """Homes and priority of the older terms don't remain with the request."""
         account = attrs.evolve(BOOKS, homes=frozenset({NORTH}), priority=0)
@@ -412,6 +444,18 @@
         entry = self.retried(newer)
         assert entry.refused[:2] == (503, codes.Code.NO_COMMON_HOME.number)
 
+    def test_grant_without_a_common_home_is_not_used(self):
+        """The slot was granted by the older terms."""
+        entry = Entry(config(1, table()))
+        entry.send(KEY)
+        account = attrs.evolve(BOOKS, homes=frozenset({SOUTH}))
+        newer = config(2, table(account), homes=frozenset({NORTH}))
+        entry.known.replace_config_if_newer(newer)
+        entry.allocator.grant("n1")
+        assert not entry.servers.exchanges
+        assert entry.allocator.outcomes == [allocation.AttemptOutcome.CANCELLED]
+        assert entry.refused[:2] == (503, codes.Code.NO_COMMON_HOME.number)
+
     def test_no_common_home_after_it_may_have_run(self):
         """503 would promise that it has not run."""
         entry = Entry(config(1, table()))
