Leave keys out of parser errors, and show operators the accounts

Cause: a chunked body whose trailer line h11 cannot read was logged with that line (request-unreadable), so a key sent there got into the log. And operators had no way to see what an instance knows of an account. Change: the error is logged without the octets that it quotes; one line in client_connections. `show accounts` has rank, homes and quota of each account, without keys.

--- a/src/carobhook/coordination/operator_queries.py
+++ b/src/carobhook/coordination/operator_queries.py
@@ -335,6 +335,17 @@
     ]  # fmt: skip
 
 
+def _accounts(view: InstanceView) -> tuple[tuple[str, ...], list[Row]]:
+    table = view.config.accounts if view.config is not None else None
+    columns = ("account", "rank", "homes", "requests/s", "burst")
+    return columns, [
+        (a.name, "of the route" if a.priority is None else a.priority,
+         " ".join(sorted(a.homes)), a.quota.rate_per_s if a.quota is not None else "no limit",
+         a.quota.burst if a.quota is not None else "")
+        for a in (table.accounts if table is not None else ())
+    ]  # fmt: skip
+
+
 def _ranks(view: InstanceView) -> tuple[tuple[str, ...], list[Row]]:
     priorities = view.orders.in_force.priorities
     return ("route", "rank", "by the configuration"), [
@@ -409,6 +420,7 @@
     statements.Subject.REGIONS: _regions,
     statements.Subject.TRAFFIC: _traffic,
     statements.Subject.ROUTES: _routes,
+    statements.Subject.ACCOUNTS: _accounts,
     statements.Subject.RANKS: _ranks,
     statements.Subject.DRAINS: _drains,
     statements.Subject.SHIFTS: _shifts,
--- a/src/carobhook/protocol/http1.py
+++ b/src/carobhook/protocol/http1.py
@@ -185,6 +185,14 @@
     return tuple((name, value) for name, value in all_headers if name.lower() not in dropped)
 
 
+def error_text(error: h11.RemoteProtocolError) -> str:
+    """Return the text of a parser's error without the octets that it quotes.
+
+    They may be a trailer line with a secret of the client, and the text is logged.
+    """
+    return str(error).partition(": bytearray(")[0]
+
+
 def request_parser() -> h11.Connection:
     """Return a parser for one client request."""
     return h11.Connection(h11.SERVER, max_incomplete_event_size=_H11_BUFFER_BYTES)
--- a/src/carobhook/state/statements.py
+++ b/src/carobhook/state/statements.py
@@ -14,6 +14,7 @@
     TRAFFIC = "traffic"
     SERVERS = "servers"
     ROUTES = "routes"
+    ACCOUNTS = "accounts"
     RANKS = "ranks"
     DRAINS = "drains"
     SHIFTS = "shifts"
--- a/src/carobhook/transport/client_connections.py
+++ b/src/carobhook/transport/client_connections.py
@@ -183,7 +183,7 @@
                 if not self._handle_event(event):
                     return
         except h11.RemoteProtocolError as error:
-            self._reject(400, str(error))
+            self._reject(400, http1.error_text(error))
 
     def _handle_event(self, event: typing.Any) -> bool:
         """Handle an event of the parser; return whether to get the next one."""
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -247,7 +247,7 @@
         config = self._context.server_catalog.config
         is_recent = self._context.is_config_recent()
         head = request.head
-        key = requests.account_key(head)
+        key = requests.account_key(head) if self._has_accounts() else None
         if call is not None:
             return self._router.route_call(config, call, request.received_at, is_recent, key)
         time_left_s = requests.time_left_s(head)
--- a/tests/test_account_access.py
+++ b/tests/test_account_access.py
@@ -3,6 +3,7 @@
 import json
 
 import attrs
+import h11
 import pytest
 from twisted.internet import defer, task
 
@@ -276,6 +277,21 @@
         assert not [text for text in shown if KEY in text]
 
 
+class TestUnreadableRequests:
+    """Requests that are rejected before they are complete."""
+
+    def test_trailer_with_a_key_is_not_quoted(self):
+        """The parser's error contained the line that it could not read, and was logged."""
+        parser = http1.request_parser()
+        head = b"POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n"
+        parser.receive_data(head + f"0\r\nApi-Key\x01: {KEY}\r\n\r\n".encode())
+        with pytest.raises(h11.RemoteProtocolError) as caught:
+            while parser.next_event() is not h11.NEED_DATA:
+                pass
+        assert KEY in str(caught.value)
+        assert http1.error_text(caught.value) == "illegal header line"
+
+
 class TestLogLines:
     """Fields of log lines from which an operator finds the cause."""
 
