Remove account headers that are written with underscores

Cause: servers with a CGI-like interface read X_Tenant as X-Tenant, so a client could add the name of another account to that of its own. Change: names are compared with underscores taken for hyphens, of the key as well.

--- a/src/carobhook/platform/requests.py
+++ b/src/carobhook/platform/requests.py
@@ -58,9 +58,15 @@
 
 
 def without_account(head: http1.RequestHead) -> http1.RequestHead:
-    """Return a head without the key and name of a client account."""
+    """Return a head without the key and name of a client account.
+
+    Names with underscores are removed too, as servers with a CGI-like interface (WSGI, PHP)
+    take them for those with hyphens.
+    """
     headers = tuple(
-        (name, value) for name, value in head.headers if name.lower() not in _ACCOUNT_HEADERS
+        (name, value)
+        for name, value in head.headers
+        if name.lower().replace(b"_", b"-") not in _ACCOUNT_HEADERS
     )
     return http1.RequestHead(head.method, head.target, headers)
 
--- a/tests/test_account_access.py
+++ b/tests/test_account_access.py
@@ -192,9 +192,11 @@
         """A client could act as another account, in any spelling and number of the header."""
         entry = Entry(config(1, table()))
         forged = ((b"x-TENANT", b"music"), (b"X-Tenant", b"root"), (b"Connection", b"X-Tenant"))
-        entry.send(KEY, target=target, headers=forged)
+        underscored = ((b"X_Tenant", b"music"), (b"Api_Key", KEY.encode()))
+        entry.send(KEY, target=target, headers=forged + underscored)
         entry.allocator.grant("n1")
         assert entry.names_sent() == [b"books"]
+        assert not [name for name, _ in entry.sent_headers() if b"_" in name]
 
     def test_exempt_route(self):
         """It needs no key, and passes on neither a key nor a name that the client sent."""
