Handle pipelined requests side by side, and bound what is held for clients

Cause: a connection handled one request at a time, so that repeatable requests sent together waited for each other. Request bodies were bounded for each listener, part by part as they came, and unread responses not at all.

Change: a connection is made of a reader (head, admission, body), an order of responses, a memory shared by all listeners of an instance with bounds for the process and for each client address, and a writer that hands pieces to the transport as the client reads. The length of a body is reserved when its head is read. A client that does not read gets no further request read, and its connection is closed after 20 s without progress. What runs once starts behind no other. A request that was started behind others keeps its route if a newer one says that it runs once.

test_bodies_kept reads the count from where it is now.

--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -73,6 +73,24 @@
     CLIENT_CONNECTIONS = MetricInfo(
         "carobhook_client_connections", Kind.GAUGE, (), "Open connections of clients."
     )
+    CLIENTS_BLOCKED = MetricInfo(
+        "carobhook_client_connections_blocked",
+        Kind.GAUGE,
+        (),
+        "Connections of clients whose responses wait for the client to read.",
+    )
+    CLIENT_BYTES = MetricInfo(
+        "carobhook_client_bytes_held",
+        Kind.GAUGE,
+        (),
+        "Bytes held for clients: request bodies, and responses not sent yet.",
+    )
+    BODIES_REFUSED = MetricInfo(
+        "carobhook_bodies_refused_total",
+        Kind.COUNTER,
+        ("bound",),
+        "Request bodies not read for lack of memory, by the bound: process or client.",
+    )
     SERVER_CONNECTIONS = MetricInfo(
         "carobhook_server_connections_opened",
         Kind.GAUGE,
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -75,6 +75,17 @@
     CONNECTIONS_FULL = EventInfo(
         "connections-full", "A caller's connection was closed, as there are too many."
     )
+    BODY_REFUSED = EventInfo(
+        "body-refused",
+        "A request body was not read, as it does not fit into a bound on memory for clients.",
+    )
+    CLIENT_STALLED = EventInfo(
+        "client-stalled", "A connection was closed, as its client did not read its responses."
+    )
+    RESPONSES_DROPPED = EventInfo(
+        "responses-dropped",
+        "A connection was closed, as its responses exceed a bound on memory for clients.",
+    )
     PEER_STREAM_INVALID = EventInfo(
         "peer-stream-invalid", "Something on the peer port does not speak as an instance does."
     )
--- a/src/carobhook/protocol/http1.py
+++ b/src/carobhook/protocol/http1.py
@@ -220,6 +220,11 @@
     return head + response.body if with_body else head
 
 
+def response_size(response: Response) -> int:
+    """Return the approximate size of a response in memory, in bytes."""
+    return len(response.body) + sum(len(name) + len(value) for name, value in response.headers)
+
+
 def encode_request(head: RequestHead, body: bytes) -> bytes:
     """Return the bytes of a request.
 
@@ -227,8 +232,18 @@
         head: Request head, which must not have a Content-Length header.
         body: Body of the request.
     """
+    return encode_request_head(head, len(body)) + body
+
+
+def encode_request_head(head: RequestHead, body_size: int) -> bytes:
+    """Return the bytes of a request up to its body.
+
+    Args:
+        head: Request head, which must not have a Content-Length header.
+        body_size: Size of the body that follows, in bytes.
+    """
     lines = [head.method + b" " + head.target + b" HTTP/1.1"]
     lines += [name + b": " + value for name, value in head.headers]
-    if body or head.method in (b"POST", b"PUT", b"PATCH"):
-        lines.append(b"Content-Length: " + str(len(body)).encode())
-    return b"\r\n".join(lines) + _HEAD_END + body
+    if body_size or head.method in (b"POST", b"PUT", b"PATCH"):
+        lines.append(b"Content-Length: " + str(body_size).encode())
+    return b"\r\n".join(lines) + _HEAD_END
--- a/src/carobhook/standins/platform_server.py
+++ b/src/carobhook/standins/platform_server.py
@@ -10,7 +10,7 @@
 from carobhook.platform import names
 from carobhook.protocol import http1
 from carobhook.state import routing
-from carobhook.transport import client_connections
+from carobhook.transport import client_connection, client_connections
 
 _LIMITS = routing.ClientLimits(idle_timeout_s=10.0)
 _MAX_CONNECTIONS = 256
@@ -103,7 +103,7 @@
             self.timer.cancel()
 
 
-class _Connection(client_connections.ClientConnection):
+class _Connection(client_connection.ClientConnection):
     """A connection on which a response may be sent a second time."""
 
     def __init__(
--- a/src/carobhook/transport/client_connections.py
+++ b/src/carobhook/transport/client_connections.py
@@ -1,22 +1,16 @@
-"""Connections of clients: reads one request at a time and writes complete responses."""
+"""Requests of clients, and the listener that accepts their connections."""
 
 import typing
 from collections.abc import Callable
 
 import attrs
-import h11
 from twisted.internet import protocol
 
 from carobhook import logs
 from carobhook.protocol import http1
 from carobhook.state import routing
+from carobhook.transport import client_connection, client_memory, request_reader
 
-# Reading from a client pauses when its buffered pipelined requests exceed this size. Otherwise,
-# the buffer would grow as fast as the client sends.
-_MAX_PIPELINED_BYTES = 64 * 1024
-# Delay before a connection is closed after an error response. Closing a connection that has
-# unread data resets it, and a client that has not read the response yet then never gets it.
-_LINGER_S = 1.0
 _REASONS = {
     400: b"Bad Request",
     404: b"Not Found",
@@ -39,12 +33,15 @@
         body: Request body.
         client: Address of the client's host.
         received_at: Monotonic time in seconds at which the head was complete.
+        is_pipelined: Whether it was started before all earlier requests on its connection were
+            answered, as only requests that may be repeated are.
     """
 
     head: http1.RequestHead
     body: bytes
     client: str
     received_at: float
+    is_pipelined: bool = False
 
 
 class ActiveRequest(typing.Protocol):
@@ -77,236 +74,8 @@
     return http1.Response(status, _REASONS.get(status, b"OK"), headers, body)
 
 
-class ClientConnection(protocol.Protocol):
-    """One connection of a client."""
-
-    def __init__(self, listener: "ClientListener") -> None:
-        self._listener = listener
-        self._reactor = listener.reactor
-        self._buffer = bytearray()
-        self._parser: h11.Connection | None = None
-        self._head: http1.RequestHead | None = None
-        self._body_chunks: list[bytes] = []
-        self._body_size = 0
-        self._received_at = 0.0
-        self._active_request: ActiveRequest | None = None
-        self._awaiting_response = False
-        self._closing = False
-        self._timer: typing.Any = None
-        self._head_timer_started = False
-        self._response_has_body = True
-        self._close_requested = False
-
-    @property
-    def is_idle(self) -> bool:
-        """Return whether no request is being read or handled."""
-        return not self._awaiting_response and self._parser is None and not self._buffer
-
-    def connectionMade(self) -> None:
-        """Register the connection and start its idle timer."""
-        self.transport.setTcpNoDelay(True)
-        self._listener.add_connection(self)
-        self._start_timer(self._listener.limits().idle_timeout_s)
-
-    def connectionLost(self, reason: typing.Any = protocol.connectionDone) -> None:
-        """Remove the connection, and report the disconnect to its active request."""
-        self._stop_timer()
-        self._release_body()
-        self._listener.remove_connection(self)
-        active_request, self._active_request = self._active_request, None
-        if active_request is not None:
-            active_request.client_disconnected()
-
-    def dataReceived(self, data: bytes) -> None:
-        """Parse or buffer received bytes."""
-        if self._closing:
-            return
-        if self._parser is not None:
-            self._parse(data)
-            return
-        self._buffer += data
-        if self._awaiting_response:
-            if len(self._buffer) > _MAX_PIPELINED_BYTES:
-                self.transport.pauseProducing()
-            return
-        self._read_head()
-
-    def abort(self) -> None:
-        """Close the connection at once."""
-        self._closing = True
-        self._stop_timer()
-        self.transport.abortConnection()
-
-    def close_if_idle(self) -> None:
-        """Close the connection if no request is being read or handled."""
-        if self.is_idle:
-            self.transport.loseConnection()
-
-    def _read_head(self) -> None:
-        """Start to parse the next request if its head is complete."""
-        limits = self._listener.limits()
-        while self._buffer[:2] == b"\r\n":
-            del self._buffer[:2]
-        if not self._buffer:
-            return
-        head_size = http1.head_length(self._buffer)
-        if head_size > limits.max_header_bytes or (
-            not head_size and len(self._buffer) > limits.max_header_bytes
-        ):
-            self._reject(431, "request headers are too large")
-            return
-        if not head_size:
-            if b"\n" in self._buffer and b"\r\n" not in self._buffer:
-                self._reject(400, "line ends must be CR LF")
-            elif not self._head_timer_started:
-                self._start_timer(limits.header_timeout_s, for_head=True)
-            return
-        data = bytes(self._buffer)
-        self._buffer.clear()
-        try:
-            http1.check_head(data[:head_size])
-        except http1.HeadError as error:
-            self._reject(error.status, str(error))
-            return
-        self._stop_timer()
-        self._received_at = self._reactor.seconds()
-        self._parser = http1.request_parser()
-        self._parse(data)
-
-    def _parse(self, data: bytes) -> None:
-        """Parse received bytes of the current request."""
-        parser = typing.cast(h11.Connection, self._parser)
-        try:
-            parser.receive_data(data)
-            while True:
-                event = parser.next_event()
-                if not self._handle_event(event):
-                    return
-        except h11.RemoteProtocolError as error:
-            self._reject(400, str(error))
-
-    def _handle_event(self, event: typing.Any) -> bool:
-        """Handle an event of the parser; return whether to get the next one."""
-        if isinstance(event, h11.Request):
-            self._head = http1.RequestHead(
-                event.method, event.target, tuple(event.headers.raw_items())
-            )
-            limits = self._listener.limits()
-            if http1.declared_length(self._head) > limits.max_body_bytes:
-                self._reject(413, "request body is too large")
-                return False
-            if (self._head.get("expect") or "").lower() == "100-continue":
-                self.transport.write(b"HTTP/1.1 100 Continue\r\n\r\n")
-            self._start_timer(self._listener.body_timeout_s)
-            return True
-        if isinstance(event, h11.Data):
-            self._body_size += len(event.data)
-            if self._body_size > self._listener.limits().max_body_bytes:
-                self._reject(413, "request body is too large")
-                return False
-            if not self._listener.reserve_body(len(event.data)):
-                self._body_size -= len(event.data)
-                self._reject(503, "too many request bodies are waiting", retry=True)
-                return False
-            self._body_chunks.append(bytes(event.data))
-            return True
-        if isinstance(event, h11.EndOfMessage):
-            self._handle_request()
-        return False
-
-    def _handle_request(self) -> None:
-        """Pass the complete request to the handler."""
-        parser = typing.cast(h11.Connection, self._parser)
-        self._buffer += parser.trailing_data[0]
-        self._parser = None
-        self._stop_timer()
-        self._awaiting_response = True
-        head = typing.cast(http1.RequestHead, self._head)
-        peer = self.transport.getPeer()
-        request = ClientRequest(
-            head, b"".join(self._body_chunks), getattr(peer, "host", ""), self._received_at
-        )
-        self._body_chunks.clear()
-        self._response_has_body = head.method != b"HEAD"
-        self._close_requested = _is_close_requested(head, parser.their_http_version)
-        active_request = self._listener.handler(request, self._respond)
-        if self._awaiting_response:
-            self._active_request = active_request
-
-    def _respond(self, response: http1.Response) -> None:
-        """Write the response to the current request.
-
-        Nothing is written if there is no such request or the connection is closed.
-        """
-        if not self._awaiting_response or self.transport is None or not self.connected:
-            return
-        self._awaiting_response = False
-        self._release_body()
-        self._active_request = None
-        close = self._close_requested or self._listener.closes_after_response
-        self.transport.write(http1.encode_response(response, self._response_has_body, close))
-        if close:
-            self._closing = True
-            self.transport.loseConnection()
-            return
-        self._start_timer(self._listener.limits().idle_timeout_s)
-        self.transport.resumeProducing()
-        if self._buffer:
-            self._reactor.callLater(0, self._read_buffered)
-
-    def _read_buffered(self) -> None:
-        if (
-            self.connected
-            and not self._awaiting_response
-            and self._parser is None
-            and not self._closing
-        ):
-            self._read_head()
-
-    def _reject(self, status: int, text: str, retry: bool = False) -> None:
-        """Reject a request that was not read completely, and close the connection."""
-        self._closing = True
-        self._parser = None
-        self._release_body()
-        self._body_chunks.clear()
-        logs.event("request-unreadable", status=status, reason=text)
-        headers = ((b"Retry-After", b"1"),) if retry else ()
-        response = local_response(status, text, headers)
-        self.transport.write(http1.encode_response(response, True, True))
-        self._stop_timer()
-        self._timer = self._reactor.callLater(_LINGER_S, self.transport.loseConnection)
-
-    def _release_body(self) -> None:
-        """Release the memory of the body, at once or when the work for the request ends."""
-        size, self._body_size = self._body_size, 0
-        if self._active_request is None:
-            self._listener.release_body(size)
-        elif size:
-            self._active_request.call_at_end(lambda: self._listener.release_body(size))
-
-    def _start_timer(self, delay_s: float, for_head: bool = False) -> None:
-        self._stop_timer()
-        self._head_timer_started = for_head
-        self._timer = self._reactor.callLater(delay_s, self._on_timeout)
-
-    def _stop_timer(self) -> None:
-        if self._timer is not None and self._timer.active():
-            self._timer.cancel()
-        self._timer = None
-
-    def _on_timeout(self) -> None:
-        if self.is_idle:
-            self.transport.loseConnection()
-        else:
-            self._reject(408, "the request did not arrive in time")
-
-
-def _is_close_requested(head: http1.RequestHead, version: bytes | None) -> bool:
-    """Return whether the client wants the connection closed after the response."""
-    tokens = {token.strip().lower() for token in (head.get("connection") or "").split(",")}
-    if version == b"1.0":
-        return "keep-alive" not in tokens
-    return "close" in tokens
+def _never(head: http1.RequestHead) -> bool:
+    return False
 
 
 class ClientListener(protocol.Factory):
@@ -317,15 +86,22 @@
         handler: Called with each complete request and a function that responds to it once.
         limits: Returns the current limits on clients' requests and connections.
         max_connections: Maximum number of connections.
-        max_buffered_bytes: Maximum size of all request bodies in memory, in bytes.
+        memory: Memory for request bodies and for responses that were not sent yet. Listeners
+            may share it. A number of bytes limits that of this listener.
 
     Attributes:
+        memory: Memory for request bodies and for responses that were not sent yet.
+        is_repeatable: Returns whether a request may run more than once. Only such requests
+            start while others on their connection are in progress.
         closes_after_response: Whether connections are closed after their next response.
         body_timeout_s: Maximum number of seconds from the head of a request to its end.
+        max_started: Maximum number of requests in progress on a connection.
+        on_body_refused: Called with the limit when a body was refused for lack of memory.
     """
 
     noisy = False
     body_timeout_s = 30.0
+    max_started = 8
 
     def __init__(
         self,
@@ -333,47 +109,73 @@
         handler: Handler,
         limits: Callable[[], routing.ClientLimits],
         max_connections: int,
-        max_buffered_bytes: int,
+        memory: client_memory.ClientMemory | int,
     ) -> None:
         self.reactor = reactor
         self.handler = handler
         self.limits = limits
         self.closes_after_response = False
+        if isinstance(memory, int):
+            memory = client_memory.ClientMemory(memory, memory)
+        self.memory = memory
+        self.is_repeatable: Callable[[http1.RequestHead], bool] = _never
+        self.on_body_refused: Callable[[client_memory.Bound], object] = lambda bound: None
         self._max_connections = max_connections
-        self._max_buffered_bytes = max_buffered_bytes
-        self._buffered_bytes = 0
-        self._connections: set[ClientConnection] = set()
+        self._connections: set[client_connection.ClientConnection] = set()
 
     @property
     def open_connections(self) -> int:
         """Return the number of open connections."""
         return len(self._connections)
 
+    @property
+    def blocked_connections(self) -> int:
+        """Return the number of connections whose responses wait for the client to read."""
+        return sum(connection.is_blocked for connection in self._connections)
+
     def buildProtocol(self, addr: typing.Any) -> protocol.Protocol | None:
         """Return the protocol of a new connection, or None to close it at the limit."""
         if len(self._connections) >= self._max_connections:
             logs.warning("connections-full", limit=self._max_connections)
             return None
-        return ClientConnection(self)
+        return client_connection.ClientConnection(self)
 
-    def add_connection(self, connection: ClientConnection) -> None:
+    def add_connection(self, connection: client_connection.ClientConnection) -> None:
         """Add an open connection."""
         self._connections.add(connection)
 
-    def remove_connection(self, connection: ClientConnection) -> None:
+    def remove_connection(self, connection: client_connection.ClientConnection) -> None:
         """Remove a closed connection."""
         self._connections.discard(connection)
 
-    def reserve_body(self, size: int) -> bool:
-        """Reserve memory for a part of a request body; return False if the limit forbids it."""
-        if self._buffered_bytes + size > self._max_buffered_bytes:
-            return False
-        self._buffered_bytes += size
-        return True
+    def start(
+        self,
+        received: request_reader.ReceivedRequest,
+        client: str,
+        is_pipelined: bool,
+        respond: Callable[[http1.Response], None],
+    ) -> ActiveRequest | None:
+        """Pass a complete request to the handler.
+
+        Args:
+            received: The request.
+            client: Address of its client.
+            is_pipelined: Whether earlier requests on its connection are not answered yet.
+            respond: Takes the response.
+        """
+        request = ClientRequest(
+            received.head, received.body, client, received.received_at, is_pipelined
+        )
+        return self.handler(request, respond)
 
-    def release_body(self, size: int) -> None:
-        """Release the memory reserved for a request body."""
-        self._buffered_bytes -= size
+    def refuse(self, error: request_reader.ReadError, client: str) -> http1.Response:
+        """Record that a request cannot be read, and return the response to its client."""
+        logs.event("request-unreadable", status=error.status, reason=str(error))
+        headers: tuple[tuple[bytes, bytes], ...] = ()
+        if error.bound is not None:
+            headers = ((b"Retry-After", b"1"),)
+            self._record_refused_body(client, error.bound, error.size)
+        return local_response(error.status, str(error), headers)
 
     def abort(self) -> None:
         """Close all connections at once."""
@@ -384,3 +186,15 @@
         """Close the connections on which no request is being read or handled."""
         for connection in list(self._connections):
             connection.close_if_idle()
+
+    def _record_refused_body(self, client: str, bound: client_memory.Bound, size: int) -> None:
+        """Record that a request body was refused, as it does not fit into the memory."""
+        logs.event(
+            "body-refused",
+            client=client,
+            bound=bound.value,
+            bytes=size,
+            held=self.memory.held_bytes,
+            held_for_client=self.memory.held_for(client),
+        )
+        self.on_body_refused(bound)
--- /dev/null
+++ b/src/carobhook/transport/client_responses.py
@@ -0,0 +1,194 @@
+"""Responses that a client's connection owes, and the memory held for its client."""
+
+import typing
+from collections.abc import Callable
+
+from carobhook import logs
+from carobhook.protocol import http1
+from carobhook.transport import client_memory, paced_writer, response_order
+
+# Seconds in which a client must read one piece of its responses, which is 3 kB/s.
+STALL_TIMEOUT_S = 20.0
+
+
+class ClientResponses:
+    """Writes responses in order, and counts what is held for the client until then.
+
+    Implements `client_memory.Holder`.
+
+    Args:
+        reactor: Source of timers.
+        memory: Memory that all connections share.
+        max_started: Largest number of requests that are handled at a time.
+        on_drained: Called when the client has read what had to wait.
+        on_failed: Called when the connection must be closed at once, as the client does not
+            read or a limit on memory is exceeded.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        memory: client_memory.ClientMemory,
+        max_started: int,
+        on_drained: Callable[[], object],
+        on_failed: Callable[[], object],
+    ) -> None:
+        self._reactor = reactor
+        self._memory = memory
+        self._client = ""
+        self._on_drained = on_drained
+        self._on_failed = on_failed
+        self._order = response_order.ResponseOrder(max_started)
+        self._writer = paced_writer.PacedWriter(
+            self._queue_bytes, self._record_progress, self._on_all_sent
+        )
+        self._transport: typing.Any = None
+        self._is_closing = False
+        self._stall_call: typing.Any = None
+
+    @property
+    def is_empty(self) -> bool:
+        """Return whether no response is owed."""
+        return self._order.is_empty
+
+    @property
+    def is_blocked(self) -> bool:
+        """Return whether responses wait for the client to read."""
+        return self._writer.is_blocked
+
+    @property
+    def client(self) -> str:
+        """Return the address of the client."""
+        return self._client
+
+    def connect(self, transport: typing.Any, client: str) -> None:
+        """Set the transport to write to, and the address of its client."""
+        self._transport = transport
+        self._client = client
+        self._writer.connect(transport)
+
+    def reserve_body(self, size: int) -> client_memory.Bound | None:
+        """Reserve bytes for a request body; return the limit that forbids it, or None."""
+        return self._memory.reserve(self._client, size)
+
+    def release_body(self, size: int) -> None:
+        """Release bytes that were reserved for a request body."""
+        self._memory.release(self._client, size)
+
+    def may_start(self, is_repeatable: bool) -> bool:
+        """Return whether a further request may start; see `response_order.ResponseOrder`."""
+        return self._order.may_start(is_repeatable)
+
+    def add(self, pending: response_order.PendingResponse) -> None:
+        """Add a response that is owed after all others."""
+        self._order.add(pending)
+
+    def accept(self, pending: response_order.PendingResponse, response: http1.Response) -> bool:
+        """Take the response to a request; return whether it may be written now.
+
+        A second response, and one that is not wanted any more, is ignored.
+        """
+        if pending.is_ended or pending.response is not None:
+            return False
+        pending.response = response
+        self._end_request(pending)
+        if self._order.is_next(pending):
+            return True
+        pending.held_bytes = http1.response_size(response)
+        self._hold(pending.held_bytes)
+        return False
+
+    def write_next(self, closes: bool) -> response_order.PendingResponse | None:
+        """Write the first response that is owed; return None if it is not there yet.
+
+        Args:
+            closes: Whether the connection is closed after it whatever its request says.
+        """
+        pending = self._order.pop_ready()
+        if pending is not None:
+            pending.closes = pending.closes or closes
+            response = typing.cast(http1.Response, pending.response)
+            held, pending.held_bytes = pending.held_bytes, 0
+            self._unhold(held)
+            self._writer.write(
+                http1.encode_response(response, pending.has_body, pending.closes)
+            )
+        return pending
+
+    def write_interim(self, data: bytes) -> None:
+        """Write an interim response."""
+        self._writer.write(data)
+
+    def close(self) -> None:
+        """Close the connection when the client has read what was written."""
+        self._is_closing = True
+        if not self._writer.is_blocked:
+            self._start_stall_timer()
+            self._transport.loseConnection()
+
+    def abandon(self) -> None:
+        """End all requests whose responses are owed, as if the client had left."""
+        for pending in self._order.abandon():
+            held, pending.held_bytes = pending.held_bytes, 0
+            self._unhold(held)
+            active = pending.active
+            self._end_request(pending)
+            if active is not None:
+                active.client_disconnected()
+
+    def stop(self) -> None:
+        """Drop what the client has not read, as the connection ends."""
+        self._writer.stop()
+        self._stop_stall_timer()
+
+    def drop_responses(self, bound: client_memory.Bound) -> None:
+        """Close the connection, as its responses exceed a limit on memory."""
+        logs.event("responses-dropped", client=self._client, bound=bound.value)
+        self._on_failed()
+
+    def _end_request(self, pending: response_order.PendingResponse) -> None:
+        """Release the memory of a body, at once or when the work for the request ends."""
+        active, pending.active = pending.active, None
+        size, pending.body_size = pending.body_size, 0
+        if active is None:
+            self.release_body(size)
+        elif size:
+            active.call_at_end(lambda: self.release_body(size))
+
+    def _queue_bytes(self, size: int) -> None:
+        """Count bytes that wait for the client to read."""
+        if self._stall_call is None:
+            self._start_stall_timer()
+        self._hold(size)
+
+    def _record_progress(self, size: int) -> None:
+        """Release bytes that the client has read, or that are dropped."""
+        self._unhold(size)
+        self._start_stall_timer()
+
+    def _on_all_sent(self) -> None:
+        self._stop_stall_timer()
+        if self._is_closing:
+            self.close()
+        else:
+            self._on_drained()
+
+    def _start_stall_timer(self) -> None:
+        self._stop_stall_timer()
+        self._stall_call = self._reactor.callLater(STALL_TIMEOUT_S, self._on_stalled)
+
+    def _stop_stall_timer(self) -> None:
+        call, self._stall_call = self._stall_call, None
+        if call is not None:
+            call.cancel()
+
+    def _on_stalled(self) -> None:
+        self._stall_call = None
+        logs.event("client-stalled", client=self._client)
+        self._on_failed()
+
+    def _hold(self, size: int) -> None:
+        self._memory.hold_response(self, self._client, size)
+
+    def _unhold(self, size: int) -> None:
+        self._memory.release_response(self, size)
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -10,12 +10,19 @@
 from twisted.internet import defer, task
 
 from carobhook import entry_metrics, entry_settings, logs
-from carobhook.coordination import catalog, membership, steering, store_feed
+from carobhook.coordination import (
+    catalog,
+    membership,
+    repeatable_requests,
+    steering,
+    store_feed,
+)
 from carobhook.platform import names, store
 from carobhook.protocol import feed_messages, peer_codec, slot_messages
 from carobhook.state import ids, members, routing
 from carobhook.transport import (
     client_connections,
+    client_memory,
     entry_endpoints,
     entry_requests,
     event_loop,
@@ -53,8 +60,10 @@
 # File descriptors that the connections of clients leave for all other uses, such as connections
 # to backend servers and to other instances.
 _RESERVED_DESCRIPTORS = 600
-# Share of the instance's memory that buffered request bodies may use.
-_BODY_MEMORY_RATIO = 0.25
+# Share of the instance's memory that request bodies and unsent responses may use.
+_CLIENT_MEMORY_RATIO = 0.25
+# Share of that which one client address may use. Many callers can share an address.
+_ONE_CLIENT_RATIO = 0.5
 # The setting ``shift_most`` limits how much traffic changes region within two seconds. Loans of
 # slots between regions are updated every half second. Four updates fit into this time, so
 # each may use a quarter of the limit; with larger steps, they could exceed it together.
@@ -108,6 +117,10 @@
             reactor, settings.store.address, settings.store.timeout_s, (names.SERVERS_KIND,)
         )
         self._tls = _load_tls_contexts(settings)
+        max_client_bytes = settings.capacity.memory_mb * _CLIENT_MEMORY_RATIO * 1024 * 1024
+        self._client_memory = client_memory.ClientMemory(
+            int(max_client_bytes), int(max_client_bytes * _ONE_CLIENT_RATIO)
+        )
         self._supervisor = supervision.Supervisor(reactor, self._count_failure)
         self._machine = machine_probe.MachineProbe(
             reactor.seconds, self._supervisor.isolate("heartbeat", self._heartbeat)
@@ -122,7 +135,7 @@
         self._loop_monitor = event_loop.EventLoopMonitor(
             _TICK_INTERVAL_S, self._metrics, self._loop_load
         )
-        self._request_listener = self._create_listener(self._requests.handle)
+        self._request_listener = self._create_request_listener()
         endpoints = entry_endpoints.EntryEndpoints(
             reactor,
             self._streams.membership,
@@ -260,8 +273,18 @@
             handler,
             self._client_limits,
             max(64, int(capacity.file_descriptors) - _RESERVED_DESCRIPTORS),
-            int(capacity.memory_mb * _BODY_MEMORY_RATIO * 1024 * 1024),
+            self._client_memory,
+        )
+
+    def _create_request_listener(self) -> client_connections.ClientListener:
+        listener = self._create_listener(self._requests.handle)
+        listener.is_repeatable = lambda head: repeatable_requests.is_repeatable(
+            self._catalog.config, head
+        )
+        listener.on_body_refused = lambda bound: self._metrics.count(
+            entry_metrics.EntryMetric.BODIES_REFUSED, bound.value
         )
+        return listener
 
     def _gauges(
         self, omitted: Callable[[], int]
@@ -271,6 +294,8 @@
         return {
             metric.IN_FLIGHT: lambda: self._requests.in_flight,
             metric.CLIENT_CONNECTIONS: lambda: self._request_listener.open_connections,
+            metric.CLIENTS_BLOCKED: lambda: self._request_listener.blocked_connections,
+            metric.CLIENT_BYTES: lambda: self._client_memory.held_bytes,
             metric.SERVER_CONNECTIONS: lambda: self._servers.opened_count,
             metric.SURPLUS_RESPONSES: lambda: self._servers.surplus_count,
             metric.STORE_CALLS: lambda: self._store.calls,
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -267,7 +267,10 @@
         """Route the request anew if another configuration is in force than on its arrival."""
         before = self._accepted
         routed = self._reroute(before)
-        if self._may_have_run and not routed.route.repeatable:
+        # What is pipelined was started as a request that may be repeated: its client may have
+        # to send it again although it ran.
+        must_repeat = self._may_have_run or before.request.is_pipelined
+        if must_repeat and not routed.route.repeatable:
             return
         self._accepted = routed
         if (self._accepted.service, self._accepted.region) != (before.service, before.region):
--- a/tests/test_bodies_kept.py
+++ b/tests/test_bodies_kept.py
@@ -65,7 +65,7 @@
     @property
     def reserved(self):
         """Return the size of the bodies that count."""
-        return self.listener._buffered_bytes
+        return self.listener.memory.held_bytes
 
 
 class TestReservedMemory:
