Hand request bodies to slow servers in pieces

Cause: the transport of a connection to a server held a copy of the whole request. If the server responded before it had read the request, the connection was kept for the next one, and the unread parts of all its requests added up.

Change: a body is written in pieces of 64 KB as the server reads, without a copy of the whole. A connection whose server responded before it had read the request is closed.

--- a/src/carobhook/transport/server_connection.py
+++ b/src/carobhook/transport/server_connection.py
@@ -12,7 +12,7 @@
 from carobhook.coordination import carried_requests
 from carobhook.protocol import http1
 from carobhook.state import allocation
-from carobhook.transport import exchange_results, response_memory
+from carobhook.transport import exchange_results, paced_writer, response_memory
 
 Fault = exchange_results.Fault
 
@@ -94,6 +94,7 @@
         self._seconds = seconds
         self._memory = memory
         self._surplus = surplus or SurplusCount()
+        self._writer = paced_writer.PacedWriter()
         self._sent_at = 0.0
         self._parser: h11.Connection | None = None
         self._pending: defer.Deferred | None = None
@@ -115,6 +116,7 @@
     def connectionMade(self) -> None:
         """Send requests without delay."""
         self.transport.setTcpNoDelay(True)
+        self._writer.connect(self.transport)
 
     def may_carry(self, request_id: str | None) -> bool:
         """Return whether the response to a request could be told from copies of others.
@@ -153,9 +155,17 @@
         self._pending = defer.Deferred(lambda _: self.abort())
         self.exchange_count += 1
         self._sent_at = self._seconds()
-        self.transport.write(http1.encode_request(head, body))
+        self._write_request(head, body)
         return self._pending
 
+    def _write_request(self, head: http1.RequestHead, body: bytes) -> None:
+        """Write a request, whose body is not copied as a whole if it is large."""
+        if len(body) < paced_writer.PIECE_BYTES:
+            self._writer.write(http1.encode_request(head, body))
+            return
+        self._writer.write(http1.encode_request_head(head, len(body)))
+        self._writer.write(body)
+
     def _expect_response(self) -> h11.Connection:
         """Return a new parser for the next response, which is also the parser in use now."""
         parser = self._parser = http1.response_parser()
@@ -183,6 +193,7 @@
         self._pending = None
         self._forget_request()
         self._clear_body()
+        self._writer.stop()
         if self.transport is not None:
             self.transport.abortConnection()
 
@@ -212,6 +223,7 @@
     def connectionLost(self, reason: typing.Any = protocol.connectionDone) -> None:
         """End the exchange in progress, whose response may end with the connection."""
         self.is_reusable = False
+        self._writer.stop()
         if self._pending is None or self._parser is None:
             return
         if reason.check(error.ConnectionDone) and self._response_head is not None:
@@ -273,6 +285,9 @@
             return
         if match is allocation.ResponseMatch.UNNAMED:
             self._carried.record_unnamed_response()
+        # A server that responds before it has read the request may never read the rest. On a
+        # connection that is reused, the unread parts of all requests would add up.
+        close = close or self._writer.is_blocked
         close = close or self._had_unmatched_response or self._carried.is_exhausted
         self._end_exchange(response, raw_headers, close)
 
@@ -286,7 +301,10 @@
         self.is_reusable = self.is_reusable and not close
         pending, self._pending = self._pending, None
         self._forget_request()
-        if close and self.transport is not None:
+        if self._writer.is_blocked:
+            self._writer.stop()
+            self.transport.abortConnection()
+        elif close and self.transport is not None:
             self.transport.loseConnection()
         if pending is not None:
             use = exchange_results.ConnectionUse(
--- a/tests/test_server_connections.py
+++ b/tests/test_server_connections.py
@@ -116,6 +116,54 @@
         assert memory.used_bytes == 0
 
 
+class SlowServer:
+    """A server that reads only when the test says so, and the connection to it."""
+
+    def __init__(self):
+        memory = response_memory.ResponseMemory(MEMORY_BYTES)
+        self.connection = server_connection.ServerConnection(task.Clock().seconds, memory)
+        self.transport = testing.StringTransport()
+        self.transport.setTcpNoDelay = lambda on: None
+        self.connection.makeConnection(self.transport)
+        self.failures = []
+
+    def send(self, size):
+        """Send a request with a body of a size."""
+        sent = self.connection.exchange(HEAD, b"x" * size, None)
+        sent.addErrback(self.failures.append)
+
+    def read(self):
+        """Read what the connection's transport holds; return its size."""
+        size = len(self.transport.value())
+        self.transport.clear()
+        if self.transport.producer is not None:
+            self.transport.producer.resumeProducing()
+        return size
+
+
+class TestSlowServers:
+    """Servers that read request bodies slowly."""
+
+    def test_transport_holds_two_pieces_of_a_body(self):
+        """The transport held a copy of the whole body besides the request's own."""
+        server = SlowServer()
+        server.send(MEMORY_BYTES)
+        sizes = [server.read()]
+        while sizes[-1]:
+            sizes.append(server.read())
+        assert max(sizes) <= 128 * 1024
+        assert sum(sizes) == len(http1.encode_request(HEAD, b"x" * MEMORY_BYTES))
+
+    def test_connection_whose_server_responds_before_it_reads_is_not_reused(self):
+        """The unread parts of all bodies added up in the transport of a reused connection."""
+        server = SlowServer()
+        server.send(MEMORY_BYTES)
+        server.connection.dataReceived(b"HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+        assert not server.connection.is_reusable
+        assert server.transport.disconnected
+        assert server.transport.producer is None
+
+
 class TestLateBytes:
     """Bytes after the exchange."""
 
