Let the soak have clients that pipeline, one of which reads late

Cause: nothing showed under faults that responses keep their order on a connection. Change: two clients send batches of three repeatable requests on one connection; a response with the id of another request is a violation. Their requests are left out of the other checks.

--- /dev/null
+++ b/src/carobhook/soak/pipelining.py
@@ -0,0 +1,143 @@
+"""Clients of the soak that send several requests at once, and may read the responses late."""
+
+import collections
+import random
+import typing
+from collections.abc import Sequence
+
+from twisted.internet import error, protocol, task
+
+from carobhook.platform import names
+from carobhook.protocol import http1
+from carobhook.standins import platform_client
+
+ID_PREFIX = "pipelined-"
+_BATCH_SIZE = 3
+_INTERVAL_S = 0.5
+_READ_DELAY_S = 1.0
+
+
+class _Connection(protocol.Protocol):
+    """A connection that checks to which requests the responses belong."""
+
+    def __init__(self, client: "PipeliningClient") -> None:
+        self._client = client
+        self._buffer = b""
+        self._expected: collections.deque[str] = collections.deque()
+
+    def send(self, requests: Sequence[tuple[str, bytes]]) -> None:
+        """Send requests, each with its id."""
+        self._expected.extend(request_id for request_id, _ in requests)
+        self.transport.write(b"".join(data for _, data in requests))
+
+    def dataReceived(self, data: bytes) -> None:
+        self._buffer += data
+        while size := http1.head_length(self._buffer):
+            head = self._buffer[:size]
+            length = int(head.lower().partition(b"content-length: ")[2].split(b"\r\n")[0] or 0)
+            if len(self._buffer) < size + length:
+                return
+            body, self._buffer = (
+                self._buffer[size : size + length],
+                self._buffer[size + length :],
+            )
+            expected = self._expected.popleft() if self._expected else None
+            self._client.check(expected, int(head.split(b" ", 2)[1][:3]), body)
+
+    def connectionLost(self, reason: typing.Any = protocol.connectionDone) -> None:
+        self._client.connection_lost(self)
+
+
+class PipeliningClient:
+    """Sends batches of repeatable requests on one connection at a time.
+
+    Args:
+        reactor: Source of time and connections.
+        addresses: Addresses of instances, ``host:port``; each connection is to one of them.
+        plans: Kinds of requests, of which the repeatable ones are sent.
+        rng: Random number generator.
+        reads_late: Whether the responses to a batch are read after a second.
+
+    Attributes:
+        answered: Number of responses with status 200.
+        violations: Responses that belong to another request, one line each.
+    """
+
+    def __init__(
+        self,
+        reactor: typing.Any,
+        addresses: Sequence[str],
+        plans: Sequence[platform_client.RequestPlan],
+        rng: random.Random,
+        reads_late: bool,
+    ) -> None:
+        self._reactor = reactor
+        self._addresses = addresses
+        self._plans = [plan for plan in plans if plan.repeatable]
+        self._rng = rng
+        self._reads_late = reads_late
+        self._connection: _Connection | None = None
+        self._call = task.LoopingCall(self._send_batch)
+        self._call.clock = reactor
+        self._read_call: typing.Any = None
+        self._is_stopped = False
+        self.answered = 0
+        self.violations: list[str] = []
+
+    def start(self) -> None:
+        """Send batches until `stop`."""
+        self._call.start(_INTERVAL_S * (3 if self._reads_late else 1))
+
+    def stop(self) -> None:
+        """Send no more, and close the connection."""
+        self._is_stopped = True
+        if self._call.running:
+            self._call.stop()
+        if self._read_call is not None and self._read_call.active():
+            self._read_call.cancel()
+        if self._connection is not None:
+            self._connection.transport.abortConnection()
+
+    def check(self, request_id: str | None, status: int, body: bytes) -> None:
+        """Check a response against the id of the request whose turn it is."""
+        if status != 200:
+            return
+        self.answered += 1
+        if request_id is None or body != request_id.encode():
+            self.violations.append(f"{request_id} got the response {body!r:.40} in its turn")
+
+    def connection_lost(self, connection: _Connection) -> None:
+        """Use a new connection for the next batch."""
+        if self._connection is connection:
+            self._connection = None
+
+    async def _send_batch(self) -> None:
+        if self._connection is None:
+            host, _, port = self._rng.choice(self._addresses).rpartition(":")
+            creator = protocol.ClientCreator(self._reactor, _Connection, self)
+            try:
+                self._connection = await creator.connectTCP(host, int(port), 1.0)
+            except (error.ConnectError, OSError):
+                return
+        connection = self._connection
+        if self._is_stopped:
+            connection.transport.abortConnection()
+            return
+        if self._reads_late:
+            connection.transport.pauseProducing()
+            self._read_call = self._reactor.callLater(
+                _READ_DELAY_S, connection.transport.resumeProducing
+            )
+        connection.send([self._request() for _ in range(_BATCH_SIZE)])
+
+    def _request(self) -> tuple[str, bytes]:
+        plan = self._rng.choice(self._plans)
+        request_id = f"{ID_PREFIX}{self._rng.getrandbits(64):x}"
+        headers = (
+            (b"Host", plan.host.encode()),
+            (names.REQUEST_ID.encode(), request_id.encode()),
+            (names.TIME_LEFT_MS.encode(), str(int(plan.time_left_s * 1000)).encode()),
+        )
+        key = self._rng.randrange(plan.object_count)
+        head = http1.RequestHead(b"GET", f"{plan.prefix}{key}".encode(), headers)
+        return request_id, http1.encode_request(head, b"")
--- a/src/carobhook/soak/run.py
+++ b/src/carobhook/soak/run.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer, task
 
 from carobhook import demo
-from carobhook.soak import checks, deployment, faults, injections
+from carobhook.soak import checks, deployment, faults, injections, pipelining
 from carobhook.standins import platform_client
 
 _REQUESTS_PER_S = 40.0
@@ -79,6 +79,7 @@
         self._rng = random.Random(seed)
         self._injector = injections.FaultInjector(reactor, self._deployment, options.instances)
         self._clients: list[platform_client.PlatformClient] = []
+        self._pipelining: list[pipelining.PipeliningClient] = []
 
     async def run(self) -> Verdict:
         """Start the deployment, inject the faults under load, and check the result."""
@@ -87,6 +88,7 @@
             await self._deployment.start()
             for server in self._deployment.servers:
                 server.behaviour = attrs.evolve(server.behaviour, echo_id=True)
+            self._start_pipelining()
             load = self._load(self._options.duration_s + 2.0)
             await self._injector.inject(steps)
             await load
@@ -99,9 +101,27 @@
         finally:
             for client in self._clients:
                 client.stop()
+            for pipelining_client in self._pipelining:
+                pipelining_client.stop()
             self._injector.stop()
             await self._deployment.stop()
 
+    def _start_pipelining(self) -> None:
+        """Start clients that send requests in batches, one of which reads late."""
+        addresses = [
+            self._deployment.entry_address(index) for index in range(self._options.instances)
+        ]
+        for reads_late in (False, True):
+            client = pipelining.PipeliningClient(
+                self._reactor,
+                addresses,
+                demo.request_plans(),
+                random.Random(self._seed + reads_late),
+                reads_late,
+            )
+            self._pipelining.append(client)
+            client.start()
+
     def _load(self, duration_s: float) -> defer.Deferred:
         """Send requests from clients of two regions; the result fires when all have ended."""
         plans = demo.request_plans()
@@ -144,6 +164,7 @@
             for server in self._deployment.servers
             for attempt_id, started_at in server.starts
             if attempt_id not in self._injector.fatal_ids
+            and not attempt_id.startswith(pipelining.ID_PREFIX)
         ]
         sent, served = self._totals()
         violations = checks.find_violations(runs, list(self._attempts()))
@@ -169,5 +190,9 @@
             )
         ends = [at for server in self._deployment.servers for at in server.ends]
         violations += checks.find_late_ends(ends)
+        for client in self._pipelining:
+            violations += client.violations
+        if not any(client.answered for client in self._pipelining):
+            violations.append("no pipelined request was answered")
         violations += checks.check_recovery(served - served_before, sent - sent_before)
         return Verdict(self._seed, tuple(steps), sent, served, tuple(violations))
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -1,12 +1,13 @@
 """Tests of carobhook.soak: its checks, its fault series, and short runs."""
 
 import pathlib
+import random
 import subprocess
 import sys
 
 import pytest
 
-from carobhook.soak import checks, faults
+from carobhook.soak import checks, faults, pipelining
 from carobhook.standins import platform_client
 
 ONCE = platform_client.RequestPlan("h", "/u/", repeatable=False)
@@ -47,6 +48,15 @@
         """The line of each violation says what is wrong."""
         assert message in " ".join(checks.find_violations(runs, [(plan, sent_attempt)]))
 
+    def test_pipelined_response_out_of_turn_is_a_violation(self):
+        """A connection that changes the order of responses gives no other sign of it."""
+        client = pipelining.PipeliningClient(None, (), (SAFE,), random.Random(1), False)
+        client.check("a", 200, b"a")
+        client.check("b", 503, b"")
+        assert not client.violations
+        client.check("c", 200, b"d")
+        assert "c got the response" in client.violations[0]
+
     @pytest.mark.parametrize(
         ("runs", "plan", "sent_attempt"),
         [
