Keep no large failure responses, and let closing connections stall once only

Cause: a server's failure response that is kept while the request is sent again was counted by no memory. During a stop, each poll for idle connections restarted the time in which the client of a closing connection must read. Change: a failure response over 64 KB is dropped when the request is sent again; the client gets the refusal and its code if no attempt is answered. A second call to close a connection does nothing. With a response of 300 kB over TLS, the pieces arrive and nothing stays held.

--- a/src/carobhook/transport/client_responses.py
+++ b/src/carobhook/transport/client_responses.py
@@ -121,10 +121,11 @@
 
     def close(self) -> None:
         """Close the connection when the client has read what was written."""
+        if self._is_closing:
+            return
         self._is_closing = True
         if not self._writer.is_blocked:
-            self._start_stall_timer()
-            self._transport.loseConnection()
+            self._lose_connection()
 
     def abandon(self) -> None:
         """End all requests whose responses are owed, as if the client had left."""
@@ -169,10 +170,15 @@
     def _on_all_sent(self) -> None:
         self._stop_stall_timer()
         if self._is_closing:
-            self.close()
+            self._lose_connection()
         else:
             self._on_drained()
 
+    def _lose_connection(self) -> None:
+        """Close the connection; at once, if the client does not read the rest in time."""
+        self._start_stall_timer()
+        self._transport.loseConnection()
+
     def _start_stall_timer(self) -> None:
         self._stop_stall_timer()
         self._stall_call = self._reactor.callLater(STALL_TIMEOUT_S, self._on_stalled)
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -33,6 +33,9 @@
 # A server stops its work at the deadline that it was sent. After the deadline of work that must
 # not run twice, its result is awaited for this long, for the log and the use of the slot only.
 _LATE_RESULT_WAIT_S = 5.0
+# Largest body of a server's failure response that is kept while the request is sent again. The
+# memory for responses that are being received counts it no more.
+_MAX_KEPT_FAILURE_BYTES = 64 * 1024
 # By these, a server says that it did not run a request.
 _NOT_RUN_OUTCOMES = frozenset(
     {allocation.AttemptOutcome.SHED, allocation.AttemptOutcome.MISDIRECTED}
@@ -487,6 +490,7 @@
         self._avoided_servers |= {grant.server}
         if self._may_retry(outcome):
             self._stage = Stage.WAITING
+            self._drop_large_failure()
             logs.event(
                 "request-retried",
                 request=self._accepted.client_request_id,
@@ -506,6 +510,12 @@
             self._refuse(refusals.Refusal(code, self._may_have_run, 0.5))
         return False
 
+    def _drop_large_failure(self) -> None:
+        """Drop a failure response that is too large to be kept during further attempts."""
+        kept = self._failure_response
+        if kept is not None and len(kept.response.body) > _MAX_KEPT_FAILURE_BYTES:
+            self._failure_response = None
+
     def _may_retry(self, outcome: allocation.AttemptOutcome) -> bool:
         route = self._accepted.route
         if self._responded:
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -2,6 +2,7 @@
 
 import json
 
+import attrs
 import pytest
 from twisted.internet import defer, task
 
@@ -68,12 +69,12 @@
         self.exchanges.append(defer.Deferred())
         return await self.exchanges[-1]
 
-    def respond(self, status=200, **headers):
+    def respond(self, status=200, body=b"body", **headers):
         """Complete the running exchange with a response."""
         raw_headers = tuple(
             (k.replace("_", "-").encode(), v.encode()) for k, v in headers.items()
         )
-        response = http1.Response(status, b"Status", raw_headers, b"body")
+        response = http1.Response(status, b"Status", raw_headers, body)
         self.exchanges.pop().callback(
             exchange_results.ReceivedResponse(response, raw_headers, False)
         )
@@ -442,6 +443,36 @@
         assert [response.status for response in case.responses] == [500]
 
 
+class TestKeptFailures:
+    """A server's failure response is kept while the request is sent again."""
+
+    @pytest.mark.parametrize(("size", "status"), [(64 * 1024, 500), (64 * 1024 + 1, 502)])
+    def test_large_response_is_not_kept(self, size, status):
+        """Large ones of many requests were bounded by nothing."""
+        case = FlowCase()
+        case.allocator.grant()
+        case.servers.respond(500, b"x" * size)
+        case.allocator.refuse()
+        assert [response.status for response in case.responses] == [status]
+
+
+class TestPipelinedRequests:
+    """Requests that were started before those ahead of them were answered."""
+
+    @pytest.mark.parametrize("is_pipelined", [True, False])
+    def test_route_that_runs_once_now(self, is_pipelined):
+        """A pipelined request would run as one that its client has to send again."""
+        case = FlowCase()
+        flow, accepted = case.flow, case.flow._accepted
+        flow._accepted = attrs.evolve(
+            accepted, request=attrs.evolve(accepted.request, is_pipelined=is_pipelined)
+        )
+        once = attrs.evolve(accepted.route, idempotency=ONCE)
+        flow._reroute = lambda before: attrs.evolve(before, route=once)
+        flow._apply_configuration()
+        assert flow._accepted.route.repeatable is is_pipelined
+
+
 class TestAnsweredBeforeItIsSent:
     """A request that still waited for a connection was sent after its answer (issue 49)."""
 
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -187,3 +187,27 @@
             await distrusting.send(operator.Order("show regions"))
 
         assert answer.text == "fine"
+
+    async def test_large_response_is_complete(self):
+        """The transport asks for its pieces in another way than that of plain TCP."""
+        authority = issue("authority")
+        files = write_files(self.mktemp(), authority, issue("one", authority))
+        text = "x" * 300_000
+        response = http1.Response(
+            200, b"OK", (), b'{"code": 2002, "text": "%s"}' % text.encode()
+        )
+        listener = client_connections.ClientListener(
+            reactor,
+            lambda request, respond: respond(response),
+            routing.ClientLimits,
+            8,
+            1024 * 1024,
+        )
+        port = sockets.listen(reactor, "127.0.0.1", 0, listener, tls.load(files).server)
+        self.addCleanup(port.stopListening)
+        address = f"127.0.0.1:{port.getHost().port}"
+        client = operator.HttpOperatorClient(reactor, address, "t", pathlib.Path(files.ca))
+
+        for _ in range(2):
+            assert (await client.send(operator.Order("show regions"))).text == text
+        assert listener.memory.held_bytes == 0
