Refuse no request without a body for lack of memory

Cause: responses may exceed the bounds on memory for clients by a quarter, and a single one that for an address by any amount. Meanwhile each request without a body was refused with 503, as none of no bytes was reserved either. Change: nothing is reserved for a body of no bytes.

--- a/src/carobhook/transport/client_connection.py
+++ b/src/carobhook/transport/client_connection.py
@@ -241,9 +241,9 @@
 
     def _update_timer(self) -> None:
         """Time what the client must do next."""
-        awaited, limits = connection_timer.Awaited, self._listener.limits()
         if self._is_reading_ended:
             return
+        awaited, limits = connection_timer.Awaited, self._listener.limits()
         if self._reader.is_reading_body:
             self._timer.wait_for(awaited.BODY, self._listener.body_timeout_s)
         elif not self._responses.is_empty or self._responses.is_blocked:
--- a/src/carobhook/transport/client_memory.py
+++ b/src/carobhook/transport/client_memory.py
@@ -49,7 +49,12 @@
         return self._by_client.get(client, 0)
 
     def reserve(self, client: str, size: int) -> Bound | None:
-        """Reserve bytes for a request body; return the limit that forbids it, or None."""
+        """Reserve bytes for a request body; return the limit that forbids it, or None.
+
+        A request without a body is never refused, whatever responses hold.
+        """
+        if not size:
+            return None
         if self._held_bytes + size > self._max_bytes:
             return Bound.PROCESS
         if self.held_for(client) + size > self._max_client_bytes:
@@ -106,6 +111,8 @@
         largest.drop_responses(bound)
 
     def _add(self, client: str, size: int) -> None:
+        if not size:
+            return
         self._held_bytes += size
         held = self._by_client.get(client, 0) + size
         if held:
