--- a/src/carobhook/soak/run.py
+++ b/src/carobhook/soak/run.py
@@ -9,7 +9,7 @@
 
 from carobhook import demo
 from carobhook.protocol import http1
-from carobhook.soak import accounts, checks, deployment, faults, injections
+from carobhook.soak import accounts, checks, deployment, faults, injections, pipelining
 from carobhook.standins import platform_client
 
 _REQUESTS_PER_S = 40.0
@@ -89,6 +89,7 @@
             reactor, self._deployment, options.instances, self._headers(0)
         )
         self._clients: list[platform_client.PlatformClient] = []
+        self._pipelining: list[pipelining.PipeliningClient] = []
 
     async def run(self) -> Verdict:
         """Start the deployment, inject the faults under load, and check the result."""
@@ -97,6 +98,7 @@
             await self._deployment.start()
             for server in self._deployment.servers:
                 server.behaviour = attrs.evolve(server.behaviour, echo_id=True)
+            self._start_pipelining()
             load = self._load(self._options.duration_s + 2.0)
             await self._injector.inject(steps)
             await load
@@ -109,9 +111,28 @@
         finally:
             for client in self._clients:
                 client.stop()
+            for pipelining_client in self._pipelining:
+                pipelining_client.stop()
             self._injector.stop()
             await self._deployment.stop()
 
+    def _start_pipelining(self) -> None:
+        """Start clients that send requests in batches, one of which reads late."""
+        addresses = [
+            self._deployment.entry_address(index) for index in range(self._options.instances)
+        ]
+        for reads_late in (False, True):
+            client = pipelining.PipeliningClient(
+                self._reactor,
+                addresses,
+                demo.request_plans(),
+                random.Random(self._seed + reads_late),
+                reads_late,
+                self._headers(0),
+            )
+            self._pipelining.append(client)
+            client.start()
+
     def _load(self, duration_s: float) -> defer.Deferred:
         """Send requests from clients of two regions; the result fires when all have ended."""
         plans = demo.request_plans()
@@ -145,6 +166,10 @@
             name = self._accounts[index % len(_CLIENT_ZONES)].name
             for plan, attempt in client.attempts:
                 expected[attempt.id] = None if accounts.is_exempt(plan.prefix) else name
+        for pipelining_client in self._pipelining:
+            for request_id, prefix in pipelining_client.prefixes.items():
+                is_exempt = accounts.is_exempt(prefix)
+                expected[request_id] = None if is_exempt else self._accounts[0].name
         heads = [head for server in self._deployment.servers for head in server.heads]
         return accounts.find_wrong_accounts(heads, expected) + accounts.find_logged_keys(
             self._deployment.logs(), self._accounts
@@ -174,6 +199,7 @@
             for server in self._deployment.servers
             for attempt_id, started_at in server.starts
             if attempt_id not in self._injector.fatal_ids
+            and not attempt_id.startswith(pipelining.ID_PREFIX)
         ]
         sent, served = self._totals()
         violations = checks.find_violations(runs, list(self._attempts()))
@@ -201,5 +227,9 @@
             violations += self._find_wrong_accounts()
         ends = [at for server in self._deployment.servers for at in server.ends]
         violations += checks.find_late_ends(ends)
+        for client in self._pipelining:
+            violations += client.violations
+        if not any(client.answered for client in self._pipelining):
+            violations.append("no pipelined request was answered")
         violations += checks.check_recovery(served - served_before, sent - sent_before)
         return Verdict(self._seed, tuple(steps), sent, served, tuple(violations))
