Simulate client accounts and clients that come back after refusals

Cause: the emulator had requests without accounts that were sent once, so it could show neither what a flooding account costs the others nor what refusals bring about.

The default scenario draws the same load as before.

--- a/src/carobhook/cli/measure.py
+++ b/src/carobhook/cli/measure.py
@@ -1,21 +1,34 @@
 """Command `measure`, which simulates scheduling policies under load on virtual time."""
 
 import json
+import typing
+from collections.abc import Collection
 from typing import Annotated
 
 import typer
 
+if typing.TYPE_CHECKING:
+    from carobhook.emulator import simulation
+
 
 def measure(
     load: Annotated[
         list[float],
         typer.Option("--load", min=0.05, help="Share of what the slots bear; may be repeated."),
-    ] = [0.5, 0.9, 1.2, 1.5, 2.5],  # noqa: B006 - the default is never mutated.
+    ] = [0.5, 0.9, 1.2, 1.5, 2.0, 2.5],  # noqa: B006 - the default is never mutated.
     seed: Annotated[int, typer.Option("--seed")] = 1,
     servers: Annotated[int, typer.Option("--servers", min=1)] = 12,
     slots: Annotated[int, typer.Option("--slots", min=1)] = 4,
     instances: Annotated[int, typer.Option("--instances", min=1)] = 9,
     length_s: Annotated[float, typer.Option("--length", min=1.0, help="Seconds.")] = 30.0,
+    customers: Annotated[
+        bool,
+        typer.Option(
+            "--customers",
+            help="Load of two customers with accounts, one of which floods, and with clients "
+            "that come back; 30 servers of 2 slots.",
+        ),
+    ] = False,
     as_json: Annotated[
         bool, typer.Option("--json", help="Print one JSON object a row.")
     ] = False,
@@ -23,33 +36,64 @@
     """Compare the dispatcher with a baseline and an ideal scheduler under load.
 
     Each row has the share of requests answered in time, its ratio to the ideal scheduler's, the
-    share of the worst kind, and the time that one answer in a hundred exceeds.
+    ratio by value to the ideal scheduler by value, the share of the worst kind, the ratios of
+    the worst route and the worst account (those that flood left out) to the share of all, and
+    the time that one answer in a hundred exceeds.
     """
     # Imported here, because other commands do not need the emulator.
     from carobhook.emulator import model, simulation
 
     if not as_json:
-        typer.echo("load  policy      in time  to ideal  worst kind  refused  p99 ms")
+        typer.echo(
+            "load  policy                   in time  to ideal  by value  worst kind"
+            "  route  account  refused  refusals  p99 ms"
+        )
     for load_level in load:
-        scenario = model.Scenario(load_level, seed, servers, slots, instances, length_s)
-        ideal_in_time = simulation.simulate(scenario, "ideal")[""].in_time
-        for policy in simulation.POLICIES:
-            by_kind = simulation.simulate(scenario, policy)
-            overall = by_kind.pop("")
-            worst = min(stats.share_in_time for stats in by_kind.values())
+        if customers:
+            scenario = model.customer_scenario(load_level, seed, length_s)
+        else:
+            scenario = model.Scenario(load_level, seed, servers, slots, instances, length_s)
+        flooding = [account.name for account in scenario.accounts if account.flood_factor > 1]
+        outcomes = {
+            policy: simulation.simulate_groups(scenario, policy)
+            for policy in simulation.POLICIES
+        }
+        ideal_in_time = outcomes["ideal"].overall.in_time
+        ideal_value = outcomes["ideal-by-value"].overall.value
+        for policy, outcome in outcomes.items():
             row = {
                 "load": load_level,
                 "policy": policy,
-                "in_time": round(overall.share_in_time, 3),
-                "to_ideal": round(overall.in_time / max(1, ideal_in_time), 3),
-                "worst_kind": round(worst, 3),
-                "refused": round(overall.refused / max(1, overall.total), 3),
-                "p99_ms": round(overall.p99_s() * 1000),
+                **_figures(outcome, flooding, ideal_in_time, ideal_value),
             }
             if as_json:
                 typer.echo(json.dumps(row))
             else:
                 typer.echo(
-                    f"{load_level:<5g} {policy:<11} {row['in_time']:>7}  {row['to_ideal']:>8}  "
-                    f"{row['worst_kind']:>10}  {row['refused']:>7}  {row['p99_ms']:>6}"
+                    f"{load_level:<5g} {policy:<24} {row['in_time']:>7}  {row['to_ideal']:>8}  "
+                    f"{row['by_value']:>8}  {row['worst_kind']:>10}  {row['worst_route']:>5}  "
+                    f"{row['worst_account']:>7}  {row['refused']:>7}  {row['refusals']:>8}  "
+                    f"{row['p99_ms']:>6}"
                 )
+
+
+def _figures(
+    outcome: "simulation.Outcomes",
+    flooding: Collection[str],
+    ideal_in_time: int,
+    ideal_value: float,
+) -> dict[str, float]:
+    """Return the figures of one row."""
+    overall = outcome.overall
+    worst_kind = min(stats.share_in_time for stats in outcome.by_kind.values())
+    return {
+        "in_time": round(overall.share_in_time, 3),
+        "to_ideal": round(overall.in_time / max(1, ideal_in_time), 3),
+        "by_value": round(overall.value / max(1.0, ideal_value), 3),
+        "worst_kind": round(worst_kind, 3),
+        "worst_route": round(outcome.worst_kind_ratio(), 3),
+        "worst_account": round(outcome.worst_account_ratio(flooding), 3),
+        "refused": round(overall.refused / max(1, overall.total), 3),
+        "refusals": overall.refusals,
+        "p99_ms": round(overall.p99_s() * 1000),
+    }
--- a/src/carobhook/emulator/model.py
+++ b/src/carobhook/emulator/model.py
@@ -1,6 +1,8 @@
 """Model of the simulated system: request kinds, servers that cache objects, and the load."""
 
 import collections
+import heapq
+import operator
 import random
 from collections.abc import Iterator
 
@@ -25,6 +27,7 @@
         deadline_s: Seconds after arrival at which the client stops waiting for an answer.
         priority: Rank of the requests; 0 is the most urgent.
         objects: Number of distinct objects that the requests refer to.
+        value: Value of an answer in time.
     """
 
     name: str
@@ -34,6 +37,24 @@
     deadline_s: float
     priority: int
     objects: int
+    value: float = 1.0
+
+
+@attrs.frozen
+class Account:
+    """The load of one client account.
+
+    Attributes:
+        name: Its name.
+        weight: Weight of the account in the usual load.
+        flood_factor: Its load during the flood, as a multiple of its usual load.
+        flood_s: Start and end of the flood in seconds.
+    """
+
+    name: str
+    weight: float
+    flood_factor: float = 1.0
+    flood_s: tuple[float, float] = (0.0, 0.0)
 
 
 DEFAULT_KINDS = (
@@ -43,6 +64,29 @@
     RequestKind("download", 0.1, 0.52, 0.4, 2.5, 2, 30),
 )
 
+# The mix of the two customers of docs/ACCOUNTS-AND-LOAD.md. That page gives no weights and no
+# deadlines; these were chosen so that each route has a fair part of the work.
+CUSTOMER_KINDS = (
+    RequestKind("catalog", 0.35, 0.88, 0.6, 3.0, 1, 200, 0.98),
+    RequestKind("report", 0.2, 1.16, 1.5, 5.0, 2, 79, 0.98),
+    RequestKind("order", 0.25, 0.6, 0.5, 2.5, 1, 44, 2.9),
+    RequestKind("payment", 0.2, 0.352, 0.25, 2.0, 0, 51, 3.7),
+)
+
+CUSTOMER_ACCOUNTS = (
+    *(Account(f"large-{number}", 8.0) for number in range(3)),
+    Account("flooding", 4.0, 7.0, (8.0, 14.0)),
+    *(Account(f"small-{number}", 1.0) for number in range(16)),
+)
+
+# A client that repeats at once needs this long for a refusal and the next attempt.
+HASTY_RETURN_S = 0.05
+# Numbers of attempts after which a client that waits, and one that repeats at once, give up.
+_MAX_ATTEMPTS = 4
+_MAX_HASTY_ATTEMPTS = 12
+# A client waits at most this share of the time that it has left.
+_MAX_WAIT_SHARE = 1 / 3
+
 
 @attrs.frozen
 class Scenario:
@@ -62,6 +106,9 @@
         cache_size: Number of objects that each server caches.
         cached_share: Work time on an object that the server has in its cache, as a share of the
             full work time.
+        accounts: Client accounts of the requests; empty for requests without an account.
+        return_share: Share of the clients that send a refused request again.
+        hasty_share: Share of these that do so at once, whatever `Retry-After` says.
     """
 
     load: float = attrs.field(validator=validators.gt(0))
@@ -75,6 +122,9 @@
     slow_factor: float = 2.5
     cache_size: int = attrs.field(default=24, validator=validators.ge(1))
     cached_share: float = attrs.field(default=0.3, validator=validators.gt(0))
+    accounts: tuple[Account, ...] = ()
+    return_share: float = 0.0
+    hasty_share: float = 0.0
 
     @property
     def arrival_rate(self) -> float:
@@ -95,7 +145,10 @@
         kind: Its kind.
         object_key: Object that it refers to.
         instance: Index of the entry instance that receives it.
-        arrived_at: Time of arrival in seconds.
+        arrived_at: Time of its first arrival in seconds.
+        account: Name of its client account, or None.
+        returns: Whether the client sends it again after a refusal.
+        is_hasty: Whether the client does so at once.
     """
 
     number: int
@@ -103,6 +156,9 @@
     object_key: str
     instance: int
     arrived_at: float
+    account: str | None = None
+    returns: bool = False
+    is_hasty: bool = False
 
     @property
     def target_at(self) -> float:
@@ -110,19 +166,98 @@
         return self.arrived_at + self.kind.target_s
 
 
+def customer_scenario(load: float, seed: int = 1, duration_s: float = 20.0) -> Scenario:
+    """Return the load of the two customers, whose clients come back after refusals."""
+    return Scenario(
+        load,
+        seed,
+        servers=30,
+        slots=2,
+        duration_s=duration_s,
+        kinds=CUSTOMER_KINDS,
+        cache_size=13,
+        accounts=CUSTOMER_ACCOUNTS,
+        return_share=0.8,
+        hasty_share=0.25,
+    )
+
+
 def generate_requests(scenario: Scenario) -> Iterator[Request]:
-    """Yield the requests of a scenario in order of arrival, which is a Poisson process."""
+    """Yield the requests of a scenario in order of arrival.
+
+    The usual load is a Poisson process, and so is the additional load of a flooding account.
+    """
+    streams = [_generate_usual(scenario)]
+    for account in scenario.accounts:
+        if account.flood_factor > 1:
+            streams.append(_generate_flood(scenario, account))
+    merged = heapq.merge(*streams, key=operator.attrgetter("arrived_at"))
+    for number, request in enumerate(merged):
+        yield attrs.evolve(request, number=number)
+
+
+def _generate_usual(scenario: Scenario) -> Iterator[Request]:
     rng = random.Random(scenario.seed)
+    # Accounts and clients have a source of their own, so that they change nothing else.
+    client_rng = random.Random(f"clients {scenario.seed}")
+    account_weights = [account.weight for account in scenario.accounts]
+    now = 0.0
+    while (now := now + rng.expovariate(scenario.arrival_rate)) < scenario.duration_s:
+        request = _draw_request(scenario, rng, now)
+        account = None
+        if scenario.accounts:
+            account = client_rng.choices(scenario.accounts, account_weights)[0]
+        yield _add_client(scenario, client_rng, request, account)
+
+
+def _generate_flood(scenario: Scenario, account: Account) -> Iterator[Request]:
+    rng = random.Random(f"flood {account.name} {scenario.seed}")
+    usual = account.weight / sum(other.weight for other in scenario.accounts)
+    rate = scenario.arrival_rate * usual * (account.flood_factor - 1)
+    now, end = account.flood_s[0], min(account.flood_s[1], scenario.duration_s)
+    while (now := now + rng.expovariate(rate)) < end:
+        yield _add_client(scenario, rng, _draw_request(scenario, rng, now), account)
+
+
+def _draw_request(scenario: Scenario, rng: random.Random, now: float) -> Request:
     weights = [kind.weight for kind in scenario.kinds]
-    now, number = 0.0, 0
-    while True:
-        now += rng.expovariate(scenario.arrival_rate)
-        if now >= scenario.duration_s:
-            return
-        kind = rng.choices(scenario.kinds, weights)[0]
-        key = f"{kind.name}-{rng.randrange(kind.objects)}"
-        yield Request(number, kind, key, rng.randrange(scenario.instances), now)
-        number += 1
+    kind = rng.choices(scenario.kinds, weights)[0]
+    key = f"{kind.name}-{rng.randrange(kind.objects)}"
+    return Request(0, kind, key, rng.randrange(scenario.instances), now)
+
+
+def _add_client(
+    scenario: Scenario, rng: random.Random, request: Request, account: Account | None
+) -> Request:
+    returns = rng.random() < scenario.return_share
+    return attrs.evolve(
+        request,
+        account=account.name if account is not None else None,
+        returns=returns,
+        is_hasty=returns and rng.random() < scenario.hasty_share,
+    )
+
+
+def return_time(
+    request: Request, attempts: int, retry_after_s: float, now: float
+) -> float | None:
+    """Return when the client of a refused request sends it again, or None if it gives up.
+
+    Args:
+        request: The request.
+        attempts: Number of attempts so far.
+        retry_after_s: `Retry-After` of the refusal in seconds.
+        now: Time in seconds.
+    """
+    max_attempts = _MAX_HASTY_ATTEMPTS if request.is_hasty else _MAX_ATTEMPTS
+    if not request.returns or attempts >= max_attempts:
+        return None
+    left_s = request.arrived_at + request.kind.deadline_s - now
+    if left_s <= HASTY_RETURN_S:
+        return None
+    if request.is_hasty:
+        return now + HASTY_RETURN_S
+    return now + min(retry_after_s, left_s * _MAX_WAIT_SHARE)
 
 
 @attrs.define
--- a/src/carobhook/emulator/policies.py
+++ b/src/carobhook/emulator/policies.py
@@ -24,9 +24,15 @@
 
 @attrs.frozen
 class Refusal:
-    """Decision to refuse a request."""
+    """Decision to refuse a request.
+
+    Attributes:
+        request: The request.
+        retry_after_s: Seconds after which its client may send it again.
+    """
 
     request: model.Request
+    retry_after_s: float = 0.2
 
 
 Decision = Placement | Refusal
@@ -53,15 +59,18 @@
     Args:
         pool: The servers.
         reads_pace: Whether answers state the pace of their servers.
+        options: Further arguments of the dispatcher.
     """
 
-    def __init__(self, pool: Sequence[model.Server], reads_pace: bool = True) -> None:
+    def __init__(
+        self, pool: Sequence[model.Server], reads_pace: bool = True, **options: typing.Any
+    ) -> None:
         self._reads_pace = reads_pace
         self._servers = {ids.Server(server.name): server for server in pool}
         self._requests: dict[ids.RequestId, model.Request] = {}
         # The simulated clients send no retries, so the budget's limits have no effect.
         budget = retry_budget.RetryBudget(0.2, 50.0, 10.0)
-        self._dispatcher = dispatcher.Dispatcher(budget)
+        self._dispatcher = dispatcher.Dispatcher(budget, **options)
         self._dispatcher.pool.replace((_server_offer(server) for server in pool), 0.0)
 
     def submit(self, request: model.Request, now: float) -> list[Decision]:
@@ -74,6 +83,7 @@
             request.kind.priority,
             request.target_at,
             request.arrived_at + request.kind.deadline_s,
+            account=ids.Account(request.account) if request.account is not None else None,
         )
         self._requests[slot_request.id] = request
         return self._convert(self._dispatcher.submit(slot_request, now))
@@ -103,7 +113,7 @@
             if isinstance(decision, allocation.SlotGrant):
                 decisions.append(Placement(request, self._servers[decision.server]))
             else:
-                decisions.append(Refusal(request))
+                decisions.append(Refusal(request, decision.retry_after_s))
         return decisions
 
 
@@ -170,10 +180,12 @@
 
     Args:
         pool: The servers.
+        by_value: Whether requests start by value for their work time, not by rank.
     """
 
-    def __init__(self, pool: Sequence[model.Server]) -> None:
+    def __init__(self, pool: Sequence[model.Server], by_value: bool = False) -> None:
         self._pool = list(pool)
+        self._by_value = by_value
         self._server_by_object: dict[str, model.Server] = {}
         self._queues: dict[str, list[model.Request]] = {server.name: [] for server in pool}
 
@@ -208,19 +220,23 @@
     def _fill_slots(self, server: model.Server, now: float) -> list[Decision]:
         """Fill free slots from the server's queue.
 
-        Requests that would be late are refused; the others start by rank, then by target.
+        Requests that would be late are refused; the others start by rank or value, then by
+        target.
         """
         queue = self._queues[server.name]
         decisions: list[Decision] = [
             Refusal(request) for request in queue if not _will_be_in_time(server, request, now)
         ]
         queue[:] = [request for request in queue if _will_be_in_time(server, request, now)]
-        queue.sort(key=lambda request: (request.kind.priority, request.target_at))
+        queue.sort(key=lambda request: (self._rank(request.kind), request.target_at))
         free = server.slots - server.running
         decisions += [Placement(request, server) for request in queue[:free]]
         del queue[:free]
         return decisions
 
+    def _rank(self, kind: model.RequestKind) -> float:
+        return -kind.value / kind.work_s if self._by_value else kind.priority
+
 
 def _will_be_in_time(server: model.Server, request: model.Request, now: float) -> bool:
     """Return whether a request that starts now is surely in time if its object is cached."""
--- a/tests/test_emulator.py
+++ b/tests/test_emulator.py
@@ -3,6 +3,7 @@
 import json
 import random
 
+import attrs
 import pytest
 from typer import testing
 
@@ -43,6 +44,40 @@
         assert not server.has_cached(requests[0])
 
 
+class TestClients:
+    """Client accounts, and clients that come back after a refusal."""
+
+    def test_flood_multiplies_the_load_of_one_account_only(self):
+        """Otherwise its cost for the others could not be told from a larger load of all."""
+        scenario = model.customer_scenario(1.0, duration_s=14.0)
+        requests = list(model.generate_requests(scenario))
+        usual, flood = (
+            sum(r.account == "flooding" and start <= r.arrived_at < start + 6 for r in requests)
+            for start in (0.0, 8.0)
+        )
+        assert 5.5 < flood / usual < 8.5
+        large = [r.arrived_at >= 7.0 for r in requests if r.account == "large-0"]
+        assert 0.4 < sum(large) / len(large) < 0.6
+
+    def test_patient_client_waits_at_most_a_third_of_its_time(self):
+        """Else it would return too late to be answered, which real clients do not."""
+        request = model.Request(0, model.CUSTOMER_KINDS[0], "o", 0, 10.0, None, True)
+        assert model.return_time(request, 1, 0.5, 10.0) == 10.5
+        assert model.return_time(request, 1, 5.0, 10.0) == 11.0
+        assert model.return_time(request, 1, 5.0, 13.0) is None
+        hasty = attrs.evolve(request, is_hasty=True)
+        assert model.return_time(hasty, 1, 5.0, 10.0) == 10.0 + model.HASTY_RETURN_S
+
+    def test_request_that_comes_back_counts_once(self):
+        """Every request ends once, however often it is refused."""
+        scenario = model.customer_scenario(2.0, duration_s=4.0)
+        outcomes = simulation.simulate_groups(scenario, "dispatcher")
+        overall = outcomes.overall
+        assert len(overall.response_times_s) + overall.refused == overall.total
+        assert overall.refusals > overall.refused
+        assert sum(stats.total for stats in outcomes.by_account.values()) == overall.total
+
+
 class TestPolicies:
     """Outcomes of the requests under each policy."""
 
