Serve requests under overload by fair shares of accounts and routes

Cause: by rank alone an account that sends 7 times its usual load took the others' slots, the lowest rank could get nothing, and clients that repeat a refused request at once were served more often than those that wait.

Change: fair_share keeps decayed sums of work for accounts and routes. While slots are scarce, requests of an account beyond its max-min share are queued behind all others in time, and those of a route or account below the minimum share go first. Refusals say their reason in the detail.

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -11,10 +11,12 @@
 import attrs
 
 from carobhook.coordination import (
+    fair_share,
     pooled_server,
     region_shares,
     request_queue,
     retry_budget,
+    returning_requests,
     server_pool,
     work_times,
 )
@@ -96,6 +98,7 @@
         retry_budget: Limits the retries of the shard's requests.
         shares: Limits how quickly the requests change the regions that run them, or None for a
             dispatcher whose servers are all in one region.
+        fairness: Fair shares of accounts and routes; requests are served by rank by default.
 
     Attributes:
         paused: Whether no slot is granted, even if some appear free, because not every slot in
@@ -105,6 +108,7 @@
 
     retry_budget: retry_budget.RetryBudget
     shares: region_shares.RegionShares | None = None
+    fairness: fair_share.FairShares = attrs.field(factory=fair_share.FairShares)
     paused: bool = attrs.field(default=False, init=False)
     pool: server_pool.ServerPool = attrs.field(factory=server_pool.ServerPool, init=False)
     _times: work_times.WorkTimes = attrs.field(factory=work_times.WorkTimes, init=False)
@@ -112,6 +116,9 @@
         factory=request_queue.RequestQueue, init=False
     )
     _reviewed_at: float = attrs.field(default=-math.inf, init=False)
+    _returning: returning_requests.ReturningRequests = attrs.field(
+        factory=returning_requests.ReturningRequests, init=False
+    )
     _demand_s: float = attrs.field(default=0.0, init=False)
     _mean_work_s: float = attrs.field(default=_DEFAULT_WORK_S, init=False)
     _reserved_s: dict[ids.Server, float] = attrs.field(factory=dict, init=False)
@@ -148,13 +155,20 @@
         self._mean_work_s += _MEAN_WORK_WEIGHT * (expected_work_s - self._mean_work_s)
         if request.repeat:
             if not self.retry_budget.try_consume(now):
-                return [self._refusal(request, codes.Code.RETRIES_USED_UP, now)]
+                return [self._refusal(request, codes.Code.RETRIES_USED_UP, now, "repeat")]
         else:
             self.retry_budget.count_request(now)
             self._demand_s += expected_work_s
-        queued = request_queue.QueuedRequest(request, expected_work_s)
+        standing = self.fairness.standing(request, expected_work_s, now)
+        queued = request_queue.QueuedRequest(request, expected_work_s, standing=standing)
         if self._may_miss_target(queued, now):
             queued.mark_late()
+        else:
+            self.fairness.record_request(request, expected_work_s, now)
+        returned = self._returning.has_returned(request, now)
+        if returned and not self.paused and self._is_overloaded(now):
+            code = codes.Code.DEADLINE_UNMEETABLE
+            return [self._refusal(request, code, now, "returned")]
         refusal = None if self.paused else self._refuse_on_arrival(queued, now)
         if refusal is not None:
             return [refusal]
@@ -298,7 +312,7 @@
             self.pool.free_servers(now), now
         )
         return [
-            self._refusal(queued.request, codes.Code.DEADLINE_UNMEETABLE, now)
+            self._refusal(queued.request, codes.Code.DEADLINE_UNMEETABLE, now, "late")
             for queued in late
             if self._should_drop(
                 queued, others_need_slots and queued.gave_way_until is None, now
@@ -329,7 +343,7 @@
         may_run = self._placement_filter(request, self.pool.free_servers(now), now)
         eligible = [server for server in self.pool.servers if may_run(server)]
         if not eligible:
-            return self._refusal(request, codes.Code.NO_BACKEND, now)
+            return self._refusal(request, codes.Code.NO_BACKEND, now, "servers")
         if any(server.is_free(now) for server in eligible):
             return None
         wait_s = self._expected_wait_s(queued, eligible, now)
@@ -342,7 +356,11 @@
             accepted = wait_s <= _MAX_QUEUE_SHARE * (
                 request.target_at - now - self._high_work_s(queued)
             )
-        return None if accepted else self._refusal(request, codes.Code.DEADLINE_UNMEETABLE, now)
+        if accepted:
+            return None
+        return self._refusal(
+            request, codes.Code.DEADLINE_UNMEETABLE, now, queued.refusal_reason, wait_s
+        )
 
     def _expected_wait_s(
         self,
@@ -514,6 +532,18 @@
             return None
         return min(ready, key=lambda candidate: candidate.cost)
 
+    def _is_overloaded(self, now: float) -> bool:
+        """Return whether requests that were refused before would take slots from others.
+
+        Their clients may have waited or not. As nothing tells these apart, none of them is
+        served before those that come for the first time.
+        """
+        return (
+            self.fairness.is_active
+            and self.fairness.are_slots_scarce(now)
+            and self._are_slots_scarce(self.pool.iterate_free(now), now)
+        )
+
     def _are_slots_scarce(self, free: Iterable[pooled_server.PooledServer], now: float) -> bool:
         """Return whether there are no more free slots than queued requests."""
         return sum(server.free_slots(now) for server in free) <= len(self._queue)
@@ -628,6 +658,8 @@
         server.start(request, candidate.work_s, now, depth, is_measured=is_measured)
         if self.shares is not None:
             self.shares.record(server.region, now)
+        if not queued.late:
+            self.fairness.record_grant(request, queued.expected_work_s, now)
         if key is not None:
             self.pool.record_object(server, key)
         return allocation.SlotGrant(
@@ -635,27 +667,36 @@
         )
 
     def _refusal(
-        self, request: allocation.SlotRequest, code: codes.Code, now: float
+        self,
+        request: allocation.SlotRequest,
+        code: codes.Code,
+        now: float,
+        reason: str,
+        wait_s: float = 0.0,
     ) -> allocation.SlotRefusal:
         """Return a refusal, with the time to retry after.
 
         This is the expected time to empty the present queue, within fixed limits.
+
+        Args:
+            request: The request.
+            code: Code of the refusal.
+            now: Monotonic time in seconds.
+            reason: Why it is refused, for the log.
+            wait_s: Its expected wait in seconds.
         """
         slots = self.pool.throughput_slots(self._mean_work_s)
         backlog_s = self._queue.work_s / slots if slots > 0 else self._queue.work_s
         retry_after_s = min(_MAX_RETRY_AFTER_S, max(_MIN_RETRY_AFTER_S, backlog_s))
-        return allocation.SlotRefusal(
-            request.id, code, retry_after_s, self._describe_state(request, now)
-        )
-
-    def _describe_state(self, request: allocation.SlotRequest, now: float) -> str:
-        """Return the figures that explain a refusal."""
-        return (
+        figures = (
+            f"reason={reason} wait_ms={min(wait_s, 1e6) * 1000:.0f} "
             f"running={self.pool.running}/{self.pool.slots} waiting={len(self._queue)} "
             f"servers={len(self.pool.servers)} "
             f"target_ms={(request.target_at - now) * 1000:.0f} "
             f"work_ms={self._estimate_work_s(request) * 1000:.0f}"
         )
+        detail = f"{figures} {self.fairness.describe(request)}".rstrip()
+        return allocation.SlotRefusal(request.id, code, retry_after_s, detail)
 
 
 def _give_way(
--- a/src/carobhook/coordination/request_queue.py
+++ b/src/carobhook/coordination/request_queue.py
@@ -11,6 +11,7 @@
 
 import attrs
 
+from carobhook.coordination import fair_share
 from carobhook.state import allocation, ids
 
 sort_key = operator.attrgetter("sort_key")
@@ -29,7 +30,9 @@
         gave_way_until: Monotonic time in seconds until which it waits for a busy server,
             although it could have started on a free one while slots were plenty, or None. It is
             not refused in favour of others then.
-        sort_key: Queue order: requests still in time first, then by priority and target.
+        standing: Place before the priority, by the fair shares of accounts and routes.
+        sort_key: Queue order: requests still in time first, then by standing, priority and
+            target.
     """
 
     request: allocation.SlotRequest
@@ -37,11 +40,19 @@
     late: bool = attrs.field(default=False, init=False)
     awaited: ids.Server | None = attrs.field(default=None, init=False)
     gave_way_until: float | None = attrs.field(default=None, init=False)
-    sort_key: tuple[bool, int, float] = attrs.field(init=False)
+    standing: fair_share.Standing = fair_share.Standing.USUAL
+    sort_key: tuple[bool, int, int, float] = attrs.field(init=False)
 
     @sort_key.default
-    def _initial_sort_key(self) -> tuple[bool, int, float]:
-        return (False, self.request.priority, self.request.target_at)
+    def _initial_sort_key(self) -> tuple[bool, int, int, float]:
+        return (False, self.standing, self.request.priority, self.request.target_at)
+
+    @property
+    def refusal_reason(self) -> str:
+        """Return why it is refused if the queue has no room for it, for the log."""
+        if self.late:
+            return "late"
+        return "share" if self.standing is fair_share.Standing.BEYOND else "queue"
 
     def mark_late(self) -> None:
         """Mark the request as late; it must not be in a queue meanwhile."""
--- /dev/null
+++ b/src/carobhook/coordination/returning_requests.py
@@ -0,0 +1,57 @@
+"""Tells requests that were refused before from those that come for the first time.
+
+Load pattern: under overload most requests are refused, and some of their clients send them
+again at once. With the same chance at each attempt, these would be served more often than
+those that wait as long as `Retry-After` says.
+"""
+
+import math
+
+import attrs
+
+from carobhook.state import allocation
+
+# A request has come back if it has at least this much less time to its target than the first
+# ones of its route: a fixed time, for delays on the way, and a share of the route's time.
+_MIN_WAITED_S = 0.02
+_MIN_WAITED_SHARE = 0.02
+# The longest time to the target that was seen on a route counts for this long, so that a change
+# of the route's target takes effect.
+_WINDOW_S = 10.0
+
+
+@attrs.define
+class _LongestTime:
+    """Longest time to the target in seconds, in this window and in the previous one."""
+
+    current_s: float = 0.0
+    previous_s: float = 0.0
+    started_at: float = -math.inf
+
+    def record(self, left_s: float, now: float) -> float:
+        """Add a time in seconds, and return the longest."""
+        if now - self.started_at >= _WINDOW_S:
+            is_previous = now - self.started_at < 2 * _WINDOW_S
+            self.previous_s = self.current_s if is_previous else 0.0
+            self.current_s, self.started_at = 0.0, now
+        self.current_s = max(self.current_s, left_s)
+        return max(self.current_s, self.previous_s)
+
+
+@attrs.define
+class ReturningRequests:
+    """Longest times to the target of the routes, which the first attempts have."""
+
+    _by_route: dict[str, _LongestTime] = attrs.field(factory=dict, init=False)
+
+    def has_returned(self, request: allocation.SlotRequest, now: float) -> bool:
+        """Return whether a client sent a request before, and record its time.
+
+        Args:
+            request: The request.
+            now: Monotonic time in seconds.
+        """
+        left_s = request.target_at - now
+        times = self._by_route.setdefault(request.route, _LongestTime())
+        longest_s = times.record(left_s, now)
+        return left_s < longest_s * (1 - _MIN_WAITED_SHARE) - _MIN_WAITED_S
--- a/src/carobhook/emulator/simulation.py
+++ b/src/carobhook/emulator/simulation.py
@@ -9,6 +9,7 @@
 
 import attrs
 
+from carobhook.coordination import fair_share
 from carobhook.emulator import model, policies
 
 _TICK_INTERVAL_S = 0.1
@@ -51,9 +52,21 @@
         return ordered[int(len(ordered) * 0.99)] if ordered else 0.0
 
 
+# Least share of the routes and accounts under the policy `fair-order`.
+_MIN_SHARE = 0.5
+
+
+def _fair_shares(scenario: model.Scenario) -> fair_share.FairShares:
+    weights = {account.name: account.weight for account in scenario.accounts}
+    return fair_share.FairShares(weights.get if weights else None, _MIN_SHARE)
+
+
 POLICIES: dict[str, typing.Callable[[list[model.Server], model.Scenario], policies.Policy]] = {
     "dispatcher": lambda pool, scenario: policies.DispatcherPolicy(pool),
     "dispatcher-without-pace": lambda pool, scenario: policies.DispatcherPolicy(pool, False),
+    "fair-order": lambda pool, scenario: policies.DispatcherPolicy(
+        pool, fairness=_fair_shares(scenario)
+    ),
     "least-busy": lambda pool, scenario: policies.LeastBusyPolicy(pool, scenario.instances),
     "ideal": lambda pool, scenario: policies.IdealPolicy(pool),
     "ideal-by-value": lambda pool, scenario: policies.IdealPolicy(pool, by_value=True),
