Turn fair shares on by the configuration's accounts and a new setting

Cause: the dispatchers of an instance had no fair shares yet.

Change: a new optional table overload with min_route_share (default 0), which shard_dispatchers passes on with the weights of the accounts in force. Repeated requests no longer count as requested work, so that they raise no minimum share.

--- a/src/carobhook/coordination/dispatcher.py
+++ b/src/carobhook/coordination/dispatcher.py
@@ -163,9 +163,9 @@
         queued = request_queue.QueuedRequest(request, expected_work_s, standing=standing)
         if self._may_miss_target(queued, now):
             queued.mark_late()
-        else:
-            self.fairness.record_request(request, expected_work_s, now)
         returned = self._returning.has_returned(request, now)
+        if not queued.late and not returned:
+            self.fairness.record_request(request, expected_work_s, now)
         if returned and not self.paused and self._is_overloaded(now):
             code = codes.Code.DEADLINE_UNMEETABLE
             return [self._refusal(request, code, now, "returned")]
--- a/src/carobhook/coordination/fair_share.py
+++ b/src/carobhook/coordination/fair_share.py
@@ -125,7 +125,9 @@
     def record_request(
         self, request: allocation.SlotRequest, work_s: float, now: float
     ) -> None:
-        """Add the expected work of a request that can be in time.
+        """Add the expected work of a request that can be in time, and comes for the first time.
+
+        Repeated requests would raise the share that a route or account seems to lack.
 
         Args:
             request: The request.
--- a/src/carobhook/entry_settings.py
+++ b/src/carobhook/entry_settings.py
@@ -206,6 +206,20 @@
         return durations.parse_seconds(self.budget_window)
 
 
+@attrs.frozen
+class OverloadSettings:
+    """Whom the dispatchers serve while backend servers lack capacity."""
+
+    min_route_share: float = attrs.field(
+        default=0.0,
+        validator=checks.SHARE,
+        metadata=checks.doc(
+            "Least share of the requested work that each route, and each client account within "
+            "its fair share, is granted, as a multiple of that of all; none when 0."
+        ),
+    )
+
+
 @attrs.frozen
 class EntrySettings:
     """All settings of one entry instance; each attribute is a table of the file."""
@@ -218,6 +232,7 @@
     security: SecuritySettings = attrs.field(factory=SecuritySettings)
     log: settings.LogSettings = attrs.field(factory=settings.LogSettings)
     tls: settings.TlsSettings = attrs.field(factory=settings.TlsSettings)
+    overload: OverloadSettings = attrs.field(factory=OverloadSettings)
 
 
 TABLES: dict[str, type[Any]] = {
@@ -228,6 +243,7 @@
     "security": SecuritySettings,
     "log": settings.LogSettings,
     "tls": settings.TlsSettings,
+    "overload": OverloadSettings,
 }
 _REGIONS = "regions"
 
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -228,6 +228,7 @@
             bounds.cold_slack,
             bounds.shift_most / _LOAN_STEPS_PER_BOUND,
             bounds.shift_most * _REGION_CHANGE_SHARE,
+            self._settings.overload.min_route_share,
         )
 
     def _create_entry_requests(self) -> entry_requests.EntryRequests:
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -11,6 +11,7 @@
 from carobhook.coordination import (
     catalog,
     dispatcher,
+    fair_share,
     pooled_server,
     region_shares,
     retry_budget,
@@ -55,6 +56,8 @@
             borrower's demand.
         region_change: Largest change of one region's share of a shard's requests within two
             seconds.
+        min_route_share: Share of the requested work that each route and account is granted at
+            least, as a multiple of that of all; 0 for no minimum.
     """
 
     budget_ratio: float
@@ -64,6 +67,7 @@
     cold_slack: float
     loan_step: float
     region_change: float = 1.0
+    min_route_share: float = 0.0
 
 
 class ShardDispatchers:
@@ -435,7 +439,8 @@
         self, shard: Shard, budget: retry_budget.RetryBudget
     ) -> dispatcher.Dispatcher:
         shares = region_shares.RegionShares(shard[0], self._limits.region_change)
-        return dispatcher.Dispatcher(budget, shares)
+        fairness = fair_share.FairShares(min_route_share=self._limits.min_route_share)
+        return dispatcher.Dispatcher(budget, shares, fairness)
 
     def _query_held_slots(self, shard: Shard, state: shard_state.ShardState) -> None:
         """Ask every live instance which slots of the shard its requests hold."""
@@ -540,6 +545,9 @@
                 offers.append(pooled_server.ServerOffer(view, server_region, slots, cold_rate))
         state.withheld = self._orders.withheld_slots(service, region, own_servers)
         state.dispatcher.pool.replace(offers, now)
+        config = self._catalog.config
+        table = config.accounts if config is not None else None
+        state.dispatcher.fairness.weights = fair_share.account_weights(table)
         state.dispatcher.retry_budget.share = limit_share
         self._update_unavailable_slots(state, now)
 
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -5,17 +5,22 @@
 
 import attrs
 import pytest
+from twisted.internet import task
 
+import test_slot_allocator
 from carobhook.coordination import (
+    catalog,
     dispatcher,
     fair_share,
     request_queue,
     retry_budget,
     returning_requests,
+    steering,
 )
 from carobhook.emulator import model, simulation
-from carobhook.state import allocation, client_accounts, ids
-from test_dispatcher import make_request, offer
+from carobhook.state import allocation, client_accounts, ids, routing
+from carobhook.transport import shard_dispatchers
+from test_dispatcher import SERVICE, make_request, offer
 
 # Digest of the decisions of `replay_history` for seeds 0 to 19, by the dispatcher before it
 # knew of accounts (commit f259ba0).
@@ -302,3 +307,36 @@
         assert "reason=queue" in reasons
         assert "reason=returned" in reasons
         assert all("account_share_s=" in detail for detail in details)
+
+
+class TestShardDispatchers:
+    """The dispatchers of an instance."""
+
+    def test_accounts_in_force_turn_fair_shares_on_and_off(self):
+        """Guards against fair shares by an old configuration, or without accounts."""
+        server_catalog = catalog.Catalog()
+        domains = {ids.FailureDomain("north-a"): ids.Region("north")}
+        own = ids.InstanceId("i-1")
+        dispatchers = shard_dispatchers.ShardDispatchers(
+            task.Clock(),
+            own,
+            domains,
+            server_catalog,
+            steering.Steering(domains),
+            test_slot_allocator.LIMITS,
+            lambda shard: own,
+            lambda receiver, message: True,
+            lambda: [own],
+            lambda region: 1.0,
+        )
+        state = dispatchers.get_or_create((ids.Region("north"), SERVICE))
+        assert not state.dispatcher.fairness.is_active
+        account = client_accounts.ClientAccount(ids.Account("a"), client_accounts.Quota(7.0))
+        table = client_accounts.AccountTable.build([(account, ["key"])])
+        for version, accounts in ((1, table), (2, None)):
+            config = routing.RoutingConfig(version, (), {}, accounts=accounts)
+            server_catalog.replace_config_if_newer(config)
+            dispatchers.update_servers()
+            assert state.dispatcher.fairness.is_active == (accounts is not None)
+            if accounts is not None:
+                assert state.dispatcher.fairness.weights("a") == 7.0
--- a/tests/test_settings.py
+++ b/tests/test_settings.py
@@ -56,6 +56,14 @@
 class TestLoads:
     """Reading settings from text."""
 
+    def test_minimum_share_is_none_unless_set(self):
+        """Guards against a changed order in deployments that do not ask for it."""
+        assert entry_settings.loads(_MINIMAL).overload.min_route_share == 0.0
+        text = f"{_MINIMAL}\n[overload]\nmin_route_share = 0.25\n"
+        assert entry_settings.loads(text).overload.min_route_share == 0.25
+        faulty = f"{_MINIMAL}\n[overload]\nmin_route_share = 1.5\n"
+        assert ("overload", "min_route_share") in errors_in(faulty)
+
     def test_minimal_text_has_defaults(self):
         """Missing tables get their default values."""
         loaded = entry_settings.loads(_MINIMAL)
