Bound what is kept of routes, and leave calls of services out of it

Cause: an entry stayed for every route ever seen, and a request that names its service states its own target, so a caller with a short one would have been taken for one that came back and refused at once under overload.

Change: routes without requests in two windows are forgotten, and requests that name their service are never taken for repeated ones. A test of the least share of the lowest rank at 2.5 times the room.

--- a/src/carobhook/coordination/returning_requests.py
+++ b/src/carobhook/coordination/returning_requests.py
@@ -18,6 +18,8 @@
 # The longest time to the target that was seen on a route counts for this long, so that a change
 # of the route's target takes effect.
 _WINDOW_S = 10.0
+# Requests that name their service state their own target, which tells nothing of a first one.
+_CALL_PREFIX = "service/"
 
 
 @attrs.define
@@ -43,6 +45,12 @@
     """Longest times to the target of the routes, which the first attempts have."""
 
     _by_route: dict[str, _LongestTime] = attrs.field(factory=dict, init=False)
+    _pruned_at: float = attrs.field(default=-math.inf, init=False)
+
+    @property
+    def tracked(self) -> int:
+        """Return the number of routes with recent requests."""
+        return len(self._by_route)
 
     def has_returned(self, request: allocation.SlotRequest, now: float) -> bool:
         """Return whether a client sent a request before, and record its time.
@@ -51,7 +59,21 @@
             request: The request.
             now: Monotonic time in seconds.
         """
+        if request.route.startswith(_CALL_PREFIX):
+            return False
+        self._prune_if_due(now)
         left_s = request.target_at - now
         times = self._by_route.setdefault(request.route, _LongestTime())
         longest_s = times.record(left_s, now)
         return left_s < longest_s * (1 - _MIN_WAITED_SHARE) - _MIN_WAITED_S
+
+    def _prune_if_due(self, now: float) -> None:
+        """Forget the routes without requests in the latest two windows."""
+        if now - self._pruned_at < _WINDOW_S:
+            return
+        self._pruned_at = now
+        self._by_route = {
+            route: times
+            for route, times in self._by_route.items()
+            if now - times.started_at < 2 * _WINDOW_S
+        }
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -252,6 +252,15 @@
         assert hasty.share_in_time < patient.share_in_time + 0.03
         assert hasty.share_in_time < by_client["leaving"].share_in_time + 0.03
 
+    def test_lowest_rank_keeps_its_least_share(self):
+        """Guards against a lowest rank that starves, and a highest one that pays for it."""
+        by_kind = simulation.simulate(
+            model.customer_scenario(2.5, duration_s=12.0), "fair-order"
+        )
+        overall, lowest = by_kind[""].share_in_time, by_kind["report"].share_in_time
+        assert lowest > 0.25 * overall
+        assert by_kind["payment"].share_in_time > lowest - 0.05
+
     def test_flooding_account_leaves_the_others_as_they_were(self):
         """Guards against an account that costs the others by sending 7 times its usual load."""
         shares = []
@@ -288,6 +297,22 @@
             has_returned = returning.has_returned(request, second)
         assert not has_returned
 
+    def test_requests_that_name_their_service_are_never_taken_for_repeated_ones(self):
+        """Guards against callers with short targets of their own that are always refused."""
+        returning = returning_requests.ReturningRequests()
+        for target_s in (9.0, 0.5):
+            request = make_request(1, target_s=target_s)
+            call = attrs.evolve(request, route="service/catalogue")
+            assert not returning.has_returned(call, 0.0)
+
+    def test_memory_is_bounded_by_recent_routes(self):
+        """Guards against an entry for every route ever seen."""
+        returning = returning_requests.ReturningRequests()
+        for number in range(500):
+            request = attrs.evolve(make_request(number, number), route=f"route-{number}")
+            returning.has_returned(request, number)
+        assert returning.tracked <= 31
+
     def test_refusal_says_the_reason(self):
         """Guards against refusals that an operator cannot explain."""
         budget = retry_budget.RetryBudget(10.0, 10.0, 10.0)
