Take attempts on a second server for no repeated requests

Cause: an instance's own attempt on a second server has less time to its target as well. Under overload, with accounts or a minimum share, it would have been refused at once.

Change: requests that are marked as repeats or avoid a server are never taken for ones that their client sent again. The row of measure is formatted in a function of its own.

--- a/src/carobhook/cli/measure.py
+++ b/src/carobhook/cli/measure.py
@@ -66,15 +66,7 @@
                 "policy": policy,
                 **_figures(outcome, flooding, ideal_in_time, ideal_value),
             }
-            if as_json:
-                typer.echo(json.dumps(row))
-            else:
-                typer.echo(
-                    f"{load_level:<5g} {policy:<24} {row['in_time']:>7}  {row['to_ideal']:>8}  "
-                    f"{row['by_value']:>8}  {row['worst_kind']:>10}  {row['worst_route']:>5}  "
-                    f"{row['worst_account']:>7}  {row['refused']:>7}  {row['refusals']:>8}  "
-                    f"{row['p99_ms']:>6}"
-                )
+            typer.echo(json.dumps(row) if as_json else _format_row(row))
 
 
 def _figures(
@@ -97,3 +89,13 @@
         "refusals": overall.refusals,
         "p99_ms": round(overall.p99_s() * 1000),
     }
+
+
+def _format_row(row: dict[str, typing.Any]) -> str:
+    """Return a row as a line of the table."""
+    return (
+        f"{row['load']:<5g} {row['policy']:<24} {row['in_time']:>7}  {row['to_ideal']:>8}  "
+        f"{row['by_value']:>8}  {row['worst_kind']:>10}  {row['worst_route']:>5}  "
+        f"{row['worst_account']:>7}  {row['refused']:>7}  {row['refusals']:>8}  "
+        f"{row['p99_ms']:>6}"
+    )
--- a/src/carobhook/coordination/returning_requests.py
+++ b/src/carobhook/coordination/returning_requests.py
@@ -55,11 +55,14 @@
     def has_returned(self, request: allocation.SlotRequest, now: float) -> bool:
         """Return whether a client sent a request before, and record its time.
 
+        A request that its instance sends to a second server has not come back: its client still
+        waits for the first answer.
+
         Args:
             request: The request.
             now: Monotonic time in seconds.
         """
-        if request.route.startswith(_CALL_PREFIX):
+        if request.repeat or request.avoided or request.route.startswith(_CALL_PREFIX):
             return False
         self._prune_if_due(now)
         left_s = request.target_at - now
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -305,6 +305,15 @@
             call = attrs.evolve(request, route="service/catalogue")
             assert not returning.has_returned(call, 0.0)
 
+    def test_attempt_on_a_second_server_is_not_taken_for_a_repeated_request(self):
+        """Guards against requests that are refused because their first server failed."""
+        returning = returning_requests.ReturningRequests()
+        returning.has_returned(make_request(1, target_s=1.0), 0.0)
+        failed = make_request(2, target_s=0.5, repeat=True)
+        unreachable = make_request(3, target_s=0.5, avoided=frozenset({ids.Server("a")}))
+        assert not returning.has_returned(failed, 0.0)
+        assert not returning.has_returned(unreachable, 0.0)
+
     def test_memory_is_bounded_by_recent_routes(self):
         """Guards against an entry for every route ever seen."""
         returning = returning_requests.ReturningRequests()
