Limit the requests of client accounts by quotas over all instances

Cause: customers' quotas count for all instances together, and nothing limited an account's requests.

Held tokens count towards the capacity of the bucket, so that late answers and queued requests cannot add to a window. Heartbeats name the counter that an instance chooses; a counter uses the rate of those that chose it. Requests beyond the quota get 429 with code 1063 and Retry-After, and are not sent to another region.

--- a/src/carobhook/checks.py
+++ b/src/carobhook/checks.py
@@ -146,6 +146,7 @@
 URL = Check("an http or https URL", _is_url)
 SECONDS = Check("a number of seconds above 0", lambda value: _is_number(value) and value > 0)
 POSITIVE = Check("a number above 0", lambda value: _is_number(value) and value > 0)
+NOT_NEGATIVE = Check("a number of 0 or above", lambda value: _is_number(value) and value >= 0)
 SHARE = Check("a share from 0 to 1", lambda value: _is_number(value) and 0 <= value <= 1)
 SHA256_HEX = Check(
     "64 lower-case hexadecimal digits of a SHA-256 hash",
--- a/src/carobhook/coordination/membership_sync.py
+++ b/src/carobhook/coordination/membership_sync.py
@@ -82,6 +82,16 @@
             return _SEARCHING_SHARE
         return self.visible_share(region, now)
 
+    def quota_share(self, now: float) -> float:
+        """Return the share of the accounts' quotas that the instances known here may use.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        if now < self._search_until:
+            return _SEARCHING_SHARE
+        return self.visible_share(None, now)
+
     def record_heartbeat(self, member: members.Member, now: float) -> None:
         """Record a heartbeat that came from the instance itself."""
         self._direct_heartbeat_at[member.name] = now
@@ -174,7 +184,7 @@
         """Return whether this instance is a relay of its region."""
         return self.own in self._relay_names(self.table.live(now), self.region)
 
-    def visible_share(self, region: ids.Region, now: float) -> float:
+    def visible_share(self, region: ids.Region | None, now: float) -> float:
         """Return the fraction of a region's recently known instances that are live.
 
         Instances that were leaving when they were last seen do not count as missing. If no
@@ -182,12 +192,12 @@
         instance counts as the only live one, in addition to the known ones.
 
         Args:
-            region: The region.
+            region: The region, or None for all regions.
             now: Monotonic time in seconds.
         """
-        live = sum(member.region == region for member in self.table.live(now))
+        live = sum(region in (None, member.region) for member in self.table.live(now))
         known = sum(
-            member.region == region
+            region in (None, member.region)
             and (
                 member.phase is not members.Phase.LEAVING
                 or self.table.get(member.name) is not None
--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -152,6 +152,30 @@
         (),
         "Slot requests in the queues of this instance's dispatchers.",
     )
+    QUOTA_GRANTED = MetricInfo(
+        "carobhook_quota_tokens_granted",
+        Kind.GAUGE,
+        (),
+        "Tokens of accounts' quotas that this instance granted as a counter since the start.",
+    )
+    QUOTA_REFUSED = MetricInfo(
+        "carobhook_quota_refused",
+        Kind.GAUGE,
+        (),
+        "Requests that dispatchers here refused since the start because of a quota.",
+    )
+    QUOTA_WAITED = MetricInfo(
+        "carobhook_quota_waited",
+        Kind.GAUGE,
+        (),
+        "Requests that waited here for the answer of a quota's counter since the start.",
+    )
+    QUOTA_FALLBACK = MetricInfo(
+        "carobhook_quota_fallback",
+        Kind.GAUGE,
+        (),
+        "Requests admitted here since the start while the counter of their quota was silent.",
+    )
     TASK_FAILURES = MetricInfo(
         "carobhook_task_failures_total",
         Kind.COUNTER,
--- a/src/carobhook/entry_settings.py
+++ b/src/carobhook/entry_settings.py
@@ -174,6 +174,21 @@
         validator=_DURATION,
         metadata=checks.doc("Time after which an evacuated domain must get no requests."),
     )
+    quota_window: str = attrs.field(
+        default="",
+        validator=checks.optional(_DURATION),
+        metadata=checks.doc("Window in which an account's requests count; none when empty."),
+    )
+    quota_over: float = attrs.field(
+        default=0.0,
+        validator=checks.NOT_NEGATIVE,
+        metadata=checks.doc("Share of an account's quota that it may get beyond the quota."),
+    )
+    quota_slack: float = attrs.field(
+        default=0.0,
+        validator=checks.NOT_NEGATIVE,
+        metadata=checks.doc("Requests that an account may get besides, in a window."),
+    )
 
     @property
     def grace_s(self) -> float:
@@ -200,6 +215,11 @@
         """Return the time after which an evacuated domain must get none, in seconds."""
         return durations.parse_seconds(self.evacuation)
 
+    @property
+    def quota_window_s(self) -> float:
+        """Return the window of the quotas in seconds, 0 if it is not set."""
+        return durations.parse_seconds(self.quota_window) if self.quota_window else 0.0
+
     @property
     def budget_window_s(self) -> float:
         """Return the window of the retry budget in seconds."""
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -111,6 +111,17 @@
     MEMBER_LOST = EventInfo(
         "member-lost", "An instance fell silent or its stream ended; its slots are freed."
     )
+    QUOTA_COUNTER_CHANGED = EventInfo(
+        "quota-counter-changed",
+        "Another instance counts the quotas of a group of accounts from now on.",
+    )
+    QUOTA_COUNTER_SILENT = EventInfo(
+        "quota-counter-silent",
+        "The counter of a group does not answer; dispatchers here admit at a lower rate.",
+    )
+    QUOTA_COUNTER_ANSWERS = EventInfo(
+        "quota-counter-answers", "The counter of a group of accounts answers again."
+    )
     SLOTS_FREED = EventInfo(
         "slots-freed",
         "The queued requests of a lost instance were removed here, and its slots freed.",
--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -12,7 +12,7 @@
 3: `FeedProgress.ages_ms`, `ObjectRequest`, `ObjectReport`.
 4: `ProgressQuery`, the fields of `FeedRequest`, `FeedProgress.answers`, compressed frames.
 5: `RelayResponse.is_identified`.
-6: `SlotRequested.account`.
+6: `SlotRequested.account`, `QuotaRequest`, `QuotaGrant`, `Member.quota_counters`.
 """
 
 from carobhook.protocol import (
@@ -20,6 +20,7 @@
     framing,
     membership_messages,
     path_messages,
+    quota_messages,
     relay_messages,
     slot_messages,
 )
@@ -52,6 +53,8 @@
     "ReachQuery": path_messages.ReachQuery,
     "ReachReport": path_messages.ReachReport,
     "ServerLeaving": path_messages.ServerLeaving,
+    "QuotaRequest": quota_messages.QuotaRequest,
+    "QuotaGrant": quota_messages.QuotaGrant,
     "RelayRequest": relay_messages.RelayRequest,
     "RelayResponse": relay_messages.RelayResponse,
     "FeedWanted": feed_messages.FeedRequest,
@@ -64,7 +67,13 @@
 }
 
 # Versions that introduced types after the first, by tag.
-_ADDED_TYPES: dict[str, int] = {"ObjectRequest": 3, "ObjectReport": 3, "ProgressQuery": 4}
+_ADDED_TYPES: dict[str, int] = {
+    "ObjectRequest": 3,
+    "ObjectReport": 3,
+    "ProgressQuery": 4,
+    "QuotaRequest": 6,
+    "QuotaGrant": 6,
+}
 
 # They carry objects of the store, of up to 1 MiB each.
 _COMPRESSED_TYPES = framing.CompressedTypes(
--- a/src/carobhook/state/client_accounts.py
+++ b/src/carobhook/state/client_accounts.py
@@ -82,6 +82,14 @@
         """Return the accounts."""
         return tuple(self._by_name.values())
 
+    @property
+    def quotas(self) -> dict[ids.Account, Quota]:
+        """Return the quotas of the accounts that have one."""
+        accounts = self._by_name.values()
+        return {
+            account.name: account.quota for account in accounts if account.quota is not None
+        }
+
     def find(self, key: str) -> ClientAccount | None:
         """Return the account that a key belongs to, or None."""
         return self._by_digest.get(_digest(key))
--- a/src/carobhook/state/codes.py
+++ b/src/carobhook/state/codes.py
@@ -91,6 +91,13 @@
         True,
         "No route serves the request, but there may be a newer configuration.",
     )
+    QUOTA_EXCEEDED = CodeInfo(
+        1063,
+        429,
+        RunStatus.NOT_RUN,
+        True,
+        "The account has used up its quota for the moment.",
+    )
     BACKEND_LOST = CodeInfo(
         1020,
         502,
--- a/src/carobhook/state/members.py
+++ b/src/carobhook/state/members.py
@@ -37,6 +37,8 @@
         reaches_store: Whether the store answers it; if not, it cannot feed other instances.
         weight: Capacity relative to other instances.
         is_slow: Whether its machine works much slower than usual.
+        quota_counters: Counter of each group of accounts by its own view; empty while no
+            account has a quota.
     """
 
     name: ids.InstanceId
@@ -51,3 +53,4 @@
     reaches_store: bool = True
     weight: float = 1.0
     is_slow: bool = versions.added_field(False, since=2)
+    quota_counters: tuple[ids.InstanceId, ...] = versions.added_field((), since=6)
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -10,7 +10,7 @@
 from twisted.internet import defer, task
 
 from carobhook import entry_metrics, entry_settings, logs
-from carobhook.coordination import catalog, membership, steering, store_feed
+from carobhook.coordination import catalog, membership, quota_counter, steering, store_feed
 from carobhook.platform import names, store
 from carobhook.protocol import feed_messages, peer_codec, slot_messages
 from carobhook.state import ids, members, routing
@@ -22,6 +22,7 @@
     machine_probe,
     member_streams,
     peers,
+    quota_service,
     server_access,
     shard_dispatchers,
     slot_allocator,
@@ -112,10 +113,13 @@
         self._machine = machine_probe.MachineProbe(
             reactor.seconds, self._supervisor.isolate("heartbeat", self._heartbeat)
         )
+        # The first heartbeat is made before there is a slot allocator.
+        self._quota_counters: Callable[[], tuple[ids.InstanceId, ...]] = tuple
         self._streams = self._create_member_streams()
         rng = rng or random.Random()
         self._store_sync = self._create_store_sync(rng)
         self._allocator = self._create_slot_allocator()
+        self._quota_counters = lambda: self._allocator.quota_counters
         self._servers = self._create_server_access(rng)
         self._metrics = entry_metrics.EntryMetrics(self._gauges(omitted))
         self._requests = self._create_entry_requests()
@@ -216,6 +220,17 @@
             self._streams,
             self._slot_limits(),
             self._streams.limit_share,
+            self._quota_terms(),
+        )
+
+    def _quota_terms(self) -> quota_service.QuotaTerms:
+        bounds = self._settings.bounds
+        return quota_service.QuotaTerms(
+            quota_counter.QuotaBounds(
+                bounds.quota_window_s, bounds.quota_over, bounds.quota_slack
+            ),
+            self._streams.quota_share,
+            int(self._clocks.wall() * 1000),
         )
 
     def _slot_limits(self) -> shard_dispatchers.SlotLimits:
@@ -289,6 +304,10 @@
             metric.READY: lambda: float(self._phase is members.Phase.READY),
             metric.DISPATCH_TIME: lambda: self._allocator.dispatch_s,
             metric.SLOT_REQUESTS_QUEUED: lambda: self._allocator.queued_count,
+            metric.QUOTA_GRANTED: lambda: self._allocator.quota_figures.granted,
+            metric.QUOTA_REFUSED: lambda: self._allocator.quota_figures.refused,
+            metric.QUOTA_WAITED: lambda: self._allocator.quota_figures.waited,
+            metric.QUOTA_FALLBACK: lambda: self._allocator.quota_figures.fallback,
             metric.REQUESTS_RELAYED: lambda: self._servers.exchange.relayed_count,
             metric.PATHS_BROKEN: lambda: self._servers.exchange.broken_paths,
             metric.MACHINE_SLOWNESS: lambda: self._machine.factor,
@@ -495,6 +514,7 @@
             self._catalog.store_lost_at is None,
             self._weight(),
             self._machine.is_slow,
+            self._quota_counters(),
         )
 
     def _weight(self) -> float:
--- a/src/carobhook/transport/member_streams.py
+++ b/src/carobhook/transport/member_streams.py
@@ -153,6 +153,10 @@
         """Return the share of each limit that this instance may use as a dispatcher."""
         return self._sync.limit_share(region, self._reactor.seconds())
 
+    def quota_share(self) -> float:
+        """Return the share of the accounts' quotas that the instances known here may use."""
+        return self._sync.quota_share(self._reactor.seconds())
+
     async def stop(self) -> None:
         """Close all streams."""
         await self._peers.stop()
--- a/src/carobhook/transport/refusal_responses.py
+++ b/src/carobhook/transport/refusal_responses.py
@@ -25,6 +25,6 @@
         (b"Content-Type", b"text/plain; charset=utf-8"),
         *client_api.result_headers(refusal.code, refusal.may_have_run),
     ]
-    if refusal.status == 503 and refusal.retry_after_s is not None:
+    if refusal.status in (429, 503) and refusal.retry_after_s is not None:
         headers.append((b"Retry-After", f"{refusal.retry_after_s:.3f}".encode()))
     return client_connections.local_response(refusal.status, info.text, tuple(headers))
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -239,7 +239,9 @@
             self._apply_configuration()
             decision = await self._allocator.request_slot(self._slot_request(), self._region)
             if isinstance(decision, allocation.SlotRefusal):
-                if self._switch_to_fallback():
+                # A quota holds in all regions, so another one would not admit the request.
+                is_over_quota = decision.code is codes.Code.QUOTA_EXCEEDED
+                if not is_over_quota and self._switch_to_fallback():
                     continue
                 self._refuse(
                     refusals.Refusal(
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -1,5 +1,6 @@
 """Runs the dispatchers of the shards that this instance owns."""
 
+import functools
 import math
 import typing
 from collections.abc import Callable, Collection, Iterable, Mapping
@@ -19,7 +20,7 @@
 )
 from carobhook.protocol import slot_messages
 from carobhook.state import allocation, codes, ids
-from carobhook.transport import shard_state
+from carobhook.transport import quota_service, shard_state
 
 Shard = shard_state.Shard
 
@@ -81,6 +82,7 @@
         live_names: Returns the names of the live instances.
         limit_share: Returns the share of each limit that this instance may use for the
             servers of a region.
+        quotas: Admits requests by the quotas of their accounts.
     """
 
     def __init__(
@@ -95,6 +97,7 @@
         send: Callable[[ids.InstanceId, typing.Any], bool],
         live_names: Callable[[], Collection[ids.InstanceId]],
         limit_share: Callable[[ids.Region], float],
+        quotas: quota_service.QuotaService,
     ) -> None:
         self._reactor = reactor
         self._own = own
@@ -106,6 +109,7 @@
         self._send = send
         self._live_names = live_names
         self._limit_share = limit_share
+        self._quotas = quotas
         self._shards: dict[Shard, shard_state.ShardState] = {}
         self._dispatch_s = 0.0
         self._ticked_at = math.inf
@@ -116,6 +120,11 @@
         """Return the seconds that the dispatchers took for their decisions since the start."""
         return self._dispatch_s
 
+    @property
+    def shard_count(self) -> int:
+        """Return the number of shards whose dispatchers run here."""
+        return len(self._shards)
+
     @property
     def queued_count(self) -> int:
         """Return the number of queued slot requests."""
@@ -148,7 +157,19 @@
         )
         state = self.get_or_create(shard)
         state.requesters[request.id] = sender
-        decisions = self._run(state, state.dispatcher.submit, request, now)
+        self._quotas.submit(request, functools.partial(self._submit, state, request))
+
+    def _submit(
+        self,
+        state: shard_state.ShardState,
+        request: allocation.SlotRequest,
+        refusal: allocation.SlotRefusal | None,
+    ) -> None:
+        """Submit a request to its dispatcher, unless its account's quota refuses it."""
+        if refusal is not None:
+            self._send_decisions(state, [refusal])
+            return
+        decisions = self._run(state, state.dispatcher.submit, request, self._reactor.seconds())
         if decisions is None:
             # A request that fails its dispatcher would fail the next one too.
             decisions = [allocation.SlotRefusal(request.id, codes.Code.NO_BACKEND, 1.0)]
@@ -160,6 +181,7 @@
         if state is None:
             return
         state.requesters.pop(message.id, None)
+        self._quotas.withdraw(message.id)
         if state.dispatcher.withdraw(message.id):
             return
         granted = state.granted.pop(message.id, None)
@@ -181,6 +203,7 @@
         granted = state.granted.pop(message.id, None)
         if granted is None and self._guard(state, state.dispatcher.withdraw, message.id):
             state.requesters.pop(message.id, None)
+            self._quotas.withdraw(message.id)
         elif granted is not None and granted[1] != message.server:
             unused = allocation.AttemptOutcome.CANCELLED
             self._release(state, message.id, granted[1], unused, now)
@@ -296,6 +319,7 @@
             queued_ids = [r for r, sender in state.requesters.items() if sender == name]
             for request_id in queued_ids:
                 del state.requesters[request_id]
+                self._quotas.withdraw(request_id)
                 self._guard(state, state.dispatcher.withdraw, request_id)
             granted_ids = [
                 request_id for request_id, entry in state.granted.items() if entry[0] == name
@@ -384,6 +408,7 @@
         self._update_pool(state.shard, state)
         self._query_held_slots(state.shard, state)
         for request_id, requester in requesters.items():
+            self._quotas.withdraw(request_id)
             self._send(requester, slot_messages.NotDispatcher(request_id))
 
     def _send_decisions(
@@ -392,12 +417,14 @@
         for decision in decisions:
             requester = state.requesters.pop(decision.ask_id, self._own)
             if isinstance(decision, allocation.SlotGrant):
+                self._quotas.record_grant(decision.ask_id)
                 state.granted[decision.ask_id] = (requester, decision.server)
                 pooled = state.dispatcher.pool.get(decision.server)
                 if pooled is not None:
                     state.grants[pooled.region] += 1
                 message: typing.Any = slot_messages.SlotGranted(decision)
             else:
+                self._quotas.withdraw(decision.ask_id)
                 message = slot_messages.SlotRefused(
                     decision.ask_id,
                     decision.code.number,
@@ -451,10 +478,12 @@
         state = self._shards.pop(shard, None)
         if state is None:
             return
-        for request in state.dispatcher.clear_queue():
-            requester = state.requesters.pop(request.id, None)
-            if requester is not None:
-                self._send(requester, slot_messages.NotDispatcher(request.id))
+        state.dispatcher.clear_queue()
+        # Requests that wait for tokens of their accounts are in no queue yet.
+        requesters, state.requesters = state.requesters, {}
+        for request_id, requester in requesters.items():
+            self._quotas.withdraw(request_id)
+            self._send(requester, slot_messages.NotDispatcher(request_id))
 
     def update_servers(self) -> None:
         """Update all dispatchers after a change of servers, configuration or orders."""
--- a/src/carobhook/transport/slot_allocator.py
+++ b/src/carobhook/transport/slot_allocator.py
@@ -6,10 +6,10 @@
 from twisted.internet import defer
 
 from carobhook import logs
-from carobhook.coordination import catalog, membership, steering
-from carobhook.protocol import slot_messages
+from carobhook.coordination import catalog, membership, quota_counter, steering
+from carobhook.protocol import quota_messages, slot_messages
 from carobhook.state import allocation, codes, ids
-from carobhook.transport import shard_dispatchers, slot_client
+from carobhook.transport import quota_service, shard_dispatchers, slot_client
 
 # Interval at which shard owners and loans are updated.
 _UPDATE_INTERVAL_S = 0.5
@@ -40,6 +40,8 @@
         limits: Limits on retries, cold-server requests and loan changes.
         limit_share: Returns the share of each limit that this instance may use for the
             servers of a region.
+        quota_terms: Allowance beyond the quotas of accounts, and the share that this instance
+            may use of them.
     """
 
     def __init__(
@@ -53,6 +55,7 @@
         peers: PeerSender,
         limits: shard_dispatchers.SlotLimits,
         limit_share: Callable[[ids.Region], float],
+        quota_terms: quota_service.QuotaTerms | None = None,
     ) -> None:
         self._reactor = reactor
         self._own = own
@@ -65,6 +68,13 @@
         self._client = slot_client.SlotClient(
             reactor, self._owner_of, self._send, self.update_owners
         )
+        self._quotas = quota_service.QuotaService(
+            reactor,
+            own,
+            regions.values(),
+            quota_terms or quota_service.QuotaTerms(quota_counter.QuotaBounds(), lambda: 1.0),
+            self._send,
+        )
         self._dispatchers = shard_dispatchers.ShardDispatchers(
             reactor,
             own,
@@ -76,6 +86,7 @@
             self._send,
             self._live_names,
             limit_share,
+            self._quotas,
         )
 
     @property
@@ -88,6 +99,16 @@
         """Return the number of slot requests in the queues of this instance's dispatchers."""
         return self._dispatchers.queued_count
 
+    @property
+    def quota_counters(self) -> tuple[ids.InstanceId, ...]:
+        """Return the counter of each group of accounts, for the heartbeats."""
+        return self._quotas.counters
+
+    @property
+    def quota_figures(self) -> quota_service.QuotaFigures:
+        """Return the numbers of tokens and decisions by quotas since the start."""
+        return self._quotas.figures
+
     @property
     def limited_count(self) -> int:
         """Return the number of servers whose answers to this instance name a limit."""
@@ -140,9 +161,11 @@
             owner = membership.shard_owner(*shard, serving)
             if owner != previous:
                 self._change_owner(shard, previous, owner)
+        self._quotas.update_members(serving)
 
     def update_servers(self) -> None:
         """Update all dispatchers after a change of servers, configuration or orders."""
+        self._quotas.update_config(self._catalog.config)
         self._dispatchers.update_servers()
 
     def remove_instance(self, name: ids.InstanceId) -> None:
@@ -158,6 +181,7 @@
             self.update_owners()
             self._start_dispatchers()
             self._dispatchers.update_loans(elapsed_s, now)
+        self._quotas.tick(self._dispatchers.shard_count, self._members.iter_live(now), now)
         self._dispatchers.tick(now)
 
     def handle_message(self, sender: ids.InstanceId, message: typing.Any) -> None:
@@ -182,6 +206,8 @@
             self._dispatchers.handle_region_report(message)
         elif isinstance(message, slot_messages.ServerLimitReport):
             self._dispatchers.handle_limit_report(message)
+        elif isinstance(message, quota_messages.QuotaMessage):
+            self._quotas.handle_message(sender, message)
 
     def _send(self, to: ids.InstanceId, message: typing.Any) -> bool:
         """Send a message to an instance, which may be this one."""
--- a/tests/test_framing.py
+++ b/tests/test_framing.py
@@ -14,6 +14,7 @@
     membership_messages,
     path_messages,
     peer_codec,
+    quota_messages,
     relay_messages,
     slot_messages,
 )
@@ -41,6 +42,8 @@
     ("LoadsTold", slot_messages.LoadReport, 2),
     ("RequestMarked", slot_messages.RequestMarked, 4),
     ("RequestCleared", slot_messages.RequestCleared, 2),
+    ("QuotaRequest", quota_messages.QuotaRequest, 6),
+    ("QuotaGrant", quota_messages.QuotaGrant, 4),
     ("ReachQuery", path_messages.ReachQuery, 2),
     ("ReachReport", path_messages.ReachReport, 2),
     ("ServerLeaving", path_messages.ServerLeaving, 2),
