Test that a request beyond its quota asks no other region

Cause: a refused request that an order shifted asks its own region next, which could only repeat a refusal by quota.

--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -256,6 +256,13 @@
         case.allocator.refuse()
         assert case.result == (503, codes.Code.DEADLINE_UNMEETABLE)
 
+    def test_request_beyond_a_quota_asks_no_other_region(self):
+        """The quota holds there too, so that the client is told at once."""
+        case = FlowCase(fallback="north")
+        case.allocator.refuse(codes.Code.QUOTA_EXCEEDED)
+        assert case.result == (429, codes.Code.QUOTA_EXCEEDED)
+        assert len(case.allocator.requests) == 1
+
 
 class TestSentRequests:
     """Outcomes of requests that were sent to a server."""
