Let dispatchers run without quotas

Cause: the whole suite failed in two tests of test_server_limits, which create ShardDispatchers without the new argument.

Change: it may be None; QuotaTerms has defaults.

Result: test_server_limits, test_slot_allocator and test_quotas pass.

--- a/src/carobhook/transport/quota_service.py
+++ b/src/carobhook/transport/quota_service.py
@@ -41,8 +41,8 @@
             earlier run of this instance.
     """
 
-    bounds: quota_counter.QuotaBounds
-    quota_share: Callable[[], float]
+    bounds: quota_counter.QuotaBounds = attrs.field(factory=quota_counter.QuotaBounds)
+    quota_share: Callable[[], float] = lambda: 1.0
     first_sequence: int = 0
 
 
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -82,7 +82,7 @@
         live_names: Returns the names of the live instances.
         limit_share: Returns the share of each limit that this instance may use for the
             servers of a region.
-        quotas: Admits requests by the quotas of their accounts.
+        quotas: Admits requests by the quotas of their accounts; None for no quotas.
     """
 
     def __init__(
@@ -97,7 +97,7 @@
         send: Callable[[ids.InstanceId, typing.Any], bool],
         live_names: Callable[[], Collection[ids.InstanceId]],
         limit_share: Callable[[ids.Region], float],
-        quotas: quota_service.QuotaService,
+        quotas: quota_service.QuotaService | None = None,
     ) -> None:
         self._reactor = reactor
         self._own = own
@@ -109,7 +109,9 @@
         self._send = send
         self._live_names = live_names
         self._limit_share = limit_share
-        self._quotas = quotas
+        self._quotas = quotas or quota_service.QuotaService(
+            reactor, own, regions.values(), quota_service.QuotaTerms(), send
+        )
         self._shards: dict[Shard, shard_state.ShardState] = {}
         self._dispatch_s = 0.0
         self._ticked_at = math.inf
--- a/src/carobhook/transport/slot_allocator.py
+++ b/src/carobhook/transport/slot_allocator.py
@@ -6,7 +6,7 @@
 from twisted.internet import defer
 
 from carobhook import logs
-from carobhook.coordination import catalog, membership, quota_counter, steering
+from carobhook.coordination import catalog, membership, steering
 from carobhook.protocol import quota_messages, slot_messages
 from carobhook.state import allocation, codes, ids
 from carobhook.transport import quota_service, shard_dispatchers, slot_client
@@ -72,7 +72,7 @@
             reactor,
             own,
             regions.values(),
-            quota_terms or quota_service.QuotaTerms(quota_counter.QuotaBounds(), lambda: 1.0),
+            quota_terms or quota_service.QuotaTerms(),
             self._send,
         )
         self._dispatchers = shard_dispatchers.ShardDispatchers(
