Test two terms of the quotas' derivation at the counter

Cause: with held tokens left out of the capacity, or without the part left to instances that admit by themselves, 100 random histories still kept the bound: the slack covers both there.

Change: two tests of QuotaCounter.

Result: each fails with its term taken out, and passes with it.

--- a/tests/test_quotas.py
+++ b/tests/test_quotas.py
@@ -300,3 +300,37 @@
         assert (b"Retry-After", b"1.250") in response.headers
         response = refusal_responses.refusal_response(refusals.Refusal(code, True, 1.25))
         assert response.status == 502
+
+
+class TestCounter:
+    """Tokens at the counter; the random histories leave more room than these terms need."""
+
+    def granted(self, alone_s=0.0, held=0):
+        """Return the tokens of 20 s under a flood by two instances.
+
+        Args:
+            alone_s: Seconds for which one of them says that it admits by itself.
+            held: Tokens that each says it holds.
+        """
+        counter = quota_counter.QuotaCounter(quota_simulation.BOUNDS)
+        counter.set_quotas({"a": QUOTA})
+        for step in range(200):
+            now = step * 0.1
+            counter.update(True, 1.0, now)
+            for name in ("i0", "i1"):
+                is_alone = name == "i0" and now >= 20.0 - alone_s
+                entry = quota_messages.QuotaEntry("a", 9, 0, held, 0)
+                request = quota_messages.QuotaRequest(0, step, 0.5, is_alone, True, (entry,))
+                counter.answer(name, request, now)
+        return counter.granted_count
+
+    def test_held_tokens_leave_no_room_for_others(self):
+        """Tokens in queues and reserves could otherwise run in one window with later ones."""
+        assert self.granted() >= 18 * QUOTA.rate_per_s
+        capacity = quota_simulation.BOUNDS.capacity(QUOTA)
+        assert self.granted(held=round(capacity)) == 0
+
+    def test_rate_of_instances_that_admit_by_themselves_is_left_to_them(self):
+        """Half of their part of the rate would otherwise come in addition to the whole."""
+        lost = self.granted() - self.granted(alone_s=10.0)
+        assert abs(lost - 10.0 * QUOTA.rate_per_s * 0.25) <= 5
