--- a/src/carobhook/state/codes.py
+++ b/src/carobhook/state/codes.py
@@ -112,6 +112,13 @@
         True,
         "No region is a home region of both the route and the client account.",
     )
+    QUOTA_EXCEEDED = CodeInfo(
+        1063,
+        429,
+        RunStatus.NOT_RUN,
+        True,
+        "The account has used up its quota for the moment.",
+    )
     BACKEND_LOST = CodeInfo(
         1020,
         502,
