Hand the objects of servers over to a shard's next dispatcher

Callers whose objects were in a server's memory waited for the whole work whenever the dispatcher of their region changed: the new one knew of no object anywhere, and put each on some server anew. The instances remember where their latest requests ran, and tell it with their held slots.

--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -12,7 +12,8 @@
 3: `FeedProgress.ages_ms`, `ObjectRequest`, `ObjectReport`.
 4: `ProgressQuery`, the fields of `FeedRequest`, `FeedProgress.answers`, compressed frames.
 5: `RelayResponse.is_identified`.
-6: `SlotRequested.account`, `QuotaRequest`, `QuotaGrant`, `Member.quota_counters`.
+6: `SlotRequested.account`, `HeldSlotsReport.objects`, `QuotaRequest`, `QuotaGrant`,
+   `Member.quota_counters`.
 """
 
 from carobhook.protocol import (
--- a/src/carobhook/protocol/slot_messages.py
+++ b/src/carobhook/protocol/slot_messages.py
@@ -186,6 +186,21 @@
     server: ids.Server
 
 
+@attrs.frozen
+class ObjectUse:
+    """Use of an object by a request of the sender that ran on a server.
+
+    Attributes:
+        server: The server.
+        object_hash: Hash of the object, see `coordination.object_digests`.
+        age_ms: Milliseconds since then.
+    """
+
+    server: ids.Server
+    object_hash: int
+    age_ms: int
+
+
 @attrs.frozen
 class HeldSlotsReport:
     """Tells a new dispatcher of a shard which slots the sender's requests hold.
@@ -195,12 +210,14 @@
         service: Service of the shard.
         held: Slots that the sender's requests hold.
         limits: Limits that servers of the service named in answers to the sender.
+        objects: Latest objects of the sender's requests on servers of the shard.
     """
 
     region: ids.Region
     service: ids.Service
     held: tuple[HeldSlot, ...]
     limits: tuple[ServerLimit, ...] = versions.added_field(())
+    objects: tuple[ObjectUse, ...] = versions.added_field((), since=6)
 
 
 @attrs.frozen
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -288,6 +288,7 @@
         for limit in message.limits:
             rate = allocation.RateStatement(limit.max_per_s)
             self._record_rate(shard, state, limit.server, rate, now)
+        state.record_handed_over(message.objects, now)
         state.unreported.discard(sender)
         self._free_unheld(state, sender, {slot.id for slot in message.held}, now)
         self._decide(state, now)
--- a/src/carobhook/transport/shard_state.py
+++ b/src/carobhook/transport/shard_state.py
@@ -2,7 +2,7 @@
 
 import collections
 import math
-from collections.abc import Mapping
+from collections.abc import Iterable, Mapping
 
 import attrs
 
@@ -10,6 +10,7 @@
 from carobhook.coordination import (
     dispatcher,
     object_digests,
+    object_handover,
     pooled_server,
     server_limits,
     slot_loans,
@@ -54,6 +55,7 @@
         recalled: Recalled slots that their borrowers may still be using.
         limits: Limits that servers named, as far as this dispatcher was told.
         digests: Selects what each other region is told of the objects of lent servers.
+        handed_over: What instances told this dispatcher of the objects of its servers.
         started_at: Monotonic time in seconds at which the dispatcher started.
         heard_regions: Regions that have sent a report to this dispatcher.
         has_adopted_loans: Whether it continues loans of the shard's previous dispatcher.
@@ -82,6 +84,9 @@
     digests: collections.defaultdict[ids.Region, object_digests.DigestSender] = attrs.field(
         factory=lambda: collections.defaultdict(object_digests.DigestSender)
     )
+    handed_over: object_handover.HandedOverObjects = attrs.field(
+        factory=object_handover.HandedOverObjects
+    )
     started_at: float = -math.inf
     heard_regions: set[ids.Region] = attrs.field(factory=set)
     has_adopted_loans: bool = False
@@ -157,6 +162,20 @@
         self.has_adopted_loans = True
         return True
 
+    def record_handed_over(self, uses: Iterable[slot_messages.ObjectUse], now: float) -> None:
+        """Record which objects an instance's latest requests used on which servers.
+
+        Only reports to a new dispatcher count: it sees for itself where later requests run.
+
+        Args:
+            uses: The uses, as the instance reported them.
+            now: Monotonic time in seconds.
+        """
+        if now - self.started_at > _ADOPTION_S:
+            return
+        for server, hashes in self.handed_over.add(uses, now).items():
+            self.dispatcher.pool.record_told_objects(server, hashes)
+
     def is_awaiting(self, region: ids.Region, now: float) -> bool:
         """Return whether a region may borrow slots of which this dispatcher has not heard yet.
 
--- a/src/carobhook/transport/slot_client.py
+++ b/src/carobhook/transport/slot_client.py
@@ -7,7 +7,7 @@
 from twisted.internet import defer
 
 from carobhook import logs
-from carobhook.coordination import dispatcher, server_limits
+from carobhook.coordination import dispatcher, object_handover, server_limits, work_times
 from carobhook.protocol import slot_messages
 from carobhook.state import allocation, codes, ids
 
@@ -99,6 +99,7 @@
         # Shards of the latest requests, in the order of the requests.
         self._recent_shards: dict[ids.RequestId, Shard] = {}
         self._limits: dict[ids.Service, server_limits.ServerLimits] = {}
+        self._object_uses = object_handover.ObjectUses()
 
     @property
     def limited_count(self) -> int:
@@ -180,6 +181,11 @@
         self._held[grant.ask_id] = _HeldSlot(
             pending.request, pending.region, grant.server, owner
         )
+        request = pending.request
+        key = work_times.qualified_key(request.route, request.object_key)
+        if key is not None:
+            now = self._reactor.seconds()
+            self._object_uses.record(pending.shard, grant.server, key, now)
         self._resolve(grant)
 
     def _return_slot(self, owner: ids.InstanceId, grant: allocation.SlotGrant) -> None:
@@ -221,7 +227,8 @@
     def held_slots(self, shard: Shard) -> slot_messages.HeldSlotsReport:
         """Return a report of the slots of a shard that requests of this instance hold.
 
-        It also holds the limits that servers of the shard's service named to this instance.
+        It also holds the limits that servers of the shard's service named to this instance, and
+        the objects that its latest requests used there.
         """
         held = tuple(
             slot_messages.HeldSlot(
@@ -230,7 +237,8 @@
             for request_id, slot in self._held.items()
             if slot.shard == shard
         )
-        return slot_messages.HeldSlotsReport(*shard, held, self._limits_of(shard[1]))
+        objects = self._object_uses.latest(shard, self._reactor.seconds())
+        return slot_messages.HeldSlotsReport(*shard, held, self._limits_of(shard[1]), objects)
 
     def _limits_of(self, service: ids.Service) -> tuple[slot_messages.ServerLimit, ...]:
         limits = self._limits.get(service)
