--- a/src/carobhook/coordination/slot_loans.py
+++ b/src/carobhook/coordination/slot_loans.py
@@ -72,11 +72,11 @@
 def _needed_slots(load: RegionLoad, equal_share: float) -> float:
     """Return the slots that a region needs.
 
-    Before its first request that is not known, so each region gets an equal share of all slots:
-    one with few servers would refuse most of its first requests otherwise.
+    Before its first request that is not known. A region with slots of its own keeps up to an
+    equal share of all and borrows nothing until then. One without needs slots for that request.
     """
     if load.demand is None:
-        return equal_share
+        return min(load.slots, equal_share) if load.slots > 0 else equal_share
     return load.demand / _TARGET_UTILIZATION + _EXTRA_SLOTS
 
 
@@ -119,8 +119,8 @@
     ) -> None:
         """Move each loan toward its target.
 
-        While a borrower's demand is not known its loan does not shrink: a new dispatcher does
-        not know what the requests that run already need.
+        While a borrower's demand is not known its loan stays as it is. A region without slots
+        of its own gets its first loan at once, because no load shifts with it.
 
         Args:
             targets: Result of `target_loans`.
@@ -134,7 +134,7 @@
             target = targets.get(region, 0.0)
             demand = loads[region].demand
             if demand is None:
-                updated[region] = max(current, round(target))
+                updated[region] = current if loads[region].slots > 0 else round(target)
                 continue
             if abs(target - current) <= _HYSTERESIS_SLOTS:
                 updated[region] = current
