--- a/src/carobhook/coordination/quota_reserve.py
+++ b/src/carobhook/coordination/quota_reserve.py
@@ -20,7 +20,8 @@
 _FALLBACK_LIFETIME_S = 8.0
 _TOKEN_LIFETIME_S = 8.0
 # An account without requests for this long keeps no reserve here, so that others can have it.
-_IDLE_S = 5.0
+# The first request after that waits for the counter, which may be in another region.
+_IDLE_S = 20.0
 # An account without requests for this long is forgotten.
 _FORGET_S = 30.0
 _FALLBACK_WAIT_S = 0.5
