Decode the path of a request head in one place

Three modules cut the query off a request target and decoded the rest each by itself. RequestHead.path does it now, and these modules use it. No behaviour changes.

--- a/src/carobhook/coordination/repeatable_requests.py
+++ b/src/carobhook/coordination/repeatable_requests.py
@@ -16,8 +16,7 @@
     """
     if config is None:
         return False
-    path = head.target.partition(b"?")[0].decode("latin-1")
-    route = config.match(head.get("host") or "", path)
+    route = config.match(head.get("host") or "", head.path)
     if route is not None:
         return route.repeatable
     try:
--- a/src/carobhook/protocol/http1.py
+++ b/src/carobhook/protocol/http1.py
@@ -66,6 +66,11 @@
     # The values may hold secrets of clients, which a log must not contain.
     headers: Headers = attrs.field(repr=lambda headers: repr([name for name, _ in headers]))
 
+    @property
+    def path(self) -> str:
+        """Return the path of the target, without the query."""
+        return self.target.partition(b"?")[0].decode("latin-1")
+
     def get(self, name: str) -> str | None:
         """Return the first value of a header, None without the header.
 
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -254,7 +254,7 @@
         return self._router.route_request(
             config,
             head.get("host") or "",
-            routes_in_force.path_of(head),
+            head.path,
             time_left_s,
             request.received_at,
             is_recent,
--- a/src/carobhook/transport/operator_api.py
+++ b/src/carobhook/transport/operator_api.py
@@ -155,7 +155,7 @@
         self, request: client_connections.ClientRequest
     ) -> http1.Response:
         head = request.head
-        path = head.target.partition(b"?")[0].decode("latin-1")
+        path = head.path
         header = head.get("authorization")
         author = self._roles.authenticate(header)
         if author is None:
--- a/src/carobhook/transport/routes_in_force.py
+++ b/src/carobhook/transport/routes_in_force.py
@@ -149,9 +149,4 @@
 
 def match(config: routing.RoutingConfig, head: http1.RequestHead) -> routing.Route | None:
     """Return the route of a request in a configuration, or None."""
-    return config.match(head.get("host") or "", path_of(head))
-
-
-def path_of(head: http1.RequestHead) -> str:
-    """Return the path of a request, without its query."""
-    return head.target.partition(b"?")[0].decode("latin-1")
+    return config.match(head.get("host") or "", head.path)
