Name the states of quotas by usual terms, and state units

The reserve called an instance without an answer of its counter 'alone', and what it last reported 'told'. Several times and constants had no unit or no reason. The private names now say fallback, silent and reported, and the docstrings state units. No behaviour and nothing on the wire changes.

--- a/src/carobhook/coordination/quota_counter.py
+++ b/src/carobhook/coordination/quota_counter.py
@@ -13,6 +13,7 @@
 from carobhook.protocol import quota_messages
 from carobhook.state import client_accounts, ids
 
+# Number of groups of accounts, each with a counter of its own. All instances must use the same.
 GROUPS = 8
 # Part of the rate that dispatchers without an answer admit by themselves, all together.
 FALLBACK_SHARE = 0.5
@@ -21,15 +22,17 @@
 # know yet that a dispatcher admits by itself.
 _CAPACITY_SHARE = 0.7
 _RESERVE_SHARE = 0.5
-# Instances learn of a split or of its end at most this long after one another. A new counter
-# grants nothing for as long, and one that more instances choose uses no more than before.
+# Instances learn of a partition or of its end at most this long after one another. A new
+# counter grants nothing for this time, and one that more instances choose uses no more than
+# before.
 SETTLE_S = 1.0
 # After a longer standstill, others may have taken this instance for dead.
 _STANDSTILL_S = 0.8
-# Dispatchers send a request every 0.2 s. One that is silent for longer may admit by itself,
-# which it begins 0.3 s after a request without an answer.
+# Dispatchers send a request every 0.2 s. One that is silent for longer than this may admit by
+# itself, which it begins 0.3 s after a request without an answer.
 _SILENT_S = 0.4
-# Tokens for requests admitted before the counter knew are made up for by this hold.
+# A dispatcher counts as admitting by itself for this long after it last said so. This makes up
+# for the requests that it admitted before the counter knew.
 _FALLBACK_HOLD_S = 1.0
 # Tokens of a silent dispatcher count as held for this long. It gives up its own earlier.
 HOLDER_LIFETIME_S = 10.0
@@ -75,7 +78,13 @@
 
 @attrs.define(eq=False)
 class _Bucket:
-    """Tokens of one account; those that dispatchers hold count towards its capacity."""
+    """Tokens of one account; those that dispatchers hold count towards its capacity.
+
+    Attributes:
+        quota: Quota of the account.
+        tokens: Tokens available.
+        held: Tokens held by each instance, as it last stated, and those granted since.
+    """
 
     quota: client_accounts.Quota
     tokens: float = 0.0
@@ -84,7 +93,14 @@
 
 @attrs.define(eq=False)
 class _Holder:
-    """An instance that asks for tokens."""
+    """An instance that asks for tokens.
+
+    Attributes:
+        sequence: Number of its latest request.
+        weight: Share of all dispatchers that run there.
+        heard_at: Monotonic time in seconds of that request.
+        fallback_until: Monotonic time in seconds until which it counts as admitting by itself.
+    """
 
     sequence: int
     weight: float
@@ -145,13 +161,13 @@
         self._is_counter = is_counter
         self._add_buckets()
         self._shares.append((now, chosen_share))
-        # The latest sample from before the interval held at its begin, so it stays.
+        # The latest sample from before the interval still held when it began, so it stays.
         while len(self._shares) > 1 and self._shares[1][0] <= now - SETTLE_S:
             self._shares.popleft()
         for name, holder in list(self._holders.items()):
             if now - holder.heard_at > HOLDER_LIFETIME_S:
                 self._remove_holder(name)
-        self._share = min(self._chosen_share, self._attached_share(now))
+        self._share = min(self._chosen_share, self._counted_share(now))
         for bucket in self._buckets.values():
             bucket.tokens = min(bucket.tokens, self._room(bucket))
 
@@ -195,14 +211,14 @@
     def _chosen_share(self) -> float:
         return min(share for _, share in self._shares)
 
-    def _attached_share(self, now: float) -> float:
+    def _counted_share(self, now: float) -> float:
         """Return the share of the rate that dispatchers do not admit by themselves."""
-        alone = sum(
+        in_fallback = sum(
             holder.weight
             for holder in self._holders.values()
             if now < holder.fallback_until or now - holder.heard_at > _SILENT_S
         )
-        return max(0.0, 1.0 - FALLBACK_SHARE * alone)
+        return max(0.0, 1.0 - FALLBACK_SHARE * in_fallback)
 
     def _grant(
         self, bucket: _Bucket, sender: ids.InstanceId, entry: quota_messages.QuotaEntry
@@ -219,12 +235,14 @@
         return quota_messages.QuotaAnswer(entry.account, tokens, wait_s * 1000)
 
     def _wait_s(self, bucket: _Bucket) -> float:
+        """Return the seconds until the bucket has a token."""
         rate = bucket.quota.rate_per_s * self._share
         if rate <= 0 or self._room(bucket) < 1:
             return _ALL_HELD_WAIT_S
         return max(0.0, 1 - bucket.tokens) / rate
 
     def _capacity(self, bucket: _Bucket) -> float:
+        """Return how many tokens may be available or held, by this counter's share."""
         share = self._chosen_share if self._shares else 1.0
         return max(1.0, self._bounds.capacity(bucket.quota) * share)
 
@@ -233,6 +251,7 @@
         return max(0.0, self._capacity(bucket) - sum(bucket.held.values()))
 
     def _refill(self, now: float) -> None:
+        """Add the tokens gained since the last call, or empty all after a standstill."""
         elapsed_s = now - self._refilled_at
         if elapsed_s > _STANDSTILL_S:
             for bucket in self._buckets.values():
--- a/src/carobhook/coordination/quota_reserve.py
+++ b/src/carobhook/coordination/quota_reserve.py
@@ -14,6 +14,7 @@
 # A request to a counter without an answer is given up after this time. Requests are then
 # admitted from a bucket of this instance.
 TIMEOUT_S = 0.3
+# Interval of the requests to a counter for which no slot request waits.
 _INTERVAL_S = 0.2
 # Counters know for longer than this that an instance which they do not hear may admit by itself
 # and hold tokens; see `quota_counter.HOLDER_LIFETIME_S`.
@@ -23,7 +24,9 @@
 _IDLE_S = 5.0
 # An account without requests for this long is forgotten.
 _FORGET_S = 30.0
+# Seconds until the next token that refusals assume while the counter does not answer.
 _FALLBACK_WAIT_S = 0.5
+# Largest time to return that a refusal states.
 _MAX_RETRY_AFTER_S = 5.0
 # Longest wait without tokens that is believed; a counter may state a long one in a split.
 _MAX_WAIT_S = 1.0
@@ -35,7 +38,7 @@
 
     Attributes:
         request_id: Id of the slot request.
-        is_admitted: Whether it may run as far as the quota goes.
+        is_admitted: Whether the quota allows it to run.
         retry_after_s: Seconds after which tokens are expected, if it is refused.
         detail: Values that a refusal was based on, for the log.
     """
@@ -121,8 +124,8 @@
         if account.tokens >= 1:
             account.tokens -= 1
             return self._admit(account, request_id)
-        if self._is_alone(group, now) or account.unknown_since is not None:
-            return self._admit_alone(group, account, request_id, now)
+        if self._is_silent(group, now) or account.unknown_since is not None:
+            return self._admit_fallback(group, account, request_id, now)
         if now < account.refused_until:
             return self._refuse(account, request_id, now, account.refused_until - now)
         account.waiting[request_id] = None
@@ -176,7 +179,7 @@
             # Nothing is to be had from it yet, so there is nothing to wait for.
             since = group.unanswered_since if group.unanswered_since is not None else now
             group.unanswered_since = min(since, now - TIMEOUT_S)
-            return self._decide_alone(group, now)
+            return self._decide_fallback(group, now)
         group.unanswered_since = None
         answers = {entry.account: entry for entry in grant.entries}
         decisions = []
@@ -212,7 +215,7 @@
                 if group.unanswered_since is None:
                     group.unanswered_since = now
                 continue
-            if group.sequence is not None or not (self._weight or group.weight_told):
+            if group.sequence is not None or not (self._weight or group.weight_reported):
                 continue
             if not has_waiting and (is_urgent or now - group.sent_at < _INTERVAL_S):
                 continue
@@ -230,26 +233,28 @@
             if group.sequence is not None and now - group.sent_at >= TIMEOUT_S:
                 self._give_up(group)
             self._drop_old_tokens(group, now)
-            if self._is_alone(group, now):
-                decisions += self._decide_alone(group, now)
+            if self._is_silent(group, now):
+                decisions += self._decide_fallback(group, now)
             for name, account in list(group.accounts.items()):
                 if account.unknown_since is not None:
                     decisions += self._decide_waiting(group, account, now)
                 if now - account.used_at > _IDLE_S:
                     self._return_tokens(account, account.tokens)
-                if now - account.used_at > _FORGET_S and not (account.held or account.told):
+                if now - account.used_at > _FORGET_S and not (account.held or account.reported):
                     del group.accounts[name]
         return decisions
 
     def silent_groups(self, now: float) -> frozenset[int]:
         """Return the groups whose counters do not answer."""
-        return frozenset(n for n in self._active_groups if self._is_alone(self._groups[n], now))
+        return frozenset(
+            n for n in self._active_groups if self._is_silent(self._groups[n], now)
+        )
 
     def _give_up(self, group: quota_tokens.GroupExchange) -> None:
-        """Ignore the answer to the latest request, and tell again what is held."""
+        """Ignore the answer to the latest request, and report anew what is held."""
         group.sequence, group.is_whole = None, True
         for account in group.accounts.values():
-            account.told = -1
+            account.reported = -1
 
     def _build_request(
         self, number: int, group: quota_tokens.GroupExchange, now: float
@@ -261,7 +266,7 @@
             limit = 0 if is_idle else self._bounds.reserve(account.quota, self._weight)
             wanted = max(0, limit - account.tokens)
             account.was_named = bool(
-                urgent or wanted or account.returned or account.held != account.told
+                urgent or wanted or account.returned or account.held != account.reported
             )
             if account.was_named:
                 entries.append(
@@ -269,10 +274,10 @@
                         name, urgent, wanted, account.held, account.returned
                     )
                 )
-                account.told, account.returned = account.held, 0
+                account.reported, account.returned = account.held, 0
         self._sequence += 1
         group.sequence, group.sent_at = self._sequence, now
-        group.weight_told = self._weight
+        group.weight_reported = self._weight
         if group.unanswered_since is None:
             group.unanswered_since = now
         is_whole, group.is_whole = group.is_whole, False
@@ -280,7 +285,7 @@
             number,
             self._sequence,
             self._weight,
-            self._is_alone(group, now),
+            self._is_silent(group, now),
             is_whole,
             tuple(entries),
         )
@@ -292,7 +297,7 @@
         now: float,
     ) -> list[Decision]:
         account.tokens += answer.tokens
-        account.told += answer.tokens
+        account.reported += answer.tokens
         decisions = []
         for request_id in list(account.waiting)[: account.tokens]:
             del account.waiting[request_id]
@@ -325,7 +330,8 @@
         rate = account.quota.rate_per_s * max(self._weight, 1e-3)
         return_at = max(account.next_return_at, now + wait_s) + 1 / rate
         if return_at - now > _MAX_RETRY_AFTER_S:
-            # More were refused than tokens come in this time; begin again from its start.
+            # More callers were refused than tokens come in this time, so the times to return
+            # begin again.
             return_at = now + min(_MAX_RETRY_AFTER_S, wait_s + 1 / rate)
         account.next_return_at = return_at
         detail = (
@@ -334,12 +340,12 @@
         )
         return Decision(request_id, False, return_at - now, detail)
 
-    def _is_alone(self, group: quota_tokens.GroupExchange, now: float) -> bool:
-        """Return whether the counter of a group does not answer."""
+    def _is_silent(self, group: quota_tokens.GroupExchange, now: float) -> bool:
+        """Return whether the counter of a group has not answered for too long."""
         since = group.unanswered_since
         return since is not None and now - since >= TIMEOUT_S
 
-    def _decide_alone(self, group: quota_tokens.GroupExchange, now: float) -> list[Decision]:
+    def _decide_fallback(self, group: quota_tokens.GroupExchange, now: float) -> list[Decision]:
         decisions = []
         for account in group.accounts.values():
             decisions += self._decide_waiting(group, account, now)
@@ -349,16 +355,16 @@
         self, group: quota_tokens.GroupExchange, account: quota_tokens.AccountTokens, now: float
     ) -> list[Decision]:
         waiting, account.waiting = list(account.waiting), {}
-        return [self._admit_alone(group, account, request_id, now) for request_id in waiting]
+        return [self._admit_fallback(group, account, request_id, now) for request_id in waiting]
 
-    def _admit_alone(
+    def _admit_fallback(
         self,
         group: quota_tokens.GroupExchange,
         account: quota_tokens.AccountTokens,
         request_id: ids.RequestId,
         now: float,
     ) -> Decision:
-        """Decide on a request by this instance's own bucket.
+        """Decide on a request by the bucket for the time without an answer.
 
         A counter that has never answered does not know of this instance, and would leave it no
         part of the rate.
