Explain times, bounds and standings in terms of the field

Some docstrings of the connections and of the fair shares had no units, or described a decay, a deviation or a limit in words of their own. ClientRequest said that its time begins with the complete head; it begins when the request is admitted. Only comments, docstrings and one private name change.

--- a/src/carobhook/coordination/fair_share.py
+++ b/src/carobhook/coordination/fair_share.py
@@ -14,7 +14,7 @@
 
 from carobhook.state import allocation, client_accounts, ids
 
-# Time in seconds in which work that was requested or granted loses all but 1/e of its weight.
+# Time constant in seconds of the exponential decay of work that was requested or granted.
 _DECAY_S = 4.0
 # The fair shares are computed at most this often, and less often with many accounts. A decision
 # then takes about the same time however many there are.
@@ -24,9 +24,9 @@
 _SCARCE_SHARE = 0.95
 # Work in slot-seconds below which an account or a route is no longer recent.
 _MIN_WORK_S = 0.001
-# What an account receives varies by chance. It is beyond its fair share if it received as much
-# more as this multiple of the usual deviation. Without it, half of the accounts were beyond at
-# any time, and their urgent requests waited behind the others' less urgent ones.
+# What an account receives varies by chance. It is beyond its fair share if the excess is more
+# than this number of standard deviations. Without this allowance, about half of the accounts
+# are beyond at any time, and their urgent requests wait behind less urgent ones of others.
 _BEYOND_DEVIATIONS = 2.0
 
 _Name = typing.TypeVar("_Name", bound=str)
@@ -52,8 +52,9 @@
     Attributes:
         requested_s: Work that it requested.
         granted_s: Work that it was granted.
-        granted_by_rank: Work that it was granted, by the priority of the requests.
         fair_s: Its fair share at the latest review, infinite while slots are not scarce.
+        granted_by_rank: Work that it was granted, by the priority of the requests.
+        _updated_at: Monotonic time in seconds to which the sums have decayed.
     """
 
     requested_s: float = 0.0
@@ -75,6 +76,7 @@
         granted_s = sum(
             granted_s for rank, granted_s in self.granted_by_rank.items() if rank <= priority
         )
+        # Standard deviation of the decayed sum of a Poisson process with this mean.
         deviation_s = math.sqrt(self.fair_s * work_s / 2)
         return granted_s > self.fair_s + _BEYOND_DEVIATIONS * deviation_s
 
--- a/src/carobhook/coordination/region_shares.py
+++ b/src/carobhook/coordination/region_shares.py
@@ -17,8 +17,8 @@
 _BUCKET_S = _WINDOW_S / _BUCKETS_PER_WINDOW
 # The shares of fewer requests than this in a window vary too much to limit anything by them.
 _MIN_REQUESTS = 20
-# Requests in a window by which those of all growing regions may grow in any case. Few requests
-# vary so much that a share alone would refuse some while other regions are free.
+# Requests in a window by which those of all growing regions may grow in any case. Counts of few
+# requests vary so much that a share alone would refuse some while other regions are free.
 _MIN_GROWTH = 5
 
 
--- a/src/carobhook/coordination/returning_requests.py
+++ b/src/carobhook/coordination/returning_requests.py
@@ -18,13 +18,20 @@
 # The longest time to the target that was seen on a route counts for this long, so that a change
 # of the route's target takes effect.
 _WINDOW_S = 10.0
-# Requests that name their service state their own target, which tells nothing of a first one.
+# The target of a request that names its service is set by its client, so a shorter time to it
+# does not mean that the request was sent before.
 _CALL_PREFIX = "service/"
 
 
 @attrs.define
 class _LongestTime:
-    """Longest time to the target in seconds, in this window and in the previous one."""
+    """Longest time to the target in seconds, in this window and in the previous one.
+
+    Attributes:
+        current_s: Longest time in this window.
+        previous_s: Longest time in the previous window.
+        started_at: Monotonic time in seconds at which this window started.
+    """
 
     current_s: float = 0.0
     previous_s: float = 0.0
--- a/src/carobhook/transport/client_connection.py
+++ b/src/carobhook/transport/client_connection.py
@@ -1,4 +1,4 @@
-"""One connection of a client: requests are read in their order, and answered in it."""
+"""One connection of a client, on which requests are read and answered in the same order."""
 
 import typing
 
@@ -190,7 +190,7 @@
         self._respond(refused, self._listener.refuse(error, self._responses.client))
 
     def _close(self, lingers: bool) -> None:
-        """Close the connection after what was written; what is behind it is not answered.
+        """Close the connection after what was written; later requests are not answered.
 
         Args:
             lingers: Whether to read and drop data for a while before that.
@@ -240,7 +240,7 @@
             self.transport.resumeProducing()
 
     def _update_timer(self) -> None:
-        """Time what the client must do next."""
+        """Start the timer for what the client must do next, or stop it."""
         if self._is_reading_ended:
             return
         awaited, limits = connection_timer.Awaited, self._listener.limits()
--- a/src/carobhook/transport/client_connections.py
+++ b/src/carobhook/transport/client_connections.py
@@ -32,7 +32,7 @@
         head: Request line and headers.
         body: Request body.
         client: Address of the client's host.
-        received_at: Monotonic time in seconds at which the head was complete.
+        received_at: Monotonic time in seconds at which it was admitted with its head complete.
         is_pipelined: Whether it was started before all earlier requests on its connection were
             answered, as only requests that may be repeated are.
     """
--- a/src/carobhook/transport/client_memory.py
+++ b/src/carobhook/transport/client_memory.py
@@ -10,7 +10,11 @@
 
 
 class Bound(enum.Enum):
-    """Limit that a request body does not fit into."""
+    """Limit on the bytes held for clients.
+
+    PROCESS: That for all clients.
+    CLIENT: That for one client address.
+    """
 
     PROCESS = "process"
     CLIENT = "client"
@@ -52,6 +56,10 @@
         """Reserve bytes for a request body; return the limit that forbids it, or None.
 
         A request without a body is never refused, whatever responses hold.
+
+        Args:
+            client: Address of the client.
+            size: Number of bytes.
         """
         if not size:
             return None
@@ -96,6 +104,10 @@
         """Release bytes of a response that were sent, or that are not sent any more.
 
         Nothing is released for a connection that was closed for them, as they count no more.
+
+        Args:
+            holder: Connection of the response.
+            size: Number of bytes.
         """
         if not size or holder not in self._responses:
             return
--- a/src/carobhook/transport/client_responses.py
+++ b/src/carobhook/transport/client_responses.py
@@ -7,7 +7,7 @@
 from carobhook.protocol import http1
 from carobhook.transport import client_memory, paced_writer, response_order
 
-# Seconds in which a client must read one piece of its responses, which is 3 kB/s.
+# Seconds in which a client must read one piece of its responses (64 KB), so at least 3 kB/s.
 STALL_TIMEOUT_S = 20.0
 
 
@@ -109,7 +109,7 @@
             pending.closes = pending.closes or closes
             response = typing.cast(http1.Response, pending.response)
             held, pending.held_bytes = pending.held_bytes, 0
-            self._unhold(held)
+            self._release(held)
             self._writer.write(
                 http1.encode_response(response, pending.has_body, pending.closes)
             )
@@ -131,7 +131,7 @@
         """End all requests whose responses are owed, as if the client had left."""
         for pending in self._order.abandon():
             held, pending.held_bytes = pending.held_bytes, 0
-            self._unhold(held)
+            self._release(held)
             active = pending.active
             self._end_request(pending)
             if active is not None:
@@ -164,7 +164,7 @@
 
     def _record_progress(self, size: int) -> None:
         """Release bytes that the client has read, or that are dropped."""
-        self._unhold(size)
+        self._release(size)
         self._start_stall_timer()
 
     def _on_all_sent(self) -> None:
@@ -194,7 +194,9 @@
         self._on_failed()
 
     def _hold(self, size: int) -> None:
+        """Count bytes of responses as held."""
         self._memory.hold_response(self, self._client, size)
 
-    def _unhold(self, size: int) -> None:
+    def _release(self, size: int) -> None:
+        """Count bytes of responses as held no more."""
         self._memory.release_response(self, size)
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -71,7 +71,7 @@
 # each may use a quarter of the limit; with larger steps, they could exceed it together.
 _LOAN_STEPS_PER_BOUND = 4
 # Share of that limit that dispatchers apply. Requests reach their servers some time after the
-# choice, so that a window of servers is not one of choices.
+# server is chosen, so the servers count them in other windows than the dispatchers do.
 _REGION_CHANGE_SHARE = 0.8
 # Traffic in Mbit/s that one processor core can carry.
 _MBPS_PER_CORE = 100.0
--- a/src/carobhook/transport/paced_writer.py
+++ b/src/carobhook/transport/paced_writer.py
@@ -22,7 +22,7 @@
 
 @zope.interface.implementer(interfaces.IPullProducer)
 class PacedWriter:
-    """Writes to a transport.
+    """Writes to a transport, and reports how much the other end has yet to read.
 
     Small writes go to the transport at once. When what it may hold would exceed a piece, the
     writer registers as a pull producer: the transport then asks for each next piece when it has
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -33,8 +33,8 @@
 # A server stops its work at the deadline that it was sent. After the deadline of work that must
 # not run twice, its result is awaited for this long, for the log and the use of the slot only.
 _LATE_RESULT_WAIT_S = 5.0
-# Largest body of a server's failure response that is kept while the request is sent again. The
-# memory for responses that are being received counts it no more.
+# Largest body in bytes of a server's failure response that is kept while the request is sent
+# again. No limit on memory counts it meanwhile.
 _MAX_KEPT_FAILURE_BYTES = 64 * 1024
 # By these, a server says that it did not run a request.
 _NOT_RUN_OUTCOMES = frozenset(
--- a/src/carobhook/transport/response_order.py
+++ b/src/carobhook/transport/response_order.py
@@ -15,7 +15,7 @@
     Attributes:
         is_repeatable: Whether the request may run more than once.
         body_size: Bytes reserved for the request's body.
-        has_body: Whether the response is sent with its body, as is not so for HEAD.
+        has_body: Whether the response is sent with its body; it is not for HEAD.
         closes: Whether the connection is closed after it.
         lingers: Whether the connection stays open for a while after it, as data is unread.
         active: The request as its handler knows it; None if there is nothing to tell it.
@@ -58,9 +58,9 @@
     def may_start(self, is_repeatable: bool) -> bool:
         """Return whether a further request may start now.
 
-        The response to one ahead may close the connection. The client then takes what is behind
-        it for unread and sends it again, so that only requests that may be repeated start
-        behind others. What runs once comes with no others beside it.
+        An earlier response may close the connection. The client then takes later requests for
+        unread and sends them again, so only requests that may be repeated start while others
+        are in progress. One that must run once starts when no response is owed.
 
         Args:
             is_repeatable: Whether the further request may run more than once.
--- a/src/carobhook/transport/routes_in_force.py
+++ b/src/carobhook/transport/routes_in_force.py
@@ -90,7 +90,7 @@
         """
         matched = match(config, accepted.called or accepted.request.head)
         if matched is not None and accepted.called is not None:
-            # It was no route's request when it was accepted, and is sent as one or not at all.
+            # It had no route when it was accepted; now it is sent by its route or not at all.
             return False
         route = self._route(config, accepted, matched)
         if isinstance(route, refusals.Refusal):
@@ -138,8 +138,8 @@
 def _route_as_accepted(accepted: accepted_requests.AcceptedRequest) -> routing.Route:
     """Return the route of a request that no route of the configuration serves any more.
 
-    That of a request which names its service has no homes of its own, and the rank that the
-    client asked for.
+    The route of a request that names its service has no home regions of its own, and the
+    priority that the client asked for.
     """
     call = client_api.parse_service_call(accepted.called) if accepted.called else None
     if call is None:
