--- a/src/carobhook/cli/measure.py
+++ b/src/carobhook/cli/measure.py
@@ -2,13 +2,18 @@
 
 import json
 import typing
-from collections.abc import Collection
+from collections.abc import Collection, Iterator, Mapping
 from typing import Annotated
 
 import typer
 
 if typing.TYPE_CHECKING:
-    from carobhook.emulator import simulation
+    from carobhook.emulator import model, simulation
+
+_HEADING = (
+    "load  policy                   in time  to ideal  by value  worst kind"
+    "  route  account  refused  refusals  p99 ms"
+)
 
 
 def measure(
@@ -44,31 +49,37 @@
     from carobhook.emulator import model, simulation
 
     if not as_json:
-        typer.echo(
-            "load  policy                   in time  to ideal  by value  worst kind"
-            "  route  account  refused  refusals  p99 ms"
-        )
+        typer.echo(_HEADING)
     for load_level in load:
         if customers:
             scenario = model.customer_scenario(load_level, seed, length_s)
         else:
             scenario = model.Scenario(load_level, seed, servers, slots, instances, length_s)
-        flooding = [account.name for account in scenario.accounts if account.flood_factor > 1]
         outcomes = {
             policy: simulation.simulate_groups(scenario, policy)
             for policy in simulation.POLICIES
         }
-        ideal_in_time = outcomes["ideal"].overall.in_time
-        ideal_value = outcomes["ideal-by-value"].overall.value
-        for policy, outcome in outcomes.items():
-            row = {
-                "load": load_level,
-                "policy": policy,
-                **_figures(outcome, flooding, ideal_in_time, ideal_value),
-            }
+        for row in _rows(scenario, outcomes):
             typer.echo(json.dumps(row) if as_json else _format_row(row))
 
 
+def _rows(
+    scenario: "model.Scenario", outcomes: "Mapping[str, simulation.Outcomes]"
+) -> Iterator[dict[str, typing.Any]]:
+    """Yield one row for each policy.
+
+    Args:
+        scenario: Servers and load.
+        outcomes: Statistics of each policy.
+    """
+    flooding = [account.name for account in scenario.accounts if account.flood_factor > 1]
+    ideal_in_time = outcomes["ideal"].overall.in_time
+    ideal_value = outcomes["ideal-by-value"].overall.value
+    for policy, outcome in outcomes.items():
+        figures = _figures(outcome, flooding, ideal_in_time, ideal_value)
+        yield {"load": scenario.load, "policy": policy, **figures}
+
+
 def _figures(
     outcome: "simulation.Outcomes",
     flooding: Collection[str],
--- a/src/carobhook/soak/run.py
+++ b/src/carobhook/soak/run.py
@@ -175,6 +175,13 @@
             self._deployment.logs(), self._accounts
         )
 
+    def _find_wrong_order(self) -> list[str]:
+        """Return what clients that pipeline got out of order, or that they got nothing."""
+        violations = [line for client in self._pipelining for line in client.violations]
+        if not any(client.answered for client in self._pipelining):
+            violations.append("no pipelined request was answered")
+        return violations
+
     def _attempts(
         self,
     ) -> typing.Iterator[tuple[platform_client.RequestPlan, platform_client.Attempt]]:
@@ -227,9 +234,6 @@
             violations += self._find_wrong_accounts()
         ends = [at for server in self._deployment.servers for at in server.ends]
         violations += checks.find_late_ends(ends)
-        for client in self._pipelining:
-            violations += client.violations
-        if not any(client.answered for client in self._pipelining):
-            violations.append("no pipelined request was answered")
+        violations += self._find_wrong_order()
         violations += checks.check_recovery(served - served_before, sent - sent_before)
         return Verdict(self._seed, tuple(steps), sent, served, tuple(violations))
