--- a/src/carobhook/coordination/quota_reserve.py
+++ b/src/carobhook/coordination/quota_reserve.py
@@ -28,7 +28,7 @@
 _FALLBACK_WAIT_S = 0.5
 # Largest time to return that a refusal states.
 _MAX_RETRY_AFTER_S = 5.0
-# Longest wait without tokens that is believed; a counter may state a long one in a split.
+# Longest wait without tokens that is believed; a counter may state a long one in a partition.
 _MAX_WAIT_S = 1.0
 
 
