Write out the fields of unknown routes and keys again

tests/test_outer_interface.py reads the names of log fields from the calls of logs.event, so that they must stand there. Building them once hid them from this check. This restores the two calls as they were.

--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -175,17 +175,28 @@
         if config is None:
             return
         now, evidence = self._reactor.seconds(), self._context.config_evidence()
-        lookup = {
-            "request": request_id,
-            "config": f"{config.version:08x}",
-            "config_age_ms": _elapsed_ms(evidence.at, now) if evidence is not None else None,
-            "config_source": evidence.source if evidence is not None else None,
-            "read_ms": _elapsed_ms(request.received_at, now),
-        }
+        version = f"{config.version:08x}"
+        age_ms = _elapsed_ms(evidence.at, now) if evidence is not None else None
+        source = evidence.source if evidence is not None else None
+        read_ms = _elapsed_ms(request.received_at, now)
         if refusal.code in _CODES_OF_UNKNOWN_ROUTES:
-            logs.event("route-unknown", **lookup)
+            logs.event(
+                "route-unknown",
+                request=request_id,
+                config=version,
+                config_age_ms=age_ms,
+                config_source=source,
+                read_ms=read_ms,
+            )
         elif refusal.code in _CODES_OF_UNKNOWN_KEYS:
-            logs.event("key-unknown", **lookup)
+            logs.event(
+                "key-unknown",
+                request=request_id,
+                config=version,
+                config_age_ms=age_ms,
+                config_source=source,
+                read_ms=read_ms,
+            )
             number = str(refusal.code.number)
             self._context.metrics.count(entry_metrics.EntryMetric.KEYS_REFUSED, number)
 
