Bound the ranks that fair shares count, and mend a stale silence of a counter

An instance whose last message as a dispatcher got no answer took the counter for silent for good, and refused its first requests when it dispatched again. Change: ranks above 15 count as one, and below 0 as 0; without dispatchers no answer is awaited.

--- a/src/carobhook/coordination/fair_share.py
+++ b/src/carobhook/coordination/fair_share.py
@@ -28,6 +28,9 @@
 # than this number of standard deviations. Without this allowance, about half of the accounts
 # are beyond at any time, and their urgent requests wait behind less urgent ones of others.
 _BEYOND_DEVIATIONS = 2.0
+# Less urgent ranks are counted as this one: a client may state any rank, and the sums of each
+# must not grow with them.
+_MAX_RANK = 15
 
 _Name = typing.TypeVar("_Name", bound=str)
 
@@ -74,7 +77,9 @@
             work_s: Work of one request in slot-seconds.
         """
         granted_s = sum(
-            granted_s for rank, granted_s in self.granted_by_rank.items() if rank <= priority
+            granted_s
+            for rank, granted_s in self.granted_by_rank.items()
+            if rank <= max(0, priority)
         )
         # Standard deviation of the decayed sum of a Poisson process with this mean.
         deviation_s = math.sqrt(self.fair_s * work_s / 2)
@@ -152,8 +157,9 @@
         for usage in self._usages(request):
             usage.decay(now)
             usage.granted_s += work_s
+            rank = max(0, min(request.priority, _MAX_RANK))
             by_rank = usage.granted_by_rank
-            by_rank[request.priority] = by_rank.get(request.priority, 0.0) + work_s
+            by_rank[rank] = by_rank.get(rank, 0.0) + work_s
 
     def standing(self, request: allocation.SlotRequest, work_s: float, now: float) -> Standing:
         """Return the place of a new request before its rank.
--- a/src/carobhook/coordination/quota_reserve.py
+++ b/src/carobhook/coordination/quota_reserve.py
@@ -222,7 +222,11 @@
                 if group.unanswered_since is None:
                     group.unanswered_since = now
                 continue
-            if group.sequence is not None or not (self._weight or group.weight_reported):
+            if group.sequence is not None:
+                continue
+            if not self._weight and not group.weight_reported:
+                # Without dispatchers, this instance waits for no answer.
+                group.unanswered_since = None
                 continue
             if not has_waiting and (is_urgent or now - group.sent_at < _INTERVAL_S):
                 continue
--- a/tests/test_fair_share.py
+++ b/tests/test_fair_share.py
@@ -195,6 +195,13 @@
         shares.standing(account_request("a"), 0.1, 1200.0)
         assert shares.tracked == 0
 
+    def test_ranks_that_clients_state_are_bounded(self):
+        """Guards against sums that grow with each rank that a client makes up."""
+        shares = fair_share.FairShares(lambda name: None, 0.25)
+        for number in range(500):
+            shares.record_grant(make_request(number, priority=number - 100), 0.1, 0.0)
+        assert len(shares._total.granted_by_rank) <= 16
+
     def test_accounts_are_reviewed_at_intervals(self):
         """Guards against decisions whose time grows with the number of accounts."""
         looked_up = []
