Let quotas need fewer messages, and fewer requests wait for a counter

Change: 2 groups; reserves are a part of all tokens that may be held, which the sum already counts, in place of a part of the allowance alone.

--- a/src/carobhook/coordination/quota_counter.py
+++ b/src/carobhook/coordination/quota_counter.py
@@ -14,14 +14,16 @@
 from carobhook.state import client_accounts, ids
 
 # Number of groups of accounts, each with a counter of its own. All instances must use the same.
-GROUPS = 8
+# More groups would share the work among more instances, and need as many times the messages.
+GROUPS = 2
 # Part of the rate that dispatchers without an answer admit by themselves, all together.
 FALLBACK_SHARE = 0.5
-# Parts of the allowance beyond the quota: tokens that may be available or held at a time, and
-# those of them that may be in reserves. The rest covers the time in which a counter does not
-# know yet that a dispatcher admits by itself.
+# Part of the allowance beyond the quota for the tokens available or held at a time. The rest
+# covers the time in which a counter does not know that a dispatcher admits by itself.
 _CAPACITY_SHARE = 0.7
-_RESERVE_SHARE = 0.5
+# Part of the tokens available or held at a time that may be in reserves. The rest is left to
+# dispatchers that need more than their part.
+_RESERVE_SHARE = 0.6
 # Instances learn of a partition or of its end at most this long after one another. A new
 # counter grants nothing for this time, and one that more instances choose uses no more than
 # before.
@@ -65,7 +67,7 @@
             quota: Quota of the account.
             weight: Share of all dispatchers that run at the instance.
         """
-        return max(1, math.floor(_RESERVE_SHARE * self._allowance(quota) * weight))
+        return max(1, math.floor(_RESERVE_SHARE * self.capacity(quota) * weight))
 
     def _allowance(self, quota: client_accounts.Quota) -> float:
         return self.over * (quota.rate_per_s * self.window_s + quota.burst) + self.slack
