Keep no sums of fair shares where nobody asks for them

Cause: each request decayed and added sums for its route, and a review ran ten times a second, in deployments without accounts or a minimum share, whose order they can't change. Change: the sums are kept only while a share is asked for; the texts say what is so.

--- a/src/carobhook/coordination/fair_share.py
+++ b/src/carobhook/coordination/fair_share.py
@@ -133,15 +133,15 @@
     def record_request(
         self, request: allocation.SlotRequest, work_s: float, now: float
     ) -> None:
-        """Add the expected work of a request that can be in time, and comes for the first time.
-
-        Repeated requests would raise the share that a route or account seems to lack.
+        """Add the expected work of a request that can be in time.
 
         Args:
             request: The request.
             work_s: Its expected work in slot-seconds.
             now: Monotonic time in seconds.
         """
+        if not self.is_active:
+            return
         for usage in self._usages(request):
             usage.decay(now)
             usage.requested_s += work_s
@@ -154,6 +154,8 @@
             work_s: Its expected work in slot-seconds, as it was recorded for the request.
             now: Monotonic time in seconds.
         """
+        if not self.is_active:
+            return
         for usage in self._usages(request):
             usage.decay(now)
             usage.granted_s += work_s
@@ -169,7 +171,7 @@
             work_s: Its expected work in slot-seconds.
             now: Monotonic time in seconds.
         """
-        if not self.are_slots_scarce(now):
+        if not self.is_active or not self.are_slots_scarce(now):
             return Standing.USUAL
         account = self._account_usage(request)
         if account is not None:
--- a/src/carobhook/entry_settings.py
+++ b/src/carobhook/entry_settings.py
@@ -217,7 +217,7 @@
 
     @property
     def quota_window_s(self) -> float:
-        """Return the window of the quotas in seconds, 0 if it is not set."""
+        """Return the window of the quotas in seconds."""
         return durations.parse_seconds(self.quota_window)
 
     @property
