--- a/review/9/case.py
+++ b/review/9/case.py
@@ -1,4 +1,4 @@
-"""BUDGET: a request that crashes its upstreams is let through again after all processes were killed."""
+"""LOST: pipelined requests that were passed on get no answer when the machine gets SIGTERM."""
 
 import asyncio
 import pathlib
@@ -10,101 +10,76 @@
 sys.path.insert(0, str(FOLDER.parent / "tools2"))
 import harness2 as h
 
-# Answers to calls with StaleOk are this old (tarnok-fuvos names x = 5.5 for stale reads).
-STALE_S = 5.0
-STABLE_WINDOW_S = 3.0
-CALLER = "127.0.3.7"
-BODY = b"the same body each time"
+# Requests that each client sends before the first of them is answered.
+DEPTH = 4
+CLIENTS = 3
 
 
-class Poison:
-    """Upstreams that end when they begin to run the request, and are back after 3 s."""
+async def client(d, instance, number, results) -> None:
+    """Send four requests on one connection, read four answers, again and again.
 
-    def __init__(self, d) -> None:
-        self.d = d
-        self.crashes: list[tuple[float, str]] = []
-        self.starts = 0
-
-    def arm(self, upstream) -> None:
-        def on_run(request) -> None:
-            if request.target == "/pay/bad":
-                self.d.spawn(self.crash(upstream, request.get("x-attempt-id")))
-
-        upstream.on_run = on_run
-
-    async def crash(self, upstream, attempt: str) -> None:
-        await asyncio.sleep(0.02)
-        if not upstream.is_up:
-            return
-        self.crashes.append((time.monotonic(), attempt))
-        self.d.record(f"{upstream.name} is crashed by {attempt}")
-        host, port = h.split_address(upstream.address)
-        upstream.crash()
-        await asyncio.sleep(3.0)
-        # The next incarnation has a new id; the entry of the old one is gone by now.
-        self.d.store.remove("servers", upstream.name)
-        self.starts += 1
-        upstream.name = f"{upstream.name.split('.')[0]}.{self.starts}"
-        upstream.born, upstream.sequence = int(time.time() * 1000), 0
-        await upstream.start(host, port)
-
-
-async def send(d, instance, attempt: str, sent: list) -> h.Answer:
-    sent.append((time.monotonic(), attempt))
-    data = h.request_bytes("POST", "/pay/bad", attempt, 2500, BODY)
-    answer = await h.one_request(instance.front, data, 3.0, CALLER)
-    code = answer.headers.get("carobhook-code", "")
-    d.record(f"{attempt} at {instance.name}: {answer.status} {code} {answer.note}")
-    return answer
+    Between two rounds there is a short pause. After an answer with Connection: close, or after
+    the connection has ended, no more is sent.
+    """
+    local = f"127.0.1.{number + 1}"
+    reader, writer = await h.connect(instance.front, local)
+    ends_at = time.monotonic() + 6.0
+    sent_rounds = 0
+    while time.monotonic() < ends_at and sent_rounds < 20:
+        attempts = [f"c{number}-r{sent_rounds}-{i}" for i in range(DEPTH)]
+        sent_rounds += 1
+        sent_at = time.monotonic()
+        data = b"".join(h.request_bytes("GET", "/read/x", a, 5000) for a in attempts)
+        writer.write(data)
+        d.record(f"client {number} sends {' '.join(attempts)} on one connection")
+        closes = False
+        for attempt in attempts:
+            try:
+                answer = await asyncio.wait_for(h.read_answer(reader), 5.5)
+            except asyncio.TimeoutError:
+                answer = h.Answer(0, {}, b"", False, "no answer within the time limit")
+            d.record(f"client {number} gets for {attempt}: {answer.status} {answer.note}")
+            results.append((sent_at, attempt, answer))
+            if answer.status == 0:
+                closes = True
+                continue
+            if answer.headers.get("connection", "").lower() == "close":
+                closes = True
+        if closes:
+            break
+        await asyncio.sleep(0.3)
+    writer.close()
 
 
 async def case(d):
-    ups = [d.upstream(f"i-{n}", "eloleg", "pannon-a", 6) for n in range(12)]
-    poison = Poison(d)
-    for upstream in ups:
-        poison.arm(upstream)
-    d.store.stale_s = STALE_S
-    d.store.logged_kinds.add("quarantine")
-    for n in range(1, 5):
-        d.add(f"front-pannon-a-{n}", f"127.0.0.{10 + n}", "pannon-a", "pannon")
-    routes = [h.route("r-pay", "/pay/", "unsafe", "eloleg", 2500, 800)]
-    await d.start(h.config(routes, ["eloleg"]), {"pannon-a": "pannon"})
-    i, sent = d.instances, []
-    # The request comes twice at once, and once more; then three upstreams have ended.
-    await asyncio.gather(send(d, i[0], "p-0a", sent), send(d, i[1], "p-0b", sent))
-    await asyncio.sleep(0.5)
-    await send(d, i[2], "p-1", sent)
-    ends_at = time.monotonic() + 3
-    while len(d.store.objects.get("quarantine", {})) < 3 and time.monotonic() < ends_at:
+    zones = {"north-a": "north"}
+    up = [d.upstream(f"i-{n}", "reads", "north-a", 9) for n in range(3)]
+    for upstream in up:
+        upstream.work_s = 0.4
+    instance = d.add("front-north-a-1", "127.0.0.11", "north-a", "north")
+    d.add("front-north-a-2", "127.0.0.12", "north-a", "north")
+    spec = h.config([h.route("r-read", "/read/", "safe", "reads", 4000, 800)], ["reads"])
+    await d.start(spec, zones)
+    results = []
+    clients = [d.spawn(client(d, instance, n, results)) for n in range(CLIENTS)]
+    await asyncio.sleep(3.0)
+    # In the middle of the work on a round: all four requests of a client run.
+    while sum(u.running for u in up) < DEPTH:
         await asyncio.sleep(0.01)
-    if len(poison.crashes) != 3 or len(d.store.objects.get("quarantine", {})) < 3:
-        raise h.CannotRun(f"{len(poison.crashes)} crashes, {len(d.store.objects.get('quarantine', {}))} marks")
-    third_at = poison.crashes[2][0]
+    await asyncio.sleep(0.1)
+    term_at = time.monotonic()
     if h.TROUBLE:
-        for instance in i:
-            instance.signal(signal.SIGKILL)
-        for instance in i:
-            instance.process.wait()
-        await asyncio.sleep(0.3)
-        for instance in i:
-            instance.start()
-        for instance in i:
-            await instance.wait_ready()
-    in_touch_at = time.monotonic() + STABLE_WINDOW_S
-    d.record(f"all machines are in touch from {STABLE_WINDOW_S} s on")
-    await asyncio.sleep(STABLE_WINDOW_S + 0.5)
-    # It comes again, at any machine, twice at once each second.
-    for n in range(5):
-        a, b = i[n % 4], i[(n + 1) % 4]
-        await asyncio.gather(send(d, a, f"p-{n + 2}a", sent), send(d, b, f"p-{n + 2}b", sent))
-        await asyncio.sleep(0.7)
-    ran = {attempt for u in ups for _, attempt, _ in u.ran}
-    late = [a for at, a in sent if at > max(third_at + STABLE_WINDOW_S, in_touch_at) and a in ran]
+        instance.signal(signal.SIGTERM)
+    await asyncio.gather(*clients)
+    ran = {attempt for u in up for _, attempt, _ in u.ran}
+    lost = [(a, ans) for _, a, ans in results if not ans.whole and a in ran]
     d.record.say(
-        f"{len(poison.crashes)} upstreams crashed in all; {len(late)} retries that were sent by machines in "
-        f"touch over {STABLE_WINDOW_S} s after the third crash reached upstreams: {late}"
+        f"{len(results)} requests sent, {sum(a.whole for _, _, a in results)} answered whole, "
+        f"{len(lost)} passed on and not answered"
     )
-    return [f"{len(late)} retries reached upstreams, more than three"] if len(late) > 3 else []
+    if not any(at <= term_at for at, _, _ in results):
+        raise h.CannotRun("no request was sent before the SIGTERM")
+    return [f"{a} ran at an upstream and its connection ended without an answer: {ans.note}" for a, ans in lost]
 
 
 h.run_case(FOLDER, case)
