--- a/review/tools2/harness2.py
+++ b/review/tools2/harness2.py
@@ -43,7 +43,8 @@
 
     def say(self, text: str) -> None:
         self(text)
-        print(text, flush=True)
+        with contextlib.suppress(OSError):
+            print(text, flush=True)
 
 
 # HTTP.
@@ -721,6 +722,8 @@
     async def main() -> int:
         deployment = Deployment(folder)
         deployment.record(f"TROUBLE={int(TROUBLE)}")
+        own = asyncio.current_task()
+        asyncio.get_running_loop().add_signal_handler(signal.SIGTERM, own.cancel)
         try:
             broken = await asyncio.wait_for(case(deployment), 115)
         except CannotRun as error:
@@ -729,7 +732,10 @@
         except asyncio.TimeoutError:
             deployment.record.say("the case could not run: it took too long")
             return 2
-        except OSError as error:
+        except asyncio.CancelledError:
+            deployment.record.say("the case could not run: it was stopped")
+            return 2
+        except Exception as error:
             deployment.record.say(f"the case could not run: {error!r}")
             return 2
         finally:
