Log why a connection ended before its requests were answered

requests-abandoned names the reason, how many requests were owed a response, and how many of these were ready.

--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -75,6 +75,11 @@
     CONNECTIONS_FULL = EventInfo(
         "connections-full", "A caller's connection was closed, as there are too many."
     )
+    REQUESTS_ABANDONED = EventInfo(
+        "requests-abandoned",
+        "A client's connection ended before its requests were answered; why, how many there "
+        "were, and how many responses were ready.",
+    )
     BODY_REFUSED = EventInfo(
         "body-refused",
         "A request body was not read, as it does not fit into a bound on memory for clients.",
--- a/src/carobhook/transport/client_connection.py
+++ b/src/carobhook/transport/client_connection.py
@@ -48,6 +48,7 @@
         self._is_reading_ended = False
         self._is_reading_paused = False
         self._later_call: typing.Any = None
+        self._lost_reason = client_responses.EndReason.CLIENT_LEFT
 
     @property
     def is_idle(self) -> bool:
@@ -69,7 +70,7 @@
     def connectionLost(self, reason: typing.Any = protocol.connectionDone) -> None:
         """Remove the connection, and report the disconnect to its active requests."""
         self._listener.remove_connection(self)
-        self._end_requests()
+        self._end_requests(self._lost_reason)
         self._responses.stop()
 
     def dataReceived(self, data: bytes) -> None:
@@ -79,7 +80,8 @@
             self._advance()
 
     def abort(self) -> None:
-        """Close the connection at once."""
+        """Close the connection at once, as the instance ends."""
+        self._lost_reason = client_responses.EndReason.INSTANCE_ENDS
         self._is_reading_ended = True
         self._timer.stop()
         self.transport.abortConnection()
@@ -195,7 +197,7 @@
         Args:
             lingers: Whether to read and drop data for a while before that.
         """
-        self._end_requests()
+        self._end_requests(client_responses.EndReason.RESPONSE_CLOSES)
         if not lingers:
             self._responses.close()
             return
@@ -208,18 +210,22 @@
         self._later_call = None
         self._responses.close()
 
-    def _end_requests(self) -> None:
-        """Read no more, and end the requests in progress as if the client had left."""
+    def _end_requests(self, reason: client_responses.EndReason) -> None:
+        """Read no more, and end the requests in progress as if the client had left.
+
+        Args:
+            reason: Why the connection ends.
+        """
         self._is_reading_ended = True
         self._timer.stop()
         later_call, self._later_call = self._later_call, None
         if later_call is not None:
             later_call.cancel()
         self._reader.discard()
-        self._responses.abandon()
+        self._responses.abandon(reason)
 
-    def _end_at_once(self) -> None:
-        self._end_requests()
+    def _end_at_once(self, reason: client_responses.EndReason) -> None:
+        self._end_requests(reason)
         self._responses.stop()
         self.transport.abortConnection()
 
--- a/src/carobhook/transport/client_responses.py
+++ b/src/carobhook/transport/client_responses.py
@@ -1,5 +1,6 @@
 """Responses that a client's connection owes, and the memory held for its client."""
 
+import enum
 import typing
 from collections.abc import Callable
 
@@ -11,6 +12,23 @@
 STALL_TIMEOUT_S = 20.0
 
 
+class EndReason(enum.Enum):
+    """Why a connection ends.
+
+    CLIENT_LEFT: Its other end closed it, or it broke.
+    CLIENT_STALLED: The client did not read its responses in time.
+    MEMORY_BOUND: The responses that wait for the client exceed a limit on memory.
+    RESPONSE_CLOSES: A response that closes the connection was written.
+    INSTANCE_ENDS: The instance ends.
+    """
+
+    CLIENT_LEFT = "client-left"
+    CLIENT_STALLED = "client-stalled"
+    MEMORY_BOUND = "memory-bound"
+    RESPONSE_CLOSES = "response-closes"
+    INSTANCE_ENDS = "instance-ends"
+
+
 class ClientResponses:
     """Writes responses in order, and counts what is held for the client until then.
 
@@ -21,8 +39,7 @@
         memory: Memory that all connections share.
         max_started: Largest number of requests that are handled at a time.
         on_drained: Called when the client has read what had to wait.
-        on_failed: Called when the connection must be closed at once, as the client does not
-            read or a limit on memory is exceeded.
+        on_failed: Called with the reason when the connection must be closed at once.
     """
 
     def __init__(
@@ -31,7 +48,7 @@
         memory: client_memory.ClientMemory,
         max_started: int,
         on_drained: Callable[[], object],
-        on_failed: Callable[[], object],
+        on_failed: Callable[[EndReason], object],
     ) -> None:
         self._reactor = reactor
         self._memory = memory
@@ -127,9 +144,22 @@
         if not self._writer.is_blocked:
             self._lose_connection()
 
-    def abandon(self) -> None:
-        """End all requests whose responses are owed, as if the client had left."""
-        for pending in self._order.abandon():
+    def abandon(self, reason: EndReason) -> None:
+        """End all requests whose responses are owed, as if the client had left.
+
+        Args:
+            reason: Why the connection ends.
+        """
+        abandoned = self._order.abandon()
+        if abandoned:
+            logs.event(
+                "requests-abandoned",
+                client=self._client,
+                reason=reason,
+                requests=len(abandoned),
+                ready=sum(pending.response is not None for pending in abandoned),
+            )
+        for pending in abandoned:
             held, pending.held_bytes = pending.held_bytes, 0
             self._release(held)
             active = pending.active
@@ -145,7 +175,7 @@
     def drop_responses(self, bound: client_memory.Bound) -> None:
         """Close the connection, as its responses exceed a limit on memory."""
         logs.event("responses-dropped", client=self._client, bound=bound.value)
-        self._on_failed()
+        self._on_failed(EndReason.MEMORY_BOUND)
 
     def _end_request(self, pending: response_order.PendingResponse) -> None:
         """Release the memory of a body, at once or when the work for the request ends."""
@@ -191,7 +221,7 @@
     def _on_stalled(self) -> None:
         self._stall_call = None
         logs.event("client-stalled", client=self._client)
-        self._on_failed()
+        self._on_failed(EndReason.CLIENT_STALLED)
 
     def _hold(self, size: int) -> None:
         """Count bytes of responses as held."""
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -240,6 +240,31 @@
         assert connection.transport.value().endswith(b"HTTP/1.1 100 Continue\r\n\r\n")
 
 
+class TestAbandonedRequests:
+    """What the log says of requests that end before they are answered."""
+
+    def test_reason_tells_the_client_from_the_instance(self, caplog):
+        """Each of them was logged as a request whose client had left."""
+        caplog.set_level("INFO", "carobhook")
+        bench = Bench()
+        left, aborted = bench.connect(), bench.connect()
+        for connection in (left, aborted):
+            connection.dataReceived(get("/1") + get("/2"))
+        bench.started[1].answer(b"two")
+        left.connectionLost()
+        bench.listener.abort()
+        aborted.connectionLost()
+        told = [
+            (fields["reason"].value, fields["requests"], fields["ready"])
+            for fields in (
+                record.fields
+                for record in caplog.records
+                if record.event == "requests-abandoned"
+            )
+        ]
+        assert told == [("client-left", 2, 1), ("instance-ends", 2, 0)]
+
+
 class TestBoundsOnBodies:
     """Memory for request bodies."""
 
