Answer pipelined requests that were started when the instance leaves

Cause: from the stop on, the listener's closes_after_response went with each response that was written, so the first one said Connection: close and _close ended what was started behind it as if the client had left.

Change: the order of responses decides. Only the last response that is owed closes the connection (ResponseOrder.pop_ready), whoever asks for the close, so no caller can close one with started requests behind it. While the instance leaves, nothing starts behind requests in progress; unread heads, bodies on their way and expected interim responses are left to the client.

On the way there: a connection that closes while its client has sent more is reset by the unread bytes, which takes answers that the client has not read yet. Any connection on which more may be unread now stays open for a second after its last byte was handed over, where it was a second after the response was written; that holds for idle ones that a stop closes, too.

--- a/src/carobhook/transport/client_connection.py
+++ b/src/carobhook/transport/client_connection.py
@@ -19,8 +19,9 @@
 # Reading from a client pauses when its buffered pipelined requests exceed this size. Otherwise,
 # the buffer would grow as fast as the client sends.
 _MAX_PIPELINED_BYTES = 64 * 1024
-# Delay before a connection is closed after an error response. Closing a connection that has
-# unread data resets it, and a client that has not read the response yet then never gets it.
+# A connection on which the client may have sent more is closed this long after the last
+# response, and what arrives meanwhile is dropped. Closing a connection that has unread data
+# resets it, and a client that has not read the responses yet then never gets them.
 _LINGER_S = 1.0
 
 
@@ -47,6 +48,7 @@
         self._timer = connection_timer.ConnectionTimer(listener.reactor, self._on_timeout)
         self._is_reading_ended = False
         self._is_reading_paused = False
+        self._is_pipelining = False
         self._later_call: typing.Any = None
         self._lost_reason = client_responses.EndReason.CLIENT_LEFT
 
@@ -89,7 +91,17 @@
     def close_if_idle(self) -> None:
         """Close the connection if no request is being read or handled."""
         if self.is_idle:
-            self._responses.close()
+            self._close(self._may_have_more)
+
+    @property
+    def _may_have_more(self) -> bool:
+        """Return whether the client may have sent more than what was read."""
+        return (
+            self._is_pipelining
+            or self._is_reading_paused
+            or self._responses.is_blocked
+            or not self._reader.is_empty
+        )
 
     def _advance(self) -> None:
         """Read and start the requests that may start now."""
@@ -129,7 +141,7 @@
             return False
         if self._responses.is_empty:
             return True
-        return not self._listener.closes_after_response and self._responses.may_start(
+        return not self._listener.closes_when_answered and self._responses.may_start(
             self._listener.is_repeatable(head)
         )
 
@@ -137,6 +149,7 @@
         """Pass a complete request to the handler."""
         head = received.head
         is_pipelined = not self._responses.is_empty
+        self._is_pipelining = self._is_pipelining or is_pipelined
         pending = response_order.PendingResponse(
             is_repeatable=self._listener.is_repeatable(head),
             body_size=received.reserved_bytes,
@@ -167,11 +180,11 @@
     def _write_ready(self) -> None:
         """Write the responses that wait for no others."""
         while True:
-            written = self._responses.write_next(self._listener.closes_after_response)
+            written = self._responses.write_next(self._listener.closes_when_answered)
             if written is None:
                 break
             if written.closes:
-                self._close(written.lingers or not self._reader.is_empty)
+                self._close(written.lingers or self._may_have_more)
                 return
         self._update_timer()
         self._update_reading()
@@ -192,23 +205,17 @@
         self._respond(refused, self._listener.refuse(error, self._responses.client))
 
     def _close(self, lingers: bool) -> None:
-        """Close the connection after what was written; later requests are not answered.
+        """Close the connection after what was written; no request is read any more.
 
         Args:
-            lingers: Whether to read and drop data for a while before that.
+            lingers: Whether the client may have sent more, which is read and dropped for a
+                while before that.
         """
         self._end_requests(client_responses.EndReason.RESPONSE_CLOSES)
-        if not lingers:
-            self._responses.close()
-            return
-        if self._is_reading_paused:
+        if lingers and self._is_reading_paused:
             self._is_reading_paused = False
             self.transport.resumeProducing()
-        self._later_call = self._reactor.callLater(_LINGER_S, self._close_later)
-
-    def _close_later(self) -> None:
-        self._later_call = None
-        self._responses.close()
+        self._responses.close(_LINGER_S if lingers else 0.0)
 
     def _end_requests(self, reason: client_responses.EndReason) -> None:
         """Read no more, and end the requests in progress as if the client had left.
--- a/src/carobhook/transport/client_connections.py
+++ b/src/carobhook/transport/client_connections.py
@@ -93,7 +93,8 @@
         memory: Memory for request bodies and for responses that were not sent yet.
         is_repeatable: Returns whether a request may run more than once. Only such requests
             start while others on their connection are in progress.
-        closes_after_response: Whether connections are closed after their next response.
+        closes_when_answered: Whether no further requests start on connections with requests in
+            progress, and the last response that these owe closes them.
         body_timeout_s: Maximum number of seconds from the head of a request to its end.
         max_started: Maximum number of requests in progress on a connection.
         on_body_refused: Called with the limit when a body was refused for lack of memory.
@@ -114,7 +115,7 @@
         self.reactor = reactor
         self.handler = handler
         self.limits = limits
-        self.closes_after_response = False
+        self.closes_when_answered = False
         if isinstance(memory, int):
             memory = client_memory.ClientMemory(memory, memory)
         self.memory = memory
--- a/src/carobhook/transport/client_responses.py
+++ b/src/carobhook/transport/client_responses.py
@@ -61,6 +61,8 @@
         )
         self._transport: typing.Any = None
         self._is_closing = False
+        self._linger_s = 0.0
+        self._close_call: typing.Any = None
         self._stall_call: typing.Any = None
 
     @property
@@ -115,15 +117,15 @@
         self._hold(pending.held_bytes)
         return False
 
-    def write_next(self, closes: bool) -> response_order.PendingResponse | None:
+    def write_next(self, closes_last: bool) -> response_order.PendingResponse | None:
         """Write the first response that is owed; return None if it is not there yet.
 
         Args:
-            closes: Whether the connection is closed after it whatever its request says.
+            closes_last: Whether the last one that is owed closes the connection, whatever its
+                request says.
         """
-        pending = self._order.pop_ready()
+        pending = self._order.pop_ready(closes_last)
         if pending is not None:
-            pending.closes = pending.closes or closes
             response = typing.cast(http1.Response, pending.response)
             held, pending.held_bytes = pending.held_bytes, 0
             self._release(held)
@@ -136,11 +138,16 @@
         """Write an interim response."""
         self._writer.write(data)
 
-    def close(self) -> None:
-        """Close the connection when the client has read what was written."""
+    def close(self, linger_s: float = 0.0) -> None:
+        """Close the connection when the client has read what was written.
+
+        Args:
+            linger_s: Seconds for which it stays open after that.
+        """
         if self._is_closing:
             return
         self._is_closing = True
+        self._linger_s = linger_s
         if not self._writer.is_blocked:
             self._lose_connection()
 
@@ -171,6 +178,9 @@
         """Drop what the client has not read, as the connection ends."""
         self._writer.stop()
         self._stop_stall_timer()
+        call, self._close_call = self._close_call, None
+        if call is not None:
+            call.cancel()
 
     def drop_responses(self, bound: client_memory.Bound) -> None:
         """Close the connection, as its responses exceed a limit on memory."""
@@ -207,6 +217,13 @@
     def _lose_connection(self) -> None:
         """Close the connection; at once, if the client does not read the rest in time."""
         self._start_stall_timer()
+        if self._linger_s:
+            self._close_call = self._reactor.callLater(self._linger_s, self._close_now)
+        else:
+            self._transport.loseConnection()
+
+    def _close_now(self) -> None:
+        self._close_call = None
         self._transport.loseConnection()
 
     def _start_stall_timer(self) -> None:
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -453,7 +453,7 @@
         refuse_waiting_at = deadline_at - _REFUSE_WAITING_S
         logs.event("instance-leaving", requests=self._requests.in_flight)
         self._phase = members.Phase.LEAVING
-        self._request_listener.closes_after_response = True
+        self._request_listener.closes_when_answered = True
         self._supervisor.run("heartbeat", self._heartbeat)
         self._supervisor.run("members", self._allocator.update_owners)
         await self._wait_until(started_at + min(_ACCEPT_S, grace_s * _ACCEPT_RATIO))
--- a/src/carobhook/transport/response_order.py
+++ b/src/carobhook/transport/response_order.py
@@ -77,12 +77,20 @@
         """Add a response that is owed after all others."""
         self._pending.append(pending)
 
-    def pop_ready(self) -> PendingResponse | None:
-        """Remove and return the first response, None if it is not there yet."""
+    def pop_ready(self, closes_last: bool) -> PendingResponse | None:
+        """Remove and return the first response, None if it is not there yet.
+
+        A response closes the connection only if no other is owed: the requests of those were
+        passed on, and their clients would have to send them again.
+
+        Args:
+            closes_last: Whether the last response that is owed closes the connection.
+        """
         if not self._pending or self._pending[0].response is None:
             return None
         first = self._pending.popleft()
         first.is_ended = True
+        first.closes = not self._pending and (first.closes or closes_last)
         return first
 
     def abandon(self) -> list[PendingResponse]:
--- a/tests/test_late_stop.py
+++ b/tests/test_late_stop.py
@@ -153,3 +153,35 @@
         await running
 
         assert open_connections == 0
+
+
+class TestPipelinedRequests(StopCase):
+    """Requests that servers ran got no answer, as the first response closed the connection."""
+
+    async def send_slow(self, *works_s):
+        """Send requests of some work times on one connection; return its client.
+
+        All of them run when it returns.
+        """
+        await self.join()
+        creator = protocol.ClientCreator(reactor, test_entry.RawClient)
+        client = await creator.connectTCP("127.0.0.1", self.instance_ports["one"]["http"])
+        head = f"GET /a/x HTTP/1.1\r\nHost: {test_entry.HOST}\r\nX-Deadline-Ms: 5000\r\n"
+        for number, work_s in enumerate(works_s):
+            self.set_behaviour(work_s=work_s)
+            client.transport.write(f"{head}X-Attempt-Id: r{number}\r\n\r\n".encode())
+            expected = [f"r{n}" for n in range(number + 1)]
+            await self.wait_until(lambda ids=expected: self.started_ids == ids)
+        return client
+
+    def answers(self, client):
+        """Return the status of each response, and whether it closes the connection."""
+        found = client.data.lower().split(b"http/1.1 ")[1:]
+        return [(int(data[:3]), b"connection: close" in data) for data in found]
+
+    async def test_all_that_run_when_the_stop_begins_are_answered(self):
+        """review/9: the three behind the first were broken off, with the grace period ahead."""
+        client = await self.send_slow(0.3, 0.3, 0.3, 0.3)
+        await self.daemons[0].stop()
+        await client.closed
+        assert self.answers(client) == [(200, False)] * 3 + [(200, True)]
