Send the answers that wait behind a slow one at the end of a stop

What callers saw: a client had three requests on a connection when the instance stopped; the second and third were answered by their servers, and the first outlasted the grace period. The connection was closed without any answer, though two whole ones were there.

Cause: RequestFlow.abort ended what still ran without a response, so the responses behind it had no turn any more before the connection was closed.

Change: abort refuses what still runs as one that may have run (502, code 1055), which says no more than a closed connection does, and gives those behind it their turn. The stop then waits until clients have read the last responses, 0.2 s at most.

--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -54,7 +54,9 @@
 # Requests that no server runs are refused this long before all others are aborted, so that the
 # responses are sent before the connections are closed.
 _REFUSE_WAITING_S = 0.2
-# A stop waits at most this long until the connections of clients are closed.
+# A stop waits at most this long until clients have read the last responses, and at most this
+# long, in all, until their connections are closed.
+_MAX_SEND_S = 0.2
 _MAX_CLOSE_S = 0.3
 # Share of the grace period, at its end, that is kept for the exit. Requests are aborted when it
 # begins, so that the last responses can be sent and the process exits before it is killed.
@@ -442,8 +444,8 @@
         Connections are accepted, and idle ones kept open, for some time even if no request is
         in progress: until clients have learned that this instance leaves, a request may be on
         its way on any of them. From then on, requests that might not end in time are refused.
-        Shortly before the end of the grace period, requests that wait are refused, and those
-        that run are aborted. Calls after the first return at once.
+        Shortly before the end of the grace period, requests that wait are refused, and then
+        those that run, as ones that may have run. Calls after the first return at once.
         """
         if self._phase is members.Phase.LEAVING:
             return
@@ -492,9 +494,8 @@
         """Close all sockets: first the clients', so that no request starts any more."""
         began_at = self._reactor.seconds()
         self._requests.refuse_waiting()
-        # A response that is written right before its connection is aborted is never sent.
-        await task.deferLater(self._reactor, _STOP_POLL_INTERVAL_S)
         self._requests.abort()
+        await self._send_responses(began_at + _MAX_SEND_S)
         listeners = (
             self._request_listener,
             self._readiness_listener,
@@ -520,6 +521,18 @@
         took_ms = round((self._reactor.seconds() - began_at) * 1000, 1)
         logs.event("instance-stopped", requests=self._requests.in_flight, took_ms=took_ms)
 
+    async def _send_responses(self, end_at: float) -> None:
+        """Wait until clients have read the last responses, or until a time.
+
+        A response that is written right before its connection is aborted is never sent.
+
+        Args:
+            end_at: Monotonic time in seconds.
+        """
+        await task.deferLater(self._reactor, _STOP_POLL_INTERVAL_S)
+        while self._request_listener.blocked_connections and self._reactor.seconds() < end_at:
+            await task.deferLater(self._reactor, _STOP_POLL_INTERVAL_S)
+
     def _count_failure(self, part: str) -> None:
         self._metrics.count(entry_metrics.EntryMetric.TASK_FAILURES, part)
 
--- a/src/carobhook/transport/entry_requests.py
+++ b/src/carobhook/transport/entry_requests.py
@@ -215,7 +215,7 @@
             flow.refuse_if_waiting(_leaving_refusal())
 
     def abort(self) -> None:
-        """End all requests, as their connections are about to be closed."""
+        """Refuse all requests, also those that run, as this instance ends."""
         for flow in list(self._active_flows):
             flow.abort()
 
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -185,9 +185,12 @@
         self._cancel()
 
     def abort(self) -> None:
-        """End the request without an answer, as this instance ends; its server is told."""
-        self._responded = True
-        self._report_outcome(0, refusals.Refusal(codes.Code.INSTANCE_LEAVING, True))
+        """Refuse the request as one that may have run, as this instance ends.
+
+        Its server is told. Without a response, those behind it on its connection, which may be
+        whole, could not be sent either.
+        """
+        self._refuse(refusals.Refusal(codes.Code.INSTANCE_LEAVING, may_have_run=True))
         self._end()
         self._cancel()
 
--- a/tests/test_late_stop.py
+++ b/tests/test_late_stop.py
@@ -185,3 +185,11 @@
         await self.daemons[0].stop()
         await client.closed
         assert self.answers(client) == [(200, False)] * 3 + [(200, True)]
+
+    async def test_answers_behind_one_that_outlasts_the_grace_period(self):
+        """They were ready, and were dropped with the connection at the end of the stop."""
+        client = await self.send_slow(4.0, 0.3, 0.3)
+        await self.daemons[0].stop()
+        await client.closed
+        assert self.answers(client) == [(502, False), (200, False), (200, True)]
+        assert b"carobhook-run: unknown" in client.data.lower()
