--- a/tests/test_late_stop.py
+++ b/tests/test_late_stop.py
@@ -193,3 +193,16 @@
         await client.closed
         assert self.answers(client) == [(502, False), (200, False), (200, True)]
         assert b"carobhook-run: unknown" in client.data.lower()
+
+    async def test_changed_settings_and_limits_end_nothing(self):
+        """Settings that are read again, and lower limits of a newer configuration."""
+        client = await self.send_slow(0.8, 0.8)
+        daemon = self.daemons[0]
+        daemon.reload(daemon._settings)
+        limits = {"IdleTimeout": "300ms", "HeaderTimeout": "100ms", "MaxHeaderBytes": 256}
+        times = {"TargetLatency": "4s", "Timeout": "5s"}
+        newer = test_entry.config(3, test_entry.route(**times), limits=limits)
+        self.store.put("config", "main", newer)
+        await self.wait_until(lambda: daemon._catalog.config.version == 3)
+        await self.wait_until(lambda: len(self.answers(client)) == 2)
+        assert self.answers(client) == [(200, False), (200, False)]
