Log what is read of marks in the store, and why marks are removed

objects-listed now also tells of the kind quarantine, with the revision of the listing; marks-removed names who said that marks count no more.

--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -55,6 +55,10 @@
         "request-marked",
         "A backend server ended while it ran a request; the request is marked.",
     )
+    MARKS_REMOVED = EventInfo(
+        "marks-removed",
+        "Marks of a request count no more: a server answered it, or a peer or the store says so.",
+    )
     SERVER_LEAVING = EventInfo(
         "server-leaving", "A backend server said that it leaves; it gets no new requests."
     )
--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -119,6 +119,7 @@
         request_fingerprint = fingerprint(request)
         names = self._quarantine.clear(request_fingerprint)
         if names:
+            _log_removal(request_fingerprint, names, "answered")
             self._broadcast(slot_messages.RequestCleared(request_fingerprint, names))
             self._stored_marks.discard(request_fingerprint, names)
 
@@ -149,6 +150,7 @@
         other. Otherwise it is not, or instances would forward it to each other without end.
         """
         if self._quarantine.remove(message.fingerprint, message.names):
+            _log_removal(message.fingerprint, message.names, "peer")
             self._broadcast(message)
 
     def stop(self) -> None:
@@ -196,7 +198,8 @@
 
     def _remove_stored(self, stored: mark_codec.StoredMark) -> None:
         """Remove a mark that another instance has cleared."""
-        self._quarantine.remove(stored.fingerprint, (stored.name,))
+        if self._quarantine.remove(stored.fingerprint, (stored.name,)):
+            _log_removal(stored.fingerprint, (stored.name,), "store")
 
 
 def fingerprint(request: client_connections.ClientRequest) -> poison.Fingerprint:
@@ -207,6 +210,15 @@
     return poison.fingerprint_of(parts, request.body)
 
 
+def _log_removal(
+    request_fingerprint: poison.Fingerprint, names: tuple[str, ...], source: str
+) -> None:
+    """Log that marks were removed, and who or what said so."""
+    logs.event(
+        "marks-removed", fingerprint=request_fingerprint.hex(), marks=len(names), source=source
+    )
+
+
 def _name_of_end(run: servers.ServerRun) -> str:
     """Return a name for the end of a run of a server, the same at all instances if possible."""
     return str(run) if run.started_at_ms is not None else f"{run}/{secrets.token_hex(8)}"
--- a/src/carobhook/transport/stored_marks.py
+++ b/src/carobhook/transport/stored_marks.py
@@ -158,6 +158,13 @@
         """Apply the marks that the store holds, and delete those that have expired."""
         listing = await self._store.list_stale(mark_codec.STORE_KIND)
         self._listed_at = now
+        logs.event(
+            "objects-listed",
+            kind=mark_codec.STORE_KIND,
+            objects=len(listing.items),
+            revision=listing.revision,
+            era=listing.era,
+        )
         found: dict[str, mark_codec.StoredMark] = {}
         for item in listing.items:
             try:
--- a/tests/test_ended_servers.py
+++ b/tests/test_ended_servers.py
@@ -3,6 +3,7 @@
 from twisted.internet import defer, reactor, task
 
 import test_entry
+from carobhook import logs
 from carobhook.coordination import poison
 from carobhook.protocol import mark_codec
 from carobhook.state import members
@@ -152,3 +153,18 @@
     def stored_marks(self):
         """Return the objects of the store that hold marks."""
         return self.store.names(mark_codec.STORE_KIND)
+
+
+class TestLogOfMarks(EndedServersCase):
+    """The log did not tell why a request was not refused any more."""
+
+    async def test_removal_names_its_source(self):
+        """A server that answers the request clears its marks."""
+        lines = []
+        self.patch(logs, "event", lambda name, **fields: lines.append((name, fields)))
+        self.make_fatal()
+        await self.send(1)
+        self.set_behaviour()
+        assert await self.send(1) == [200]
+        removed = [fields for name, fields in lines if name == "marks-removed"]
+        assert [(fields["source"], fields["marks"]) for fields in removed] == [("answered", 1)]
