--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -57,7 +57,7 @@
     )
     MARKS_REMOVED = EventInfo(
         "marks-removed",
-        "Marks of a request count no more: a server answered it, or a peer or the store says so.",
+        "Marks of a request count no more, as a response, a peer or the store tells.",
     )
     SERVER_LEAVING = EventInfo(
         "server-leaving", "A backend server said that it leaves; it gets no new requests."
--- a/src/carobhook/transport/client_connection.py
+++ b/src/carobhook/transport/client_connection.py
@@ -183,8 +183,10 @@
             written = self._responses.write_next(self._listener.closes_when_answered)
             if written is None:
                 break
-            if written.closes:
-                self._close(written.lingers or self._may_have_more)
+            if written.is_last:
+                # A client that asks to close the connection sends no more.
+                has_more = self._may_have_more and not written.closes
+                self._close(written.lingers or has_more or not self._reader.is_empty)
                 return
         self._update_timer()
         self._update_reading()
--- a/src/carobhook/transport/client_responses.py
+++ b/src/carobhook/transport/client_responses.py
@@ -130,7 +130,7 @@
             held, pending.held_bytes = pending.held_bytes, 0
             self._release(held)
             self._writer.write(
-                http1.encode_response(response, pending.has_body, pending.closes)
+                http1.encode_response(response, pending.has_body, pending.is_last)
             )
         return pending
 
--- a/src/carobhook/transport/response_order.py
+++ b/src/carobhook/transport/response_order.py
@@ -16,7 +16,8 @@
         is_repeatable: Whether the request may run more than once.
         body_size: Bytes reserved for the request's body.
         has_body: Whether the response is sent with its body; it is not for HEAD.
-        closes: Whether the connection is closed after it.
+        closes: Whether its request, or the lack of one, asks to close the connection after it.
+        is_last: Whether the connection is closed after it, as is known once it is written.
         lingers: Whether the connection stays open for a while after it, as data is unread.
         active: The request as its handler knows it; None if there is nothing to tell it.
         response: The response, or None as long as there is none.
@@ -28,6 +29,7 @@
     body_size: int = 0
     has_body: bool = True
     closes: bool = False
+    is_last: bool = False
     lingers: bool = False
     active: typing.Any = None
     response: http1.Response | None = None
@@ -90,7 +92,7 @@
             return None
         first = self._pending.popleft()
         first.is_ended = True
-        first.closes = not self._pending and (first.closes or closes_last)
+        first.is_last = not self._pending and (first.closes or closes_last)
         return first
 
     def abandon(self) -> list[PendingResponse]:
