--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -27,6 +27,7 @@
     entry_endpoints,
     entry_requests,
     event_loop,
+    follow_options,
     machine_probe,
     member_streams,
     peers,
@@ -208,7 +209,7 @@
             self._orders,
             rng,
             self._on_catalog_change,
-            store_sync.FeedPeers(
+            follow_options.FeedPeers(
                 self._settings.place.name,
                 self._feed_candidates,
                 self._region_relays,
@@ -221,9 +222,9 @@
             lambda: self._servers.quarantine.stored,
         )
 
-    def _follow_times(self) -> store_sync.FollowTimes:
+    def _follow_times(self) -> follow_options.FollowTimes:
         bounds = self._settings.bounds
-        return store_sync.FollowTimes.within(
+        return follow_options.FollowTimes.within(
             bounds.config_propagation_s, bounds.drain_s, bounds.evacuation_s
         )
 
--- a/src/carobhook/transport/store_sync.py
+++ b/src/carobhook/transport/store_sync.py
@@ -13,7 +13,6 @@
 from carobhook.coordination import (
     catalog,
     confirmations,
-    follow_times,
     mark_following,
     newer_versions,
     object_watch,
@@ -27,17 +26,13 @@
 from carobhook.state import ids, members, orders
 from carobhook.transport import (
     feed_publisher,
+    follow_options,
     orders_restore,
     received_objects,
     store_watches,
     supervision,
 )
 
-# No deployment names a bound for operators' orders.
-_ORDERS_BOUND_S = 10.0
-# One call of a watch of marks waits for so long. Most often there are none, and the other
-# instances send theirs as messages.
-_MARKS_WAIT_S = 15.0
 # Version of the object in force that an instance announces, by kind of object.
 _ANNOUNCED_VERSIONS: Mapping[str, Callable[[members.Member], int]] = {
     names.CONFIG_KIND: operator.attrgetter("version"),
@@ -45,66 +40,6 @@
 }
 
 
-@attrs.frozen
-class FollowTimes:
-    """Waits with which the store is followed.
-
-    Attributes:
-        by_kind: Waits for changes of each kind of object.
-        source: Waits of probes and of the feed.
-        marks: Waits of the watch of marks.
-    """
-
-    by_kind: Mapping[str, follow_times.KindTimes]
-    source: follow_times.SourceTimes
-    marks: object_watch.WatchOptions
-
-    @classmethod
-    def within(cls, config_s: float, servers_s: float, evacuations_s: float) -> "FollowTimes":
-        """Return the waits for the bounds of a deployment.
-
-        Args:
-            config_s: Seconds within which a configuration has to be in force.
-            servers_s: The same for the state of a backend server.
-            evacuations_s: The same for an evacuation.
-        """
-        bounds_s = {
-            names.CONFIG_KIND: config_s,
-            names.SERVERS_KIND: servers_s,
-            names.EVACUATIONS_KIND: evacuations_s,
-            orders.STORE_KIND: _ORDERS_BOUND_S,
-        }
-        shortest_s = min(bounds_s.values())
-        marks = follow_times.KindTimes.within(shortest_s).watch
-        return cls(
-            {kind: follow_times.KindTimes.within(s) for kind, s in bounds_s.items()},
-            follow_times.SourceTimes.within(shortest_s),
-            attrs.evolve(marks, wait_s=_MARKS_WAIT_S),
-        )
-
-
-@attrs.frozen
-class FeedPeers:
-    """Access to the other instances that can feed this one or subscribe to it.
-
-    Attributes:
-        own: Name of this instance.
-        candidates: Returns the instances of the region that can follow the store for it, in
-            order of preference.
-        relays: Returns the relays of the region, ready or not.
-        members: Returns the live instances of all regions, in any order.
-        send: Sends a message to an instance; returns False if there is no stream to it.
-        expects_others: Returns whether the settings name other instances.
-    """
-
-    own: ids.InstanceId
-    candidates: Callable[[], list[ids.InstanceId]]
-    relays: Callable[[], list[ids.InstanceId]]
-    members: Callable[[], Iterable[members.Member]]
-    send: Callable[[ids.InstanceId, typing.Any], bool]
-    expects_others: Callable[[], bool] = lambda: True
-
-
 @attrs.define
 class FeedBytes:
     """Bytes of objects that other instances sent.
@@ -148,9 +83,9 @@
         order_steering: steering.Steering,
         rng: random.Random,
         on_change: Callable[[], object],
-        peers: FeedPeers,
+        peers: follow_options.FeedPeers,
         supervisor: supervision.Supervisor,
-        times: FollowTimes,
+        times: follow_options.FollowTimes,
         marks: Callable[[], mark_following.Marks],
     ) -> None:
         self._reactor = reactor
--- a/tests/follower_fleet.py
+++ b/tests/follower_fleet.py
@@ -14,7 +14,7 @@
 from carobhook.platform import names
 from carobhook.protocol import peer_codec
 from carobhook.state import ids, members
-from carobhook.transport import store_sync, supervision
+from carobhook.transport import follow_options, store_sync, supervision
 
 REGION = ids.Region("r")
 OTHER_REGION = ids.Region("other")
@@ -163,7 +163,7 @@
             steering.Steering({}),
             random.Random(fleet.rng.random()),
             lambda: None,
-            store_sync.FeedPeers(
+            follow_options.FeedPeers(
                 name,
                 lambda: store_feed.candidates(self.members.values(), self.region),
                 lambda: [m.name for m in self.members.values() if m.region == region],
--- a/tests/test_ended_servers.py
+++ b/tests/test_ended_servers.py
@@ -130,13 +130,17 @@
 class TestRestartOfAllInstances(EndedServersCase):
     """The marks were forgotten when all instances ended at once."""
 
+    async def restart(self):
+        """End the only instance, and start it anew."""
+        await self.daemons.pop().stop()
+        self.daemons.append(await self.start_instance("one"))
+        await self.wait_until(lambda: self.daemons[0].phase is members.Phase.READY)
+
     async def test_marks_outlast_the_instances(self):
         """An instance that starts alone finds the marks in the store."""
         self.make_fatal()
         await self.send(3)
-        await self.daemons.pop().stop()
-        self.daemons.append(await self.start_instance("one"))
-        await self.wait_until(lambda: self.daemons[0].phase is members.Phase.READY)
+        await self.restart()
         await self.pause(0.5)
         assert await self.send(2) == [503, 503]
         assert self.ends == poison.MARK_LIMIT
@@ -147,9 +151,7 @@
         self.make_fatal()
         await self.send(3)
         await self.wait_until(lambda: len(self.stored_marks()) == 3)
-        await self.daemons.pop().stop()
-        self.daemons.append(await self.start_instance("one"))
-        await self.wait_until(lambda: self.daemons[0].phase is members.Phase.READY)
+        await self.restart()
         await self.pause(1.0)
         assert await self.send(2) == [503, 503]
         assert self.ends == poison.MARK_LIMIT
@@ -164,9 +166,7 @@
         assert self.stored_marks() == []
         await self.wait_until(lambda: len(self.stored_marks()) == 3)
         assert await self.send(1) == [503]
-        await self.daemons.pop().stop()
-        self.daemons.append(await self.start_instance("one"))
-        await self.wait_until(lambda: self.daemons[0].phase is members.Phase.READY)
+        await self.restart()
         await self.pause(1.0)
         assert await self.send(2) == [503, 503]
         assert self.ends == poison.MARK_LIMIT
--- a/tests/test_follow_times.py
+++ b/tests/test_follow_times.py
@@ -6,7 +6,7 @@
 
 from carobhook.coordination import follow_times
 from carobhook.platform import names
-from carobhook.transport import store_sync
+from carobhook.transport import follow_options
 
 # Interval in seconds at which an instance looks at its sources.
 TICK_S = 0.1
@@ -85,6 +85,6 @@
     @pytest.mark.parametrize("bound_s", [0.1, 0.5, 1.0])
     def test_configuration_stays_confirmed_between_two_answers(self, bound_s):
         """No bound is shorter than the wait of a call, so nothing becomes unknown in it."""
-        times = store_sync.FollowTimes.within(bound_s, 2.5, 5.0)
+        times = follow_options.FollowTimes.within(bound_s, 2.5, 5.0)
         kind = times.by_kind[names.CONFIG_KIND]
         assert kind.watch.wait_s + ANSWER_S + TICK_S < kind.bound_s
--- a/tests/test_receiver_errors.py
+++ b/tests/test_receiver_errors.py
@@ -10,7 +10,7 @@
 from carobhook import entry_settings
 from carobhook.coordination import catalog, steering
 from carobhook.platform import names
-from carobhook.transport import entry_daemon, store_sync, supervision
+from carobhook.transport import entry_daemon, follow_options, store_sync, supervision
 
 OWN, OTHER = test_store_feed.OWN, test_store_feed.OTHER
 PROPAGATION_S = 2.5
@@ -73,7 +73,7 @@
             steering.Steering({}),
             random.Random(1),
             self.on_change,
-            store_sync.FeedPeers(
+            follow_options.FeedPeers(
                 OWN, lambda: [], lambda: [OWN], lambda: [], lambda to, message: True
             ),
             supervision.Supervisor(self.clock),
--- a/tests/test_store_feed.py
+++ b/tests/test_store_feed.py
@@ -11,12 +11,12 @@
 from carobhook.platform import names
 from carobhook.protocol import feed_messages
 from carobhook.state import ids
-from carobhook.transport import store_sync, supervision
+from carobhook.transport import follow_options, store_sync, supervision
 
 OWN, OTHER, THIRD = ids.InstanceId("own"), ids.InstanceId("other"), ids.InstanceId("third")
 RELAYS = [OWN, OTHER]
 CONFIG_PROPAGATION_S = 2.5
-FOLLOW_TIMES = store_sync.FollowTimes.within(CONFIG_PROPAGATION_S, 2.5, 5.0)
+FOLLOW_TIMES = follow_options.FollowTimes.within(CONFIG_PROPAGATION_S, 2.5, 5.0)
 TIMES = FOLLOW_TIMES.source
 
 
@@ -165,7 +165,7 @@
             self.orders[name],
             random.Random(1),
             lambda: self.handle_change(name),
-            store_sync.FeedPeers(name, lambda: [OTHER], lambda: [OTHER], lambda: [], send),
+            follow_options.FeedPeers(name, lambda: [OTHER], lambda: [OTHER], lambda: [], send),
             supervision.Supervisor(self.clock),
             FOLLOW_TIMES,
             lambda: self.marks[name],
