--- a/src/carobhook/coordination/machine_pace.py
+++ b/src/carobhook/coordination/machine_pace.py
@@ -38,6 +38,7 @@
     _factor: float = attrs.field(default=1.0, init=False)
     _is_slow: bool = attrs.field(default=False, init=False)
     _slow_since: float = attrs.field(default=-math.inf, init=False)
+    _sample_count: int = attrs.field(default=0, init=False)
 
     @property
     def is_slow(self) -> bool:
@@ -49,6 +50,21 @@
         """Return how long work takes, as a multiple of its usual time."""
         return self._factor
 
+    @property
+    def usual_s(self) -> float:
+        """Return the usual time of the piece of work in seconds, infinity if unknown."""
+        return self._usual_s
+
+    @property
+    def median_s(self) -> float:
+        """Return the median of the latest samples in seconds, 0 without any."""
+        return statistics.median(self._samples_s) if self._samples_s else 0.0
+
+    @property
+    def sample_count(self) -> int:
+        """Return the number of samples so far."""
+        return self._sample_count
+
     def record(self, sample_s: float, now: float) -> None:
         """Record how long the piece of work took.
 
@@ -59,6 +75,7 @@
         if sample_s <= 0:
             return
         self._samples_s.append(sample_s)
+        self._sample_count += 1
         if len(self._samples_s) < _SAMPLES:
             return
         median_s = statistics.median(self._samples_s)
--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -67,6 +67,12 @@
     LOOKUPS = MetricInfo(
         "carobhook_lookups_total", Kind.COUNTER, ("status",), "Answers of the directory."
     )
+    LOOKUPS_ELSEWHERE = MetricInfo(
+        "carobhook_lookup_addresses_elsewhere_total",
+        Kind.COUNTER,
+        ("region",),
+        "Addresses of other regions in answers of the directory, by the clients' region.",
+    )
     KEYS_REFUSED = MetricInfo(
         "carobhook_keys_refused_total",
         Kind.COUNTER,
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -210,6 +210,10 @@
         "lookup-outside-region",
         "A client is sent to other regions, as no instance of its own is known to serve.",
     )
+    LOOKUPS_ELSEWHERE = EventInfo(
+        "lookups-elsewhere",
+        "The share of a region's clients that this directory leads to other regions; why.",
+    )
     SERVER_SEEN = EventInfo("server-seen", "A backend server's entry is new or has changed.")
     SERVER_REMOVED = EventInfo("server-removed", "A backend server's entry is gone.")
     EVACUATION = EventInfo(
--- a/src/carobhook/transport/entry_endpoints.py
+++ b/src/carobhook/transport/entry_endpoints.py
@@ -2,13 +2,13 @@
 
 import time
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 from carobhook import entry_metrics, logs
-from carobhook.coordination import directory, membership
+from carobhook.coordination import directory, lookup_shares, membership
 from carobhook.platform import requests
 from carobhook.protocol import client_api, http1
-from carobhook.state import members
+from carobhook.state import ids, members
 from carobhook.transport import client_connections
 
 METRICS_PATH = b"/metrics"
@@ -48,6 +48,7 @@
         self._phase = phase
         self._ttl_max_s = ttl_max_s
         self._wall_time = wall_time
+        self._shares = lookup_shares.LookupShares()
 
     def handle_metrics(
         self, request: client_connections.ClientRequest, respond: _Responder
@@ -102,6 +103,8 @@
         serving = self._known_members.serving(now)
         nearest = directory.nearest(serving, lookup.region, lookup.failure_domain)
         chosen = directory.choose_weighted(nearest, client, self._wall_time())
+        if any(member.region == lookup.region for member in serving):
+            self._record_share(lookup.region, chosen, serving, now)
         if chosen and all(member.region != lookup.region for member in chosen):
             if self._phase() is members.Phase.STARTING:
                 return []
@@ -114,3 +117,29 @@
                 known=len(self._known_members.live(now)),
             )
         return [member.http for member in chosen[:_MAX_ADDRESSES]]
+
+    def _record_share(
+        self,
+        region: ids.Region,
+        chosen: Sequence[members.Member],
+        serving: Sequence[members.Member],
+        now: float,
+    ) -> None:
+        """Count an answer, and log how many of the region's clients are led elsewhere."""
+        elsewhere = sum(member.region != region for member in chosen)
+        for _ in range(elsewhere):
+            self._metrics.count(entry_metrics.EntryMetric.LOOKUPS_ELSEWHERE, region)
+        report = self._shares.record(region, chosen, now)
+        if report is None:
+            return
+        in_region = [member for member in serving if member.region == region]
+        logs.warning(
+            "lookups-elsewhere",
+            region=region,
+            share=round(report.share, 2),
+            previous=round(report.previous, 2),
+            lookups=report.lookups,
+            in_region=len(in_region),
+            slow=sum(member.is_slow for member in in_region),
+            slow_elsewhere=sum(member.is_slow for member in serving if member.region != region),
+        )
--- a/src/carobhook/transport/machine_probe.py
+++ b/src/carobhook/transport/machine_probe.py
@@ -41,8 +41,24 @@
         self._pace.record(ended_at - started_at, ended_at)
         if self._pace.is_slow == was_slow:
             return
+        factor = round(self._pace.factor, 1)
+        median_us = round(self._pace.median_s * 1e6, 1)
+        usual_us = round(self._pace.usual_s * 1e6, 1)
+        samples = self._pace.sample_count
         if was_slow:
-            logs.event("machine-usual")
+            logs.event(
+                "machine-usual",
+                factor=factor,
+                median_us=median_us,
+                usual_us=usual_us,
+                samples=samples,
+            )
         else:
-            logs.warning("machine-slow", factor=round(self._pace.factor, 1))
+            logs.warning(
+                "machine-slow",
+                factor=factor,
+                median_us=median_us,
+                usual_us=usual_us,
+                samples=samples,
+            )
         self._on_change()
