Compare the pace of a machine with that of the other instances

Cause, first half: an instance called its machine slow when its work took three times the least median so far. Instances announce the time (protocol 8); what counts is the ratio to the lower quartile of the others, against the median of that ratio over minutes. Nothing is concluded without others, or from the first three seconds.

--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -15,6 +15,7 @@
 6: `SlotRequested.account`, `HeldSlotsReport.objects`, `QuotaRequest`, `QuotaGrant`,
    `Member.quota_counters`.
 7: `FeedProgress.has_marks`.
+8: `Member.work_time_us`.
 """
 
 from carobhook.protocol import (
@@ -29,7 +30,7 @@
 
 # Version of the protocol that this build speaks. It rises with each release that adds a message
 # type or a field.
-PROTOCOL_VERSION = 7
+PROTOCOL_VERSION = 8
 
 MESSAGE_TYPES: dict[str, type] = {
     "Challenge": membership_messages.Challenge,
--- a/src/carobhook/state/members.py
+++ b/src/carobhook/state/members.py
@@ -39,6 +39,8 @@
         is_slow: Whether its machine works much slower than usual.
         quota_counters: Counter of each group of accounts by its own view; empty while no
             account has a quota.
+        work_time_us: Time that a fixed piece of work takes on its machine, in microseconds; 0
+            if unknown.
     """
 
     name: ids.InstanceId
@@ -54,3 +56,4 @@
     weight: float = 1.0
     is_slow: bool = versions.added_field(False, since=2)
     quota_counters: tuple[ids.InstanceId, ...] = versions.added_field((), since=6)
+    work_time_us: int = versions.added_field(0, since=8)
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -4,7 +4,7 @@
 import secrets
 import time
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Iterator
 
 import attrs
 from twisted.internet import defer, task
@@ -127,8 +127,9 @@
             int(max_client_bytes), int(max_client_bytes * _ONE_CLIENT_RATIO)
         )
         self._supervisor = supervision.Supervisor(reactor, self._count_failure)
+        announce = self._supervisor.isolate("heartbeat", self._heartbeat)
         self._machine = machine_probe.MachineProbe(
-            reactor.seconds, self._supervisor.isolate("heartbeat", self._heartbeat)
+            reactor.seconds, self._others_work_times, announce, announce
         )
         # The first heartbeat is made before there is a slot allocator.
         self._quota_counters: Callable[[], tuple[ids.InstanceId, ...]] = tuple
@@ -558,6 +559,7 @@
             self._weight(),
             self._machine.is_slow,
             self._quota_counters(),
+            self._machine.work_time_us,
         )
 
     def _weight(self) -> float:
@@ -577,6 +579,12 @@
             logs.event("instance-ready", version=self._catalog.config.version)
         self._streams.send_heartbeats()
 
+    def _others_work_times(self) -> Iterator[int]:
+        """Yield the work times that the other live instances announce, in microseconds."""
+        for member in self._streams.membership.iter_live(self._reactor.seconds()):
+            if member.name != self._settings.place.name:
+                yield member.work_time_us
+
     def _on_members_change(self) -> None:
         self._allocator.update_owners()
 
--- a/tests/directory_simulation.py
+++ b/tests/directory_simulation.py
@@ -41,16 +41,31 @@
         self.slow_at = []
         self._pace = pace
         self._now = started_at
-        self.probe = machine_probe.MachineProbe(self._seconds, lambda: None)
+        self.others = []
+        self.is_changed = False
+        self.probe = machine_probe.MachineProbe(
+            self._seconds,
+            lambda: [other.work_time_us for other in self.others],
+            self._change,
+            self._change,
+        )
+
+    def _change(self):
+        self.is_changed = True
 
     def _seconds(self):
         """Return the time; each call takes half of the piece of work."""
         self._now += USUAL_S * self._pace(self._now) / 2
         return self._now
 
-    def tick(self, now):
-        """Measure the machine."""
-        self._now = now
+    def tick(self, now, others):
+        """Measure the machine.
+
+        Args:
+            now: Time in seconds.
+            others: The other instances, as it knows them.
+        """
+        self._now, self.others = now, others
         self.probe.probe()
         if self.probe.is_slow:
             self.slow_at.append(now)
@@ -69,6 +84,7 @@
             ids.Version(1),
             weight=86.0 * share,
             is_slow=self.probe.is_slow,
+            work_time_us=self.probe.work_time_us,
         )
 
 
@@ -140,8 +156,9 @@
             self._known[member.name] = member
         beat = round(HEARTBEAT_S / TICK_S)
         for number, instance in enumerate(self.instances):
-            instance.tick(now)
-            if (tick + number) % beat == 0:
+            instance.tick(now, [m for m in self.serving() if m.name != instance.name])
+            if (tick + number) % beat == 0 or instance.is_changed:
+                instance.is_changed = False
                 self._sent.append((now + MESSAGE_DELAY_S, instance.member()))
 
     def serving(self):
--- a/tests/test_slow_machine.py
+++ b/tests/test_slow_machine.py
@@ -24,7 +24,7 @@
     factors = [factor for factor, count in phases for _ in range(count)]
     slow = []
     for number, factor in enumerate(factors):
-        pace.record(USUAL_S * factor, number * INTERVAL_S)
+        pace.record(USUAL_S * factor, USUAL_S * 1e6, number * INTERVAL_S)
         slow.append(pace.is_slow)
     return slow
 
@@ -76,6 +76,28 @@
         assert slow[60]
         assert not slow[-1]
 
+    def test_instance_without_others(self):
+        """Nothing tells a slow machine from one that was fast before."""
+        pace = machine_pace.MachinePace()
+        for number in range(100):
+            pace.record(USUAL_S * (1.0 if number < 50 else 6.0), 0.0, number * INTERVAL_S)
+            assert not pace.is_slow
+
+    def test_nothing_is_concluded_in_the_first_seconds(self):
+        """There is no usual ratio yet."""
+        assert not any(play(machine_pace.MachinePace(), (1.0, 10), (6.0, 15)))
+
+    def test_weaker_machine_is_not_slow(self):
+        """Its work has always taken six times as long as elsewhere."""
+        assert not any(play(machine_pace.MachinePace(), (6.0, 200)))
+
+    def test_time_that_most_machines_need(self):
+        """It holds while up to three quarters are slow, or one is fast."""
+        assert machine_pace.reference_time([]) == 0.0
+        assert machine_pace.reference_time([0, 50, 0]) == 50.0
+        assert machine_pace.reference_time([50, 50, 300, 300, 300, 300]) == 50.0
+        assert machine_pace.reference_time([10, 50, 50, 50, 50]) == 50.0
+
     def test_clock_that_does_not_advance(self):
         """Samples without a time are ignored."""
         assert not any(play(machine_pace.MachinePace(), (0.0, 50), (1.0, 20), (0.0, 5)))
@@ -96,7 +118,12 @@
             now += USUAL_S * factor
             return now
 
-        probe = machine_probe.MachineProbe(seconds, lambda: changes.append(probe.is_slow))
+        probe = machine_probe.MachineProbe(
+            seconds,
+            lambda: [round(USUAL_S * 1e6)],
+            lambda: changes.append(probe.is_slow),
+            lambda: None,
+        )
         for phase_factor in (1.0, 6.0, 1.0):
             factor = phase_factor
             for _ in range(60):
