Lead the clients of a region elsewhere in bounded steps

Callers saw: most of a region's requests changed their region within 2 s, and back (SHIFT). Cause, second half: once less than half of a region's weight was on machines of usual pace, the directory led all of its clients to all other regions, and all back the moment one more was usual. Each slow instance of such a region now raises the share of its clients that goes elsewhere in small steps, lowers it alike, and announces it (protocol 8); the region's share is the mean, so that all directories have the same without asking, a new one too. The step follows from shift_most and from how long clients keep answers. Dispatchers use half of their limit while any share is above zero, as both changes add up.

--- a/src/carobhook/coordination/directory.py
+++ b/src/carobhook/coordination/directory.py
@@ -9,9 +9,6 @@
 
 # With a single address, a client could not switch to another instance when that one fails.
 _MIN_INSTANCES = 2
-# Clients of a region are led to others too if less than this share of its instances' weight is
-# on machines that work at their usual pace.
-_MIN_USUAL_SHARE = 0.5
 # Clients choose among their addresses at random, without regard to weights. The fewer addresses
 # each gets, the closer the load follows the weights by which the addresses are drawn.
 _CHOICE_SIZE = 3
@@ -22,40 +19,34 @@
 
 
 def nearest(
-    serving: Sequence[members.Member], region: ids.Region, domain: ids.FailureDomain
+    serving: Sequence[members.Member],
+    region: ids.Region,
+    domain: ids.FailureDomain,
+    is_elsewhere: bool = False,
 ) -> list[members.Member]:
     """Return the instances that are nearest to clients of a failure domain.
 
     They are those of the domain if there are two or more, else those of the region, or all
-    instances if the region has none. Instances on slow machines are left out; if that leaves a
-    region with too little, its clients are led to all others.
+    instances if the region has none. Instances on slow machines are left out unless the region
+    has no others.
 
     Args:
         serving: Instances that accept clients.
         region: Region of the clients.
         domain: Failure domain of the clients.
+        is_elsewhere: Whether the client is to be led to another region if one can take it.
     """
     usual = [member for member in serving if not member.is_slow]
+    if is_elsewhere:
+        others = [member for member in usual if member.region != region]
+        if others:
+            return others
     in_domain = [member for member in usual if member.failure_domain == domain]
-    in_region = [member for member in usual if member.region == region]
-    if usual and _usual_share(serving, region) < _MIN_USUAL_SHARE:
-        return usual
     if len(in_domain) >= _MIN_INSTANCES:
         return in_domain
-    return in_region or usual or list(serving)
-
-
-def _usual_share(serving: Sequence[members.Member], region: ids.Region) -> float:
-    """Return the share of a region's weight that is on machines of usual pace."""
-    in_region = [member for member in serving if member.region == region]
-    weight = sum(_usual_weight(member) for member in in_region)
-    usual_weight = sum(member.weight for member in in_region if not member.is_slow)
-    return usual_weight / weight if weight > 0 else 1.0
-
-
-def _usual_weight(member: members.Member) -> float:
-    """Return the weight that an instance has while its machine works at its usual pace."""
-    return member.weight / members.SLOW_WEIGHT_SHARE if member.is_slow else member.weight
+    in_region = [member for member in usual if member.region == region]
+    slow_in_region = [member for member in serving if member.region == region]
+    return in_region or slow_in_region or usual or list(serving)
 
 
 def choose_weighted(
--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -15,7 +15,7 @@
 6: `SlotRequested.account`, `HeldSlotsReport.objects`, `QuotaRequest`, `QuotaGrant`,
    `Member.quota_counters`.
 7: `FeedProgress.has_marks`.
-8: `Member.work_time_us`.
+8: `Member.work_time_us`, `Member.moved_share`.
 """
 
 from carobhook.protocol import (
--- a/src/carobhook/state/members.py
+++ b/src/carobhook/state/members.py
@@ -41,6 +41,7 @@
             account has a quota.
         work_time_us: Time that a fixed piece of work takes on its machine, in microseconds; 0
             if unknown.
+        moved_share: Share of its clients, from 0 to 1, that directories lead to other regions.
     """
 
     name: ids.InstanceId
@@ -57,3 +58,4 @@
     is_slow: bool = versions.added_field(False, since=2)
     quota_counters: tuple[ids.InstanceId, ...] = versions.added_field((), since=6)
     work_time_us: int = versions.added_field(0, since=8)
+    moved_share: float = versions.added_field(0.0, since=8)
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -13,6 +13,7 @@
 from carobhook.coordination import (
     catalog,
     membership,
+    moved_clients,
     quota_counter,
     repeatable_requests,
     steering,
@@ -76,6 +77,12 @@
 # Share of that limit by which one region may grow. Two regions may grow while the third one
 # shrinks, and requests reach their servers some time after the choice.
 _REGION_CHANGE_SHARE = 0.4
+# Share of it by which the directory may move clients within two seconds; dispatchers keep to
+# half of theirs meanwhile.
+_MOVED_CLIENTS_SHARE = 0.4
+# Time within which the clients of a moment look up again, on average. Some keep an answer for
+# three times its time to live, and many may have looked up at the same moment.
+_LOOKUP_INTERVAL_S = 2 * entry_endpoints.DIRECTORY_TTL_S
 # Traffic in Mbit/s that one processor core can carry.
 _MBPS_PER_CORE = 100.0
 
@@ -131,6 +138,7 @@
         self._machine = machine_probe.MachineProbe(
             reactor.seconds, self._others_work_times, announce, announce
         )
+        self._moved_clients = moved_clients.MovedClients()
         # The first heartbeat is made before there is a slot allocator.
         self._quota_counters: Callable[[], tuple[ids.InstanceId, ...]] = tuple
         self._streams = self._create_member_streams()
@@ -560,6 +568,7 @@
             self._machine.is_slow,
             self._quota_counters(),
             self._machine.work_time_us,
+            round(self._moved_clients.share, 3),
         )
 
     def _weight(self) -> float:
@@ -570,6 +579,7 @@
 
     def _heartbeat(self) -> None:
         """Send heartbeats; a starting instance that has all objects is ready first."""
+        self._move_clients()
         if (
             self._phase is members.Phase.STARTING
             and self._catalog.config is not None
@@ -579,6 +589,18 @@
             logs.event("instance-ready", version=self._catalog.config.version)
         self._streams.send_heartbeats()
 
+    def _move_clients(self) -> None:
+        """Update the share of this instance's clients that is led to other regions."""
+        now = self._reactor.seconds()
+        serving = self._streams.membership.serving(now)
+        region = self._settings.place.region
+        if self._phase is not members.Phase.READY:
+            self._moved_clients.adopt(moved_clients.region_share(serving, region), now)
+            return
+        is_needed = self._machine.is_slow and moved_clients.needs_others(serving, region)
+        bound = self._settings.bounds.shift_most * _MOVED_CLIENTS_SHARE
+        self._moved_clients.advance(is_needed, bound / _LOOKUP_INTERVAL_S, now)
+
     def _others_work_times(self) -> Iterator[int]:
         """Yield the work times that the other live instances announce, in microseconds."""
         for member in self._streams.membership.iter_live(self._reactor.seconds()):
--- a/src/carobhook/transport/entry_endpoints.py
+++ b/src/carobhook/transport/entry_endpoints.py
@@ -5,7 +5,7 @@
 from collections.abc import Callable, Sequence
 
 from carobhook import entry_metrics, logs
-from carobhook.coordination import directory, lookup_shares, membership
+from carobhook.coordination import directory, lookup_shares, membership, moved_clients
 from carobhook.platform import requests
 from carobhook.protocol import client_api, http1
 from carobhook.state import ids, members
@@ -49,6 +49,7 @@
         self._ttl_max_s = ttl_max_s
         self._wall_time = wall_time
         self._shares = lookup_shares.LookupShares()
+        self._split = moved_clients.LookupSplit()
 
     def handle_metrics(
         self, request: client_connections.ClientRequest, respond: _Responder
@@ -101,11 +102,13 @@
         """
         now = self._reactor.seconds()
         serving = self._known_members.serving(now)
-        nearest = directory.nearest(serving, lookup.region, lookup.failure_domain)
+        moved_share = moved_clients.region_share(serving, lookup.region)
+        is_elsewhere = self._split.leads_elsewhere(lookup.region, moved_share)
+        nearest = directory.nearest(serving, lookup.region, lookup.failure_domain, is_elsewhere)
         chosen = directory.choose_weighted(nearest, client, self._wall_time())
         if any(member.region == lookup.region for member in serving):
             self._record_share(lookup.region, chosen, serving, now)
-        if chosen and all(member.region != lookup.region for member in chosen):
+        elif chosen:
             if self._phase() is members.Phase.STARTING:
                 return []
             logs.event(
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -109,6 +109,7 @@
         self._catalog = server_catalog
         self._orders = orders
         self._limits = limits
+        self._region_change = limits.region_change
         self._owner_of = owner_of
         self._send = send
         self._live_names = live_names
@@ -470,7 +471,7 @@
     def _create_dispatcher(
         self, shard: Shard, budget: retry_budget.RetryBudget
     ) -> dispatcher.Dispatcher:
-        shares = region_shares.RegionShares(shard[0], self._limits.region_change)
+        shares = region_shares.RegionShares(shard[0], self._region_change)
         fairness = fair_share.FairShares(min_route_share=self._limits.min_route_share)
         return dispatcher.Dispatcher(budget, shares, fairness)
 
@@ -519,6 +520,17 @@
             self._replace_failed(state, now)
             self._decide(state, now)
 
+    def set_region_change(self, share: float) -> None:
+        """Set which share of the limit on changes of region the dispatchers may use.
+
+        Args:
+            share: The share, from 0 to 1.
+        """
+        self._region_change = self._limits.region_change * share
+        for state in self._shards.values():
+            if state.dispatcher.shares is not None:
+                state.dispatcher.shares.max_change = self._region_change
+
     def loads(self) -> list[slot_messages.ShardLoad]:
         """Return the loads of the shards that this instance owns."""
         loads = []
--- a/src/carobhook/transport/slot_allocator.py
+++ b/src/carobhook/transport/slot_allocator.py
@@ -13,6 +13,9 @@
 
 # Interval at which shard owners and loans are updated.
 _UPDATE_INTERVAL_S = 0.5
+# Share of the limit on changes of region that dispatchers use while the directory leads clients
+# to other regions, as both changes add up.
+_SHARE_BESIDE_DIRECTORY = 0.5
 
 _CODES_BY_NUMBER = {code.number: code for code in codes.Code}
 
@@ -180,10 +183,16 @@
             self._updated_at = now
             self.update_owners()
             self._start_dispatchers()
+            self._dispatchers.set_region_change(self._region_change_share(now))
             self._dispatchers.update_loans(elapsed_s, now)
         self._quotas.tick(self._dispatchers.shard_count, self._members.iter_live(now), now)
         self._dispatchers.tick(now)
 
+    def _region_change_share(self, now: float) -> float:
+        """Return the share of the limit on changes of region that the directory leaves."""
+        is_moving = any(member.moved_share > 0 for member in self._members.iter_live(now))
+        return _SHARE_BESIDE_DIRECTORY if is_moving else 1.0
+
     def handle_message(self, sender: ids.InstanceId, message: typing.Any) -> None:
         """Pass a message about slots to the client or the dispatchers, and answer queries."""
         if isinstance(message, slot_messages.SlotRequested):
--- a/tests/test_clients_change_region.py
+++ b/tests/test_clients_change_region.py
@@ -6,7 +6,7 @@
 
 import directory_simulation as simulation
 
-SHIFT_MOST = 0.15
+SHIFT_MOST = simulation.SHIFT_MOST
 NORTH = simulation.REGIONS[0]
 
 
