Move what is measured and announced of the machine out of the daemon

entry_daemon held the weight, the times of others and the moved share beside its listeners; own_machine has them now, and the simulation of the directory uses it in place of its own copy of these steps. No behavior changes.

Measured: test_clients_change_region, test_moved_clients, test_slow_machine and test_entry hold.

--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -4,7 +4,7 @@
 import secrets
 import time
 import typing
-from collections.abc import Callable, Iterator
+from collections.abc import Callable
 
 import attrs
 from twisted.internet import defer, task
@@ -13,7 +13,6 @@
 from carobhook.coordination import (
     catalog,
     membership,
-    moved_clients,
     quota_counter,
     repeatable_requests,
     steering,
@@ -29,8 +28,8 @@
     entry_requests,
     event_loop,
     follow_options,
-    machine_probe,
     member_streams,
+    own_machine,
     peers,
     quota_service,
     server_access,
@@ -77,14 +76,6 @@
 # Share of that limit by which one region may grow. Two regions may grow while the third one
 # shrinks, and requests reach their servers some time after the choice.
 _REGION_CHANGE_SHARE = 0.4
-# Share of it by which the directory may move clients within two seconds; dispatchers keep to
-# half of theirs meanwhile.
-_MOVED_CLIENTS_SHARE = 0.4
-# Time within which the clients of a moment look up again, on average. Some keep an answer for
-# three times its time to live, and many may have looked up at the same moment.
-_LOOKUP_INTERVAL_S = 2 * entry_endpoints.DIRECTORY_TTL_S
-# Traffic in Mbit/s that one processor core can carry.
-_MBPS_PER_CORE = 100.0
 
 
 @attrs.frozen
@@ -134,11 +125,12 @@
             int(max_client_bytes), int(max_client_bytes * _ONE_CLIENT_RATIO)
         )
         self._supervisor = supervision.Supervisor(reactor, self._count_failure)
-        announce = self._supervisor.isolate("heartbeat", self._heartbeat)
-        self._machine = machine_probe.MachineProbe(
-            reactor.seconds, self._others_work_times, announce, announce
+        self._machine = own_machine.OwnMachine(
+            lambda: self._settings,
+            lambda: self._streams.membership,
+            reactor.seconds,
+            self._supervisor.isolate("heartbeat", self._heartbeat),
         )
-        self._moved_clients = moved_clients.MovedClients()
         # The first heartbeat is made before there is a slot allocator.
         self._quota_counters: Callable[[], tuple[ids.InstanceId, ...]] = tuple
         self._streams = self._create_member_streams()
@@ -351,7 +343,7 @@
             metric.QUOTA_FALLBACK: lambda: self._allocator.quota_figures.fallback,
             metric.REQUESTS_RELAYED: lambda: self._servers.exchange.relayed_count,
             metric.PATHS_BROKEN: lambda: self._servers.exchange.broken_paths,
-            metric.MACHINE_SLOWNESS: lambda: self._machine.factor,
+            metric.MACHINE_SLOWNESS: lambda: self._machine.slowness,
             metric.PEERS_OLDER: lambda: self._streams.older_count,
             metric.LINES_OMITTED: omitted,
         }
@@ -564,22 +556,16 @@
             ids.Version(config.version if config is not None else 0),
             self._orders.in_force.version,
             self._catalog.store_lost_at is None,
-            self._weight(),
+            self._machine.weight,
             self._machine.is_slow,
             self._quota_counters(),
             self._machine.work_time_us,
-            round(self._moved_clients.share, 3),
+            self._machine.moved_share,
         )
 
-    def _weight(self) -> float:
-        """Return the traffic in Mbit/s that the link and the processor cores can carry."""
-        capacity = self._settings.capacity
-        share = members.SLOW_WEIGHT_SHARE if self._machine.is_slow else 1.0
-        return min(capacity.link_mbps, capacity.cores * _MBPS_PER_CORE) * share
-
     def _heartbeat(self) -> None:
         """Send heartbeats; a starting instance that has all objects is ready first."""
-        self._move_clients()
+        self._machine.move_clients(self._phase, self._reactor.seconds())
         if (
             self._phase is members.Phase.STARTING
             and self._catalog.config is not None
@@ -589,24 +575,6 @@
             logs.event("instance-ready", version=self._catalog.config.version)
         self._streams.send_heartbeats()
 
-    def _move_clients(self) -> None:
-        """Update the share of this instance's clients that is led to other regions."""
-        now = self._reactor.seconds()
-        serving = self._streams.membership.serving(now)
-        region = self._settings.place.region
-        if self._phase is not members.Phase.READY:
-            self._moved_clients.adopt(moved_clients.region_share(serving, region), now)
-            return
-        is_needed = self._machine.is_slow and moved_clients.needs_others(serving, region)
-        bound = self._settings.bounds.shift_most * _MOVED_CLIENTS_SHARE
-        self._moved_clients.advance(is_needed, bound / _LOOKUP_INTERVAL_S, now)
-
-    def _others_work_times(self) -> Iterator[int]:
-        """Yield the work times that the other live instances announce, in microseconds."""
-        for member in self._streams.membership.iter_live(self._reactor.seconds()):
-            if member.name != self._settings.place.name:
-                yield member.work_time_us
-
     def _on_members_change(self) -> None:
         self._allocator.update_owners()
 
--- a/tests/directory_simulation.py
+++ b/tests/directory_simulation.py
@@ -1,11 +1,15 @@
 """Simulation of instances that measure their machines, and of clients of the directory."""
 
 import collections
+import math
 import random
+import types
 
-from carobhook.coordination import directory, moved_clients
+import attrs
+
+from carobhook.coordination import directory, membership, moved_clients
 from carobhook.state import ids, members
-from carobhook.transport import entry_daemon, entry_endpoints, machine_probe
+from carobhook.transport import entry_endpoints, own_machine
 
 REGIONS = tuple(ids.Region(name) for name in ("north", "middle", "south"))
 LEAD_S = 10.0
@@ -15,7 +19,6 @@
 MESSAGE_DELAY_S = 0.4
 USUAL_S = 0.00005
 SHIFT_MOST = 0.15
-CHANGE_PER_S = SHIFT_MOST * entry_daemon._MOVED_CLIENTS_SHARE / entry_daemon._LOOKUP_INTERVAL_S
 WINDOW_S = 2.0
 # Clients of a region, and requests a second of each.
 CLIENTS = 90
@@ -32,72 +35,60 @@
         region: Region that it runs in.
         number: Number in its region; every third instance is in the second failure domain.
         pace: Returns how long work takes on its machine at a time, as a multiple of the usual.
-        started_at: Time at which it starts.
+        table: Instances that all know.
     """
 
-    def __init__(self, region, number, pace, started_at=-LEAD_S):
-        self.name = ids.InstanceId(f"{region}-{number}")
-        self.region = region
-        self.domain = ids.FailureDomain(f"{region}-{'b' if number % 3 == 2 else 'a'}")
-        self.started_at = started_at
+    def __init__(self, region, number, pace, table):
+        domain = ids.FailureDomain(f"{region}-{'b' if number % 3 == 2 else 'a'}")
+        self.member = members.Member(
+            ids.InstanceId(f"{region}-{number}"),
+            ids.Incarnation("0" * 16),
+            region,
+            domain,
+            f"{region}-{number}:1",
+            f"{region}-{number}:2",
+            members.Phase.READY,
+            ids.Version(1),
+        )
         self.slow_at = []
-        self._pace = pace
-        self._now = started_at
-        self.others = []
-        self.moved = moved_clients.MovedClients()
-        self.split = moved_clients.LookupSplit()
         self.is_changed = False
-        self.probe = machine_probe.MachineProbe(
-            self._seconds,
-            lambda: [other.work_time_us for other in self.others],
-            self._change,
-            self._change,
+        self.split = moved_clients.LookupSplit()
+        self._pace = pace
+        self._now = -LEAD_S
+        settings = types.SimpleNamespace(
+            place=types.SimpleNamespace(name=self.member.name, region=region),
+            capacity=types.SimpleNamespace(link_mbps=1000.0, cores=0.86),
+            bounds=types.SimpleNamespace(shift_most=SHIFT_MOST),
+        )
+        self._machine = own_machine.OwnMachine(
+            lambda: settings, lambda: table, self._seconds, self._change
         )
-
-    def _change(self):
-        self.is_changed = True
 
     def _seconds(self):
         """Return the time; each call takes half of the piece of work."""
         self._now += USUAL_S * self._pace(self._now) / 2
         return self._now
 
-    def tick(self, now, others):
-        """Measure the machine.
+    def _change(self):
+        self.is_changed = True
 
-        Args:
-            now: Time in seconds.
-            others: The other instances, as it knows them.
-        """
-        self._now, self.others = now, others
-        self.probe.probe()
-        if self.probe.is_slow:
+    def tick(self, now):
+        """Measure the machine."""
+        self._now = now
+        self._machine.probe()
+        if self._machine.is_slow:
             self.slow_at.append(now)
 
-    def beat(self, serving, now):
-        """Return what the next heartbeat announces.
-
-        Args:
-            serving: All instances, as it knows them.
-            now: Time in seconds.
-        """
-        is_needed = self.probe.is_slow and moved_clients.needs_others(serving, self.region)
-        self.moved.advance(is_needed, CHANGE_PER_S, now)
+    def beat(self, now):
+        """Return what the next heartbeat announces."""
         self.is_changed = False
-        share = members.SLOW_WEIGHT_SHARE if self.probe.is_slow else 1.0
-        return members.Member(
-            self.name,
-            ids.Incarnation("0" * 16),
-            self.region,
-            self.domain,
-            f"{self.name}:1",
-            f"{self.name}:2",
-            members.Phase.READY,
-            ids.Version(1),
-            weight=86.0 * share,
-            is_slow=self.probe.is_slow,
-            work_time_us=self.probe.work_time_us,
-            moved_share=round(self.moved.share, 3),
+        self._machine.move_clients(members.Phase.READY, now)
+        return attrs.evolve(
+            self.member,
+            weight=self._machine.weight,
+            is_slow=self._machine.is_slow,
+            work_time_us=self._machine.work_time_us,
+            moved_share=self._machine.moved_share,
         )
 
 
@@ -131,8 +122,11 @@
 
     def __init__(self, paces, seed=1, per_region=3, first_lookups_s=WINDOW_S):
         self.rng = random.Random(seed)
+        self._table = membership.Membership(ids.InstanceId("all"), math.inf)
         self.instances = [
-            Instance(region, number, lambda now, r=region, n=number: paces(r, n, now))
+            Instance(
+                region, number, lambda now, r=region, n=number: paces(r, n, now), self._table
+            )
             for region in REGIONS
             for number in range(per_region)
         ]
@@ -143,7 +137,6 @@
         ]
         self.runs = collections.defaultdict(collections.Counter)
         self._sent = []
-        self._known = {}
 
     def _client(self, region, number, first_lookups_s):
         is_long = self.rng.random() < LONG_KEPT_SHARE
@@ -165,23 +158,19 @@
 
     def _tick_instances(self, tick, now):
         while self._sent and self._sent[0][0] <= now:
-            _, member = self._sent.pop(0)
-            self._known[member.name] = member
+            sent_at, member = self._sent.pop(0)
+            self._table.record_heartbeat(member, sent_at)
         beat = round(HEARTBEAT_S / TICK_S)
         for number, instance in enumerate(self.instances):
-            instance.tick(now, [m for m in self.serving() if m.name != instance.name])
+            instance.tick(now)
             if (tick + number) % beat == 0 or instance.is_changed:
-                member = instance.beat(self.serving(), now)
-                self._sent.append((now + MESSAGE_DELAY_S, member))
-
-    def serving(self):
-        """Return the instances as all know them, sorted by name."""
-        return [self._known[name] for name in sorted(self._known)]
+                self._sent.append((now + MESSAGE_DELAY_S, instance.beat(now)))
 
     def _look_up(self, client, now):
         """Return the instances that one of the directories of the region names."""
-        asked = self.rng.choice([i for i in self.instances if i.region == client.region])
-        serving = self.serving()
+        in_region = [i for i in self.instances if i.member.region == client.region]
+        asked = self.rng.choice(in_region)
+        serving = self._table.serving(now)
         share = moved_clients.region_share(serving, client.region)
         is_elsewhere = asked.split.leads_elsewhere(client.region, share)
         nearby = directory.nearest(serving, client.region, client.domain, is_elsewhere)
--- a/tests/test_clients_change_region.py
+++ b/tests/test_clients_change_region.py
@@ -17,7 +17,7 @@
 
 def called_slow(fleet):
     """Return the names of the instances that were ever called slow."""
-    return [instance.name for instance in fleet.instances if instance.slow_at]
+    return [instance.member.name for instance in fleet.instances if instance.slow_at]
 
 
 class TestUsualMachines:
