Let no slow machine dispatch while the region has a usual one

The owner of a shard is now one of the relays on a usual machine, an instance of another region if all of the region are slow. Builds that announce no work time choose as before; all choose alike while one of them serves.

Measured: test_dispatcher_of_a_small_region_is_on_a_usual_machine fails on the commit before.

--- a/src/carobhook/coordination/membership.py
+++ b/src/carobhook/coordination/membership.py
@@ -132,13 +132,19 @@
 
     The owner dispatches requests to these servers. It is one of the relays that the region has
     among the given instances, or an instance of any region if none of this region is given.
-    None is returned if no instance accepts new work.
+    Every request of the region waits for its dispatcher, so that one on a slow machine is the
+    owner only if all machines are slow. None is returned if no instance accepts new work.
 
     Args:
         region: Region of the backend servers.
         service: Service of the backend servers.
         serving: Instances that accept new work.
     """
-    names = [m.name for m in relays(serving, region)] or [m.name for m in serving]
+    in_region = relays(serving, region)
+    # Builds that announce no work time choose by weight only; all have to choose alike.
+    if all(member.work_time_us for member in serving):
+        usual = [member for member in in_region if not member.is_slow]
+        in_region = usual or [m for m in serving if not m.is_slow] or in_region
+    names = [m.name for m in in_region] or [m.name for m in serving]
     order = rendezvous_order(f"{region}/{service}", names)
     return ids.InstanceId(order[0]) if order else None
--- a/tests/test_slow_machine.py
+++ b/tests/test_slow_machine.py
@@ -185,6 +185,38 @@
         assert membership.shard_owner(NORTH, SERVICE, serving) not in (owner, None)
         assert owner not in [m.name for m in membership.relays(serving, NORTH)]
 
+    def owner(self, slow, older=(), south=()):
+        """Return the owner of a shard of the north, which has three instances.
+
+        Args:
+            slow: Names of the instances on slow machines.
+            older: Names of instances of a build that announces no work time.
+            south: Names of instances of another region.
+        """
+        serving = [
+            attrs.evolve(
+                member(name, name in slow, SOUTH if name in south else NORTH),
+                work_time_us=0 if name in older else 50,
+            )
+            for name in ("a", "b", "c", *south)
+        ]
+        return membership.shard_owner(NORTH, SERVICE, serving)
+
+    @pytest.mark.parametrize("first", ["a", "b", "c"])
+    def test_dispatcher_of_a_small_region_is_on_a_usual_machine(self, first):
+        """All its instances are relays, so that weights do not tell."""
+        assert self.owner({"a", "b", "c"} - {first}) == first
+
+    def test_all_machines_of_a_region_are_slow(self):
+        """Another region dispatches for it; with none, a slow machine does."""
+        assert self.owner({"a", "b", "c"}, south=["s"]) == "s"
+        assert self.owner({"a", "b", "c", "s"}, south=["s"]) == self.owner(())
+        assert self.owner({"a", "b", "c"}) == self.owner(())
+
+    def test_older_builds_choose_alike(self):
+        """While one of them serves, a slow machine keeps the duty."""
+        assert self.owner({self.owner(())}, older={"b"}) == self.owner(())
+
 
 class TestReports:
     """What a slow instance reports of servers."""
