Split pools and loans from the dispatchers of shards

No behavior changes; the bodies moved as they were.

Measured: the tests of slots, limits, fair shares, quotas and entry instances hold.

--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -33,7 +33,7 @@
     peers,
     quota_service,
     server_access,
-    shard_dispatchers,
+    shard_limits,
     slot_allocator,
     sockets,
     store_sync,
@@ -253,11 +253,11 @@
             int(self._clocks.wall() * 1000),
         )
 
-    def _slot_limits(self) -> shard_dispatchers.SlotLimits:
+    def _slot_limits(self) -> shard_limits.SlotLimits:
         bounds = self._settings.bounds
-        return shard_dispatchers.SlotLimits(
-            bounds.budget_ratio * shard_dispatchers.APPLIED_LIMIT_SHARE,
-            bounds.budget_slack * shard_dispatchers.APPLIED_LIMIT_SHARE,
+        return shard_limits.SlotLimits(
+            bounds.budget_ratio * shard_limits.APPLIED_LIMIT_SHARE,
+            bounds.budget_slack * shard_limits.APPLIED_LIMIT_SHARE,
             bounds.budget_window_s,
             bounds.cold_over,
             bounds.cold_slack,
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -5,7 +5,6 @@
 import typing
 from collections.abc import Callable, Collection, Iterable, Mapping
 
-import attrs
 from twisted.python import failure
 
 from carobhook import logs
@@ -13,7 +12,6 @@
     catalog,
     dispatcher,
     fair_share,
-    pooled_server,
     region_shares,
     retry_budget,
     slot_loans,
@@ -21,13 +19,16 @@
 )
 from carobhook.protocol import slot_messages
 from carobhook.state import allocation, codes, ids
-from carobhook.transport import quota_service, shard_state
+from carobhook.transport import (
+    quota_service,
+    shard_limits,
+    shard_loans,
+    shard_pools,
+    shard_state,
+)
 
 Shard = shard_state.Shard
 
-# Fraction of the configured retry limits that dispatchers apply. Requests on their way are not
-# counted yet; without this margin, all instances together could exceed the configured limits.
-APPLIED_LIMIT_SHARE = 0.8
 # A new dispatcher grants nothing until all instances have reported which slots they hold;
 # otherwise it would grant slots that are in use. It waits at most this long, because instances
 # that it can't reach do not report.
@@ -43,34 +44,6 @@
 _REPLACE_INTERVAL_S = 1.0
 
 
-@attrs.frozen
-class SlotLimits:
-    """Limits on the retries and cold-server requests of all instances, and on loan changes.
-
-    Attributes:
-        budget_ratio: Retries allowed per request of a service.
-        budget_slack: Additional retries allowed per window, in all regions together.
-        budget_window_s: Length of the window in seconds.
-        cold_factor: Multiple of its configured rate that a cold server may get.
-        cold_slack: Requests a second that a cold server may get beyond that multiple.
-        loan_step: Largest change of the loan to one region per update, as a share of the
-            borrower's demand.
-        region_change: Largest change of one region's share of a shard's requests within two
-            seconds.
-        min_route_share: Share of the requested work that each route and account is granted at
-            least, as a multiple of that of all; 0 for no minimum.
-    """
-
-    budget_ratio: float
-    budget_slack: float
-    budget_window_s: float
-    cold_factor: float
-    cold_slack: float
-    loan_step: float
-    region_change: float = 1.0
-    min_route_share: float = 0.0
-
-
 class ShardDispatchers:
     """Dispatchers of the shards that this instance owns, and the loans of their slots.
 
@@ -96,7 +69,7 @@
         regions: Mapping[ids.FailureDomain, ids.Region],
         server_catalog: catalog.Catalog,
         orders: steering.Steering,
-        limits: SlotLimits,
+        limits: shard_limits.SlotLimits,
         owner_of: Callable[[Shard], ids.InstanceId | None],
         send: Callable[[ids.InstanceId, typing.Any], bool],
         live_names: Callable[[], Collection[ids.InstanceId]],
@@ -106,17 +79,18 @@
         self._reactor = reactor
         self._own = own
         self._regions = regions
-        self._catalog = server_catalog
-        self._orders = orders
         self._limits = limits
         self._region_change = limits.region_change
         self._owner_of = owner_of
         self._send = send
         self._live_names = live_names
-        self._limit_share = limit_share
         self._quotas = quotas or quota_service.QuotaService(
             reactor, own, regions.values(), quota_service.QuotaTerms(), send
         )
+        self._pools = shard_pools.ShardPools(
+            reactor, regions, server_catalog, orders, limits, limit_share
+        )
+        self._loans = shard_loans.ShardLoans(reactor, regions, self._pools, owner_of, send)
         self._shards: dict[Shard, shard_state.ShardState] = {}
         self._dispatch_s = 0.0
         self._ticked_at = math.inf
@@ -248,13 +222,13 @@
         pooled = state.dispatcher.pool.get(server)
         if pooled is not None and pooled.region != shard[0]:
             if has_changed:
-                self._update_pool(shard, state)
+                self._pools.update(shard, state)
             self._report_limit((pooled.region, shard[1]), server, rate)
         elif has_changed:
-            max_per_s = self._own_share(shard, rate.max_per_s)
+            max_per_s = self._pools.own_share(shard, rate.max_per_s)
             state.dispatcher.pool.limit_rate(server, max_per_s, now)
             if max_per_s is not None:
-                self._stop_lending(shard, state, server, now)
+                self._loans.stop_lending(shard, state, server, now)
 
     def _report_limit(
         self, shard: Shard, server: ids.Server, rate: allocation.RateStatement
@@ -265,13 +239,6 @@
             limit = slot_messages.ServerLimit(server, rate.max_per_s)
             self._send(owner, slot_messages.ServerLimitReport(*shard, limit))
 
-    def _own_share(self, shard: Shard, max_per_s: float | None) -> float | None:
-        """Return the part of a server's limit that this dispatcher may use.
-
-        Instances that it does not see may have a dispatcher of their own, which uses the rest.
-        """
-        return None if max_per_s is None else max_per_s * self._limit_share(shard[0])
-
     def handle_held_slots(
         self, sender: ids.InstanceId, message: slot_messages.HeldSlotsReport
     ) -> None:
@@ -415,7 +382,7 @@
         budget = state.dispatcher.retry_budget
         state.dispatcher = self._create_dispatcher(state.shard, budget)
         state.has_failed, state.replaced_at = False, now
-        self._update_pool(state.shard, state)
+        self._pools.update(state.shard, state)
         self._query_held_slots(state.shard, state)
         for request_id, requester in requesters.items():
             self._quotas.withdraw(request_id)
@@ -464,7 +431,7 @@
             started_at=self._reactor.seconds(),
         )
         self._shards[shard] = state
-        self._update_pool(shard, state)
+        self._pools.update(shard, state)
         self._query_held_slots(shard, state)
         return state
 
@@ -500,7 +467,7 @@
         """Update all dispatchers after a change of servers, configuration or orders."""
         now = self._reactor.seconds()
         for shard, state in list(self._shards.items()):
-            self._guard(state, self._update_pool, shard, state)
+            self._guard(state, self._pools.update, shard, state)
             self._decide(state, now)
 
     def tick(self, now: float) -> None:
@@ -556,83 +523,6 @@
             )
         return loads
 
-    # Servers and loans.
-
-    def _update_pool(self, shard: Shard, state: shard_state.ShardState) -> None:
-        """Update the pool to the servers of the shard's region and the borrowed servers.
-
-        Withheld slots and the share of the retry budget are updated too.
-        """
-        now = self._reactor.seconds()
-        region, service = shard
-        borrowed: dict[ids.Server, int] = {}
-        for report in state.recent_reports(now).values():
-            borrowed.update(report.lent)
-        offers = []
-        own_servers = []
-        limit_share = self._limit_share(region)
-        cold_rate = self._cold_rate(service, limit_share)
-        limits = state.limits.in_force(now)
-        for view in self._catalog.servers_of(service, now):
-            entry = view.entry
-            server_region = self._regions.get(entry.failure_domain)
-            if server_region is None:
-                continue
-            if server_region == region:
-                own_servers.append(view)
-                max_per_s = self._own_share(shard, limits.get(entry.name))
-                offers.append(
-                    pooled_server.ServerOffer(
-                        view, server_region, entry.slots, cold_rate, max_per_s
-                    )
-                )
-            elif entry.name in borrowed and entry.name not in limits and now >= view.cold_until:
-                slots = borrowed[entry.name]
-                offers.append(pooled_server.ServerOffer(view, server_region, slots, cold_rate))
-        state.withheld = self._orders.withheld_slots(service, region, own_servers)
-        state.dispatcher.pool.replace(offers, now)
-        config = self._catalog.config
-        table = config.accounts if config is not None else None
-        state.dispatcher.fairness.weights = fair_share.account_weights(table)
-        state.dispatcher.retry_budget.share = limit_share
-        self._update_unavailable_slots(state, now)
-
-    def _cold_rate(self, service: ids.Service, limit_share: float) -> float | None:
-        """Return the requests a second that a dispatcher may send to a cold server.
-
-        None means no limit.
-
-        Args:
-            service: Service of the server.
-            limit_share: Share of each limit that this instance may use.
-        """
-        config = self._catalog.config
-        policy = config.services.get(service) if config is not None else None
-        if policy is None or policy.cold_requests_per_s <= 0:
-            return None
-        max_per_s = (
-            policy.cold_requests_per_s * self._limits.cold_factor + self._limits.cold_slack
-        )
-        return pooled_server.cold_rate_limit(policy.cold_requests_per_s, max_per_s, limit_share)
-
-    def _update_unavailable_slots(self, state: shard_state.ShardState, now: float) -> None:
-        """Update how many slots of each server the dispatcher must not grant.
-
-        These are the slots that orders withhold, that are lent, that were recalled a moment
-        ago, and that another region's requests hold in excess of its loan.
-        """
-        counts: dict[ids.Server, int] = dict(state.withheld)
-        state.recalled.expire(now)
-        for reserved in (*state.lent.values(), state.recalled.counts):
-            for server, count in reserved.items():
-                counts[server] = counts.get(server, 0) + count
-        for region, report in state.recent_reports(now).items():
-            for server, in_use in report.used:
-                excess = in_use - state.lent.get(region, {}).get(server, 0)
-                if excess > 0:
-                    counts[server] = counts.get(server, 0) + excess
-        state.dispatcher.pool.set_unavailable_slots(counts, state.withheld)
-
     def update_loans(self, elapsed_s: float, now: float) -> None:
         """Update the loans and pools of all shards, and report to other regions' dispatchers.
 
@@ -642,109 +532,12 @@
         """
         for shard, state in list(self._shards.items()):
             if self._owner_of(shard) == self._own:
-                self._guard(state, self._update_loans, shard, state, elapsed_s, now)
-            self._guard(state, self._update_pool, shard, state)
+                self._guard(state, self._loans.update, shard, state, elapsed_s, now)
+            self._guard(state, self._pools.update, shard, state)
             state.log_moved_grants(now)
 
-    def _update_loans(
-        self, shard: Shard, state: shard_state.ShardState, elapsed_s: float, now: float
-    ) -> None:
-        region = shard[0]
-        state.update_demand(elapsed_s)
-        region_loads = {
-            other: slot_loans.RegionLoad(report.slots, report.demand)
-            for other, report in state.recent_reports(now).items()
-        }
-        region_loads[region] = state.load(now)
-        if state.demand is not None or not state.has_adopted_loans:
-            # What the region's own clients need is unknown right after a takeover.
-            targets = slot_loans.target_loans(region, region_loads)
-            state.loans.update(targets, region_loads, state.used_slots(now))
-        previous = state.lent
-        state.recalled.expire(now)
-        state.lent = slot_loans.place_loans(
-            state.loans.lent, state.lendable_slots(now), state.lent
-        )
-        state.recalled.recall(previous, state.lent, now)
-        if state.lent != previous:
-            state.log_loans(region_loads)
-        for other in set(self._regions.values()) - {region}:
-            self._send_region_report(shard, state, other, region_loads[region])
-
-    def _stop_lending(
-        self, shard: Shard, state: shard_state.ShardState, server: ids.Server, now: float
-    ) -> None:
-        """Recall all lent slots of a server at once."""
-        borrowers = [region for region, lent in state.lent.items() if server in lent]
-        if not borrowers:
-            return
-        previous = state.lent
-        state.lent = {
-            region: {name: count for name, count in lent.items() if name != server}
-            for region, lent in previous.items()
-        }
-        state.recalled.recall(previous, state.lent, now)
-        self._update_unavailable_slots(state, now)
-        load = state.load(now)
-        for region in borrowers:
-            self._send_region_report(shard, state, region, load)
-
-    def _send_region_report(
-        self,
-        shard: Shard,
-        state: shard_state.ShardState,
-        receiver: ids.Region,
-        load: slot_loans.RegionLoad,
-    ) -> None:
-        region, service = shard
-        owner = self._owner_of((receiver, service))
-        if owner is None:
-            return
-        used = tuple(
-            (pooled.name, len(pooled.running))
-            for pooled in state.dispatcher.pool.busy_servers
-            if pooled.region == receiver
-        )
-        lent = tuple(state.lent.get(receiver, {}).items())
-        now = self._reactor.seconds()
-        objects = state.next_digests(receiver, now)
-        lender = state.recent_reports(now).get(receiver)
-        borrowed = lender.lent if lender is not None else ()
-        report = slot_messages.RegionReport(
-            service,
-            region,
-            receiver,
-            load.slots,
-            load.demand,
-            lent,
-            used,
-            objects,
-            borrowed,
-            not state.is_awaiting(receiver, now),
-        )
-        self._send(owner, report)
-
     def handle_region_report(self, report: slot_messages.RegionReport) -> None:
         """Record the report of another region's dispatcher, and apply its changes."""
-        shard = (report.receiver, report.service)
-        state = self._shards.get(shard)
-        if state is None:
-            return
-        now = self._reactor.seconds()
-        previous = state.reports.get(report.region)
-        if not report.is_lent_known and previous is not None:
-            report = attrs.evolve(report, lent=previous[0].lent)
-        state.reports[report.region] = (report, now)
-        if previous is not None:
-            # The lender knows of the limits of its servers, and lends them again after these.
-            for server in dict(previous[0].lent).keys() - dict(report.lent).keys():
-                state.limits.forget(server)
-        if previous is None or previous[0].lent != report.lent:
-            self._update_pool(shard, state)
-        elif previous[0].used != report.used:
-            self._update_unavailable_slots(state, now)
-        if state.adopt_loan(report, now):
-            self._update_unavailable_slots(state, now)
-            self._send_region_report(shard, state, report.region, state.load(now))
-        for server, hashes in report.objects:
-            state.dispatcher.pool.record_told_objects(server, hashes)
+        state = self._shards.get((report.receiver, report.service))
+        if state is not None:
+            self._loans.handle_report(state, report)
--- a/src/carobhook/transport/slot_allocator.py
+++ b/src/carobhook/transport/slot_allocator.py
@@ -9,7 +9,7 @@
 from carobhook.coordination import catalog, membership, steering
 from carobhook.protocol import quota_messages, slot_messages
 from carobhook.state import allocation, codes, ids
-from carobhook.transport import quota_service, shard_dispatchers, slot_client
+from carobhook.transport import quota_service, shard_dispatchers, shard_limits, slot_client
 
 # Interval at which shard owners and loans are updated.
 _UPDATE_INTERVAL_S = 0.5
@@ -56,7 +56,7 @@
         server_catalog: catalog.Catalog,
         orders: steering.Steering,
         peers: PeerSender,
-        limits: shard_dispatchers.SlotLimits,
+        limits: shard_limits.SlotLimits,
         limit_share: Callable[[ids.Region], float],
         quota_terms: quota_service.QuotaTerms | None = None,
     ) -> None:
--- a/tests/region_simulation.py
+++ b/tests/region_simulation.py
@@ -9,7 +9,7 @@
 
 from carobhook.coordination import catalog, membership, steering
 from carobhook.state import allocation, ids, members, routing, servers
-from carobhook.transport import shard_dispatchers, slot_allocator
+from carobhook.transport import shard_limits, slot_allocator
 
 SERVICE = ids.Service("svc")
 SMALL, MIDDLE, LARGE = ids.Region("small"), ids.Region("middle"), ids.Region("large")
@@ -19,7 +19,7 @@
     ids.FailureDomain(f"{region}-{letter}"): region for region in SERVERS for letter in "abc"
 }
 SHIFT_MOST = 0.15
-LIMITS = shard_dispatchers.SlotLimits(0.2, 58, 10.0, 1.5, 5.0, SHIFT_MOST / 4)
+LIMITS = shard_limits.SlotLimits(0.2, 58, 10.0, 1.5, 5.0, SHIFT_MOST / 4)
 WINDOW_S = 2.0
 TICK_S = 0.05
 
--- a/tests/test_global_limits.py
+++ b/tests/test_global_limits.py
@@ -10,7 +10,7 @@
 
 import test_slot_allocator as slot_tests
 from carobhook.state import allocation, ids, routing
-from carobhook.transport import shard_dispatchers
+from carobhook.transport import shard_limits
 
 COLD_PER_S = 5.0
 # Requests that a cold server may get within one second: 1.5 times its rate plus 5.
@@ -220,8 +220,8 @@
                     simulation.repartition()
             window_s = slot_tests.LIMITS.budget_window_s
             # Instances apply only this share of the agreed limits; dividing restores those.
-            slack = slot_tests.LIMITS.budget_slack / shard_dispatchers.APPLIED_LIMIT_SHARE
-            ratio = slot_tests.LIMITS.budget_ratio / shard_dispatchers.APPLIED_LIMIT_SHARE
+            slack = slot_tests.LIMITS.budget_slack / shard_limits.APPLIED_LIMIT_SHARE
+            ratio = slot_tests.LIMITS.budget_ratio / shard_limits.APPLIED_LIMIT_SHARE
             for start in simulation.retry_times:
                 retries = sum(start <= at < start + window_s for at in simulation.retry_times)
                 requests = sum(
--- a/tests/test_slot_allocator.py
+++ b/tests/test_slot_allocator.py
@@ -6,12 +6,12 @@
 from carobhook.coordination import catalog, membership, steering
 from carobhook.protocol import slot_messages
 from carobhook.state import allocation, codes, ids, members, routing, servers
-from carobhook.transport import shard_dispatchers, slot_allocator
+from carobhook.transport import shard_limits, slot_allocator
 
 NORTH = ids.Region("north")
 SERVICE = ids.Service("svc")
 DOMAIN = ids.FailureDomain("north-a")
-LIMITS = shard_dispatchers.SlotLimits(0.2, 58, 10.0, 1.5, 5.0, 0.05)
+LIMITS = shard_limits.SlotLimits(0.2, 58, 10.0, 1.5, 5.0, 0.05)
 
 
 def member(name):
