--- a/src/carobhook/coordination/moved_clients.py
+++ b/src/carobhook/coordination/moved_clients.py
@@ -70,9 +70,8 @@
         region: The region.
     """
     in_region = [member for member in serving if member.region == region]
-    weight = sum(_usual_weight(member) for member in in_region)
     moved = sum(_usual_weight(member) * member.moved_share for member in in_region)
-    return moved / weight if weight > 0 else 0.0
+    return moved / _total_weight(in_region) if moved > 0 else 0.0
 
 
 def needs_others(serving: Sequence[members.Member], region: ids.Region) -> bool:
@@ -83,9 +82,13 @@
         region: The region.
     """
     in_region = [member for member in serving if member.region == region]
-    weight = sum(_usual_weight(member) for member in in_region)
     usual_weight = sum(member.weight for member in in_region if not member.is_slow)
-    return usual_weight < _MIN_USUAL_SHARE * weight
+    return usual_weight < _MIN_USUAL_SHARE * _total_weight(in_region)
+
+
+def _total_weight(in_region: Sequence[members.Member]) -> float:
+    """Return the weight that instances have while all machines work at their usual pace."""
+    return sum(_usual_weight(member) for member in in_region)
 
 
 def _usual_weight(member: members.Member) -> float:
