Log and count what a client sent on a connection that was ending

Change: event client-bytes-dropped with the bytes and the time for which the connection was ending, also for bytes that were read before and not started; counter carobhook_client_connections_dropped_total. No logic changes.

--- a/src/carobhook/entry_metrics.py
+++ b/src/carobhook/entry_metrics.py
@@ -103,6 +103,12 @@
         ("bound",),
         "Request bodies not read for lack of memory, by the bound: process or client.",
     )
+    CONNECTIONS_DROPPED = MetricInfo(
+        "carobhook_client_connections_dropped_total",
+        Kind.COUNTER,
+        (),
+        "Connections that ended with bytes of their client dropped, which may be requests.",
+    )
     SERVER_CONNECTIONS = MetricInfo(
         "carobhook_server_connections_opened",
         Kind.GAUGE,
@@ -277,13 +283,16 @@
 
     def count(self, metric: EntryMetric, *labels: str) -> None:
         """Increment a counter by one."""
-        self._collectors[metric].labels(*labels).inc()
+        self._child(metric, labels).inc()
 
     def observe(self, metric: EntryMetric, seconds: float, *labels: str) -> None:
         """Record a duration in seconds in a histogram."""
+        self._child(metric, labels).observe(seconds)
+
+    def _child(self, metric: EntryMetric, labels: tuple[str, ...]) -> typing.Any:
+        """Return what counts for labels; the library has no child without labels."""
         collector = self._collectors[metric]
-        # The library has no child for a metric without labels.
-        (collector.labels(*labels) if labels else collector).observe(seconds)
+        return collector.labels(*labels) if labels else collector
 
     def render(self) -> bytes:
         """Return all metrics in the Prometheus text format."""
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -88,6 +88,11 @@
         "A client's connection ended before its requests were answered; why, how many there "
         "were, and how many responses were ready.",
     )
+    CLIENT_BYTES_DROPPED = EventInfo(
+        "client-bytes-dropped",
+        "A client sent bytes that no request was started for, as its connection was ending; "
+        "how many, and for how long it was ending.",
+    )
     BODY_REFUSED = EventInfo(
         "body-refused",
         "A request body was not read, as it does not fit into a bound on memory for clients.",
--- a/src/carobhook/transport/client_connection.py
+++ b/src/carobhook/transport/client_connection.py
@@ -50,6 +50,8 @@
         self._is_reading_paused = False
         self._is_pipelining = False
         self._later_call: typing.Any = None
+        self._ended_at = 0.0
+        self._dropped_bytes = 0
         self._lost_reason = client_responses.EndReason.CLIENT_LEFT
 
     @property
@@ -74,17 +76,22 @@
         self._listener.remove_connection(self)
         self._end_requests(self._lost_reason)
         self._responses.stop()
+        if self._dropped_bytes:
+            lasted_s = self._reactor.seconds() - self._ended_at
+            self._listener.record_dropped(self._responses.client, self._dropped_bytes, lasted_s)
 
     def dataReceived(self, data: bytes) -> None:
         """Read the requests that the received bytes complete."""
-        if not self._is_reading_ended:
-            self._reader.receive(data)
-            self._advance()
+        if self._is_reading_ended:
+            self._dropped_bytes += len(data)
+            return
+        self._reader.receive(data)
+        self._advance()
 
     def abort(self) -> None:
         """Close the connection at once, as the instance ends."""
         self._lost_reason = client_responses.EndReason.INSTANCE_ENDS
-        self._is_reading_ended = True
+        self._end_reading()
         self._timer.stop()
         self.transport.abortConnection()
 
@@ -199,9 +206,8 @@
 
     def _reject(self, error: request_reader.ReadError) -> None:
         """Refuse a request that was not read completely, and close the connection."""
-        self._is_reading_ended = True
+        self._end_reading()
         self._timer.stop()
-        self._reader.discard()
         refused = response_order.PendingResponse(closes=True, lingers=True)
         self._responses.add(refused)
         self._respond(refused, self._listener.refuse(error, self._responses.client))
@@ -225,14 +231,21 @@
         Args:
             reason: Why the connection ends.
         """
-        self._is_reading_ended = True
+        self._end_reading()
         self._timer.stop()
         later_call, self._later_call = self._later_call, None
         if later_call is not None:
             later_call.cancel()
-        self._reader.discard()
         self._responses.abandon(reason)
 
+    def _end_reading(self) -> None:
+        """Start no further request; what was received of one, and what arrives, is dropped."""
+        if not self._is_reading_ended:
+            self._is_reading_ended = True
+            self._ended_at = self._reactor.seconds()
+        self._dropped_bytes += self._reader.unstarted_bytes
+        self._reader.discard()
+
     def _end_at_once(self, reason: client_responses.EndReason) -> None:
         self._end_requests(reason)
         self._responses.stop()
--- a/src/carobhook/transport/client_connections.py
+++ b/src/carobhook/transport/client_connections.py
@@ -98,6 +98,7 @@
         body_timeout_s: Maximum number of seconds from the head of a request to its end.
         max_started: Maximum number of requests in progress on a connection.
         on_body_refused: Called with the limit when a body was refused for lack of memory.
+        on_dropped: Called when a connection has ended and bytes of its client were dropped.
     """
 
     noisy = False
@@ -121,6 +122,7 @@
         self.memory = memory
         self.is_repeatable: Callable[[http1.RequestHead], bool] = _never
         self.on_body_refused: Callable[[client_memory.Bound], object] = lambda bound: None
+        self.on_dropped: Callable[[], object] = lambda: None
         self._max_connections = max_connections
         self._connections: set[client_connection.ClientConnection] = set()
 
@@ -178,6 +180,22 @@
             self._record_refused_body(client, error.bound, error.size)
         return local_response(error.status, str(error), headers)
 
+    def record_dropped(self, client: str, size: int, lasted_s: float) -> None:
+        """Record that bytes of a client were dropped, as its connection was ending.
+
+        Args:
+            client: Address of the client.
+            size: Number of the bytes, of requests that were not started.
+            lasted_s: Seconds from the decision to end the connection to its end.
+        """
+        logs.event(
+            "client-bytes-dropped",
+            client=client,
+            bytes=size,
+            lasted_ms=round(lasted_s * 1000, 1),
+        )
+        self.on_dropped()
+
     def abort(self) -> None:
         """Close all connections at once."""
         for connection in list(self._connections):
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -307,6 +307,9 @@
         listener.on_body_refused = lambda bound: self._metrics.count(
             entry_metrics.EntryMetric.BODIES_REFUSED, bound.value
         )
+        listener.on_dropped = lambda: self._metrics.count(
+            entry_metrics.EntryMetric.CONNECTIONS_DROPPED
+        )
         return listener
 
     def _gauges(
--- a/src/carobhook/transport/request_reader.py
+++ b/src/carobhook/transport/request_reader.py
@@ -78,6 +78,7 @@
     def _reset(self) -> None:
         self._parser: h11.Connection | None = None
         self._head: http1.RequestHead | None = None
+        self._head_size = 0
         self._chunks: list[bytes] = []
         self._body_size = 0
         self._reserved_bytes = 0
@@ -89,6 +90,11 @@
         """Return the number of bytes that belong to no admitted request."""
         return len(self._buffer)
 
+    @property
+    def unstarted_bytes(self) -> int:
+        """Return the number of bytes of requests that were not taken yet."""
+        return self._head_size + self._body_size + len(self._buffer)
+
     @property
     def is_empty(self) -> bool:
         """Return whether no part of a request is known."""
@@ -133,6 +139,7 @@
             return None
         data = bytes(self._buffer[:size])
         del self._buffer[:size]
+        self._head_size = size
         parser = http1.request_parser()
         try:
             http1.check_head(data)
