--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -23,6 +23,12 @@
     def __init__(self, host="10.0.0.1"):
         super().__init__(peerAddress=Peer(host), lenient=True)
         self.aborted = False
+        self.is_half_closed = False
+
+    @property
+    def is_told(self):
+        """Return whether the client has learned that the connection ends."""
+        return self.is_half_closed or self.disconnecting or self.aborted
 
     def register(self, producer, streaming):
         """Ask for the first data."""
@@ -34,6 +40,11 @@
         """Record that the connection was closed at once."""
         self.aborted = True
 
+    def close_for_writing(self):
+        """Record that the client was told of the end, while it may still send."""
+        self.is_half_closed = True
+
+    loseWriteConnection = close_for_writing  # noqa: N815
     setTcpNoDelay = staticmethod(lambda enabled: None)  # noqa: N815
     registerProducer = register  # noqa: N815
     abortConnection = record_abort  # noqa: N815
