Tell clients at once that their connection ends, and drop no request unseen

A whole request on a kept connection of a leaving instance got neither an answer nor a refusal, and its connection was closed up to a second later. Cause: a connection that had pipelined was kept for a second after its end was decided, so that unread bytes would not reset it. Reading ended at once, and what arrived was dropped; the client was told only after the second. That was so for idle connections in a stop, whose last response was long read, and behind each last response. Change: an idle connection is served until it is closed as a whole; it is idle when nothing waits for its client to read and its last response is a second old, and what the system has received is read before that. Behind a last response, the connection is closed for writing (TLS: closing alert) at once, and then read for a second. The idle timeout takes the same way. At the end of the grace period reading stops before the last refusals are sent, and only connections whose clients have yet to read are reset. The test of an idle connection with unread responses asked that the request behind them be dropped; it now asks that it be served. The one of a closing connection whose client does not read asks for the same end, decided once the client has read.

--- a/src/carobhook/transport/client_connection.py
+++ b/src/carobhook/transport/client_connection.py
@@ -19,9 +19,9 @@
 # Reading from a client pauses when its buffered pipelined requests exceed this size. Otherwise,
 # the buffer would grow as fast as the client sends.
 _MAX_PIPELINED_BYTES = 64 * 1024
-# A connection on which the client may have sent more is closed this long after the last
-# response, and what arrives meanwhile is dropped. Closing a connection that has unread data
-# resets it, and a client that has not read the responses yet then never gets them.
+# Time that a client has to read what was sent last, before its connection is closed. Closing a
+# connection that has unread data resets it, and a client that has not read the responses yet
+# then never gets them.
 _LINGER_S = 1.0
 
 
@@ -48,6 +48,7 @@
         self._timer = connection_timer.ConnectionTimer(listener.reactor, self._on_timeout)
         self._is_reading_ended = False
         self._is_reading_paused = False
+        self._is_reading_stopped = False
         self._is_pipelining = False
         self._later_call: typing.Any = None
         self._ended_at = 0.0
@@ -88,6 +89,19 @@
         self._reader.receive(data)
         self._advance()
 
+    def is_settled(self, now: float) -> bool:
+        """Return whether the connection may be closed without a loss for its client.
+
+        No request is being read or handled, and the last bytes were sent so long ago that the
+        client has read them.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        return (
+            self.is_idle and not self.is_blocked and now - self._responses.sent_at >= _LINGER_S
+        )
+
     def abort(self) -> None:
         """Close the connection at once, as the instance ends."""
         self._lost_reason = client_responses.EndReason.INSTANCE_ENDS
@@ -95,10 +109,31 @@
         self._timer.stop()
         self.transport.abortConnection()
 
-    def close_if_idle(self) -> None:
-        """Close the connection if no request is being read or handled."""
-        if self.is_idle:
-            self._close(self._may_have_more)
+    def close_if_settled(self, now: float) -> None:
+        """Close the connection if `is_settled`.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        if self.is_settled(now):
+            self._close(lingers=False)
+
+    def stop_reading(self) -> None:
+        """Read no more, as the instance ends; requests in progress are still answered."""
+        self._is_reading_stopped = True
+        self.transport.pauseProducing()
+
+    def end(self) -> None:
+        """Close the connection as the instance ends; no request is read any more.
+
+        What was sent reaches the client, unless it still has to read what is before that.
+        """
+        if self.is_blocked:
+            self.abort()
+            return
+        self._lost_reason = client_responses.EndReason.INSTANCE_ENDS
+        self._end_requests(self._lost_reason)
+        self.transport.loseConnection()
 
     @property
     def _may_have_more(self) -> bool:
@@ -217,10 +252,10 @@
 
         Args:
             lingers: Whether the client may have sent more, which is read and dropped for a
-                while before that.
+                while after it has been told of the end.
         """
         self._end_requests(client_responses.EndReason.RESPONSE_CLOSES)
-        if lingers and self._is_reading_paused:
+        if lingers and self._is_reading_paused and not self._is_reading_stopped:
             self._is_reading_paused = False
             self.transport.resumeProducing()
         self._responses.close(_LINGER_S if lingers else 0.0)
@@ -253,7 +288,7 @@
 
     def _update_reading(self) -> None:
         """Pause or resume the transport, so that no more is read than may be kept."""
-        if self._is_reading_ended:
+        if self._is_reading_ended or self._is_reading_stopped:
             return
         waits = self._responses.is_blocked or (
             not self._responses.is_empty and self._reader.buffered_bytes > _MAX_PIPELINED_BYTES
@@ -283,6 +318,6 @@
 
     def _on_timeout(self) -> None:
         if self.is_idle:
-            self._responses.close()
+            self._close(lingers=False)
         else:
             self._reject(request_reader.ReadError(408, "the request did not arrive in time"))
--- a/src/carobhook/transport/client_connections.py
+++ b/src/carobhook/transport/client_connections.py
@@ -201,10 +201,30 @@
         for connection in list(self._connections):
             connection.abort()
 
-    def close_idle(self) -> None:
-        """Close the connections on which no request is being read or handled."""
+    def stop_reading(self) -> None:
+        """Read no more from clients; what they send from now on counts as not received."""
+        for connection in list(self._connections):
+            connection.stop_reading()
+
+    def end(self) -> None:
+        """Close all connections; one whose client has more to read is closed at once."""
         for connection in list(self._connections):
-            connection.close_if_idle()
+            connection.end()
+
+    def close_idle(self) -> None:
+        """Close the connections that are settled; see `ClientConnection.is_settled`.
+
+        What the system has received by now is read before that, and its connection stays open.
+        """
+        now = self.reactor.seconds()
+        settled = [connection for connection in self._connections if connection.is_settled(now)]
+        if settled:
+            self.reactor.callLater(0, self._close_settled, settled)
+
+    def _close_settled(self, settled: list[client_connection.ClientConnection]) -> None:
+        now = self.reactor.seconds()
+        for connection in settled:
+            connection.close_if_settled(now)
 
     def _record_refused_body(self, client: str, bound: client_memory.Bound, size: int) -> None:
         """Record that a request body was refused, as it does not fit into the memory."""
--- a/src/carobhook/transport/client_responses.py
+++ b/src/carobhook/transport/client_responses.py
@@ -6,7 +6,7 @@
 
 from carobhook import logs
 from carobhook.protocol import http1
-from carobhook.transport import client_memory, paced_writer, response_order
+from carobhook.transport import client_memory, paced_writer, response_order, sockets
 
 # Seconds in which a client must read one piece of its responses (64 KB), so at least 3 kB/s.
 STALL_TIMEOUT_S = 20.0
@@ -61,6 +61,7 @@
         )
         self._transport: typing.Any = None
         self._is_closing = False
+        self._sent_at = reactor.seconds()
         self._linger_s = 0.0
         self._close_call: typing.Any = None
         self._stall_call: typing.Any = None
@@ -75,6 +76,11 @@
         """Return whether responses wait for the client to read."""
         return self._writer.is_blocked
 
+    @property
+    def sent_at(self) -> float:
+        """Return the monotonic time in seconds of the last bytes sent, or of the opening."""
+        return self._sent_at
+
     @property
     def client(self) -> str:
         """Return the address of the client."""
@@ -126,6 +132,7 @@
         """
         pending = self._order.pop_ready(closes_last)
         if pending is not None:
+            self._sent_at = self._reactor.seconds()
             response = typing.cast(http1.Response, pending.response)
             held, pending.held_bytes = pending.held_bytes, 0
             self._release(held)
@@ -136,13 +143,15 @@
 
     def write_interim(self, data: bytes) -> None:
         """Write an interim response."""
+        self._sent_at = self._reactor.seconds()
         self._writer.write(data)
 
     def close(self, linger_s: float = 0.0) -> None:
         """Close the connection when the client has read what was written.
 
         Args:
-            linger_s: Seconds for which it stays open after that.
+            linger_s: Seconds for which what the client sends is read after that. The client
+                learns at their beginning that no more responses follow.
         """
         if self._is_closing:
             return
@@ -209,6 +218,7 @@
 
     def _on_all_sent(self) -> None:
         self._stop_stall_timer()
+        self._sent_at = self._reactor.seconds()
         if self._is_closing:
             self._lose_connection()
         else:
@@ -219,6 +229,7 @@
         self._start_stall_timer()
         if self._linger_s:
             self._close_call = self._reactor.callLater(self._linger_s, self._close_now)
+            sockets.announce_end(self._transport)
         else:
             self._transport.loseConnection()
 
--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -4,7 +4,7 @@
 import secrets
 import time
 import typing
-from collections.abc import Callable
+from collections.abc import Callable, Sequence
 
 import attrs
 from twisted.internet import defer, task
@@ -52,6 +52,7 @@
 # before it does; other instances can serve them.
 _ACCEPT_RATIO = 0.45
 _STOP_POLL_INTERVAL_S = 0.05
+_CLOSE_POLL_INTERVAL_S = 0.01
 # Requests that no server runs are refused this long before all others are aborted, so that the
 # responses are sent before the connections are closed.
 _REFUSE_WAITING_S = 0.2
@@ -500,9 +501,6 @@
     async def _shut_down(self) -> None:
         """Close all sockets: first the clients', so that no request starts any more."""
         began_at = self._reactor.seconds()
-        self._requests.refuse_waiting()
-        self._requests.abort()
-        await self._send_responses(began_at + _MAX_SEND_S)
         listeners = (
             self._request_listener,
             self._readiness_listener,
@@ -510,16 +508,19 @@
             self._metrics_listener,
         )
         for listener in listeners:
-            listener.abort()
+            listener.stop_reading()
+        self._requests.refuse_waiting()
+        self._requests.abort()
+        await self._send_responses(began_at + _MAX_SEND_S)
         for port in self._ports:
             await defer.maybeDeferred(port.stopListening)
-        # The reactor ends with this call. Connections that it has not closed by then stay open
-        # until the process ends.
-        while (
-            any(listener.open_connections for listener in listeners)
-            and self._reactor.seconds() - began_at < _MAX_CLOSE_S
-        ):
-            await task.deferLater(self._reactor, 0)
+        for listener in listeners:
+            listener.end()
+        await self._wait_for_closes(listeners, began_at + _MAX_CLOSE_S)
+        for listener in listeners:
+            listener.abort()
+        # The reactor closes what was aborted in its next turn.
+        await task.deferLater(self._reactor, 0)
         self._store_sync.stop()
         self._supervisor.stop()
         await self._streams.stop()
@@ -528,6 +529,23 @@
         took_ms = round((self._reactor.seconds() - began_at) * 1000, 1)
         logs.event("instance-stopped", requests=self._requests.in_flight, took_ms=took_ms)
 
+    async def _wait_for_closes(
+        self, listeners: Sequence[client_connections.ClientListener], end_at: float
+    ) -> None:
+        """Wait until all connections of clients are closed, or until a time.
+
+        The reactor ends with the stop. Connections that it has not closed by then stay open
+        until the process ends.
+
+        Args:
+            listeners: Listeners of the connections.
+            end_at: Monotonic time in seconds.
+        """
+        while self._reactor.seconds() < end_at:
+            if not any(listener.open_connections for listener in listeners):
+                return
+            await task.deferLater(self._reactor, _CLOSE_POLL_INTERVAL_S)
+
     async def _send_responses(self, end_at: float) -> None:
         """Wait until clients have read the last responses, or until a time.
 
--- a/src/carobhook/transport/sockets.py
+++ b/src/carobhook/transport/sockets.py
@@ -1,7 +1,9 @@
-"""Listens and connects over TCP, with TLS if a context is given."""
+"""Listens and connects over TCP, with TLS if a context is given, and ends connections."""
 
 import typing
 
+from twisted.internet import interfaces
+
 _BACKLOG = 512
 
 
@@ -31,3 +33,15 @@
         reactor.connectTCP(host, port, factory, timeout=timeout_s)
     else:
         reactor.connectSSL(host, port, factory, context, timeout=timeout_s)
+
+
+def announce_end(transport: typing.Any) -> None:
+    """Tell the other end that nothing follows what was written, and go on reading from it.
+
+    A TCP connection is closed for writing. A TLS connection cannot be closed for writing alone:
+    its closing alert is sent, and what arrives until the other end answers it is still read.
+    """
+    if interfaces.INegotiated.providedBy(transport):
+        transport.loseConnection()
+    else:
+        transport.loseWriteConnection()
--- a/tests/test_client_connections.py
+++ b/tests/test_client_connections.py
@@ -347,6 +347,7 @@
         assert [len(body) for body in bodies(connection)] == [150_000, 150_000]
         bench.clock.advance(0.9)
         assert connection.transport.producerState == "producing"
+        assert connection.transport.is_told
         assert not connection.transport.disconnecting
         bench.clock.advance(0.2)
         assert connection.transport.disconnecting
@@ -360,14 +361,20 @@
         assert connection.transport.producerState == "paused"
         bench.listener.closes_when_answered = True
         bench.listener.close_idle()
-        assert connection.transport.producerState == "producing"
-        connection.dataReceived(get("/2"))
+        bench.clock.advance(0)
+        assert not connection.transport.is_told
         while connection.transport.read():
             pass
-        assert not connection.transport.disconnecting
-        bench.clock.advance(1)
+        bench.listener.close_idle()
+        bench.clock.advance(0)
+        assert connection.transport.producerState == "producing"
+        assert not connection.transport.is_told
+        connection.dataReceived(get("/2"))
+        assert bench.targets() == ["/1", "/2"]
+        bench.started[1].answer(b"two")
+        assert [len(body) for body in bodies(connection)] == [150_000, 3]
+        assert self.closing_positions(connection) == [1]
         assert connection.transport.disconnecting
-        assert bench.targets() == ["/1"]
 
 
 class TestAbandonedRequests:
@@ -490,10 +497,15 @@
         bench.listener.close_idle()
         while connection.transport.read():
             pass
-        # It may have sent more, which would reset the connection.
-        bench.clock.advance(1)
+        # It may have sent more, which is read first, as it would reset the connection.
+        bench.listener.close_idle()
+        bench.clock.advance(0.9)
+        assert not connection.transport.disconnecting
+        bench.clock.advance(0.1)
+        bench.listener.close_idle()
+        bench.clock.advance(0)
         assert connection.transport.disconnecting
-        bench.clock.advance(client_responses.STALL_TIMEOUT_S - 1)
+        bench.clock.advance(client_responses.STALL_TIMEOUT_S)
         assert connection.transport.aborted
 
     def test_many_small_responses(self):
--- a/tests/test_requests_read_and_dropped.py
+++ b/tests/test_requests_read_and_dropped.py
@@ -129,31 +129,6 @@
         assert connection.transport.is_told
 
 
-class TestBlockedConnection:
-    """Requests that waited behind responses which their client had not read were dropped."""
-
-    def test_requests_are_served_once_the_client_has_read(self):
-        """They are read then, and the last response says that the connection ends."""
-        bench = test_client_connections.Bench(10**6, 10**6)
-        connection = bench.connect()
-        connection.dataReceived(get("/1"))
-        bench.started[0].answer(b"1" * 150_000)
-        bench.listener.closes_when_answered = True
-        bench.listener.close_idle()
-        bench.clock.advance(0)
-        assert connection.transport.producerState == "paused"
-        while connection.transport.read():
-            pass
-        assert connection.transport.producerState == "producing"
-        bench.listener.close_idle()
-        bench.clock.advance(0)
-        connection.dataReceived(get("/2"))
-        assert bench.targets() == ["/1", "/2"]
-        bench.started[1].answer(b"two")
-        assert test_client_connections.bodies(connection)[1:] == ["two"]
-        assert b"connection: close" in connection.transport.value()[-200:].lower()
-
-
 class TestNewConnection:
     """A connection that was opened right before the end of a stop was closed unread."""
 
--- a/tests/test_tls.py
+++ b/tests/test_tls.py
@@ -9,9 +9,10 @@
 from cryptography.hazmat.primitives import hashes, serialization
 from cryptography.hazmat.primitives.asymmetric import ec
 from cryptography.x509 import oid
-from twisted.internet import defer, reactor, task, tcp
+from twisted.internet import defer, endpoints, protocol, reactor, ssl, task, tcp
 from twisted.trial import unittest
 
+import test_entry
 from carobhook import settings
 from carobhook.cli import operator
 from carobhook.protocol import http1, peer_codec, slot_messages
@@ -211,3 +212,29 @@
         for _ in range(2):
             assert (await client.send(operator.Order("show regions"))).text == text
         assert listener.memory.held_bytes == 0
+
+    async def test_client_is_told_of_the_end_at_once(self):
+        """It was told a second after the refusal of a request that was not read whole."""
+        authority = issue("authority")
+        files = write_files(self.mktemp(), authority, issue("one", authority))
+        listener = client_connections.ClientListener(
+            reactor, lambda request, respond: None, routing.ClientLimits, 8, 1024
+        )
+        port = sockets.listen(reactor, "127.0.0.1", 0, listener, tls.load(files).server)
+        self.addCleanup(port.stopListening)
+        client = test_entry.RawClient()
+        factory = protocol.Factory.forProtocol(lambda: client)
+        factory.noisy = False
+        options = ssl.optionsForClientTLS(
+            "127.0.0.1", ssl.Certificate.loadPEM(pathlib.Path(files.ca).read_bytes())
+        )
+        endpoint = endpoints.SSL4ClientEndpoint(
+            reactor, "127.0.0.1", port.getHost().port, options
+        )
+        await endpoint.connect(factory)
+        client.transport.write(b"BAD\r\n\r\n" + b"x" * 1000)
+        began_at = reactor.seconds()
+        await client.closed
+
+        assert client.data.startswith(b"HTTP/1.1 400 ")
+        assert reactor.seconds() - began_at < 0.5
