Move the graceful stop of the clients' side out of the daemon

Cause: entry_daemon is one of the large files, and its stop is a subject of its own. Change: graceful_stop has the times of the steps, the wait for requests and the close of the clients' connections; no logic changes.

--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -4,10 +4,10 @@
 import secrets
 import time
 import typing
-from collections.abc import Callable, Sequence
+from collections.abc import Callable
 
 import attrs
-from twisted.internet import defer, task
+from twisted.internet import defer
 
 from carobhook import entry_metrics, entry_settings, logs
 from carobhook.coordination import (
@@ -28,6 +28,7 @@
     entry_requests,
     event_loop,
     follow_options,
+    graceful_stop,
     member_streams,
     own_machine,
     peers,
@@ -43,26 +44,6 @@
 _HEARTBEAT_INTERVAL_S = 0.4
 _TICK_INTERVAL_S = 0.1
 _CLOSE_IDLE_INTERVAL_S = 1.0
-# A stopping instance accepts new connections for this long, or until its grace period ends.
-# Clients cache the response to a directory lookup for its time to live, so those that looked up
-# this instance just before still connect to it. Those that cache it for longer are refused a
-# connection and use another instance, and this one ends, and is started again, sooner.
-_ACCEPT_S = entry_endpoints.DIRECTORY_TTL_S + 0.3
-# After this share of the grace period at the latest, it refuses requests that might not end
-# before it does; other instances can serve them.
-_ACCEPT_RATIO = 0.45
-_STOP_POLL_INTERVAL_S = 0.05
-_CLOSE_POLL_INTERVAL_S = 0.01
-# Requests that no server runs are refused this long before all others are aborted, so that the
-# responses are sent before the connections are closed.
-_REFUSE_WAITING_S = 0.2
-# A stop waits at most this long until clients have read the last responses, and at most this
-# long, in all, until their connections are closed.
-_MAX_SEND_S = 0.2
-_MAX_CLOSE_S = 0.3
-# Share of the grace period, at its end, that is kept for the exit. Requests are aborted when it
-# begins, so that the last responses can be sent and the process exits before it is killed.
-_GRACE_MARGIN_RATIO = 0.15
 # File descriptors that the connections of clients leave for all other uses, such as connections
 # to backend servers and to other instances.
 _RESERVED_DESCRIPTORS = 600
@@ -157,6 +138,7 @@
         self._readiness_listener = self._create_listener(endpoints.handle_readiness)
         self._directory_listener = self._create_listener(endpoints.handle_directory)
         self._metrics_listener = self._create_listener(endpoints.handle_metrics)
+        self._stopping = self._create_stop()
         self._operator_api: typing.Any = None
         self._ports: list[typing.Any] = []
         self._request_port: typing.Any = None
@@ -313,6 +295,16 @@
         )
         return listener
 
+    def _create_stop(self) -> graceful_stop.GracefulStop:
+        clients = graceful_stop.ClientSide(
+            self._requests,
+            self._request_listener,
+            (self._readiness_listener, self._directory_listener, self._metrics_listener),
+            lambda: self._servers.relays_in_flight,
+            lambda: self._allocator.pending_count,
+        )
+        return graceful_stop.GracefulStop(self._reactor, clients)
+
     def _gauges(
         self, omitted: Callable[[], int]
     ) -> dict[entry_metrics.EntryMetric, Callable[[], float]]:
@@ -449,78 +441,24 @@
     async def stop(self) -> None:
         """Leave the deployment: finish the requests in progress, then close all sockets.
 
-        Connections are accepted, and idle ones kept open, for some time even if no request is
-        in progress: until clients have learned that this instance leaves, a request may be on
-        its way on any of them. From then on, requests that might not end in time are refused.
-        Shortly before the end of the grace period, requests that wait are refused, and then
-        those that run, as ones that may have run. Calls after the first return at once.
+        Calls after the first return at once.
         """
         if self._phase is members.Phase.LEAVING:
             return
-        grace_s = self._settings.bounds.grace_s
-        started_at = self._reactor.seconds()
-        deadline_at = started_at + grace_s * (1 - _GRACE_MARGIN_RATIO)
-        refuse_waiting_at = deadline_at - _REFUSE_WAITING_S
+        times = graceful_stop.StopTimes.within(
+            self._reactor.seconds(), self._settings.bounds.grace_s
+        )
         logs.event("instance-leaving", requests=self._requests.in_flight)
         self._phase = members.Phase.LEAVING
-        self._request_listener.closes_when_answered = True
         self._supervisor.run("heartbeat", self._heartbeat)
         self._supervisor.run("members", self._allocator.update_owners)
-        await self._wait_until(started_at + min(_ACCEPT_S, grace_s * _ACCEPT_RATIO))
-        self._requests.limit_to(deadline_at)
-        await self._wait_until(min(started_at + _ACCEPT_S, refuse_waiting_at))
-        await defer.maybeDeferred(self._request_port.stopListening)
-        await self._wait_until(refuse_waiting_at, until_idle=True)
-        self._requests.refuse_waiting()
-        await self._wait_until(deadline_at, until_idle=True)
-        logs.event(
-            "instance-closing",
-            requests=self._requests.in_flight,
-            queued=self._allocator.pending_count,
-            connections=self._request_listener.open_connections,
-            late_ms=round((self._reactor.seconds() - deadline_at) * 1000, 1),
-        )
+        await self._stopping.finish_requests(self._request_port, times)
         await self._shut_down()
 
-    async def _wait_until(self, end_at: float, until_idle: bool = False) -> None:
-        """Wait until a time.
-
-        Args:
-            end_at: Monotonic time in seconds.
-            until_idle: Whether to close idle connections meanwhile, and to wait no longer once
-                there are no requests and no connections.
-        """
-        while self._reactor.seconds() < end_at:
-            if until_idle:
-                in_flight = self._requests.in_flight + self._servers.relays_in_flight
-                if not in_flight and not self._request_listener.open_connections:
-                    return
-                self._request_listener.close_idle()
-            await task.deferLater(self._reactor, _STOP_POLL_INTERVAL_S)
-
     async def _shut_down(self) -> None:
         """Close all sockets: first the clients', so that no request starts any more."""
         began_at = self._reactor.seconds()
-        listeners = (
-            self._request_listener,
-            self._readiness_listener,
-            self._directory_listener,
-            self._metrics_listener,
-        )
-        for listener in listeners:
-            listener.stop_reading()
-        self._requests.refuse_waiting()
-        self._requests.abort()
-        await self._send_responses(began_at + _MAX_SEND_S)
-        for port in self._ports:
-            await defer.maybeDeferred(port.stopListening)
-        for listener in listeners:
-            listener.end()
-        await self._wait_for_closes(listeners, began_at + _MAX_CLOSE_S)
-        for listener in listeners:
-            listener.abort()
-        # The reactor closes what was aborted in its next turn.
-        await task.deferLater(self._reactor, 0)
+        await self._stopping.close_connections(self._ports)
         self._store_sync.stop()
         self._supervisor.stop()
         await self._streams.stop()
@@ -529,35 +467,6 @@
         took_ms = round((self._reactor.seconds() - began_at) * 1000, 1)
         logs.event("instance-stopped", requests=self._requests.in_flight, took_ms=took_ms)
 
-    async def _wait_for_closes(
-        self, listeners: Sequence[client_connections.ClientListener], end_at: float
-    ) -> None:
-        """Wait until all connections of clients are closed, or until a time.
-
-        The reactor ends with the stop. Connections that it has not closed by then stay open
-        until the process ends.
-
-        Args:
-            listeners: Listeners of the connections.
-            end_at: Monotonic time in seconds.
-        """
-        while self._reactor.seconds() < end_at:
-            if not any(listener.open_connections for listener in listeners):
-                return
-            await task.deferLater(self._reactor, _CLOSE_POLL_INTERVAL_S)
-
-    async def _send_responses(self, end_at: float) -> None:
-        """Wait until clients have read the last responses, or until a time.
-
-        A response that is written right before its connection is aborted is never sent.
-
-        Args:
-            end_at: Monotonic time in seconds.
-        """
-        await task.deferLater(self._reactor, _STOP_POLL_INTERVAL_S)
-        while self._request_listener.blocked_connections and self._reactor.seconds() < end_at:
-            await task.deferLater(self._reactor, _STOP_POLL_INTERVAL_S)
-
     def _count_failure(self, part: str) -> None:
         self._metrics.count(entry_metrics.EntryMetric.TASK_FAILURES, part)
 
