--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -29,6 +29,7 @@
     event_loop,
     follow_options,
     graceful_stop,
+    instance_gauges,
     member_streams,
     own_machine,
     peers,
@@ -121,7 +122,9 @@
         self._allocator = self._create_slot_allocator()
         self._quota_counters = lambda: self._allocator.quota_counters
         self._servers = self._create_server_access(rng)
-        self._metrics = entry_metrics.EntryMetrics(self._gauges(omitted))
+        self._metrics = entry_metrics.EntryMetrics(
+            instance_gauges.gauges(self._gauge_sources(omitted))
+        )
         self._requests = self._create_entry_requests()
         self._loop_monitor = event_loop.EventLoopMonitor(
             _TICK_INTERVAL_S, self._metrics, self._loop_load
@@ -305,44 +308,23 @@
         )
         return graceful_stop.GracefulStop(self._reactor, clients)
 
-    def _gauges(
-        self, omitted: Callable[[], int]
-    ) -> dict[entry_metrics.EntryMetric, Callable[[], float]]:
-        server_catalog, seconds = self._catalog, self._reactor.seconds
-        metric = entry_metrics.EntryMetric
-        return {
-            metric.IN_FLIGHT: lambda: self._requests.in_flight,
-            metric.CLIENT_CONNECTIONS: lambda: self._request_listener.open_connections,
-            metric.CLIENTS_BLOCKED: lambda: self._request_listener.blocked_connections,
-            metric.CLIENT_BYTES: lambda: self._client_memory.held_bytes,
-            metric.SERVER_CONNECTIONS: lambda: self._servers.opened_count,
-            metric.SURPLUS_RESPONSES: lambda: self._servers.surplus_count,
-            metric.STORE_CALLS: lambda: self._store.calls,
-            metric.STORE_LOST: lambda: float(server_catalog.store_lost_at is not None),
-            metric.STORE_ERA: lambda: self._store.era,
-            metric.SERVERS: lambda: len(server_catalog.servers(seconds())),
-            metric.SERVERS_LIMITED: lambda: self._allocator.limited_count,
-            metric.MEMBERS: lambda: len(self._streams.membership.serving(seconds())),
-            metric.CONFIG_VERSION: lambda: (
-                server_catalog.config.version if server_catalog.config else 0
-            ),
-            metric.CONFIG_AGE: lambda: seconds() - self._store_sync.config_confirmed_at,
-            metric.FEED_RECEIVED: lambda: self._store_sync.feed_bytes.received,
-            metric.FEED_REPEATED: lambda: self._store_sync.feed_bytes.repeated,
-            metric.ORDERS_VERSION: lambda: self._orders.in_force.version,
-            metric.READY: lambda: float(self._phase is members.Phase.READY),
-            metric.DISPATCH_TIME: lambda: self._allocator.dispatch_s,
-            metric.SLOT_REQUESTS_QUEUED: lambda: self._allocator.queued_count,
-            metric.QUOTA_GRANTED: lambda: self._allocator.quota_figures.granted,
-            metric.QUOTA_REFUSED: lambda: self._allocator.quota_figures.refused,
-            metric.QUOTA_WAITED: lambda: self._allocator.quota_figures.waited,
-            metric.QUOTA_FALLBACK: lambda: self._allocator.quota_figures.fallback,
-            metric.REQUESTS_RELAYED: lambda: self._servers.exchange.relayed_count,
-            metric.PATHS_BROKEN: lambda: self._servers.exchange.broken_paths,
-            metric.MACHINE_SLOWNESS: lambda: self._machine.slowness,
-            metric.PEERS_OLDER: lambda: self._streams.older_count,
-            metric.LINES_OMITTED: omitted,
-        }
+    def _gauge_sources(self, omitted: Callable[[], int]) -> instance_gauges.GaugeSources:
+        return instance_gauges.GaugeSources(
+            self._reactor.seconds,
+            self._catalog,
+            self._orders,
+            self._streams,
+            self._store,
+            self._store_sync,
+            self._allocator,
+            self._servers,
+            self._client_memory,
+            self._machine,
+            lambda: self._requests,
+            lambda: self._request_listener,
+            lambda: self._phase,
+            omitted,
+        )
 
     def _loop_load(self) -> event_loop.LoopLoad:
         return event_loop.LoopLoad(
