Order the states of an instance, so that no old copy replaces a later one

Cause: each report of another instance about a third one replaced what was known, whatever was older. An instance learns of the others from several lists, which arrive in any order: right after a restart, a list that still named the former run replaced the present one, an earlier phase replaced a later one, and the loss of the former run removed the present one. Each such change of run counts as a loss: dispatchers free the slots of the present run and drop its queued slot requests without an answer, and relay connections to it are closed; directories and dispatchers take it for leaving. The record of the incident shows members that alternate between "starting", "leaving" and "ready".

Change: a state names the monotonic time of its machine at which it was entered (`Member.changed_ms`, protocol 9), which orders the states of all runs. A report never replaces a later state; a list of the former run does not keep the present one alive, and its loss does not remove it. A late heartbeat of a former run is ignored while the present run is heard. Reports of builds before version 9 count as before.

--- a/src/carobhook/coordination/membership_sync.py
+++ b/src/carobhook/coordination/membership_sync.py
@@ -4,7 +4,8 @@
 know within about two seconds which others are live. For this purpose, an instance that is no
 relay sends heartbeats only to the relays of its region. Relays report the instances of their
 region to the relays of other regions, and all live instances to their own region. An update
-holds only the changes since the previous one.
+holds only the changes since the previous one. What several instances report of one arrives in
+any order, also after its restart, so that an earlier state never replaces a later one.
 """
 
 import math
@@ -93,7 +94,14 @@
         return self.visible_share(None, now)
 
     def record_heartbeat(self, member: members.Member, now: float) -> None:
-        """Record a heartbeat that came from the instance itself."""
+        """Record a heartbeat that came from the instance itself.
+
+        One of a former run that is read late is ignored while the present run is heard.
+        """
+        known = self.table.get(member.name)
+        is_heard = self.has_direct_heartbeat(member.name, now)
+        if known is not None and is_heard and known.is_later_run(member):
+            return
         self._direct_heartbeat_at[member.name] = now
         self._record(member, now)
 
@@ -118,29 +126,36 @@
         received.update(changed)
         removed = []
         for name in message.lost:
-            received.pop(name, None)
-            if self._is_removable(name, now):
+            if self._is_removable(name, received.pop(name, None), now):
                 removed.append(name)
                 self.remove(name, now)
         for name, member in received.items():
             if name == self.own or self.has_direct_heartbeat(name, now):
                 continue
             known = self.table.get(name)
-            if known is None or name in changed:
+            if known is None or _replaces(member, known, name in changed):
                 self._record(member, now)
-            else:
+            elif not known.is_later_run(member):
                 self.table.refresh(name, now)
         return removed
 
-    def _is_removable(self, name: ids.InstanceId, now: float) -> bool:
+    def _is_removable(
+        self, name: ids.InstanceId, listed: members.Member | None, now: float
+    ) -> bool:
         """Return whether to remove an instance that an update lists as lost.
 
         It must be known, and known only from updates: heartbeats that arrive here take
-        precedence.
+        precedence. The loss of a former run says nothing of the present one.
+
+        Args:
+            name: The instance.
+            listed: Its state in the earlier updates of the sender, None if there was none.
+            now: Monotonic time in seconds.
         """
         if name == self.own or self.has_direct_heartbeat(name, now):
             return False
-        return self.table.get(name) is not None
+        known = self.table.get(name)
+        return known is not None and (listed is None or not known.is_later_run(listed))
 
     def remove(self, name: ids.InstanceId, now: float) -> None:
         """Remove an instance, but keep its address so that streams to it are opened again.
@@ -309,3 +324,19 @@
         self, known: Iterable[members.Member], region: ids.Region
     ) -> list[ids.InstanceId]:
         return [member.name for member in membership.relays(known, region)]
+
+
+def _replaces(reported: members.Member, known: members.Member, is_changed: bool) -> bool:
+    """Return whether a reported state of an instance replaces the known one.
+
+    Builds before protocol version 9 do not say when an instance entered a state. Of these, the
+    latest report counts.
+
+    Args:
+        reported: State in the updates of another instance.
+        known: State that this instance knows.
+        is_changed: Whether the state is part of the present update.
+    """
+    if reported.is_order_known(known):
+        return reported.changed_ms > known.changed_ms
+    return is_changed
--- a/src/carobhook/state/members.py
+++ b/src/carobhook/state/members.py
@@ -42,6 +42,8 @@
         work_time_us: Time that a fixed piece of work takes on its machine, in microseconds; 0
             if unknown.
         moved_share: Share of its clients, from 0 to 1, that directories lead to other regions.
+        changed_ms: Monotonic time of its machine, in milliseconds, at which it entered this
+            state; 0 if unknown. It orders the states of all its runs.
     """
 
     name: ids.InstanceId
@@ -59,3 +61,13 @@
     quota_counters: tuple[ids.InstanceId, ...] = versions.added_field((), since=6)
     work_time_us: int = versions.added_field(0, since=8)
     moved_share: float = versions.added_field(0.0, since=8)
+    changed_ms: int = versions.added_field(0, since=9)
+
+    def is_order_known(self, other: "Member") -> bool:
+        """Return whether it is known which of two states of an instance is the later one."""
+        return bool(self.changed_ms and other.changed_ms)
+
+    def is_later_run(self, other: "Member") -> bool:
+        """Return whether this state is that of a later run than another one, if known."""
+        is_later = self.is_order_known(other) and self.changed_ms > other.changed_ms
+        return is_later and self.incarnation != other.incarnation
--- a/src/carobhook/transport/member_streams.py
+++ b/src/carobhook/transport/member_streams.py
@@ -63,7 +63,8 @@
     ) -> None:
         self._reactor = reactor
         self._own = identity.name
-        self._own_state = own_state
+        self._read_state = own_state
+        self._announced: members.Member | None = None
         self._callbacks = callbacks
         self._reported_live: set[ids.InstanceId] = set()
         self._address = ""
@@ -151,6 +152,18 @@
             if receiver is not None:
                 self._peers.send(receiver.peers, message)
 
+    def _own_state(self) -> members.Member:
+        """Return the current state of this instance, with the time at which it entered it.
+
+        The times of two states differ, so that others know which one is later.
+        """
+        state, before = self._read_state(), self._announced
+        if before is None or attrs.evolve(state, changed_ms=before.changed_ms) != before:
+            last_ms = before.changed_ms if before is not None else 0
+            changed_ms = max(last_ms + 1, int(self._reactor.seconds() * 1000))
+            self._announced = before = attrs.evolve(state, changed_ms=changed_ms)
+        return before
+
     def limit_share(self, region: ids.Region) -> float:
         """Return the share of each limit that this instance may use as a dispatcher."""
         return self._sync.limit_share(region, self._reactor.seconds())
@@ -230,6 +243,8 @@
         now = self._reactor.seconds()
         before = self.membership.get(member.name)
         self._sync.record_heartbeat(member, now)
+        if self.membership.get(member.name) != member:
+            return
         if before is None:
             # It may not know any other instance yet. Recording a use opens a stream to it, on
             # which this instance sends all live instances.
--- a/tests/test_membership_sync.py
+++ b/tests/test_membership_sync.py
@@ -2,6 +2,7 @@
 
 import collections
 
+import attrs
 import pytest
 
 from carobhook.coordination import membership, membership_sync
@@ -216,3 +217,82 @@
             fleet.run(4.0)
             totals.append(sum(fleet.bytes_sent.values()))
         assert totals[1] < 8 * totals[0]
+
+
+class RollingFleet(Fleet):
+    """A fleet whose instances are restarted, and which records the runs that each one knows.
+
+    Attributes:
+        runs: Runs of each instance in the order in which each other one took them for the
+            present one, by observer and instance.
+    """
+
+    STOP_STEPS = 8
+    START_STEPS = 2
+
+    def __init__(self, count):
+        self.runs = collections.defaultdict(list)
+        super().__init__(count)
+        # Times of 0 would be unknown ones.
+        self.now = 1.0
+
+    def send(self, sender, receiver, message):
+        """Deliver a message, and record changes of run."""
+        super().send(sender, receiver, message)
+        for name in self.members:
+            known = self.instances[receiver].table.get(name)
+            runs = self.runs[receiver, name]
+            if known is not None and known.incarnation not in runs[-1:]:
+                runs.append(known.incarnation)
+
+    def enter(self, name, phase, run):
+        """Let an instance announce a state."""
+        state = member(name, self.members[name].region, phase=phase, run=run)
+        self.members[name] = attrs.evolve(state, changed_ms=round(self.now * 1000))
+
+    def restart_in_turn(self):
+        """Stop an instance with each round of heartbeats; each starts again once it is down."""
+        names = list(self.members)
+        for step in range(len(names) + self.STOP_STEPS + self.START_STEPS + 1):
+            if step < len(names):
+                self.enter(names[step], members.Phase.LEAVING, "0")
+            if 0 <= step - self.STOP_STEPS < len(names):
+                self.down.add(names[step - self.STOP_STEPS])
+            if 0 <= step - self.STOP_STEPS - 1 < len(names):
+                self.start_again(names[step - self.STOP_STEPS - 1])
+            if 0 <= step - self.STOP_STEPS - self.START_STEPS - 1 < len(names):
+                ready = names[step - self.STOP_STEPS - self.START_STEPS - 1]
+                self.enter(ready, members.Phase.READY, "1")
+            self.send_heartbeats()
+
+    def start_again(self, name):
+        """Start an instance that is down; the streams to it are new ones."""
+        self.down.discard(name)
+        for instance in self.instances.values():
+            instance.reset_updates(name)
+        self.enter(name, members.Phase.STARTING, "1")
+        self.instances[name] = self.create(name)
+        for pair in [pair for pair in self.runs if pair[0] == name]:
+            del self.runs[pair]
+
+
+class TestRoll:
+    """All instances are restarted one after the other."""
+
+    def test_no_former_run_is_taken_for_the_present_one(self):
+        """Whatever lists of others arrive, no instance returns to a former run."""
+        fleet = RollingFleet(31)
+        for name in fleet.members:
+            fleet.enter(name, members.Phase.READY, "0")
+        fleet.run(5.2)
+        fleet.restart_in_turn()
+        fleet.run(3.2)
+        returned = {pair: runs for pair, runs in fleet.runs.items() if len(runs) > 2}
+        assert returned == {}
+        assert fleet.unknown_pairs() == []
+        states = {
+            (m.incarnation, m.phase)
+            for instance in fleet.instances.values()
+            for m in instance.table.live(fleet.now)
+        }
+        assert states == {("1" * 16, members.Phase.READY)}
