Hold messages about slots until there is a stream to their receiver

Cause: each of two instances opens a stream of its own to the other. The first request of an instance to a dispatcher in another region arrives before there is a stream for its answer, and a grant or refusal without a stream was dropped without a line: the request waited until its deadline, with its slot in use at the dispatcher. In the same way, a slot was never free again whose release found no stream, which closes after 10 s without use while a request runs for longer.

Change: `HeldMessages` keeps what dispatchers send, and the releases, withdrawals and reports of an instance, in their order, for up to a second, until the stream is open. What is dropped then, or as its receiver ends, is logged with its count (`messages-dropped`). Slot requests themselves are sent again as before.

Measured: without the change to transport, five of the six tests of TestMissingStream fail (`pytest tests/test_slot_allocator.py`): no grant, no refusal, no messages in order, no line, a slot in use for good. With it, all six pass; the one of an instance that is lost meanwhile passes without it too.

--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -146,6 +146,10 @@
     QUOTA_COUNTER_ANSWERS = EventInfo(
         "quota-counter-answers", "The counter of a group of accounts answers again."
     )
+    MESSAGES_DROPPED = EventInfo(
+        "messages-dropped",
+        "Messages about slots were dropped: no stream to their receiver opened, or it ended.",
+    )
     SLOTS_FREED = EventInfo(
         "slots-freed",
         "The queued requests of a lost instance were removed here, and its slots freed.",
--- a/src/carobhook/transport/quota_service.py
+++ b/src/carobhook/transport/quota_service.py
@@ -65,7 +65,7 @@
         own: ids.InstanceId,
         regions: Collection[ids.Region],
         terms: QuotaTerms,
-        send: Callable[[ids.InstanceId, typing.Any], bool],
+        send: Callable[[ids.InstanceId, typing.Any], object],
     ) -> None:
         self._reactor = reactor
         self._own = own
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -55,7 +55,7 @@
         orders: Operators' orders in force.
         limits: Limits on retries, cold-server requests and loan changes.
         owner_of: Returns the instance that dispatches for a shard, or None.
-        send: Sends a message to an instance, which may be this one.
+        send: Sends a message to an instance, which may be this one, once there is a stream.
         live_names: Returns the names of the live instances.
         limit_share: Returns the share of each limit that this instance may use for the
             servers of a region.
@@ -71,7 +71,7 @@
         orders: steering.Steering,
         limits: shard_limits.SlotLimits,
         owner_of: Callable[[Shard], ids.InstanceId | None],
-        send: Callable[[ids.InstanceId, typing.Any], bool],
+        send: Callable[[ids.InstanceId, typing.Any], object],
         live_names: Callable[[], Collection[ids.InstanceId]],
         limit_share: Callable[[ids.Region], float],
         quotas: quota_service.QuotaService | None = None,
--- a/src/carobhook/transport/shard_loans.py
+++ b/src/carobhook/transport/shard_loans.py
@@ -28,7 +28,7 @@
         regions: Mapping[ids.FailureDomain, ids.Region],
         pools: shard_pools.ShardPools,
         owner_of: Callable[[shard_state.Shard], ids.InstanceId | None],
-        send: Callable[[ids.InstanceId, typing.Any], bool],
+        send: Callable[[ids.InstanceId, typing.Any], object],
     ) -> None:
         self._reactor = reactor
         self._regions = regions
--- a/src/carobhook/transport/slot_allocator.py
+++ b/src/carobhook/transport/slot_allocator.py
@@ -9,7 +9,13 @@
 from carobhook.coordination import catalog, membership, steering
 from carobhook.protocol import quota_messages, slot_messages
 from carobhook.state import allocation, codes, ids
-from carobhook.transport import quota_service, shard_dispatchers, shard_limits, slot_client
+from carobhook.transport import (
+    held_messages,
+    quota_service,
+    shard_dispatchers,
+    shard_limits,
+    slot_client,
+)
 
 # Interval at which shard owners and loans are updated.
 _UPDATE_INTERVAL_S = 0.5
@@ -20,13 +26,6 @@
 _CODES_BY_NUMBER = {code.number: code for code in codes.Code}
 
 
-class PeerSender(typing.Protocol):
-    """Sends messages to other instances."""
-
-    def send(self, name: ids.InstanceId, message: typing.Any) -> bool:
-        """Send a message to an instance; return False if there is no stream to it."""
-
-
 class SlotAllocator:
     """Allocates slots to this instance's requests, and dispatches for the shards it owns.
 
@@ -55,7 +54,7 @@
         members: membership.Membership,
         server_catalog: catalog.Catalog,
         orders: steering.Steering,
-        peers: PeerSender,
+        peers: held_messages.PeerSender,
         limits: shard_limits.SlotLimits,
         limit_share: Callable[[ids.Region], float],
         quota_terms: quota_service.QuotaTerms | None = None,
@@ -66,10 +65,11 @@
         self._members = members
         self._catalog = server_catalog
         self._peers = peers
+        self._held = held_messages.HeldMessages(peers)
         self._owners: dict[slot_client.Shard, ids.InstanceId | None] = {}
         self._updated_at = 0.0
         self._client = slot_client.SlotClient(
-            reactor, self._owner_of, self._send, self.update_owners
+            reactor, self._owner_of, self._send, self._deliver, self.update_owners
         )
         self._quotas = quota_service.QuotaService(
             reactor,
@@ -86,7 +86,7 @@
             orders,
             limits,
             self._owner_of,
-            self._send,
+            self._deliver,
             self._live_names,
             limit_share,
             self._quotas,
@@ -173,11 +173,13 @@
 
     def remove_instance(self, name: ids.InstanceId) -> None:
         """Remove the queued requests of an instance that died or restarted; free its slots."""
+        self._held.remove(name)
         self._dispatchers.remove_instance(name)
 
     def tick(self) -> None:
         """Decide on queued requests, and update owners and loans at intervals."""
         now = self._reactor.seconds()
+        self._held.tick(now)
         elapsed_s = now - self._updated_at
         if elapsed_s >= _UPDATE_INTERVAL_S:
             self._updated_at = now
@@ -223,7 +225,14 @@
         if to == self._own:
             self.handle_message(self._own, message)
             return True
-        return self._peers.send(to, message)
+        return self._held.send(to, message, self._reactor.seconds())
+
+    def _deliver(self, to: ids.InstanceId, message: typing.Any) -> None:
+        """Send a message to an instance, once there is a stream to it."""
+        if to == self._own:
+            self.handle_message(self._own, message)
+        else:
+            self._held.deliver(to, message, self._reactor.seconds())
 
     def _live_names(self) -> list[ids.InstanceId]:
         return [member.name for member in self._members.live(self._reactor.seconds())]
--- a/src/carobhook/transport/slot_client.py
+++ b/src/carobhook/transport/slot_client.py
@@ -79,6 +79,7 @@
         owner_of: Returns the instance that dispatches for a shard, or None.
         send: Sends a message to an instance, which may be this one; returns False if there is
             no stream to it.
+        deliver: Sends a message to an instance, once there is a stream to it.
         update_owners: Recomputes the owners of all shards, and calls `switch_owner` for each
             new one.
     """
@@ -88,11 +89,13 @@
         reactor: typing.Any,
         owner_of: Callable[[Shard], ids.InstanceId | None],
         send: Callable[[ids.InstanceId, typing.Any], bool],
+        deliver: Callable[[ids.InstanceId, typing.Any], object],
         update_owners: Callable[[], object],
     ) -> None:
         self._reactor = reactor
         self._owner_of = owner_of
         self._send = send
+        self._deliver = deliver
         self._update_owners = update_owners
         self._pending: dict[ids.RequestId, _PendingRequest] = {}
         self._held: dict[ids.RequestId, _HeldSlot] = {}
@@ -156,7 +159,7 @@
             # Nothing to tell: nearly all answers name no limit, as those before did not.
             rate = None
         owner = self._owner_of(held.shard) or held.owner
-        self._send(
+        self._deliver(
             owner,
             slot_messages.SlotReleased(
                 request_id, *held.shard, held.server, outcome, rate, pace
@@ -196,7 +199,7 @@
         """
         shard = self._recent_shards.get(grant.ask_id)
         if shard is not None:
-            self._send(owner, slot_messages.SlotRequestWithdrawn(grant.ask_id, *shard))
+            self._deliver(owner, slot_messages.SlotRequestWithdrawn(grant.ask_id, *shard))
 
     def handle_refusal(self, refusal: allocation.SlotRefusal) -> None:
         """Fire the result of a refused request."""
@@ -219,7 +222,7 @@
         The report is sent even if it is empty: the owner may have been one before, and not know
         what was released meanwhile.
         """
-        self._send(owner, self.held_slots(shard))
+        self._deliver(owner, self.held_slots(shard))
         for pending in list(self._pending.values()):
             if pending.shard == shard and pending.owner != owner:
                 self._send_request(pending)
@@ -282,7 +285,7 @@
     def _withdraw(self, request_id: ids.RequestId) -> None:
         pending = self._pending.pop(request_id, None)
         if pending is not None and pending.owner is not None:
-            self._send(
+            self._deliver(
                 pending.owner, slot_messages.SlotRequestWithdrawn(request_id, *pending.shard)
             )
 
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -183,7 +183,7 @@
 
         case = FlowCase(
             create_allocator=lambda clock: slot_client.SlotClient(
-                clock, lambda shard: ids.InstanceId("now"), send, lambda: None
+                clock, lambda shard: ids.InstanceId("now"), send, send, lambda: None
             )
         )
         case.allocator.handle_grant(ids.InstanceId("now"), self.grant(sent[0][1].id))
--- a/tests/test_slot_allocator.py
+++ b/tests/test_slot_allocator.py
@@ -1,5 +1,6 @@
 """Tests of carobhook.transport.slot_allocator: slot requests between instances."""
 
+import attrs
 import pytest
 from twisted.internet import task
 
@@ -466,3 +467,99 @@
     """Return the owner that all instances compute after one was removed."""
     table = next(iter(deployment.memberships.values()))
     return membership.shard_owner(NORTH, SERVICE, table.serving(0.0))
+
+
+class TestMissingStream:
+    """An instance has a stream to its dispatcher, and there is none in return, or it is new.
+
+    A decision that is not sent leaves the request waiting until its deadline, with its slot in
+    use at the dispatcher.
+    """
+
+    def setup_method(self):
+        """Create a deployment whose dispatcher has no stream to another instance."""
+        self.deployment = Deployment("a", "b", "c", slots=1)
+        self.owner = self.deployment.owner
+        self.other = next(n for n in self.deployment.allocators if n != self.owner)
+        # The dispatcher starts, and waits for the reports of held slots.
+        self.tick(0.5)
+        self.deployment.cut.add((self.owner, self.other))
+
+    def tick(self, seconds):
+        """Let some time pass."""
+        for _ in range(round(seconds / 0.1)):
+            self.deployment.clock.advance(0.1)
+            for table in self.deployment.memberships.values():
+                for name in self.deployment.allocators:
+                    table.record_heartbeat(member(name), self.deployment.clock.seconds())
+            for allocator in self.deployment.allocators.values():
+                allocator.tick()
+
+    def record_messages(self):
+        """Return a list that receives the messages to the instance without a stream."""
+        received = []
+        self.deployment.allocators[self.other].handle_message = lambda sender, message: (
+            received.append(message)
+        )
+        return received
+
+    def test_grant_is_sent_when_the_stream_opens(self):
+        """The first request to a dispatcher in another region has no stream for its answer."""
+        decisions = self.deployment.request_slot(self.other, 1)
+        self.tick(0.2)
+        self.deployment.cut.clear()
+        self.tick(0.2)
+        assert isinstance(decisions[0], allocation.SlotGrant)
+
+    def test_refusal_is_sent_when_the_stream_opens(self):
+        """The request would be refused at its deadline only."""
+        received = self.record_messages()
+        elsewhere = frozenset({ids.Region("south")})
+        unmet = attrs.evolve(requested(ids.RequestId("1")), homes=elsewhere)
+        self.deployment.allocators[self.owner].handle_message(self.other, unmet)
+        self.tick(0.2)
+        self.deployment.cut.clear()
+        self.tick(0.2)
+        assert [type(message) for message in received] == [slot_messages.SlotRefused]
+
+    def test_messages_keep_their_order(self):
+        """What is sent once the stream is open comes after what had to wait for it."""
+        held = self.deployment.allocators[self.owner]
+        received = self.record_messages()
+        held.handle_message(self.other, requested(ids.RequestId("1")))
+        self.deployment.cut.clear()
+        withdrawn = slot_messages.SlotRequestWithdrawn(ids.RequestId("1"), NORTH, SERVICE)
+        held.handle_message(self.other, withdrawn)
+        held.handle_message(self.other, requested(ids.RequestId("2")))
+        assert [message.grant.ask_id for message in received] == ["1", "2"]
+
+    def test_messages_to_a_lost_instance_are_dropped(self):
+        """Its next run does not know the requests."""
+        decisions = self.deployment.request_slot(self.other, 1)
+        self.deployment.allocators[self.owner].remove_instance(self.other)
+        self.deployment.cut.clear()
+        self.tick(0.2)
+        assert decisions == []
+
+    def test_old_messages_are_dropped_with_a_line(self, caplog):
+        """An instance without a stream for long is cut off, and is not sent what is old."""
+        decisions = self.deployment.request_slot(self.other, 1)
+        self.tick(2.0)
+        self.deployment.cut.clear()
+        self.tick(0.2)
+        assert decisions == []
+        assert "messages-dropped" in caplog.text
+
+    def test_slot_that_is_released_without_a_stream_is_freed(self):
+        """A stream closes while a request runs for long; its dispatcher would lose the slot."""
+        self.deployment.cut.clear()
+        assert self.deployment.request_slot(self.other, 1)
+        self.deployment.cut.add((self.other, self.owner))
+        answered = allocation.AttemptOutcome.ANSWERED
+        self.deployment.allocators[self.other].release_slot(
+            ids.RequestId(f"{self.other}-1"), answered
+        )
+        self.tick(0.2)
+        self.deployment.cut.clear()
+        self.tick(0.2)
+        assert self.deployment.allocators[self.owner].loads()[0].running == 0
