Take only the end of an instance's latest stream for its end

Cause: the end of any accepted connection that had authenticated, and on which no request was relayed, counted as the end of its sender, whose slots were freed and whose queued slot requests were dropped. Two ends say nothing of that: that of a dead stream which the sender had replaced (it is found up to two seconds later), and that of a relay connection whose request was withdrawn before it was sent, which this side aborts after two seconds.

Change: the first message on a stream makes it the latest one of its sender; only the end of that one is told.

Measured: `pytest tests/test_peers.py`: two of the three tests of TestEndOfStream fail without the change, with the sender lost while a stream of it is open; all pass with it.

--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -162,7 +162,17 @@
     """Accepting side: authenticates the sender, then receives its messages.
 
     A connection whose sender relays requests on it carries nothing else. Its end is not the end
-    of the sender, and cancels the request that it carries.
+    of the sender, and cancels the request that it carries. Nor is the end of a stream that the
+    sender has replaced by a later one.
+
+    Args:
+        reactor: Source of timers.
+        codec: Encodes and decodes the messages.
+        key: Shared key of the instances.
+        handler: Called with the sender's name and each message.
+        on_lost: Called with the sender's name when its latest stream ends.
+        relay_handler: Relays requests; None to relay none.
+        latest: Latest stream from each sender, shared by all accepted connections.
     """
 
     def __init__(
@@ -173,13 +183,15 @@
         handler: Handler,
         on_lost: Callable[[ids.InstanceId], None],
         relay_handler: RelayHandler | None = None,
+        latest: dict[ids.InstanceId, "_IncomingStream"] | None = None,
     ) -> None:
         super().__init__(reactor, codec)
+        self._latest = {} if latest is None else latest
         self._key = key
         self._handler = handler
         self._on_lost = on_lost
         self._relay_handler = relay_handler
-        self._is_relay = False
+        self._has_messages = False
         self._relayed: typing.Any = None
         self._nonce = membership_messages.versioned_nonce(
             secrets.token_bytes(membership_messages.NONCE_BYTES), codec.version
@@ -200,7 +212,8 @@
         relayed, self._relayed = self._relayed, None
         if relayed is not None:
             relayed.cancel()
-        if self._sender is not None and not self._is_relay:
+        if self._sender is not None and self._latest.get(self._sender) is self:
+            del self._latest[self._sender]
             self._on_lost(self._sender)
 
     def handle_message(self, message: typing.Any) -> None:
@@ -218,6 +231,9 @@
             self._frame_limit = framing.MAX_FRAME_BYTES
             self._unpacker.feed(remaining)
             return
+        if not self._has_messages:
+            self._has_messages = True
+            self._latest[self._sender] = self
         if isinstance(message, membership_messages.Heartbeat):
             self.send(membership_messages.HeartbeatAck())
         self._handler(self._sender, message)
@@ -232,7 +248,6 @@
         """Relay a request; the connection may be silent until it is answered."""
         if self._relay_handler is None or self._relayed is not None:
             raise framing.CodecError("one request at a time can be relayed on a connection")
-        self._is_relay = True
         if self._timer.active():
             self._timer.cancel()
         relayed = self._relay_handler(sender, request, self._answer_relayed)
@@ -368,6 +383,7 @@
         self._handler = handler
         self._on_lost = on_lost
         self._relay_handler = relay_handler
+        self._latest: dict[ids.InstanceId, _IncomingStream] = {}
 
     def buildProtocol(self, addr: typing.Any) -> _IncomingStream:
         stream = _IncomingStream(
@@ -377,6 +393,7 @@
             self._handler,
             self._on_lost,
             self._relay_handler,
+            self._latest,
         )
         stream.factory = self
         return stream
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -7,6 +7,8 @@
 from twisted.internet import error, task, testing
 from twisted.python import failure
 
+import protocol_samples
+import test_mixed_builds
 from carobhook import logs
 from carobhook.protocol import (
     compression,
@@ -20,6 +22,7 @@
 
 KEY = b"shared"
 NAME = ids.InstanceId("a")
+HEARTBEAT = protocol_samples.sample_message("Heartbeat")
 INCARNATION = ids.Incarnation("0" * 16)
 
 
@@ -162,3 +165,55 @@
         reactor.advance(60.0)
         assert attempt.connect.call_count == 0
         assert stream is None
+
+
+class TestEndOfStream:
+    """The end of a connection is taken for the end of its sender only if it says so.
+
+    A sender that counts as lost loses its slots and its queued slot requests.
+    """
+
+    def setup_method(self):
+        """Listen for streams."""
+        self.reactor = testing.MemoryReactorClock()
+        self.lost = []
+        self.streams = peers.PeerStreams(
+            self.reactor,
+            peers.Identity(ids.InstanceId("own"), INCARNATION, KEY),
+            lambda sender, message: None,
+            peer_codec.CODEC,
+            on_lost=self.lost.append,
+        )
+        self.streams.listen("127.0.0.1", 5)
+
+    def accept(self, *messages):
+        """Return an accepted connection whose sender has authenticated and sent messages."""
+        stream = self.reactor.tcpServers[0][1].buildProtocol(None)
+        transport = test_mixed_builds.Transport()
+        stream.makeConnection(transport)
+        nonce = transport.read_frames()[0][1][0]
+        hello = peers.Identity(NAME, INCARNATION, KEY).answer(nonce, 1)
+        for message in (hello, *messages):
+            stream.dataReceived(peer_codec.CODEC.encode(message, 1))
+        return stream
+
+    def test_only_stream(self):
+        """Its end is that of the sender."""
+        self.accept(HEARTBEAT).connectionLost()
+        assert self.lost == [NAME]
+
+    def test_stream_that_was_replaced(self):
+        """The end of a dead one is found late, when the sender has long opened another."""
+        former, present = self.accept(HEARTBEAT), self.accept(HEARTBEAT)
+        former.connectionLost()
+        assert self.lost == []
+        present.connectionLost()
+        assert self.lost == [NAME]
+
+    def test_relay_connection_that_carried_no_request(self):
+        """The request was withdrawn, and its sender is still there."""
+        stream = self.accept(HEARTBEAT)
+        self.accept().connectionLost()
+        assert self.lost == []
+        stream.connectionLost()
+        assert self.lost == [NAME]
