Move the framed connection out of the streams between instances

Change: FramedProtocol and Codec are a module of their own; moved as they are, but that what answers a challenge is typed by a protocol. Measured: tests/test_peers.py, test_mixed_builds.py and test_member_streams.py pass.

--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -6,14 +6,13 @@
 from collections.abc import Callable, Collection
 
 import attrs
-import msgpack
 from twisted.internet import protocol
 from twisted.python import failure
 
 from carobhook import logs
 from carobhook.protocol import framing, membership_messages, relay_messages
-from carobhook.state import ids, versions
-from carobhook.transport import sockets
+from carobhook.state import ids
+from carobhook.transport import framed_protocol, sockets
 
 _FIRST_RECONNECT_DELAY_S = 0.5
 _MAX_RECONNECT_DELAY_S = 2.0
@@ -23,8 +22,6 @@
 # also the timeout of attempts to connect.
 _SILENCE_TIMEOUT_S = 2.0
 _MAX_HELLO_BYTES = 64 * 1024
-# Types of skipped messages that are logged for each connection.
-_MAX_LOGGED_TYPES = 16
 
 # An idle connection for relayed requests is aborted after this time.
 _RELAY_IDLE_TIMEOUT_S = 10.0
@@ -42,29 +39,6 @@
 ]
 
 
-class Codec(typing.Protocol):
-    """Encodes and decodes the messages on a stream."""
-
-    version: int
-
-    def is_known(self, message: typing.Any, version: int) -> bool:
-        """Return whether a receiver that speaks a version knows the type of a message."""
-
-    def encode(self, message: typing.Any, version: int | None = None) -> bytes:
-        """Return the frame of a message for a receiver that speaks a version."""
-
-    def decode(self, frame: object, limit: int = framing.MAX_FRAME_BYTES) -> typing.Any:
-        """Return the message of an unpacked frame, or of one of up to `limit` bytes in it.
-
-        Raises:
-            framing.UnknownTypeError: The type of the message is unknown.
-            framing.CodecError: The frame is invalid, or the fields of the message are.
-        """
-
-    def unpacker(self, limit: int = framing.MAX_FRAME_BYTES) -> msgpack.Unpacker:
-        """Return a stream unpacker that buffers at most `limit` bytes."""
-
-
 def hello_proof(
     key: bytes, nonce: bytes, name: ids.InstanceId, incarnation: ids.Incarnation
 ) -> bytes:
@@ -92,73 +66,7 @@
         return membership_messages.Hello(self.name, self.incarnation, proof, version)
 
 
-class FramedProtocol(protocol.Protocol):
-    """A connection that carries msgpack frames.
-
-    It is aborted on invalid data, and if the handling of a message raises an exception.
-    Messages of a type that this build does not know are skipped: the other side may be newer.
-
-    Attributes:
-        peer_version: Version of the protocol that the other side speaks, as far as it is known.
-    """
-
-    def __init__(self, reactor: typing.Any, codec: Codec) -> None:
-        self._reactor = reactor
-        self._codec = codec
-        self._unpacker = codec.unpacker()
-        self._frame_limit = framing.MAX_FRAME_BYTES
-        self._skipped_types: set[str] = set()
-        self.peer_version = versions.FIRST_VERSION
-
-    def send(self, message: typing.Any) -> None:
-        """Write one message, unless the other side does not know its type."""
-        if self._codec.is_known(message, self.peer_version):
-            self.transport.write(self._codec.encode(message, self.peer_version))
-
-    def answer_challenge(
-        self, identity: Identity, challenge: membership_messages.Challenge
-    ) -> None:
-        """Authenticate this instance, in the version that the other side speaks."""
-        stated = membership_messages.protocol_version(challenge.nonce)
-        self.peer_version = min(stated, self._codec.version)
-        self.send(identity.answer(challenge.nonce, self._codec.version))
-
-    def dataReceived(self, data: bytes) -> None:
-        """Handle received bytes; abort the connection if they are invalid."""
-        try:
-            self._handle_data(data)
-        except Exception as problem:
-            logs.warning("peer-stream-invalid", peer=self.transport.getPeer(), error=problem)
-            self.transport.abortConnection()
-
-    def _handle_data(self, data: bytes) -> None:
-        self._unpacker.feed(data)
-        while True:
-            try:
-                frame = self._unpacker.unpack()
-            except msgpack.OutOfData:
-                return
-            try:
-                message = self._codec.decode(frame, self._frame_limit)
-            except framing.UnknownTypeError as problem:
-                self.skip_message(problem)
-            else:
-                self.handle_message(message)
-
-    def skip_message(self, problem: framing.UnknownTypeError) -> None:
-        """Skip a message of an unknown type; the first of each type is logged."""
-        if problem.tag in self._skipped_types or len(self._skipped_types) >= _MAX_LOGGED_TYPES:
-            return
-        self._skipped_types.add(problem.tag)
-        peer = self.transport.getPeer()
-        logs.warning("peer-message-unknown", peer=peer, type=problem.tag[:80])
-
-    def handle_message(self, message: typing.Any) -> None:
-        """Handle one message."""
-        raise NotImplementedError
-
-
-class _IncomingStream(FramedProtocol):
+class _IncomingStream(framed_protocol.FramedProtocol):
     """Accepting side: authenticates the sender, then receives its messages.
 
     A connection whose sender relays requests on it carries nothing else. Its end is not the end
@@ -178,7 +86,7 @@
     def __init__(
         self,
         reactor: typing.Any,
-        codec: Codec,
+        codec: framed_protocol.Codec,
         key: bytes,
         handler: Handler,
         on_lost: Callable[[ids.InstanceId], None],
@@ -277,7 +185,7 @@
         self.transport.abortConnection()
 
 
-class _OutgoingStream(FramedProtocol):
+class _OutgoingStream(framed_protocol.FramedProtocol):
     """Connecting side: authenticates itself, then sends this instance's messages.
 
     Attributes:
@@ -285,7 +193,9 @@
             sent.
     """
 
-    def __init__(self, reactor: typing.Any, codec: Codec, identity: Identity) -> None:
+    def __init__(
+        self, reactor: typing.Any, codec: framed_protocol.Codec, identity: Identity
+    ) -> None:
         super().__init__(reactor, codec)
         self._identity = identity
         self.ready = False
@@ -325,7 +235,7 @@
     def __init__(
         self,
         reactor: typing.Any,
-        codec: Codec,
+        codec: framed_protocol.Codec,
         identity: Identity,
         address: str,
         on_ready: Callable[[str], None],
@@ -371,7 +281,7 @@
     def __init__(
         self,
         reactor: typing.Any,
-        codec: Codec,
+        codec: framed_protocol.Codec,
         key: bytes,
         handler: Handler,
         on_lost: Callable[[ids.InstanceId], None],
@@ -418,7 +328,7 @@
         reactor: typing.Any,
         identity: Identity,
         handler: Handler,
-        codec: Codec,
+        codec: framed_protocol.Codec,
         on_ready: Callable[[str], None] = lambda address: None,
         context: typing.Any = None,
         on_lost: Callable[[ids.InstanceId], None] = lambda name: None,
--- a/src/carobhook/transport/relay_connections.py
+++ b/src/carobhook/transport/relay_connections.py
@@ -7,7 +7,7 @@
 
 from carobhook.protocol import membership_messages, peer_codec, relay_messages
 from carobhook.state import ids, members
-from carobhook.transport import peers, sockets
+from carobhook.transport import framed_protocol, peers, sockets
 
 _CONNECT_TIMEOUT_S = 0.5
 # An idle connection is closed after this time, before the other side closes it.
@@ -22,7 +22,7 @@
     """The other instance was lost after the request was sent to it, which may have run."""
 
 
-class _RelayConnection(peers.FramedProtocol):
+class _RelayConnection(framed_protocol.FramedProtocol):
     """Authenticates itself to an instance, and then carries exchanges."""
 
     def __init__(
