Count a relayed request until its answer is sent

Cause: a stopping instance waits for what it relays, and an answer counted as given once it was written to the buffer of its connection. What the kernel had not taken by the end of the process was cut, so that the origin answers 502 for a request that a server ran. Besides, the idle timeout of the connection ran from the moment at which the answer was written: one that took over 10 s to send, as 12 MiB on a link of 5 Mbit/s do, was broken off.

Change: answers go through `PacedWriter`; `relays_in_flight` counts those that are not sent, and the timeout runs anew with each part that the other side has read.

Measured: `pytest tests/test_peers.py`: of TestRelayedAnswers, those that ask for the count fail before as there is none, and test_answer_over_a_slow_link fails with the count but without the timeout's renewal (one abort after 12 s of sending). All pass now. Not run: a stop with a real slow link.

--- a/src/carobhook/transport/member_streams.py
+++ b/src/carobhook/transport/member_streams.py
@@ -139,6 +139,11 @@
         """Return the number of streams to builds that speak an earlier protocol version."""
         return self._peers.older_count
 
+    @property
+    def unsent_answers(self) -> int:
+        """Return the number of answers to relayed requests that are being sent."""
+        return self._peers.unsent_answers
+
     def send_heartbeats(self) -> None:
         """Remove the instances whose heartbeats stopped, and send heartbeats and updates."""
         now = self._reactor.seconds()
--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -12,7 +12,7 @@
 from carobhook import logs
 from carobhook.protocol import framing, membership_messages, relay_messages
 from carobhook.state import ids
-from carobhook.transport import framed_protocol, sockets
+from carobhook.transport import framed_protocol, paced_writer, sockets
 
 _FIRST_RECONNECT_DELAY_S = 0.5
 _MAX_RECONNECT_DELAY_S = 2.0
@@ -23,7 +23,8 @@
 _SILENCE_TIMEOUT_S = 2.0
 _MAX_HELLO_BYTES = 64 * 1024
 
-# An idle connection for relayed requests is aborted after this time.
+# A connection for relayed requests is aborted after this time without a request, or without
+# progress of an answer.
 _RELAY_IDLE_TIMEOUT_S = 10.0
 
 Handler = Callable[[ids.InstanceId, typing.Any], None]
@@ -66,6 +67,19 @@
         return membership_messages.Hello(self.name, self.incarnation, proof, version)
 
 
+@attrs.define
+class _AcceptedStreams:
+    """What the accepted connections have in common.
+
+    Attributes:
+        latest: Latest stream from each sender.
+        answering: Connections on which the answer to a relayed request is being sent.
+    """
+
+    latest: dict[ids.InstanceId, "_IncomingStream"] = attrs.field(factory=dict)
+    answering: set["_IncomingStream"] = attrs.field(factory=set)
+
+
 class _IncomingStream(framed_protocol.FramedProtocol):
     """Accepting side: authenticates the sender, then receives its messages.
 
@@ -80,7 +94,7 @@
         handler: Called with the sender's name and each message.
         on_lost: Called with the sender's name when its latest stream ends.
         relay_handler: Relays requests; None to relay none.
-        latest: Latest stream from each sender, shared by all accepted connections.
+        accepted: What it shares with all accepted connections.
     """
 
     def __init__(
@@ -91,10 +105,15 @@
         handler: Handler,
         on_lost: Callable[[ids.InstanceId], None],
         relay_handler: RelayHandler | None = None,
-        latest: dict[ids.InstanceId, "_IncomingStream"] | None = None,
+        accepted: _AcceptedStreams | None = None,
     ) -> None:
         super().__init__(reactor, codec)
-        self._latest = {} if latest is None else latest
+        self._accepted = accepted or _AcceptedStreams()
+        self._answers = paced_writer.PacedWriter(
+            lambda size: self._accepted.answering.add(self),
+            lambda size: self._record_progress(),
+            lambda: self._accepted.answering.discard(self),
+        )
         self._key = key
         self._handler = handler
         self._on_lost = on_lost
@@ -111,6 +130,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self._answers.connect(self.transport)
         self.send(membership_messages.Challenge(self._nonce))
         self._timer = self._reactor.callLater(_HELLO_TIMEOUT_S, self._abort_silent)
 
@@ -120,8 +140,10 @@
         relayed, self._relayed = self._relayed, None
         if relayed is not None:
             relayed.cancel()
-        if self._sender is not None and self._latest.get(self._sender) is self:
-            del self._latest[self._sender]
+        self._answers.stop()
+        self._accepted.answering.discard(self)
+        if self._sender is not None and self._accepted.latest.get(self._sender) is self:
+            del self._accepted.latest[self._sender]
             self._on_lost(self._sender)
 
     def handle_message(self, message: typing.Any) -> None:
@@ -141,7 +163,7 @@
             return
         if not self._has_messages:
             self._has_messages = True
-            self._latest[self._sender] = self
+            self._accepted.latest[self._sender] = self
         if isinstance(message, membership_messages.Heartbeat):
             self.send(membership_messages.HeartbeatAck())
         self._handler(self._sender, message)
@@ -165,9 +187,14 @@
     def _answer_relayed(self, response: relay_messages.RelayResponse) -> None:
         self._relayed = None
         if self.connected:
-            self.send(response)
+            self._answers.write(self._codec.encode(response, self.peer_version))
             self._timer = self._reactor.callLater(_RELAY_IDLE_TIMEOUT_S, self._abort_idle)
 
+    def _record_progress(self) -> None:
+        """Wait anew for the other side, which has read a part of the answer."""
+        if self._timer.active():
+            self._timer.reset(_RELAY_IDLE_TIMEOUT_S)
+
     def _abort_idle(self) -> None:
         self.transport.abortConnection()
 
@@ -274,7 +301,11 @@
 
 
 class _Acceptor(protocol.Factory):
-    """Creates the streams of accepted connections."""
+    """Creates the streams of accepted connections.
+
+    Attributes:
+        accepted: What these connections have in common.
+    """
 
     noisy = False
 
@@ -293,7 +324,7 @@
         self._handler = handler
         self._on_lost = on_lost
         self._relay_handler = relay_handler
-        self._latest: dict[ids.InstanceId, _IncomingStream] = {}
+        self.accepted = _AcceptedStreams()
 
     def buildProtocol(self, addr: typing.Any) -> _IncomingStream:
         stream = _IncomingStream(
@@ -303,7 +334,7 @@
             self._handler,
             self._on_lost,
             self._relay_handler,
-            self._latest,
+            self.accepted,
         )
         stream.factory = self
         return stream
@@ -344,11 +375,12 @@
         self._on_lost = on_lost
         self._connectors: dict[str, _Connector] = {}
         self._port: typing.Any = None
+        self._acceptor: _Acceptor | None = None
         self._own_address = ""
 
     def listen(self, host: str, port: int) -> int:
         """Accept streams from other instances; return the port number."""
-        acceptor = _Acceptor(
+        acceptor = self._acceptor = _Acceptor(
             self._reactor,
             self._codec,
             self._identity.key,
@@ -399,6 +431,11 @@
         streams = self._ready_streams()
         return sum(stream.peer_version < self._codec.version for stream in streams)
 
+    @property
+    def unsent_answers(self) -> int:
+        """Return the number of answers to relayed requests that are being sent."""
+        return len(self._acceptor.accepted.answering) if self._acceptor is not None else 0
+
     def _ready_streams(self) -> list[_OutgoingStream]:
         streams = (connector.stream for connector in self._connectors.values())
         return [stream for stream in streams if stream is not None and stream.ready]
--- a/src/carobhook/transport/server_access.py
+++ b/src/carobhook/transport/server_access.py
@@ -170,8 +170,8 @@
 
     @property
     def relays_in_flight(self) -> int:
-        """Return the number of requests that are relayed for other instances."""
-        return self._relay_service.in_flight
+        """Return the number of requests of other instances that have no whole answer yet."""
+        return self._relay_service.in_flight + self._parts.streams.unsent_answers
 
     def relay(
         self,
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,9 +2,10 @@
 
 from unittest import mock
 
+import attrs
 import msgpack
 import pytest
-from twisted.internet import error, task, testing
+from twisted.internet import defer, error, task, testing
 from twisted.python import failure
 
 import protocol_samples
@@ -217,3 +218,111 @@
         assert self.lost == []
         stream.connectionLost()
         assert self.lost == [NAME]
+
+
+class TestRelayedAnswers:
+    """An instance stops while the answer to a relayed request is being sent.
+
+    What it has not handed to the kernel is lost with it, and its origin has to say that the
+    request may have run.
+    """
+
+    def setup_method(self):
+        """Accept a connection, and relay a request on it."""
+        self.reactor = testing.MemoryReactorClock()
+        self.answers = []
+        self.streams = peers.PeerStreams(
+            self.reactor,
+            peers.Identity(ids.InstanceId("own"), INCARNATION, KEY),
+            lambda sender, message: None,
+            peer_codec.CODEC,
+            relay_handler=self.relay,
+        )
+        self.streams.listen("127.0.0.1", 5)
+        self.stream = self.reactor.tcpServers[0][1].buildProtocol(None)
+        self.transport = test_mixed_builds.Transport()
+        self.stream.makeConnection(self.transport)
+        nonce = self.transport.read_frames()[0][1][0]
+        version = peer_codec.PROTOCOL_VERSION
+        hello = peers.Identity(NAME, INCARNATION, KEY).answer(nonce, version)
+        self.stream.dataReceived(peer_codec.CODEC.encode(hello))
+        self.send_request()
+
+    def relay(self, sender, request, respond):
+        """Keep the function that answers."""
+        self.answers.append(respond)
+        return defer.Deferred(lambda _: None)
+
+    def send_request(self):
+        """Send a request to relay."""
+        request = protocol_samples.sample_message("RelayRequest")
+        self.stream.dataReceived(peer_codec.CODEC.encode(request))
+
+    def answer(self, size):
+        """Answer the request with a body of some bytes; return the answer."""
+        answer = attrs.evolve(
+            protocol_samples.sample_message("RelayResponse"), body=b"x" * size
+        )
+        self.transport.clear()
+        self.answers.pop()(answer)
+        return answer
+
+    def read(self):
+        """Let the other side read all that is sent."""
+        while self.transport.producer is not None:
+            self.transport.producer.resumeProducing()
+        return peer_codec.CODEC.decode(self.transport.read_frames()[0])
+
+    def test_large_answer_counts_until_it_is_sent(self):
+        """The instance waits for it."""
+        answer = self.answer(1_000_000)
+        assert self.streams.unsent_answers == 1
+        assert self.read() == answer
+        assert self.streams.unsent_answers == 0
+
+    def test_small_answer_is_sent_at_once(self):
+        """It fits into the buffer of the kernel."""
+        answer = self.answer(1000)
+        assert self.streams.unsent_answers == 0
+        assert self.read() == answer
+
+    def test_next_request_on_the_connection(self):
+        """It is relayed, and answered, as the first one."""
+        self.answer(1_000_000)
+        self.read()
+        self.send_request()
+        answer = self.answer(1_000_000)
+        assert self.streams.unsent_answers == 1
+        assert self.read() == answer
+
+    def test_origin_that_leaves(self):
+        """Nothing is left to wait for."""
+        self.answer(1_000_000)
+        self.stream.connectionLost()
+        assert self.streams.unsent_answers == 0
+        assert self.transport.producer is None
+
+    def test_answer_over_a_slow_link(self):
+        """The connection is not idle while the other side reads."""
+        answer = self.answer(1_000_000)
+        frames = framing.unpacker()
+        for _ in range(5):
+            self.reactor.advance(6.0)
+            assert self.transport.abort_count == 0
+            frames.feed(self.transport.value())
+            self.transport.clear()
+            self.transport.producer.resumeProducing()
+        frames.feed(self.transport.value())
+        self.transport.clear()
+        while self.transport.producer is not None:
+            self.transport.producer.resumeProducing()
+        frames.feed(self.transport.value())
+        assert peer_codec.CODEC.decode(next(frames)) == answer
+        self.reactor.advance(11.0)
+        assert self.transport.abort_count == 1
+
+    def test_origin_that_does_not_read(self):
+        """Its connection is aborted, as the answer takes memory."""
+        self.answer(1_000_000)
+        self.reactor.advance(11.0)
+        assert self.transport.abort_count == 1
