Use no relay connection that the other side may have closed

Cause: an idle relay connection was closed by a timer only. An instance that had stood still sent a request on one that the other side had closed long ago, and one that had carried nothing yet was kept for 5 s while the other side waits 2 s for its first request. A request on such a connection counts as one that may have run.

Change: a connection is checked as it is chosen, and one without a request so far is kept for a second.

--- a/src/carobhook/transport/relay_connections.py
+++ b/src/carobhook/transport/relay_connections.py
@@ -10,8 +10,10 @@
 from carobhook.transport import framed_protocol, peers, sockets
 
 _CONNECT_TIMEOUT_S = 0.5
-# An idle connection is closed after this time, before the other side closes it.
+# An idle connection is closed after this time, before the other side closes it. That side waits
+# for the first request for a shorter time.
 _MAX_IDLE_S = 5.0
+_MAX_UNUSED_S = 1.0
 
 
 class RelayNotSentError(Exception):
@@ -32,9 +34,19 @@
         self._identity = identity
         self._on_ready: defer.Deferred | None = on_ready
         self._pending: defer.Deferred | None = None
+        self._has_carried = False
         self.idle_since = 0.0
         self.is_open = True
 
+    def may_be_reused(self, now: float) -> bool:
+        """Return whether the connection is open and the other side still waits for a request.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        max_idle_s = _MAX_IDLE_S if self._has_carried else _MAX_UNUSED_S
+        return self.is_open and now - self.idle_since <= max_idle_s
+
     def connectionMade(self) -> None:
         if not self.is_open:
             # Nobody waits for it any more.
@@ -59,6 +71,7 @@
         It fails with `RelayLostError`; cancelling it closes the connection.
         """
         self._pending = defer.Deferred(lambda _: self.abort())
+        self._has_carried = True
         self.send(request)
         return self._pending
 
@@ -123,8 +136,9 @@
         idle = self._idle.get(peer.name)
         while idle:
             connection = idle.pop()
-            if connection.is_open:
+            if connection.may_be_reused(self._reactor.seconds()):
                 return connection
+            connection.abort()
         ready: defer.Deferred = defer.Deferred(lambda _: connection.abort())
         connection = _RelayConnection(self._reactor, self._identity, ready)
         host, _, port = peer.peers.rpartition(":")
@@ -168,7 +182,7 @@
             now: Monotonic time in seconds.
         """
         for name, idle in list(self._idle.items()):
-            for connection in [c for c in idle if now - c.idle_since > _MAX_IDLE_S]:
+            for connection in [c for c in idle if not c.may_be_reused(now)]:
                 idle.remove(connection)
                 connection.abort()
             if not idle:
