Clear marks only by responses that show a run

Cause: every response below 500 without X-Not-Executed counted as a run, also those that a server gives by the head, the size or the caller of a request before it runs anything (400, 401, 403, 408, 411, 413, 414, 417, 429, 431). One of them cleared the marks of a request that ends its servers, which was then sent three times more.

Change: ServerCodec.shows_run. A success, a redirect, and the client errors that tell the state of the object (404, 409, 410, 412, 422) clear. The latter are for the innocent caller: a request whose object is missing is answered so each time, and would otherwise stay refused for ten minutes. 401 and 403 do not clear: they speak of the caller, and the fingerprint does not hold its credentials. What the client gets and the outcome for the dispatcher stay as they were.

--- a/src/carobhook/platform/requests.py
+++ b/src/carobhook/platform/requests.py
@@ -22,6 +22,10 @@
     name.encode() for name in (names.TIME_LEFT_MS, names.EXPECTED_SERVER, "content-length")
 )
 
+# Client errors that tell the state of the object, which a server looks up when it runs the
+# request. Others are given by its head, its size or its caller, before anything runs.
+_STATUSES_BY_WORK = frozenset({404, 409, 410, 412, 422})
+
 _API_KEY = names.API_KEY.encode()
 _ACCOUNT_HEADERS = frozenset((_API_KEY, names.TENANT.encode()))
 
@@ -155,6 +159,12 @@
             return allocation.AttemptOutcome.FAILED
         return allocation.AttemptOutcome.ANSWERED
 
+    def shows_run(self, response: http1.Response) -> bool:
+        """Return whether a response shows that its server ran the request without a failure."""
+        if response.get(names.NOT_EXECUTED) is not None:
+            return False
+        return 200 <= response.status < 400 or response.status in _STATUSES_BY_WORK
+
     def rate_statement(self, response: http1.Response) -> allocation.RateStatement | None:
         """Return what a response says about the rate of requests that its server takes.
 
--- a/src/carobhook/transport/flow_interfaces.py
+++ b/src/carobhook/transport/flow_interfaces.py
@@ -28,6 +28,9 @@
     def attempt_outcome(self, response: http1.Response) -> allocation.AttemptOutcome:
         """Return the outcome of an attempt that a server responded to."""
 
+    def shows_run(self, response: http1.Response) -> bool:
+        """Return whether a response shows that its server ran the request without a failure."""
+
     def rate_statement(self, response: http1.Response) -> allocation.RateStatement | None:
         """Return what a response says about the rate of requests that its server takes.
 
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -364,7 +364,7 @@
             is_delayed = self._is_slow() or (received is not None and received.is_relayed)
             reported = _reported_outcome(outcome, is_delayed, is_path_suspect)
             self._allocator.release_slot(grant.ask_id, reported, rate, pace)
-            self._observe(outcome, run, grant)
+            self._observe(outcome, run, grant, received)
         if self._stage is Stage.ENDED:
             return False
         return self._handle_outcome(outcome, received, grant)
@@ -415,10 +415,11 @@
         outcome: allocation.AttemptOutcome,
         run: servers.ServerRun,
         grant: allocation.SlotGrant,
+        received: exchange_results.ReceivedResponse | None,
     ) -> None:
         """Report an attempt whose outcome tells whether the request ends its servers."""
         request = self._accepted.request
-        if outcome is allocation.AttemptOutcome.ANSWERED:
+        if received is not None and self._codec.shows_run(received.response):
             self._observer.request_answered(request)
         elif outcome is allocation.AttemptOutcome.BROKEN:
             self._observer.attempt_lost(request, run, grant.address, is_broken=True)
--- a/tests/test_ended_servers.py
+++ b/tests/test_ended_servers.py
@@ -63,6 +63,31 @@
         assert self.ends == poison.MARK_LIMIT
 
 
+class TestRefusalBeforeTheRun(EndedServersCase):
+    """A response that a server gives before it runs a request cleared the marks."""
+
+    async def test_status_that_shows_no_run_proves_nothing(self):
+        """A server finds the same body too large between the second end and the third."""
+        self.make_fatal()
+        assert await self.send(2) == [502, 502]
+        self.set_behaviour(status=413)
+        assert await self.send(1) == [413]
+        self.make_fatal()
+        assert await self.send(4) == [502, 503, 503, 503]
+        assert self.ends == poison.MARK_LIMIT
+
+    async def test_result_of_the_work_clears(self):
+        """An innocent request is not refused because its object is missing."""
+        self.make_fatal()
+        assert await self.send(2) == [502, 502]
+        self.set_behaviour(status=404)
+        assert await self.send(1) == [404]
+        self.make_fatal()
+        assert await self.send(1) == [502]
+        self.set_behaviour()
+        assert await self.send(1) == [200]
+
+
 class TestLateInstance(EndedServersCase):
     """An instance that started later knew no marks."""
 
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -116,6 +116,7 @@
         timeout_s=1.0,
         fallback=None,
         create_allocator=lambda clock: FakeSlotAllocator(),
+        observer=None,
     ):
         self.clock = task.Clock()
         self.allocator, self.servers = create_allocator(self.clock), FakeServers()
@@ -156,7 +157,7 @@
             self.responses.append,
             self.outcomes.append,
             lambda: self.finished.append(True),
-            FakeObserver(),
+            observer or FakeObserver(),
         )
         self.flow.start()
 
