Let instances that relay refuse quarantined requests

Cause: an instance that is cut from the servers asks others to send its requests. It may not have heard of the marks of a request, and the one that relays looked only whether the server may be used, so that a request which ends its servers reached them through it.

Change: RelayRequest.fingerprint (protocol 9, left out for older builds; a request without it is relayed as before). The relaying instance asks right before it sends, answers WITHDRAWN, and sends the other instance the marks, which then refuses the request itself instead of trying one server after another.

--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -16,6 +16,7 @@
    `Member.quota_counters`.
 7: `FeedProgress.has_marks`.
 8: `Member.work_time_us`, `Member.moved_share`.
+9: `RelayRequest.fingerprint`.
 """
 
 from carobhook.protocol import (
@@ -30,7 +31,7 @@
 
 # Version of the protocol that this build speaks. It rises with each release that adds a message
 # type or a field.
-PROTOCOL_VERSION = 8
+PROTOCOL_VERSION = 9
 
 MESSAGE_TYPES: dict[str, type] = {
     "Challenge": membership_messages.Challenge,
--- a/src/carobhook/protocol/relay_messages.py
+++ b/src/carobhook/protocol/relay_messages.py
@@ -21,7 +21,8 @@
 
     RESPONDED: The server sent a complete response.
     UNREACHED: The server accepted no connection of the relaying instance.
-    WITHDRAWN: The server must not get requests, as the relaying instance knows.
+    WITHDRAWN: The server must not get requests, or none may get this one, as the relaying
+        instance knows.
     BUSY: The relaying instance takes no more, or reaches hardly any server itself.
     RESET: The connection to the server was closed before the head of a response arrived.
     GARBLED: The response is invalid or too large, or belongs to another request.
@@ -50,6 +51,7 @@
         target: Target of the request.
         headers: Headers as they are sent to the server.
         body: Body of the request.
+        fingerprint: Fingerprint of the request as its marks have it; empty if not told.
     """
 
     server: ids.Server
@@ -60,6 +62,7 @@
     target: bytes
     headers: tuple[tuple[bytes, bytes], ...]
     body: bytes
+    fingerprint: bytes = versions.added_field(b"", since=9)
 
 
 @attrs.frozen
--- a/src/carobhook/transport/direct_exchange.py
+++ b/src/carobhook/transport/direct_exchange.py
@@ -52,6 +52,7 @@
             wait, as it must not run twice. A response may still come, but no server needs the
             slot for it any more.
         is_repeat: Whether the request was sent before.
+        fingerprint: Returns the fingerprint of the request as its marks have it, or nothing.
     """
 
     server: ids.Server
@@ -65,6 +66,7 @@
     may_send: Callable[[], bool]
     on_silence: Callable[[], object] = lambda: None
     is_repeat: bool = False
+    fingerprint: Callable[[], bytes] = bytes
 
 
 @attrs.define(eq=False)
--- a/src/carobhook/transport/relay_service.py
+++ b/src/carobhook/transport/relay_service.py
@@ -39,6 +39,8 @@
         on_response: Called with each response and the run that its request was sent to.
         max_body_bytes: Largest size of the bodies of all relayed requests.
         on_failure: Called with an unexpected error.
+        is_quarantined: Returns whether a request of an instance, by its fingerprint, must not
+            be sent to any server.
     """
 
     def __init__(
@@ -51,6 +53,7 @@
         on_response: Callable[[servers.ServerRun, http1.Response], object],
         max_body_bytes: int,
         on_failure: Callable[[typing.Any], object],
+        is_quarantined: Callable[[ids.InstanceId, bytes], bool],
     ) -> None:
         self._direct = direct
         self._may_use = may_use
@@ -60,6 +63,7 @@
         self._on_response = on_response
         self._max_body_bytes = max_body_bytes
         self._on_failure = on_failure
+        self._is_quarantined = is_quarantined
         self._body_bytes = 0
         self._count = 0
 
@@ -109,7 +113,7 @@
         use = exchange_results.ConnectionUse()
         run = self._run_of(request.server)
         try:
-            received = await self._direct.exchange_for_other(self._attempt(request))
+            received = await self._direct.exchange_for_other(self._attempt(sender, request))
             use = received.use
             if run is not None:
                 self._on_response(run, received.response)
@@ -129,7 +133,9 @@
         )
         return answer
 
-    def _attempt(self, request: relay_messages.RelayRequest) -> direct_exchange.Attempt:
+    def _attempt(
+        self, sender: ids.InstanceId, request: relay_messages.RelayRequest
+    ) -> direct_exchange.Attempt:
         """Return the attempt to send a request of another instance to its server."""
         head = http1.RequestHead(request.method, request.target, request.headers)
         return direct_exchange.Attempt(
@@ -141,9 +147,16 @@
             body=request.body,
             require_fresh=request.require_fresh,
             match=lambda response: self._match(response, request.request_id),
-            may_send=lambda: self._may_use(request.server, request.address),
+            may_send=lambda: self._may_send(sender, request),
         )
 
+    def _may_send(self, sender: ids.InstanceId, request: relay_messages.RelayRequest) -> bool:
+        """Return whether a request may be sent now; an older build names no fingerprint."""
+        if not self._may_use(request.server, request.address):
+            return False
+        fingerprint = request.fingerprint
+        return not fingerprint or not self._is_quarantined(sender, fingerprint)
+
 
 def _answer(response: http1.Response) -> relay_messages.RelayResponse:
     if len(response.body) > relay_messages.MAX_BODY_BYTES:
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -17,6 +17,7 @@
     exchange_results,
     flow_interfaces,
     refusal_responses,
+    request_quarantine,
 )
 
 # Time for a response to travel from the server to the client. It is subtracted from the time
@@ -394,6 +395,7 @@
                 grant.ask_id, allocation.AttemptOutcome.CANCELLED
             ),
             is_repeat=self._attempts > 1,
+            fingerprint=lambda: request_quarantine.fingerprint(accepted.request),
         )
 
     def _may_send(
--- a/src/carobhook/transport/server_access.py
+++ b/src/carobhook/transport/server_access.py
@@ -147,6 +147,7 @@
             record_response,
             int(self._memory_bytes * _RELAY_MEMORY_RATIO),
             lambda reason: parts.supervisor.record("relay", reason),
+            self._is_quarantined_for,
         )
         self.quarantine = request_quarantine.RequestQuarantine(
             reactor,
@@ -257,6 +258,13 @@
         is_usable = self._parts.server_catalog.is_usable(server)
         return is_usable and not self.notices.is_resting(server)
 
+    def _is_quarantined_for(self, sender: ids.InstanceId, fingerprint: bytes) -> bool:
+        """Return whether a request is refused; its sender, who does not know, is told why."""
+        marks = self.quarantine.refusal_marks(fingerprint)
+        for message in marks:
+            self._parts.streams.send(sender, message)
+        return bool(marks)
+
     def _other_serving(self) -> list[members.Member]:
         """Return the other instances that accept new work."""
         serving = self._parts.streams.membership.serving(self._reactor.seconds())
--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -217,6 +217,7 @@
             head.target,
             head.headers,
             attempt.body,
+            attempt.fingerprint(),
         )
         try:
             answer = await self._relays.exchange(peer.name, connection, request)
--- a/tests/test_mixed_builds.py
+++ b/tests/test_mixed_builds.py
@@ -3,6 +3,7 @@
 import json
 import pathlib
 
+import attrs
 import msgpack
 import pytest
 from twisted.internet import task, testing
@@ -223,3 +224,13 @@
     assert isinstance(response, relay_messages.RelayResponse)
     incoming.send(response)
     assert accepting.value().endswith(RELEASED["RelayResponse"])
+
+
+def test_relayed_request_has_the_fields_that_the_peer_knows():
+    """Version 8 has no fingerprint; what lacks one is decoded without."""
+    request = protocol_samples.sample_message("RelayRequest")
+    older = msgpack.unpackb(peer_codec.CODEC.encode(request, 8))
+    newer = msgpack.unpackb(peer_codec.CODEC.encode(request, 9))
+    assert newer[1] == [*older[1], b"fingerprint"]
+    assert peer_codec.CODEC.decode(newer) == request
+    assert peer_codec.CODEC.decode(older) == attrs.evolve(request, fingerprint=b"")
--- a/tests/test_relay_service.py
+++ b/tests/test_relay_service.py
@@ -1,5 +1,6 @@
 """Tests of carobhook.transport.relay_service: requests of other instances."""
 
+import attrs
 import pytest
 from twisted.internet import defer
 
@@ -32,6 +33,7 @@
         self.catalog.put(ENTRY, 0.0)
         self.exchanges, self.answers, self.cancelled = [], [], []
         self.failures = []
+        self.quarantined, self.questions = set(), []
         self.service = relay_service.RelayService(
             self,
             lambda server, address: self.catalog.is_usable(server),
@@ -41,8 +43,14 @@
             lambda run, response: None,
             max_body_bytes,
             self.failures.append,
+            self.is_quarantined,
         )
 
+    def is_quarantined(self, sender, fingerprint):
+        """Return whether the test quarantines a request."""
+        self.questions.append((sender, fingerprint))
+        return fingerprint in self.quarantined
+
     async def exchange_for_other(self, attempt):
         """Wait until the test completes the exchange, unless it may not be sent."""
         address = attempt.address
@@ -146,3 +154,40 @@
         assert relay.cancelled == ["s:1"]
         assert relay.service.in_flight == 0
         assert relay.answers == []
+
+
+class TestQuarantinedRequest:
+    """The relaying instance knows marks of which the cut one has not heard."""
+
+    NAMED = attrs.evolve(REQUEST, fingerprint=b"fatal")
+
+    def test_request_known_here_is_not_sent(self):
+        """It ended three servers more through each instance that relayed it."""
+        relay = Relay()
+        relay.quarantined = {b"fatal"}
+        relay.send(self.NAMED)
+        assert relay.outcomes == [Outcome.WITHDRAWN]
+        assert relay.exchanges == []
+        assert relay.questions == [("one", b"fatal")]
+
+    def test_mark_that_comes_before_the_send_counts(self):
+        """The connection to the server may take long to open."""
+        relay = Relay()
+        attempt = relay.service._attempt(ids.InstanceId("one"), self.NAMED)
+        assert attempt.may_send()
+        relay.quarantined = {b"fatal"}
+        assert not attempt.may_send()
+
+    def test_other_requests_are_relayed(self):
+        """The marks of one request say nothing about another."""
+        relay = Relay()
+        relay.quarantined = {b"other"}
+        relay.send(self.NAMED)
+        assert len(relay.exchanges) == 1
+
+    def test_request_of_an_older_build_is_relayed(self):
+        """It has no fingerprint, which is no fingerprint of a request."""
+        relay = Relay()
+        relay.quarantined = {b""}
+        relay.send()
+        assert len(relay.exchanges) == 1
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -53,6 +53,7 @@
         self.reached = False
         self.checked = []
         self.asked = []
+        self.relayed = []
         self.answers = answers or {}
         self.error = exchange_results.ExchangeError(Fault.CONNECT, "cut", False, False)
         rng = random.Random(1)
@@ -84,6 +85,7 @@
                 await task.deferLater(self.clock, self.connect_s)
             raise self.error
         self.asked.append(args[0])
+        self.relayed.append(args[2])
         answer = self.answers.get(args[0], SERVED)
         if isinstance(answer, Exception):
             raise answer
@@ -138,6 +140,7 @@
             lambda response: match,
             lambda: may_send,
             is_repeat=is_repeat,
+            fingerprint=lambda: b"fingerprint",
         )
         found = []
         result = defer.ensureDeferred(self.servers.exchange(attempt))
@@ -162,6 +165,12 @@
         assert paths.send() == 200
         assert (paths.direct, paths.asked) == (["s1:1"], ["two", "two"])
 
+    def test_relayed_request_is_named(self):
+        """The other instance may know marks that this one has not heard of."""
+        paths = Paths(member("two"))
+        paths.send()
+        assert [request.fingerprint for request in paths.relayed] == [b"fingerprint"]
+
     def test_response_to_another_request_is_not_returned(self):
         """The check compared nothing: a member of an Enum is always true (issue 49)."""
         assert Paths(member("two")).send(match=ResponseMatch.OTHER) is Fault.GARBLED
