Report no loss of a request that no server has got

Cause: a request that is given to another instance counts as sent. Where that one answered that it did not send it (WITHDRAWN, or no path or no relay at all), the attempt was reported as lost, and a server that ended by chance within six seconds gave the innocent request a mark.

Change: these faults take back that the request was sent.

--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -37,6 +37,14 @@
 # Largest body in bytes of a server's failure response that is kept while the request is sent
 # again. No limit on memory counts it meanwhile.
 _MAX_KEPT_FAILURE_BYTES = 64 * 1024
+# After these, no server has got the request.
+_NOT_SENT_FAULTS = frozenset(
+    {
+        exchange_results.Fault.WITHDRAWN,
+        exchange_results.Fault.NO_PATH,
+        exchange_results.Fault.NO_RELAY,
+    }
+)
 # By these, a server says that it did not run a request.
 _NOT_RUN_OUTCOMES = frozenset(
     {allocation.AttemptOutcome.SHED, allocation.AttemptOutcome.MISDIRECTED}
@@ -470,6 +478,9 @@
             reused=error.reused,
             error=error,
         )
+        if error.fault in _NOT_SENT_FAULTS:
+            # It was given to an instance that did not send it.
+            self._is_sent = False
         if error.fault is exchange_results.Fault.WITHDRAWN:
             self._attempts -= 1
             return allocation.AttemptOutcome.CANCELLED
