Report the first loss of a request that is sent twice in an attempt

Cause: a request that may run again, and whose path falls silent, goes to its server once more through another instance within the same attempt. Only the outcome of the second send was reported: if that was answered, a server that had ended under the first was never looked at, and if it was lost too, both losses had the run that was known when the attempt began.

Change: Attempt.on_loss, which ServerExchange calls before the second send. The run of a loss, and of a response, is the one known at its own send. A request is reported once, and only if it was sent.

--- a/src/carobhook/transport/direct_exchange.py
+++ b/src/carobhook/transport/direct_exchange.py
@@ -53,6 +53,7 @@
             slot for it any more.
         is_repeat: Whether the request was sent before.
         fingerprint: Returns the fingerprint of the request as its marks have it, or nothing.
+        on_loss: Called if the request was sent and lost, before it is sent once more.
     """
 
     server: ids.Server
@@ -67,6 +68,7 @@
     on_silence: Callable[[], object] = lambda: None
     is_repeat: bool = False
     fingerprint: Callable[[], bytes] = bytes
+    on_loss: Callable[[], object] = lambda: None
 
 
 @attrs.define(eq=False)
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -92,6 +92,9 @@
             nothing about servers.
     """
 
+    # Run of the server that the request was sent to last.
+    _server_run: servers.ServerRun
+
     def __init__(
         self,
         reactor: typing.Any,
@@ -353,7 +356,6 @@
         outcome = allocation.AttemptOutcome.CANCELLED
         rate: allocation.RateStatement | None = None
         pace: float | None = None
-        run = self._observer.run_of(grant.server)
         self._is_sent = False
         received: exchange_results.ReceivedResponse | None = None
         is_path_suspect = False
@@ -373,7 +375,7 @@
             is_delayed = self._is_slow() or (received is not None and received.is_relayed)
             reported = _reported_outcome(outcome, is_delayed, is_path_suspect)
             self._allocator.release_slot(grant.ask_id, reported, rate, pace)
-            self._observe(outcome, run, grant, received)
+            self._observe(outcome, grant, received)
         if self._stage is Stage.ENDED:
             return False
         return self._handle_outcome(outcome, received, grant)
@@ -404,6 +406,7 @@
             ),
             is_repeat=self._attempts > 1,
             fingerprint=lambda: request_quarantine.fingerprint(accepted.request),
+            on_loss=lambda: self._report_loss(grant, is_broken=False),
         )
 
     def _may_send(
@@ -418,23 +421,31 @@
             and self._may_use(accepted, server)
             and not self._observer.is_quarantined(accepted.request)
         )
+        if self._is_sent:
+            # It may be another one than at an earlier send.
+            self._server_run = self._observer.run_of(server)
         return self._is_sent
 
     def _observe(
         self,
         outcome: allocation.AttemptOutcome,
-        run: servers.ServerRun,
         grant: allocation.SlotGrant,
         received: exchange_results.ReceivedResponse | None,
     ) -> None:
         """Report an attempt whose outcome tells whether the request ends its servers."""
-        request = self._accepted.request
         if received is not None and self._codec.shows_run(received.response):
-            self._observer.request_answered(request)
+            self._observer.request_answered(self._accepted.request)
         elif outcome is allocation.AttemptOutcome.BROKEN:
-            self._observer.attempt_lost(request, run, grant.address, is_broken=True)
-        elif outcome is allocation.AttemptOutcome.CANCELLED and self._is_sent:
-            self._observer.attempt_lost(request, run, grant.address, is_broken=False)
+            self._report_loss(grant, is_broken=True)
+        elif outcome is allocation.AttemptOutcome.CANCELLED:
+            self._report_loss(grant, is_broken=False)
+
+    def _report_loss(self, grant: allocation.SlotGrant, *, is_broken: bool) -> None:
+        """Report that the request was sent and lost, unless that was reported before."""
+        if self._is_sent:
+            request = self._accepted.request
+            self._observer.attempt_lost(request, self._server_run, grant.address, is_broken)
+        self._is_sent = False
 
     def _rate_statement(
         self, response: http1.Response, server: ids.Server
--- a/src/carobhook/transport/server_exchange.py
+++ b/src/carobhook/transport/server_exchange.py
@@ -7,7 +7,7 @@
 
 import contextlib
 import typing
-from collections.abc import Callable, Sequence
+from collections.abc import Awaitable, Callable, Sequence
 
 from carobhook import logs
 from carobhook.coordination import relay_choice
@@ -95,31 +95,36 @@
             exchange_results.ExchangeError: The exchange failed without a complete response.
             twisted.internet.defer.CancelledError: The exchange was cancelled.
         """
-        run = self._run_of(attempt.server)
-        received = await self._exchange(attempt)
-        if run is not None:
-            self._on_response(run, received.response)
-        return received
-
-    async def _exchange(
-        self, attempt: direct_exchange.Attempt
-    ) -> exchange_results.ReceivedResponse:
         if self._direct.is_usable(attempt):
             started_at = self._reactor.seconds()
             try:
                 # A request that may run again finds out itself whether the path works.
-                return await self._direct.exchange(attempt, verify_path=attempt.require_fresh)
+                sending = self._direct.exchange(attempt, verify_path=attempt.require_fresh)
+                return await self._receive(attempt, sending)
             except exchange_results.ExchangeError as error:
                 if error.fault is Fault.SILENT and not attempt.require_fresh:
+                    attempt.on_loss()
                     # The request may have run, so a failure of the relay does not say more.
                     with contextlib.suppress(exchange_results.ExchangeError):
-                        return await self._relay(attempt)
+                        return await self._receive(attempt, self._relay(attempt))
                 if error.fault is not Fault.CONNECT:
                     raise
                 if self._is_server_suspect(started_at):
                     self._direct.check_others(attempt.address)
                     raise
-        return await self._relay(attempt)
+        return await self._receive(attempt, self._relay(attempt))
+
+    async def _receive(
+        self,
+        attempt: direct_exchange.Attempt,
+        sending: Awaitable[exchange_results.ReceivedResponse],
+    ) -> exchange_results.ReceivedResponse:
+        """Return the response to a request that is being sent, for the run it is sent to."""
+        run = self._run_of(attempt.server)
+        received = await sending
+        if run is not None:
+            self._on_response(run, received.response)
+        return received
 
     def _is_server_suspect(self, started_at: float) -> bool:
         """Return whether a connection timed out while other servers were heard.
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -55,6 +55,9 @@
         self.asked = []
         self.relayed = []
         self.answers = answers or {}
+        self.on_loss = lambda: None
+        self.present_run = servers.ServerRun(ids.Server("s1"))
+        self.heard = []
         self.error = exchange_results.ExchangeError(Fault.CONNECT, "cut", False, False)
         rng = random.Random(1)
         self.direct_exchange = direct_exchange.DirectExchange(
@@ -71,8 +74,8 @@
             self,
             relay_choice.RelayChoice(rng, NORTH),
             lambda: peers,
-            servers.ServerRun,
-            lambda run, response: None,
+            lambda server: self.present_run,
+            lambda run, response: self.heard.append(run),
         )
 
     # Connections to servers.
@@ -141,6 +144,7 @@
             lambda: may_send,
             is_repeat=is_repeat,
             fingerprint=lambda: b"fingerprint",
+            on_loss=self.on_loss,
         )
         found = []
         result = defer.ensureDeferred(self.servers.exchange(attempt))
