Delete expired marks by the steady clock

Cause: an instance deleted marks from the store by its own time of day (60 s after their time), and skipped marks that seemed expired. An instance whose clock was ahead by more than 60 s, or a writer whose clock was behind by that, led to the deletion of marks that counted. The others take a deletion for a clearing and never add a cleared mark again, so that a request that had ended three servers was sent on at all instances.

Change: a mark is deleted once an instance has known its object for its lifetime and 60 s by the steady clock. A deletion after the lifetime is no clearing, an earlier one is, whatever the time of day. A mark that is read and seems to have expired 20 minutes to two hours ago counts for its lifetime from then on: it would have been deleted, so a clock is wrong. After a stop of all instances of that length, a request with such marks stays refused for ten minutes more.

A clock that is wrong by less than 20 minutes still shortens or prolongs what an instance reads that starts when no other is left.

--- a/src/carobhook/transport/stored_marks.py
+++ b/src/carobhook/transport/stored_marks.py
@@ -26,8 +26,14 @@
 # removed only if it lasts: the instance that made or cleared a mark writes first.
 _COMPARE_INTERVAL_S = 0.5
 _DIFFERENCE_AGE_S = 1.0
-# A mark is deleted this long after it has expired, as the clocks of instances differ.
+# A mark is deleted this long after it must have expired, whatever clock its writer had.
 _DELETE_AFTER_S = 60.0
+# A mark that seems to have expired before this time would have been deleted, unless no instance
+# ran for long: the clock of its writer or of this instance is wrong. It counts then.
+_MIN_CLOCK_ERROR_S = 2 * poison.MARK_LIFETIME_S
+# A clock that is set to summer time by mistake is wrong by an hour. Beyond twice that, a mark
+# is taken for an old one.
+_MAX_CLOCK_ERROR_S = 2 * 3600.0
 
 
 @attrs.frozen
@@ -36,7 +42,7 @@
 
     Attributes:
         on_mark: Called with a mark that the store holds, and its remaining seconds.
-        on_deleted: Called with a mark that was deleted from the store before it expired.
+        on_deleted: Called with a mark that was deleted from the store while it may count.
         live_marks: Returns the marks that count at this instance.
         is_cleared: Returns whether the mark of a fingerprint and name is known to be cleared.
         on_failure: Called with the failure of a call that is not the store's.
@@ -93,6 +99,8 @@
         self._compared_at = -math.inf
         # Objects that the store lacks, or should not hold, and when that was seen first.
         self._differences: dict[str, float] = {}
+        # Since when this instance has known objects, by its monotonic clock.
+        self._known_since: dict[str, float] = {}
 
     @property
     def position(self) -> objects.Position | None:
@@ -173,21 +181,29 @@
         self._apply(self._table.apply_events(position, events))
 
     def _apply(self, changes: mark_table.MarkChanges) -> None:
+        now = self._reactor.seconds()
+        before = self._known_since
+        self._known_since = {name: before.get(name, now) for name in self._table.marks}
         for mark in changes.held:
             remaining_s = self._remaining_s(mark)
             if remaining_s > 0:
                 self._callbacks.on_mark(mark, remaining_s)
         for mark in changes.deleted:
-            if self._remaining_s(mark) > 0:
+            known_since = before.get(_object_name(mark.fingerprint, mark.name), now)
+            if now - known_since < poison.MARK_LIFETIME_S:
                 self._callbacks.on_deleted(mark)
 
     def _remaining_s(self, mark: mark_codec.StoredMark) -> float:
-        return min(poison.MARK_LIFETIME_S, mark.expires_at - self._wall())
+        """Return the seconds for which a mark counts that is read now."""
+        remaining_s = mark.expires_at - self._wall()
+        if -_MAX_CLOCK_ERROR_S <= remaining_s <= -_MIN_CLOCK_ERROR_S:
+            return poison.MARK_LIFETIME_S
+        return min(poison.MARK_LIFETIME_S, remaining_s)
 
     def _compare(self, now: float) -> None:
         """Write the marks that the store lacks, and delete those that it should not hold."""
         lacking = self._lacking()
-        surplus = self._surplus()
+        surplus = self._surplus(now)
         self._differences = {
             name: self._differences.get(name, now) for name in (*lacking, *surplus)
         }
@@ -213,13 +229,18 @@
         live = {_object_name(m.fingerprint, m.name): m for m in self._callbacks.live_marks()}
         return {name: mark for name, mark in live.items() if name not in self._table.marks}
 
-    def _surplus(self) -> list[str]:
-        """Return the names of the objects whose marks were cleared, or expired long ago."""
+    def _surplus(self, now: float) -> list[str]:
+        """Return the names of the objects whose marks were cleared, or expired long ago.
+
+        No time of day tells that a mark has expired: other instances take its deletion for a
+        clearing.
+        """
+        max_age_s = poison.MARK_LIFETIME_S + _DELETE_AFTER_S
         return [
             name
             for name, mark in self._table.marks.items()
             if self._callbacks.is_cleared(mark.fingerprint, mark.name)
-            or self._remaining_s(mark) <= -_DELETE_AFTER_S
+            or now - self._known_since.get(name, now) >= max_age_s
         ]
 
     def _enqueue(self, change: _Change) -> None:
--- a/tests/test_stored_marks.py
+++ b/tests/test_stored_marks.py
@@ -2,6 +2,7 @@
 
 import random
 
+import pytest
 from twisted.internet import task
 
 import store_access
@@ -17,7 +18,7 @@
 class Instance:
     """The marks of one instance, which watches them in the store if `follow` was called."""
 
-    def __init__(self, fleet, name):
+    def __init__(self, fleet, name, wall_error_s=0.0):
         self.fleet, self.name = fleet, name
         self.quarantine = poison.Quarantine(name)
         self.access = store_access.StoreAccess(fleet.engine, fleet.clock)
@@ -25,7 +26,7 @@
         self.stored = stored_marks.StoredMarks(
             fleet.clock,
             self.access,
-            lambda: 1e9 + fleet.clock.seconds(),
+            lambda: 1e9 + fleet.clock.seconds() + wall_error_s,
             stored_marks.MarkCallbacks(
                 self.add_stored,
                 self.remove_stored,
@@ -100,9 +101,9 @@
         self.engine = store_access.create_access(self.clock).engine
         self.instances, self.failures = [], []
 
-    def start(self, name):
-        """Start an instance."""
-        self.instances.append(Instance(self, name))
+    def start(self, name, wall_error_s=0.0):
+        """Start an instance, whose time of day may be wrong."""
+        self.instances.append(Instance(self, name, wall_error_s))
         return self.instances[-1]
 
     def others(self, instance):
@@ -331,6 +332,102 @@
         assert started.refuses()
 
 
+HOUR_S = 3600.0
+WRONG_CLOCKS = pytest.mark.parametrize("wall_error_s", [HOUR_S, -HOUR_S, 2 * 60.0, -2 * 60.0])
+
+
+class TestWrongClocks(StoredMarksCase):
+    """Instances whose time of day is wrong deleted marks that counted, or did not take them.
+
+    A deletion is taken for a clearing, after which a mark is never added again.
+    """
+
+    @WRONG_CLOCKS
+    def test_instance_with_a_wrong_clock_deletes_no_mark_that_counts(self, wall_error_s):
+        """It compares the store with its own clock."""
+        first = self.start("i1").follow()
+        first.record_ends(3)
+        second = self.start("i2", wall_error_s).follow()
+        self.run(poison.MARK_LIFETIME_S - 10)
+        assert first.refuses()
+        assert len(self.object_names) == 3
+        assert second.stored.is_current
+
+    @WRONG_CLOCKS
+    def test_marks_written_by_a_wrong_clock_are_kept(self, wall_error_s):
+        """Others found them expired long ago."""
+        first = self.start("i1", wall_error_s).follow()
+        second = self.start("i2").follow()
+        first.record_ends(3)
+        self.run(poison.MARK_LIFETIME_S - 10)
+        assert [first.refuses(), second.refuses()] == [True, True]
+        assert len(self.object_names) == 3
+
+    @pytest.mark.parametrize("wall_error_s", [HOUR_S, -HOUR_S])
+    def test_instance_that_starts_alone_with_a_wrong_clock(self, wall_error_s):
+        """Nobody else is left to tell it the marks."""
+        self.start("i1").follow().record_ends(3)
+        self.run(1.0)
+        self.end_all()
+        started = self.start("i2", wall_error_s).follow()
+        self.run(5.0)
+        assert started.refuses()
+
+    @pytest.mark.parametrize("wall_error_s", [HOUR_S, -HOUR_S])
+    def test_marks_of_a_wrong_clock_are_read_later(self, wall_error_s):
+        """The instance that wrote them has ended."""
+        self.start("i1", wall_error_s).follow().record_ends(3)
+        self.run(1.0)
+        self.end_all()
+        started = self.start("i2").follow()
+        self.run(5.0)
+        assert started.refuses()
+
+    @WRONG_CLOCKS
+    def test_marks_are_deleted_after_their_time(self, wall_error_s):
+        """They stayed for an hour where the clock of their writer was ahead."""
+        self.start("i1", wall_error_s).follow().record_ends(3)
+        self.start("i2").follow()
+        self.run(poison.MARK_LIFETIME_S + 70)
+        assert [instance.refuses() for instance in self.instances] == [False, False]
+        assert self.object_names == []
+
+    @WRONG_CLOCKS
+    def test_clearing_reaches_an_instance_with_a_wrong_clock(self, wall_error_s):
+        """It took the deletion for one of an expired mark."""
+        first = self.start("i1").follow()
+        first.record_ends(3)
+        second = self.start("i2", wall_error_s).follow()
+        self.run(1.0)
+        names = first.quarantine.clear(FATAL)
+        # No stream connects the two, so the store alone can tell.
+        first.stored.discard(FATAL, names)
+        self.run(1.0)
+        assert not second.refuses()
+
+    def test_expired_mark_is_not_read(self):
+        """An innocent request is not refused for longer by an instance that starts."""
+        self.start("i1").follow().record_ends(3)
+        self.run(poison.MARK_LIFETIME_S + 30)
+        self.end_all()
+        started = self.start("i2").follow()
+        self.run(1.0)
+        assert len(self.object_names) == 3
+        assert not started.refuses()
+
+    def test_marks_that_no_instance_deleted(self):
+        """All were stopped, and start a day later."""
+        self.start("i1").follow().record_ends(3)
+        self.run(1.0)
+        self.end_all()
+        self.clock.advance(24 * HOUR_S)
+        started = self.start("i2").follow()
+        self.run(1.0)
+        assert not started.refuses()
+        self.run(poison.MARK_LIFETIME_S + 70)
+        assert self.object_names == []
+
+
 class TestRandomHistories(StoredMarksCase):
     """Marks, clearings, restores, ends and starts in random order."""
 
