Keep what a server says over the change of an old listing

Cause: that a server leaves or wants a rest is booked on the run that the listing names. While the store is away, a server may have started anew with its id: its notice is booked on the former run and ends when the listing names the present one, or is dropped if the listing changes before the response.

Change: while the store does not answer, and in the grace period after that, it is not sure which run has spoken. A rest then holds for its time whatever the run is; a run that follows one that said it leaves is held back for eight seconds, within which a server that leaves reports so or has no entry any more. While the store answers, all is as before: the next run is used at once, and a late word of the former one does not bind it.

--- a/src/carobhook/coordination/catalog.py
+++ b/src/carobhook/coordination/catalog.py
@@ -10,7 +10,8 @@
 # seconds after it; until then they stay in use.
 GRACE_PERIOD_S = 2.0
 # The entry of a server that has ended expires within this time after the store came back from
-# an older copy. Until then, an entry of the copy does not tell that the server runs.
+# an older copy. Until then, an entry of the copy does not tell that the server runs. One that
+# leaves reports so, or removes its entry, within it.
 _COPY_EXPIRY_S = 8.0
 # Removed servers are remembered for this long, in case that the store comes back from a copy
 # which has them still.
@@ -96,6 +97,10 @@
     _doubtful: dict[ids.Server, _DoubtfulServer] = attrs.field(factory=dict, init=False)
     # Runs of servers that said that they leave, by server.
     _leaving: dict[ids.Server, servers.ServerRun] = attrs.field(factory=dict, init=False)
+    # Those of which another run may have said so, as the listing was old.
+    _leaving_unsure: set[ids.Server] = attrs.field(factory=set, init=False)
+    # Monotonic times in seconds until which servers get no requests, whatever their run is.
+    _held_back: dict[ids.Server, float] = attrs.field(factory=dict, init=False)
     _evacuated: frozenset[ids.FailureDomain] = attrs.field(default=frozenset(), init=False)
     _config: routing.RoutingConfig | None = attrs.field(default=None, init=False)
     _store_lost_at: float | None = attrs.field(default=None, init=False)
@@ -153,6 +158,14 @@
             self._grace_until = now + GRACE_PERIOD_S
         self._store_lost_at = None
 
+    def is_listing_old(self, now: float) -> bool:
+        """Return whether a server may run anew while its entry of the former run is known.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        return self._store_lost_at is not None or now < self._grace_until
+
     def record_older_copy(self, now: float) -> None:
         """Record that the store came back from an older copy, and begin the grace period.
 
@@ -193,6 +206,8 @@
             # its first entry; otherwise, a change of its slots would make it cold for longer.
             is_same_start = known.entry.started_at_ms == entry.started_at_ms
             cold_until = known.cold_until if is_same_start else cold_until
+        if entry.name in self._leaving_unsure and self._leaving.get(entry.name) != entry.run:
+            self.hold_back(entry.name, now)
         self._servers[entry.name] = _KnownServer(entry, cold_until)
         self._doubtful.pop(entry.name, None)
         self._removed.pop(entry.name, None)
@@ -233,25 +248,51 @@
         for name in list(self._leaving):
             if name not in self._servers and name not in self._removed:
                 del self._leaving[name]
+                self._leaving_unsure.discard(name)
 
     @property
     def leaving(self) -> list[servers.ServerRun]:
         """Return the runs of servers that leave, as they said."""
         return list(self._leaving.values())
 
-    def record_leaving(self, run: servers.ServerRun) -> bool:
+    def record_leaving(self, run: servers.ServerRun, now: float) -> bool:
         """Record that a server leaves; return whether this is news.
 
-        It gets no further requests, whatever its entry says, until it runs anew.
+        It gets no further requests, whatever its entry says, until it runs anew. If the listing
+        is old, the next run that it names may be the one that leaves.
 
         Args:
             run: Run of the server; any other run than the present one is ignored.
+            now: Monotonic time in seconds.
         """
         if self.run_of(run.server) != run or self._leaving.get(run.server) == run:
             return False
         self._leaving[run.server] = run
+        if self.is_listing_old(now):
+            self._leaving_unsure.add(run.server)
+        else:
+            self._leaving_unsure.discard(run.server)
         return True
 
+    def hold_back(self, server: ids.Server, now: float) -> None:
+        """Let a server get no requests until its entry must tell whether it leaves.
+
+        Args:
+            server: The server.
+            now: Monotonic time in seconds.
+        """
+        self._leaving_unsure.discard(server)
+        self._held_back[server] = now + _COPY_EXPIRY_S
+
+    def end_holds(self, now: float) -> None:
+        """Let the servers get requests again that were held back for long enough.
+
+        Args:
+            now: Monotonic time in seconds.
+        """
+        for name in [name for name, until in self._held_back.items() if now >= until]:
+            del self._held_back[name]
+
     def run_of(self, name: ids.Server) -> servers.ServerRun | None:
         """Return the present run of a server, or None if it is not known."""
         known = self._servers.get(name)
@@ -296,6 +337,7 @@
         return (
             known.entry.state is servers.ServerState.READY
             and self._leaving.get(name) != known.entry.run
+            and name not in self._held_back
             and known.entry.failure_domain not in self._evacuated
             and not self.is_fully_drained(known.entry)
         )
@@ -312,6 +354,7 @@
         for doubtful in list(self._doubtful.values()):
             if now >= doubtful.doubted_until:
                 self.put(doubtful.entry, now)
+        self.end_holds(now)
         return [
             ServerView(known.entry, known.cold_until)
             for name, known in self._servers.items()
--- a/src/carobhook/transport/notice_board.py
+++ b/src/carobhook/transport/notice_board.py
@@ -58,7 +58,8 @@
         """Apply what a response says of its server.
 
         Args:
-            run: Run of the server that the request was sent to. It may have ended since then.
+            run: Run of the server that the request was sent to, as the listing had it. It may
+                have ended since then, or before if the listing is old.
             response: The response.
         """
         try:
@@ -66,17 +67,23 @@
         except ValueError as error:
             logs.warning("server-notice-malformed", server=run.server, error=error)
             return
-        if notice is None or self._catalog.run_of(run.server) != run:
+        now = self._reactor.seconds()
+        is_sure = not self._catalog.is_listing_old(now)
+        present = self._catalog.run_of(run.server)
+        if notice is None or present is None or (is_sure and present != run):
             return
         if notice.rest_s is not None:
-            self._rests.add(run, notice.rest_s, self._reactor.seconds())
-        if notice.is_leaving:
+            self._rests.add(present, notice.rest_s, now, is_sure=is_sure)
+        if notice.is_leaving and present == run:
             self.apply_leaving(path_messages.ServerLeaving(run.server, run.started_at_ms))
+        elif notice.is_leaving:
+            self._catalog.hold_back(run.server, now)
+            self._on_change()
 
     def apply_leaving(self, message: path_messages.ServerLeaving) -> None:
         """Stop the use of a server that leaves, and tell the other instances if it is news."""
         run = servers.ServerRun(message.server, message.started_at_ms)
-        if self._catalog.record_leaving(run):
+        if self._catalog.record_leaving(run, self._reactor.seconds()):
             logs.event("server-leaving", server=run.server)
             self._broadcast(message)
             self._on_change()
@@ -114,6 +121,7 @@
     def tick(self) -> None:
         """Forget what servers said that are gone or run anew."""
         self._rests.retain(self._catalog.run_of)
+        self._catalog.end_holds(self._reactor.seconds())
         self._odd_loads = {
             run for run in self._odd_loads if self._catalog.run_of(run.server) == run
         }
--- a/tests/test_stale_listings.py
+++ b/tests/test_stale_listings.py
@@ -37,9 +37,10 @@
     """Notices at an instance whose listing names the former run of a server."""
 
     def __init__(self):
+        self.clock = task.Clock()
         self.catalog = catalog.Catalog()
         self.board = notice_board.NoticeBoard(
-            task.Clock(),
+            self.clock,
             requests.ServerCodec(),
             self.catalog,
             lambda: None,
@@ -49,12 +50,22 @@
 
     def list(self, listed):
         """Let the listing name a run."""
-        self.catalog.put(listed, 0.0)
+        self.catalog.put(listed, self.clock.seconds())
         self.board.tick()
 
+    def lose_store(self):
+        """Let the store be away for some seconds, in which the listing becomes old."""
+        self.catalog.record_outage(self.clock.seconds())
+        self.clock.advance(5.0)
+
+    def find_store(self):
+        """Let the store be back."""
+        self.catalog.record_answer(self.clock.seconds())
+
     @property
     def gets_requests(self):
         """Return whether the server gets requests."""
+        self.board.tick()
         return self.catalog.is_usable(SERVER) and not self.board.is_resting(SERVER)
 
 
@@ -72,6 +83,83 @@
         assert not board.gets_requests
 
 
+class TestListingThatIsKnownToBeOld:
+    """The store was away while the server spoke, so that either run may have."""
+
+    @NOTICES
+    def test_listing_changes_after_the_response(self, notice):
+        """The present run was used although it had asked for no more."""
+        board = Board()
+        board.lose_store()
+        board.board.record_response(FORMER.run, notice)
+        board.find_store()
+        board.list(PRESENT)
+        assert not board.gets_requests
+
+    @NOTICES
+    def test_listing_changes_before_the_response(self, notice):
+        """What the present run says was dropped as the word of the former one."""
+        board = Board()
+        board.lose_store()
+        board.find_store()
+        board.list(PRESENT)
+        board.board.record_response(FORMER.run, notice)
+        assert not board.gets_requests
+
+    @NOTICES
+    def test_entry_was_gone_meanwhile(self, notice):
+        """It expired while the store was away, and the server registered again."""
+        board = Board()
+        board.lose_store()
+        board.board.record_response(FORMER.run, notice)
+        board.find_store()
+        board.clock.advance(catalog.GRACE_PERIOD_S)
+        board.catalog.remove(SERVER, board.clock.seconds())
+        board.catalog.put(PRESENT, board.clock.seconds())
+        board.board.tick()
+        assert not board.gets_requests
+
+    @NOTICES
+    def test_server_that_stays_ready_is_used_again(self, notice):
+        """One that leaves reports so, or removes its entry, once the store is back."""
+        board = Board()
+        board.lose_store()
+        board.board.record_response(FORMER.run, notice)
+        board.find_store()
+        board.list(PRESENT)
+        board.clock.advance(9.0)
+        assert board.gets_requests
+
+    def test_rest_of_a_server_that_is_gone_is_forgotten(self):
+        """It would never be."""
+        board = Board()
+        board.lose_store()
+        board.board.record_response(FORMER.run, RESTS)
+        board.catalog.remove(SERVER, board.clock.seconds())
+        board.board.tick()
+        assert not board.board.is_resting(SERVER)
+
+
+class TestListingThatIsCurrent:
+    """The store answers all the time, so the listing tells which run has spoken."""
+
+    @NOTICES
+    def test_next_run_is_used_at_once(self, notice):
+        """What the former run said does not bind it."""
+        board = Board()
+        board.board.record_response(FORMER.run, notice)
+        board.list(PRESENT)
+        assert board.gets_requests
+
+    @NOTICES
+    def test_late_word_of_the_former_run(self, notice):
+        """It comes after the listing has changed."""
+        board = Board()
+        board.list(PRESENT)
+        board.board.record_response(FORMER.run, notice)
+        assert board.gets_requests
+
+
 class TestAnotherServerAnswers:
     """A server of another id at the address answers 421."""
 
