--- a/src/carobhook/protocol/peer_codec.py
+++ b/src/carobhook/protocol/peer_codec.py
@@ -16,7 +16,7 @@
    `Member.quota_counters`.
 7: `FeedProgress.has_marks`.
 8: `Member.work_time_us`, `Member.moved_share`.
-9: `Member.changed_ms`.
+9: `Member.changed_ms`, `RelayRequest.fingerprint`.
 """
 
 from carobhook.protocol import (
