--- a/src/carobhook/transport/peers.py
+++ b/src/carobhook/transport/peers.py
@@ -6,14 +6,13 @@
 from collections.abc import Callable, Collection
 
 import attrs
-import msgpack
 from twisted.internet import protocol
 from twisted.python import failure
 
 from carobhook import logs
 from carobhook.protocol import framing, membership_messages, relay_messages
-from carobhook.state import ids, versions
-from carobhook.transport import sockets
+from carobhook.state import ids
+from carobhook.transport import framed_protocol, paced_writer, sockets
 
 _FIRST_RECONNECT_DELAY_S = 0.5
 _MAX_RECONNECT_DELAY_S = 2.0
@@ -23,10 +22,9 @@
 # also the timeout of attempts to connect.
 _SILENCE_TIMEOUT_S = 2.0
 _MAX_HELLO_BYTES = 64 * 1024
-# Types of skipped messages that are logged for each connection.
-_MAX_LOGGED_TYPES = 16
 
-# An idle connection for relayed requests is aborted after this time.
+# A connection for relayed requests is aborted after this time without a request, or without
+# progress of an answer.
 _RELAY_IDLE_TIMEOUT_S = 10.0
 
 Handler = Callable[[ids.InstanceId, typing.Any], None]
@@ -42,29 +40,6 @@
 ]
 
 
-class Codec(typing.Protocol):
-    """Encodes and decodes the messages on a stream."""
-
-    version: int
-
-    def is_known(self, message: typing.Any, version: int) -> bool:
-        """Return whether a receiver that speaks a version knows the type of a message."""
-
-    def encode(self, message: typing.Any, version: int | None = None) -> bytes:
-        """Return the frame of a message for a receiver that speaks a version."""
-
-    def decode(self, frame: object, limit: int = framing.MAX_FRAME_BYTES) -> typing.Any:
-        """Return the message of an unpacked frame, or of one of up to `limit` bytes in it.
-
-        Raises:
-            framing.UnknownTypeError: The type of the message is unknown.
-            framing.CodecError: The frame is invalid, or the fields of the message are.
-        """
-
-    def unpacker(self, limit: int = framing.MAX_FRAME_BYTES) -> msgpack.Unpacker:
-        """Return a stream unpacker that buffers at most `limit` bytes."""
-
-
 def hello_proof(
     key: bytes, nonce: bytes, name: ids.InstanceId, incarnation: ids.Incarnation
 ) -> bytes:
@@ -92,94 +67,58 @@
         return membership_messages.Hello(self.name, self.incarnation, proof, version)
 
 
-class FramedProtocol(protocol.Protocol):
-    """A connection that carries msgpack frames.
-
-    It is aborted on invalid data, and if the handling of a message raises an exception.
-    Messages of a type that this build does not know are skipped: the other side may be newer.
+@attrs.define
+class _AcceptedStreams:
+    """What the accepted connections have in common.
 
     Attributes:
-        peer_version: Version of the protocol that the other side speaks, as far as it is known.
+        latest: Latest stream from each sender.
+        answering: Connections on which the answer to a relayed request is being sent.
     """
 
-    def __init__(self, reactor: typing.Any, codec: Codec) -> None:
-        self._reactor = reactor
-        self._codec = codec
-        self._unpacker = codec.unpacker()
-        self._frame_limit = framing.MAX_FRAME_BYTES
-        self._skipped_types: set[str] = set()
-        self.peer_version = versions.FIRST_VERSION
-
-    def send(self, message: typing.Any) -> None:
-        """Write one message, unless the other side does not know its type."""
-        if self._codec.is_known(message, self.peer_version):
-            self.transport.write(self._codec.encode(message, self.peer_version))
-
-    def answer_challenge(
-        self, identity: Identity, challenge: membership_messages.Challenge
-    ) -> None:
-        """Authenticate this instance, in the version that the other side speaks."""
-        stated = membership_messages.protocol_version(challenge.nonce)
-        self.peer_version = min(stated, self._codec.version)
-        self.send(identity.answer(challenge.nonce, self._codec.version))
-
-    def dataReceived(self, data: bytes) -> None:
-        """Handle received bytes; abort the connection if they are invalid."""
-        try:
-            self._handle_data(data)
-        except Exception as problem:
-            logs.warning("peer-stream-invalid", peer=self.transport.getPeer(), error=problem)
-            self.transport.abortConnection()
-
-    def _handle_data(self, data: bytes) -> None:
-        self._unpacker.feed(data)
-        while True:
-            try:
-                frame = self._unpacker.unpack()
-            except msgpack.OutOfData:
-                return
-            try:
-                message = self._codec.decode(frame, self._frame_limit)
-            except framing.UnknownTypeError as problem:
-                self.skip_message(problem)
-            else:
-                self.handle_message(message)
-
-    def skip_message(self, problem: framing.UnknownTypeError) -> None:
-        """Skip a message of an unknown type; the first of each type is logged."""
-        if problem.tag in self._skipped_types or len(self._skipped_types) >= _MAX_LOGGED_TYPES:
-            return
-        self._skipped_types.add(problem.tag)
-        peer = self.transport.getPeer()
-        logs.warning("peer-message-unknown", peer=peer, type=problem.tag[:80])
-
-    def handle_message(self, message: typing.Any) -> None:
-        """Handle one message."""
-        raise NotImplementedError
+    latest: dict[ids.InstanceId, "_IncomingStream"] = attrs.field(factory=dict)
+    answering: set["_IncomingStream"] = attrs.field(factory=set)
 
 
-class _IncomingStream(FramedProtocol):
+class _IncomingStream(framed_protocol.FramedProtocol):
     """Accepting side: authenticates the sender, then receives its messages.
 
     A connection whose sender relays requests on it carries nothing else. Its end is not the end
-    of the sender, and cancels the request that it carries.
+    of the sender, and cancels the request that it carries. Nor is the end of a stream that the
+    sender has replaced by a later one.
+
+    Args:
+        reactor: Source of timers.
+        codec: Encodes and decodes the messages.
+        key: Shared key of the instances.
+        handler: Called with the sender's name and each message.
+        on_lost: Called with the sender's name when its latest stream ends.
+        relay_handler: Relays requests; None to relay none.
+        accepted: What it shares with all accepted connections.
     """
 
     def __init__(
         self,
         reactor: typing.Any,
-        codec: Codec,
+        codec: framed_protocol.Codec,
         key: bytes,
         handler: Handler,
         on_lost: Callable[[ids.InstanceId], None],
         relay_handler: RelayHandler | None = None,
+        accepted: _AcceptedStreams | None = None,
     ) -> None:
         super().__init__(reactor, codec)
+        self._accepted = accepted or _AcceptedStreams()
+        self._answers = paced_writer.PacedWriter(
+            lambda size: self._accepted.answering.add(self),
+            lambda size: self._record_progress(),
+            lambda: self._accepted.answering.discard(self),
+        )
         self._key = key
         self._handler = handler
         self._on_lost = on_lost
         self._relay_handler = relay_handler
-        self._is_relay = False
+        self._has_messages = False
         self._relayed: typing.Any = None
         self._nonce = membership_messages.versioned_nonce(
             secrets.token_bytes(membership_messages.NONCE_BYTES), codec.version
@@ -191,6 +130,7 @@
 
     def connectionMade(self) -> None:
         self.transport.setTcpNoDelay(True)
+        self._answers.connect(self.transport)
         self.send(membership_messages.Challenge(self._nonce))
         self._timer = self._reactor.callLater(_HELLO_TIMEOUT_S, self._abort_silent)
 
@@ -200,7 +140,10 @@
         relayed, self._relayed = self._relayed, None
         if relayed is not None:
             relayed.cancel()
-        if self._sender is not None and not self._is_relay:
+        self._answers.stop()
+        self._accepted.answering.discard(self)
+        if self._sender is not None and self._accepted.latest.get(self._sender) is self:
+            del self._accepted.latest[self._sender]
             self._on_lost(self._sender)
 
     def handle_message(self, message: typing.Any) -> None:
@@ -218,6 +161,9 @@
             self._frame_limit = framing.MAX_FRAME_BYTES
             self._unpacker.feed(remaining)
             return
+        if not self._has_messages:
+            self._has_messages = True
+            self._accepted.latest[self._sender] = self
         if isinstance(message, membership_messages.Heartbeat):
             self.send(membership_messages.HeartbeatAck())
         self._handler(self._sender, message)
@@ -232,7 +178,6 @@
         """Relay a request; the connection may be silent until it is answered."""
         if self._relay_handler is None or self._relayed is not None:
             raise framing.CodecError("one request at a time can be relayed on a connection")
-        self._is_relay = True
         if self._timer.active():
             self._timer.cancel()
         relayed = self._relay_handler(sender, request, self._answer_relayed)
@@ -242,9 +187,14 @@
     def _answer_relayed(self, response: relay_messages.RelayResponse) -> None:
         self._relayed = None
         if self.connected:
-            self.send(response)
+            self._answers.write(self._codec.encode(response, self.peer_version))
             self._timer = self._reactor.callLater(_RELAY_IDLE_TIMEOUT_S, self._abort_idle)
 
+    def _record_progress(self) -> None:
+        """Wait anew for the other side, which has read a part of the answer."""
+        if self._timer.active():
+            self._timer.reset(_RELAY_IDLE_TIMEOUT_S)
+
     def _abort_idle(self) -> None:
         self.transport.abortConnection()
 
@@ -262,7 +212,7 @@
         self.transport.abortConnection()
 
 
-class _OutgoingStream(FramedProtocol):
+class _OutgoingStream(framed_protocol.FramedProtocol):
     """Connecting side: authenticates itself, then sends this instance's messages.
 
     Attributes:
@@ -270,7 +220,9 @@
             sent.
     """
 
-    def __init__(self, reactor: typing.Any, codec: Codec, identity: Identity) -> None:
+    def __init__(
+        self, reactor: typing.Any, codec: framed_protocol.Codec, identity: Identity
+    ) -> None:
         super().__init__(reactor, codec)
         self._identity = identity
         self.ready = False
@@ -310,7 +262,7 @@
     def __init__(
         self,
         reactor: typing.Any,
-        codec: Codec,
+        codec: framed_protocol.Codec,
         identity: Identity,
         address: str,
         on_ready: Callable[[str], None],
@@ -349,14 +301,18 @@
 
 
 class _Acceptor(protocol.Factory):
-    """Creates the streams of accepted connections."""
+    """Creates the streams of accepted connections.
+
+    Attributes:
+        accepted: What these connections have in common.
+    """
 
     noisy = False
 
     def __init__(
         self,
         reactor: typing.Any,
-        codec: Codec,
+        codec: framed_protocol.Codec,
         key: bytes,
         handler: Handler,
         on_lost: Callable[[ids.InstanceId], None],
@@ -368,6 +324,7 @@
         self._handler = handler
         self._on_lost = on_lost
         self._relay_handler = relay_handler
+        self.accepted = _AcceptedStreams()
 
     def buildProtocol(self, addr: typing.Any) -> _IncomingStream:
         stream = _IncomingStream(
@@ -377,6 +334,7 @@
             self._handler,
             self._on_lost,
             self._relay_handler,
+            self.accepted,
         )
         stream.factory = self
         return stream
@@ -401,7 +359,7 @@
         reactor: typing.Any,
         identity: Identity,
         handler: Handler,
-        codec: Codec,
+        codec: framed_protocol.Codec,
         on_ready: Callable[[str], None] = lambda address: None,
         context: typing.Any = None,
         on_lost: Callable[[ids.InstanceId], None] = lambda name: None,
@@ -417,11 +375,12 @@
         self._on_lost = on_lost
         self._connectors: dict[str, _Connector] = {}
         self._port: typing.Any = None
+        self._acceptor: _Acceptor | None = None
         self._own_address = ""
 
     def listen(self, host: str, port: int) -> int:
         """Accept streams from other instances; return the port number."""
-        acceptor = _Acceptor(
+        acceptor = self._acceptor = _Acceptor(
             self._reactor,
             self._codec,
             self._identity.key,
@@ -472,6 +431,11 @@
         streams = self._ready_streams()
         return sum(stream.peer_version < self._codec.version for stream in streams)
 
+    @property
+    def unsent_answers(self) -> int:
+        """Return the number of answers to relayed requests that are being sent."""
+        return len(self._acceptor.accepted.answering) if self._acceptor is not None else 0
+
     def _ready_streams(self) -> list[_OutgoingStream]:
         streams = (connector.stream for connector in self._connectors.values())
         return [stream for stream in streams if stream is not None and stream.ready]
--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -55,7 +55,7 @@
         orders: Operators' orders in force.
         limits: Limits on retries, cold-server requests and loan changes.
         owner_of: Returns the instance that dispatches for a shard, or None.
-        send: Sends a message to an instance, which may be this one.
+        send: Sends a message to an instance, which may be this one, once there is a stream.
         live_names: Returns the names of the live instances.
         limit_share: Returns the share of each limit that this instance may use for the
             servers of a region.
@@ -71,7 +71,7 @@
         orders: steering.Steering,
         limits: shard_limits.SlotLimits,
         owner_of: Callable[[Shard], ids.InstanceId | None],
-        send: Callable[[ids.InstanceId, typing.Any], bool],
+        send: Callable[[ids.InstanceId, typing.Any], object],
         live_names: Callable[[], Collection[ids.InstanceId]],
         limit_share: Callable[[ids.Region], float],
         quotas: quota_service.QuotaService | None = None,
@@ -137,9 +137,30 @@
             account=message.account,
         )
         state = self.get_or_create(shard)
+        if self._is_known(state, sender, request.id):
+            return
         state.requesters[request.id] = sender
         self._quotas.submit(request, functools.partial(self._submit, state, request))
 
+    def _is_known(
+        self, state: shard_state.ShardState, sender: ids.InstanceId, request_id: ids.RequestId
+    ) -> bool:
+        """Return whether a request is queued or has a slot; send its grant once more.
+
+        It was sent again after the stream that carried it, or the answer, was lost.
+        """
+        granted = state.granted.get(request_id)
+        if granted is None or granted[0] != sender:
+            return state.requesters.get(request_id) == sender
+        server = state.dispatcher.pool.get(granted[1])
+        running = server.running.get(request_id) if server is not None else None
+        if server is None or running is None:
+            return False
+        address = server.view.entry.address
+        grant = allocation.SlotGrant(request_id, server.name, address, running.expected_s)
+        self._send(sender, slot_messages.SlotGranted(grant))
+        return True
+
     def _submit(
         self,
         state: shard_state.ShardState,
--- a/src/carobhook/transport/slot_client.py
+++ b/src/carobhook/transport/slot_client.py
@@ -79,6 +79,7 @@
         owner_of: Returns the instance that dispatches for a shard, or None.
         send: Sends a message to an instance, which may be this one; returns False if there is
             no stream to it.
+        deliver: Sends a message to an instance, once there is a stream to it.
         update_owners: Recomputes the owners of all shards, and calls `switch_owner` for each
             new one.
     """
@@ -88,11 +89,13 @@
         reactor: typing.Any,
         owner_of: Callable[[Shard], ids.InstanceId | None],
         send: Callable[[ids.InstanceId, typing.Any], bool],
+        deliver: Callable[[ids.InstanceId, typing.Any], object],
         update_owners: Callable[[], object],
     ) -> None:
         self._reactor = reactor
         self._owner_of = owner_of
         self._send = send
+        self._deliver = deliver
         self._update_owners = update_owners
         self._pending: dict[ids.RequestId, _PendingRequest] = {}
         self._held: dict[ids.RequestId, _HeldSlot] = {}
@@ -156,7 +159,7 @@
             # Nothing to tell: nearly all answers name no limit, as those before did not.
             rate = None
         owner = self._owner_of(held.shard) or held.owner
-        self._send(
+        self._deliver(
             owner,
             slot_messages.SlotReleased(
                 request_id, *held.shard, held.server, outcome, rate, pace
@@ -176,7 +179,9 @@
         """Record a granted slot, and fire the result of its request."""
         pending = self._pending.get(grant.ask_id)
         if pending is None:
-            self._return_slot(owner, grant)
+            held = self._held.get(grant.ask_id)
+            if held is None or (held.owner, held.server) != (owner, grant.server):
+                self._return_slot(owner, grant)
             return
         self._held[grant.ask_id] = _HeldSlot(
             pending.request, pending.region, grant.server, owner
@@ -196,7 +201,7 @@
         """
         shard = self._recent_shards.get(grant.ask_id)
         if shard is not None:
-            self._send(owner, slot_messages.SlotRequestWithdrawn(grant.ask_id, *shard))
+            self._deliver(owner, slot_messages.SlotRequestWithdrawn(grant.ask_id, *shard))
 
     def handle_refusal(self, refusal: allocation.SlotRefusal) -> None:
         """Fire the result of a refused request."""
@@ -219,11 +224,25 @@
         The report is sent even if it is empty: the owner may have been one before, and not know
         what was released meanwhile.
         """
-        self._send(owner, self.held_slots(shard))
+        self._deliver(owner, self.held_slots(shard))
         for pending in list(self._pending.values()):
             if pending.shard == shard and pending.owner != owner:
                 self._send_request(pending)
 
+    def renew_owner(self, owner: ids.InstanceId) -> None:
+        """Report held slots to an owner, and send it the pending requests, once more.
+
+        The stream to it is a new one. Some of them may be lost with the former stream, and the
+        owner may have taken its end for the end of this instance.
+        """
+        pending = [p for p in self._pending.values() if p.owner == owner]
+        shards = {slot.shard for slot in self._held.values()} | {p.shard for p in pending}
+        for shard in shards:
+            if self._owner_of(shard) == owner:
+                self._deliver(owner, self.held_slots(shard))
+        for request in pending:
+            self._send_request(request)
+
     def held_slots(self, shard: Shard) -> slot_messages.HeldSlotsReport:
         """Return a report of the slots of a shard that requests of this instance hold.
 
@@ -282,7 +301,7 @@
     def _withdraw(self, request_id: ids.RequestId) -> None:
         pending = self._pending.pop(request_id, None)
         if pending is not None and pending.owner is not None:
-            self._send(
+            self._deliver(
                 pending.owner, slot_messages.SlotRequestWithdrawn(request_id, *pending.shard)
             )
 
--- a/tests/test_peers.py
+++ b/tests/test_peers.py
@@ -2,11 +2,14 @@
 
 from unittest import mock
 
+import attrs
 import msgpack
 import pytest
-from twisted.internet import error, task, testing
+from twisted.internet import defer, error, task, testing
 from twisted.python import failure
 
+import protocol_samples
+import test_mixed_builds
 from carobhook import logs
 from carobhook.protocol import (
     compression,
@@ -20,6 +23,7 @@
 
 KEY = b"shared"
 NAME = ids.InstanceId("a")
+HEARTBEAT = protocol_samples.sample_message("Heartbeat")
 INCARNATION = ids.Incarnation("0" * 16)
 
 
@@ -162,3 +166,163 @@
         reactor.advance(60.0)
         assert attempt.connect.call_count == 0
         assert stream is None
+
+
+class TestEndOfStream:
+    """The end of a connection is taken for the end of its sender only if it says so.
+
+    A sender that counts as lost loses its slots and its queued slot requests.
+    """
+
+    def setup_method(self):
+        """Listen for streams."""
+        self.reactor = testing.MemoryReactorClock()
+        self.lost = []
+        self.streams = peers.PeerStreams(
+            self.reactor,
+            peers.Identity(ids.InstanceId("own"), INCARNATION, KEY),
+            lambda sender, message: None,
+            peer_codec.CODEC,
+            on_lost=self.lost.append,
+        )
+        self.streams.listen("127.0.0.1", 5)
+
+    def accept(self, *messages):
+        """Return an accepted connection whose sender has authenticated and sent messages."""
+        stream = self.reactor.tcpServers[0][1].buildProtocol(None)
+        transport = test_mixed_builds.Transport()
+        stream.makeConnection(transport)
+        nonce = transport.read_frames()[0][1][0]
+        hello = peers.Identity(NAME, INCARNATION, KEY).answer(nonce, 1)
+        for message in (hello, *messages):
+            stream.dataReceived(peer_codec.CODEC.encode(message, 1))
+        return stream
+
+    def test_only_stream(self):
+        """Its end is that of the sender."""
+        self.accept(HEARTBEAT).connectionLost()
+        assert self.lost == [NAME]
+
+    def test_stream_that_was_replaced(self):
+        """The end of a dead one is found late, when the sender has long opened another."""
+        former, present = self.accept(HEARTBEAT), self.accept(HEARTBEAT)
+        former.connectionLost()
+        assert self.lost == []
+        present.connectionLost()
+        assert self.lost == [NAME]
+
+    def test_relay_connection_that_carried_no_request(self):
+        """The request was withdrawn, and its sender is still there."""
+        stream = self.accept(HEARTBEAT)
+        self.accept().connectionLost()
+        assert self.lost == []
+        stream.connectionLost()
+        assert self.lost == [NAME]
+
+
+class TestRelayedAnswers:
+    """An instance stops while the answer to a relayed request is being sent.
+
+    What it has not handed to the kernel is lost with it, and its origin has to say that the
+    request may have run.
+    """
+
+    def setup_method(self):
+        """Accept a connection, and relay a request on it."""
+        self.reactor = testing.MemoryReactorClock()
+        self.answers = []
+        self.streams = peers.PeerStreams(
+            self.reactor,
+            peers.Identity(ids.InstanceId("own"), INCARNATION, KEY),
+            lambda sender, message: None,
+            peer_codec.CODEC,
+            relay_handler=self.relay,
+        )
+        self.streams.listen("127.0.0.1", 5)
+        self.stream = self.reactor.tcpServers[0][1].buildProtocol(None)
+        self.transport = test_mixed_builds.Transport()
+        self.stream.makeConnection(self.transport)
+        nonce = self.transport.read_frames()[0][1][0]
+        version = peer_codec.PROTOCOL_VERSION
+        hello = peers.Identity(NAME, INCARNATION, KEY).answer(nonce, version)
+        self.stream.dataReceived(peer_codec.CODEC.encode(hello))
+        self.send_request()
+
+    def relay(self, sender, request, respond):
+        """Keep the function that answers."""
+        self.answers.append(respond)
+        return defer.Deferred(lambda _: None)
+
+    def send_request(self):
+        """Send a request to relay."""
+        request = protocol_samples.sample_message("RelayRequest")
+        self.stream.dataReceived(peer_codec.CODEC.encode(request))
+
+    def answer(self, size):
+        """Answer the request with a body of some bytes; return the answer."""
+        answer = attrs.evolve(
+            protocol_samples.sample_message("RelayResponse"), body=b"x" * size
+        )
+        self.transport.clear()
+        self.answers.pop()(answer)
+        return answer
+
+    def read(self):
+        """Let the other side read all that is sent."""
+        while self.transport.producer is not None:
+            self.transport.producer.resumeProducing()
+        return peer_codec.CODEC.decode(self.transport.read_frames()[0])
+
+    def test_large_answer_counts_until_it_is_sent(self):
+        """The instance waits for it."""
+        answer = self.answer(1_000_000)
+        assert self.streams.unsent_answers == 1
+        assert self.read() == answer
+        assert self.streams.unsent_answers == 0
+
+    def test_small_answer_is_sent_at_once(self):
+        """It fits into the buffer of the kernel."""
+        answer = self.answer(1000)
+        assert self.streams.unsent_answers == 0
+        assert self.read() == answer
+
+    def test_next_request_on_the_connection(self):
+        """It is relayed, and answered, as the first one."""
+        self.answer(1_000_000)
+        self.read()
+        self.send_request()
+        answer = self.answer(1_000_000)
+        assert self.streams.unsent_answers == 1
+        assert self.read() == answer
+
+    def test_origin_that_leaves(self):
+        """Nothing is left to wait for."""
+        self.answer(1_000_000)
+        self.stream.connectionLost()
+        assert self.streams.unsent_answers == 0
+        assert self.transport.producer is None
+
+    def test_answer_over_a_slow_link(self):
+        """The connection is not idle while the other side reads."""
+        answer = self.answer(1_000_000)
+        frames = framing.unpacker()
+        for _ in range(5):
+            self.reactor.advance(6.0)
+            assert self.transport.abort_count == 0
+            frames.feed(self.transport.value())
+            self.transport.clear()
+            self.transport.producer.resumeProducing()
+        frames.feed(self.transport.value())
+        self.transport.clear()
+        while self.transport.producer is not None:
+            self.transport.producer.resumeProducing()
+        frames.feed(self.transport.value())
+        assert peer_codec.CODEC.decode(next(frames)) == answer
+        self.reactor.advance(11.0)
+        assert self.transport.abort_count == 1
+
+    def test_origin_that_does_not_read(self):
+        """Its connection is aborted, as the answer takes memory."""
+        self.answer(1_000_000)
+        self.reactor.advance(11.0)
+        assert self.transport.abort_count == 1
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -116,6 +116,7 @@
         timeout_s=1.0,
         fallback=None,
         create_allocator=lambda clock: FakeSlotAllocator(),
+        observer=None,
     ):
         self.clock = task.Clock()
         self.allocator, self.servers = create_allocator(self.clock), FakeServers()
@@ -156,7 +157,7 @@
             self.responses.append,
             self.outcomes.append,
             lambda: self.finished.append(True),
-            FakeObserver(),
+            observer or FakeObserver(),
         )
         self.flow.start()
 
@@ -183,7 +184,7 @@
 
         case = FlowCase(
             create_allocator=lambda clock: slot_client.SlotClient(
-                clock, lambda shard: ids.InstanceId("now"), send, lambda: None
+                clock, lambda shard: ids.InstanceId("now"), send, send, lambda: None
             )
         )
         case.allocator.handle_grant(ids.InstanceId("now"), self.grant(sent[0][1].id))
