Let the stand-in of a server answer health checks without a run

Cause: a health check that an instance sends to a server that it expects there counted as a run that no client sent, as the stand-in took it for a request. Change: a GET for the target of the health check, if one is set, is answered (503 by a server that is leaving) and is no run; the soak sets the one of its configuration. Without a target nothing changes.

--- a/src/carobhook/demo.py
+++ b/src/carobhook/demo.py
@@ -13,6 +13,7 @@
 
 HOST = "127.0.0.1"
 SERVED_HOST = "demo.example"
+HEALTH_PATH = "/health"
 OPERATOR = "demo"
 TOKEN_FILE = "operator.token"
 PROCESSES_FILE = "processes"
@@ -270,7 +271,7 @@
     services = [
         {
             "Name": service.name,
-            "HealthPath": "/health",
+            "HealthPath": HEALTH_PATH,
             "MaxConnections": 330,
             "ColdStart": "3s",
             "ColdPerS": 10.0,
--- a/src/carobhook/soak/deployment.py
+++ b/src/carobhook/soak/deployment.py
@@ -129,7 +129,9 @@
     def _start_server(self, service: str, number: int) -> None:
         name = f"{service}-{number}"
         server = platform_server.PlatformBackend(self._reactor, name)
-        server.behaviour = platform_server.Behaviour(slots=_SLOTS, work_s=_WORK_S)
+        server.behaviour = platform_server.Behaviour(
+            slots=_SLOTS, work_s=_WORK_S, health_target=demo.HEALTH_PATH.encode()
+        )
         port = server.listen(demo.HOST, 0)
         self._ports.append(port)
         server_proxy = proxy.Proxy(self._reactor, port.getHost().port)
--- a/src/carobhook/standins/platform_server.py
+++ b/src/carobhook/standins/platform_server.py
@@ -59,6 +59,8 @@
         fatal_target: Target of the requests that end the server when they have run for
             ``work_s``, whether or not their client still waits; None for no such requests.
         down_s: Seconds from the end of the server to its next start.
+        health_target: Target of the health check, which the server answers and does not run;
+            None if there is none.
     """
 
     slots: int = 4
@@ -77,6 +79,7 @@
     retry_after: str | None = None
     fatal_target: bytes | None = None
     down_s: float = 1.5
+    health_target: bytes | None = None
 
 
 @attrs.define(eq=False)
@@ -260,6 +263,9 @@
                 headers.append((b"Retry-After", self.behaviour.retry_after.encode()))
             refuse(self._build_response(head, 503, b"", tuple(headers)))
             return None
+        if head.method == b"GET" and head.target == self.behaviour.health_target:
+            respond(self._build_response(head, 503 if self.behaviour.is_leaving else 200, b""))
+            return None
         respond = self._copying(respond, is_refusal=False)
         attempt_id = head.get(names.REQUEST_ID) or ""
         self.started_ids.append(attempt_id)
