Cut the servers of the soak's innocent request off for longer than a check

Cause: a connection that the proxies accepted and reset told the instances that its server runs; a server that is cut off tells nothing, and an innocent request under such cuts was not tried. Change: three of seven times, new connections to the servers of the innocent request get no answer for 2.5 s: the proxy's port has a full queue. The request is disturbed once a server runs it. TestCutOff and TestHealthCheck pass.

--- a/src/carobhook/soak/fatal_requests.py
+++ b/src/carobhook/soak/fatal_requests.py
@@ -5,6 +5,7 @@
 client has given the request up.
 """
 
+import enum
 import random
 import typing
 from collections.abc import Sequence
@@ -29,17 +30,37 @@
 _UNTOLD_INTERVAL_S = 0.25
 _UNTOLD_WORK_S = 0.15
 _GIVE_UP_S = 0.1
-# Longest wait until an innocent request runs; time for which its servers are then cut off, and
-# how that is done each time, None for connections that are reset only; time to the next one.
+# Longest wait until an innocent request runs, and time from its end to the next one.
 _START_WAIT_S = 0.5
 _POLL_S = 0.01
-_CUT_OFF_S = 0.3
-_INNOCENT_CUTS = (None, proxy.Mode.SILENT, proxy.Mode.REFUSE)
-_INNOCENT_COUNT = 9
-_INNOCENT_PAUSE_S = 0.7
+_INNOCENT_PAUSE_S = 0.5
 _INNOCENT_TRIES = 8
 
 
+class Cut(enum.Enum):
+    """What happens to the servers of an innocent request; the values are times in seconds.
+
+    RESET: Their connections are reset.
+    REFUSED: So are new ones, as they are accepted.
+    UNANSWERED: After the reset, new ones get no answer for longer than the instances check.
+    """
+
+    RESET = 0.0
+    REFUSED = 0.3
+    UNANSWERED = 2.5
+
+
+_INNOCENT_CUTS = (
+    Cut.RESET,
+    Cut.REFUSED,
+    Cut.UNANSWERED,
+    Cut.RESET,
+    Cut.UNANSWERED,
+    Cut.RESET,
+    Cut.UNANSWERED,
+)
+
+
 @attrs.frozen
 class Untold:
     """How servers come back, and what hides that they had ended.
@@ -156,19 +177,30 @@
 
     async def _send_innocents(self, rng: random.Random) -> None:
         """Send a request whose connections are reset, or whose servers are cut off, in turn."""
-        for number in range(_INNOCENT_COUNT):
+        proxies = self._deployment.proxies_of(_INNOCENT_SERVICE)
+        for cut in _INNOCENT_CUTS:
             index = rng.randrange(self._instance_count)
             sending = defer.ensureDeferred(self._send_innocent(index))
             await self._wait_until_started(self.request_ids[-1])
-            cut = _INNOCENT_CUTS[number % len(_INNOCENT_CUTS)]
-            proxies = self._deployment.proxies_of(_INNOCENT_SERVICE)
-            if cut is not None:
-                await self._cut_off(proxies, cut)
-            for each_proxy in proxies:
-                each_proxy.reset()
+            await self._cut_off(proxies, cut)
             self.innocent_statuses.append(await sending)
             await task.deferLater(self._reactor, _INNOCENT_PAUSE_S)
 
+    async def _cut_off(self, proxies: Sequence[proxy.Proxy], cut: Cut) -> None:
+        """Reset the connections to servers, and cut the servers off from all instances."""
+        for each_proxy in proxies:
+            each_proxy.reset()
+            if cut is Cut.REFUSED:
+                each_proxy.mode = proxy.Mode.REFUSE
+            elif cut is Cut.UNANSWERED:
+                await each_proxy.cut_off()
+        await task.deferLater(self._reactor, cut.value)
+        for each_proxy in proxies:
+            if cut is Cut.REFUSED:
+                each_proxy.mode = proxy.Mode.PASS
+            elif cut is Cut.UNANSWERED:
+                each_proxy.end_cut_off()
+
     async def _wait_until_started(self, request_id: str) -> None:
         """Wait until a server runs a request, but no longer than it may take."""
         end_at = self._reactor.seconds() + _START_WAIT_S
@@ -178,16 +210,6 @@
                 return
             await task.deferLater(self._reactor, _POLL_S)
 
-    async def _cut_off(self, proxies: Sequence[proxy.Proxy], mode: proxy.Mode) -> None:
-        """Cut servers off from all instances for a while."""
-        for each_proxy in proxies:
-            each_proxy.mode = mode
-            if mode is proxy.Mode.REFUSE:
-                each_proxy.reset()
-        await task.deferLater(self._reactor, _CUT_OFF_S)
-        for each_proxy in proxies:
-            each_proxy.mode = proxy.Mode.PASS
-
     async def _check_innocent(self, rng: random.Random) -> None:
         """Note if the innocent request is still refused when nothing disturbs it any more."""
         statuses = []
--- a/src/carobhook/soak/proxy.py
+++ b/src/carobhook/soak/proxy.py
@@ -1,6 +1,7 @@
 """Loopback TCP proxy that can delay, drop, refuse and reset connections."""
 
 import enum
+import socket
 import typing
 
 from twisted.internet import defer, protocol
@@ -24,6 +25,10 @@
 
 
 _DELAY_S = 0.15
+_HOST = "127.0.0.1"
+# A listening socket with the smallest backlog takes this many connections that nobody accepts;
+# the system drops the packets that open further ones.
+_QUEUED_CONNECTIONS = 2
 
 
 class _CallerConnection(protocol.Protocol):
@@ -47,7 +52,7 @@
         factory.clientConnectionFailed = lambda connector, reason: (
             self.transport.abortConnection()
         )
-        self._proxy.reactor.connectTCP("127.0.0.1", self._proxy.target_port, factory, timeout=2)
+        self._proxy.reactor.connectTCP(_HOST, self._proxy.target_port, factory, timeout=2)
 
     def dataReceived(self, data: bytes) -> None:
         if self._mode is Mode.SILENT:
@@ -118,13 +123,14 @@
         factory.noisy = False
         factory.buildProtocol = lambda address: _CallerConnection(self, address.host)
         self._factory = factory
-        self._port = reactor.listenTCP(0, factory, interface="127.0.0.1")
+        self._port = reactor.listenTCP(0, factory, interface=_HOST)
         self._number = self._port.getHost().port
+        self._full_sockets: list[socket.socket] = []
 
     @property
     def address(self) -> str:
         """Return the address on which the proxy listens."""
-        return f"127.0.0.1:{self._number}"
+        return f"{_HOST}:{self._number}"
 
     def mode_of(self, host: str) -> Mode:
         """Return the treatment of the connections from a host."""
@@ -137,7 +143,30 @@
 
     def reopen(self) -> None:
         """Accept connections again."""
-        self._port = self.reactor.listenTCP(self._number, self._factory, interface="127.0.0.1")
+        self._port = self.reactor.listenTCP(self._number, self._factory, interface=_HOST)
+
+    async def cut_off(self) -> None:
+        """Drop all further data on open connections, and leave new ones without an answer."""
+        for connection in self.connections:
+            connection.is_silent = True
+        await defer.maybeDeferred(self._port.stopListening)
+        listening = socket.socket()
+        listening.setsockopt(socket.SOL_SOCKET, socket.SO_REUSEADDR, 1)
+        listening.bind((_HOST, self._number))
+        listening.listen(0)
+        self._full_sockets = [listening]
+        for _ in range(_QUEUED_CONNECTIONS):
+            queued = socket.socket()
+            queued.setblocking(False)
+            queued.connect_ex((_HOST, self._number))
+            self._full_sockets.append(queued)
+
+    def end_cut_off(self) -> None:
+        """Answer again; the connections that were open before stay silent."""
+        for each in self._full_sockets:
+            each.close()
+        self._full_sockets = []
+        self.reopen()
 
     def silence_caller(self, host: str) -> None:
         """Drop all further data on the open connections from a host, for good."""
@@ -166,5 +195,7 @@
 
     async def stop(self) -> None:
         """Stop listening and close all connections."""
+        for each in self._full_sockets:
+            each.close()
         await defer.maybeDeferred(self._port.stopListening)
         self.reset()
--- a/tests/test_soak.py
+++ b/tests/test_soak.py
@@ -6,8 +6,9 @@
 import sys
 
 import pytest
-from twisted.internet import task
+from twisted.internet import defer, error, protocol, reactor, task
 from twisted.internet.testing import StringTransport
+from twisted.trial import unittest
 
 from carobhook import demo
 from carobhook.platform import objects as platform_objects
@@ -21,9 +22,11 @@
     kept_connections,
     loop_delay,
     pipelining,
+    proxy,
     raw_connections,
 )
-from carobhook.standins import platform_client
+from carobhook.standins import platform_client, platform_server
+from carobhook.transport import server_connections
 
 ONCE = platform_client.RequestPlan("h", "/u/", repeatable=False)
 SAFE = platform_client.RequestPlan("h", "/s/")
@@ -257,6 +260,66 @@
         ]
 
 
+class TestCutOff(unittest.TestCase):
+    """Tests of what a proxy does that cuts its target off."""
+
+    timeout = 20
+
+    async def connect(self, each_proxy):
+        """Return a connection to a proxy, which must open within 0.3 s."""
+        host, _, port = each_proxy.address.rpartition(":")
+        creator = protocol.ClientCreator(reactor, protocol.Protocol)
+        connection = await creator.connectTCP(host, int(port), 0.3)
+        self.addCleanup(connection.transport.abortConnection)
+        return connection
+
+    async def test_connections_are_not_answered_until_it_ends(self):
+        """A check that is reset or refused learns something, unlike one that is cut off."""
+        target = platform_server.PlatformBackend(reactor, "s")
+        port = target.listen("127.0.0.1", 0)
+        self.addCleanup(port.stopListening)
+        self.addCleanup(target.abort)
+        each_proxy = proxy.Proxy(reactor, port.getHost().port)
+        self.addCleanup(lambda: defer.ensureDeferred(each_proxy.stop()))
+        await self.connect(each_proxy)
+        await each_proxy.cut_off()
+        for _ in range(3):
+            with self.assertRaises(error.TimeoutError):
+                await self.connect(each_proxy)
+        each_proxy.end_cut_off()
+        await self.connect(each_proxy)
+
+
+class TestHealthCheck(unittest.TestCase):
+    """Tests of the stand-in of a server that is asked for its health."""
+
+    timeout = 20
+
+    async def test_health_check_is_no_run(self):
+        """One that an instance sent counted as a request that no client sent."""
+        server = platform_server.PlatformBackend(reactor, "s")
+        server.behaviour = platform_server.Behaviour(health_target=b"/health")
+        port = server.listen("127.0.0.1", 0)
+        self.addCleanup(port.stopListening)
+        self.addCleanup(server.abort)
+        connections = server_connections.ServerConnections(reactor, 1.0)
+        self.addCleanup(connections.stop)
+        address = f"127.0.0.1:{port.getHost().port}"
+        for method, target, status in (
+            (b"GET", b"/health", 200),
+            (b"POST", b"/health", 200),
+            (b"GET", b"/other", 200),
+        ):
+            head = http1.RequestHead(method, target, ((b"Host", b"s"),))
+            received = await connections.exchange(address, head, b"", require_fresh=True)
+            self.assertEqual(received.response.status, status)
+        self.assertEqual(len(server.starts), 2)
+        server.behaviour.is_leaving = True
+        head = http1.RequestHead(b"GET", b"/health", ((b"Host", b"s"),))
+        received = await connections.exchange(address, head, b"", require_fresh=True)
+        self.assertEqual(received.response.status, 503)
+
+
 class TestAccounts:
     """Tests of the checks of what servers and logs learn of client accounts."""
 
