Keep one instance of the soak's deployment up in series of stops

Cause: with three instances, two series of stops and a further SIGTERM left no instance that served, now and then; clients then had no address, and once ten attempts or more got no answer at all, which counts as cut by planned work. The line of an interrupted attempt says how long it took.

--- a/src/carobhook/soak/checks.py
+++ b/src/carobhook/soak/checks.py
@@ -117,7 +117,8 @@
         lost_in_close = attempt.id not in run_ids and attempt.duration_s <= CLOSE_RACE_S
         if attempt.status in (500, 502, 504) or (attempt.status == 0 and not lost_in_close):
             violations.append(
-                f"{attempt.id} got {attempt.status or 'no answer'} under planned work only"
+                f"{attempt.id} got {attempt.status or 'no answer'} after "
+                f"{attempt.duration_s:.2f} s under planned work only"
             )
     return violations
 
--- a/src/carobhook/soak/deployment.py
+++ b/src/carobhook/soak/deployment.py
@@ -323,6 +323,14 @@
                 raise TimeoutError(f"instance {index} is not ready: {lines}")
             await task.deferLater(self._reactor, _POLL_S)
 
+    def is_ready(self, index: int) -> bool:
+        """Return whether the present process of an instance has become ready and runs."""
+        process = self._processes.get(index)
+        if process is None or process.poll() is not None:
+            return False
+        log = (self._directory / f"i{index}.log").read_bytes()
+        return log.count(b'"instance-ready"') >= self._start_counts[index]
+
     def configs_in_force(self) -> list[checks.ConfigInForce]:
         """Return the configurations that came into force, as the instances logged them."""
         monotonic_offset_s = self._reactor.seconds() - time.time()
--- a/src/carobhook/soak/injections.py
+++ b/src/carobhook/soak/injections.py
@@ -13,6 +13,9 @@
 from carobhook.standins import platform_server
 
 _RESTART_S = 0.3
+# Longest wait for another instance to be ready before one stops.
+_READY_WAIT_S = 10.0
+_READY_POLL_S = 0.1
 # Outage before the store comes back from an older copy, and the time after which servers and
 # operators write again what it has lost.
 _RESTORE_OUTAGE_S = 0.5
@@ -89,6 +92,8 @@
         self._before_stop = before_stop
         self._instance_count = instance_count
         self._injections: list[defer.Deferred] = []
+        self._stopping: set[int] = set()
+        self._has_series = False
         self.draining_periods: list[tuple[str, float, float]] = []
         self.limited_periods: list[tuple[str, float, float]] = []
         self.cut_periods: list[tuple[float, float]] = []
@@ -108,6 +113,7 @@
     async def inject(self, steps: list[faults.Step]) -> None:
         """Begin each step at its time; `settle` waits for their ends."""
         started_at = self._reactor.seconds()
+        self._has_series = any(step.fault is faults.Fault.TERM_SERIES for step in steps)
         for step in steps:
             wait_s = started_at + step.at_s - self._reactor.seconds()
             await task.deferLater(self._reactor, max(0.0, wait_s))
@@ -216,7 +222,20 @@
             mode = _PROXY_MODES[fault]
             await self._change_proxy_mode(system.store_proxy, mode, duration_s)
 
+    async def _wait_for_another(self, index: int) -> None:
+        """Wait until an instance other than one is ready and does not stop, for some time."""
+        others = [other for other in range(self._instance_count) if other != index]
+        end_at = self._reactor.seconds() + _READY_WAIT_S
+        while self._reactor.seconds() < end_at:
+            if any(o not in self._stopping and self._deployment.is_ready(o) for o in others):
+                return
+            await task.deferLater(self._reactor, _READY_POLL_S)
+
     async def _restart(self, index: int, signal_number: signal.Signals) -> None:
+        if signal_number is signal.SIGTERM and self._has_series:
+            # Nobody stops the last instance that serves; series of stops would by chance.
+            await self._wait_for_another(index)
+            self._stopping.add(index)
         if signal_number is signal.SIGTERM and self._before_stop is not None:
             await self._before_stop(index)
             await task.deferLater(self._reactor, _IN_PROGRESS_S)
@@ -227,6 +246,7 @@
         await self._deployment.wait_for_exit(index)
         await task.deferLater(self._reactor, _RESTART_S)
         self._deployment.start_instance(index)
+        self._stopping.discard(index)
 
     async def _restore_store(self, duration_s: float) -> None:
         """Restore the store to a copy as old as the step lasts, after a short outage."""
