Send the loads of shards once there is a stream to the asking instance

Cause: a relay that had no stream to the instance of an operator dropped its report without a line, and the operator's answer lacked its shards. Change: the slot allocator answers the query, through the messages that wait for a stream. Measured: `pytest tests/test_slot_allocator.py -k loads_are_sent` fails before (no report) and passes now; TestOperators in tests/test_entry.py passes.

--- a/src/carobhook/transport/entry_daemon.py
+++ b/src/carobhook/transport/entry_daemon.py
@@ -593,9 +593,6 @@
     def _handle_message(self, sender: ids.InstanceId, message: typing.Any) -> None:
         if isinstance(message, feed_messages.Message):
             self._store_sync.handle_message(sender, message)
-        elif isinstance(message, slot_messages.LoadQuery):
-            loads = tuple(self._allocator.loads())
-            self._streams.send(sender, slot_messages.LoadReport(message.id, loads))
         elif isinstance(message, slot_messages.LoadReport):
             if self._operator_api is not None:
                 self._operator_api.record_load_report(message)
--- a/src/carobhook/transport/slot_allocator.py
+++ b/src/carobhook/transport/slot_allocator.py
@@ -217,6 +217,9 @@
             self._send(sender, self._client.held_slots((message.region, message.service)))
         elif isinstance(message, slot_messages.HeldSlotsReport):
             self._dispatchers.handle_held_slots(sender, message)
+        elif isinstance(message, slot_messages.LoadQuery):
+            loads = tuple(self._dispatchers.loads())
+            self._deliver(sender, slot_messages.LoadReport(message.id, loads))
         elif isinstance(message, slot_messages.RegionReport):
             self._dispatchers.handle_region_report(message)
         elif isinstance(message, slot_messages.ServerLimitReport):
--- a/tests/test_slot_allocator.py
+++ b/tests/test_slot_allocator.py
@@ -522,6 +522,16 @@
         self.tick(0.2)
         assert [type(message) for message in received] == [slot_messages.SlotRefused]
 
+    def test_loads_are_sent_when_the_stream_opens(self):
+        """The operator's answer would lack the shards of this instance."""
+        received = self.record_messages()
+        query = slot_messages.LoadQuery("1")
+        self.deployment.allocators[self.owner].handle_message(self.other, query)
+        self.tick(0.2)
+        self.deployment.cut.clear()
+        self.tick(0.2)
+        assert [(m.id, len(m.loads)) for m in received] == [("1", 1)]
+
     def test_messages_keep_their_order(self):
         """What is sent once the stream is open comes after what had to wait for it."""
         held = self.deployment.allocators[self.owner]
