Let the state of a shard find the grant that is repeated

Cause: shard_dispatchers.py had grown. Measured: tests/test_slot_allocator.py, test_server_limits.py, test_fair_share.py and test_slot_loans.py pass.

--- a/src/carobhook/transport/shard_dispatchers.py
+++ b/src/carobhook/transport/shard_dispatchers.py
@@ -137,30 +137,16 @@
             account=message.account,
         )
         state = self.get_or_create(shard)
-        if self._is_known(state, sender, request.id):
+        if state.requesters.get(request.id) == sender:
+            # It was sent again, as it may have been lost with a stream.
+            return
+        grant = state.find_grant(sender, request.id)
+        if grant is not None:
+            self._send(sender, slot_messages.SlotGranted(grant))
             return
         state.requesters[request.id] = sender
         self._quotas.submit(request, functools.partial(self._submit, state, request))
 
-    def _is_known(
-        self, state: shard_state.ShardState, sender: ids.InstanceId, request_id: ids.RequestId
-    ) -> bool:
-        """Return whether a request is queued or has a slot; send its grant once more.
-
-        It was sent again after the stream that carried it, or the answer, was lost.
-        """
-        granted = state.granted.get(request_id)
-        if granted is None or granted[0] != sender:
-            return state.requesters.get(request_id) == sender
-        server = state.dispatcher.pool.get(granted[1])
-        running = server.running.get(request_id) if server is not None else None
-        if server is None or running is None:
-            return False
-        address = server.view.entry.address
-        grant = allocation.SlotGrant(request_id, server.name, address, running.expected_s)
-        self._send(sender, slot_messages.SlotGranted(grant))
-        return True
-
     def _submit(
         self,
         state: shard_state.ShardState,
--- a/src/carobhook/transport/shard_state.py
+++ b/src/carobhook/transport/shard_state.py
@@ -16,7 +16,7 @@
     slot_loans,
 )
 from carobhook.protocol import slot_messages
-from carobhook.state import ids
+from carobhook.state import allocation, ids
 from carobhook.transport import slot_client
 
 Shard = slot_client.Shard
@@ -96,6 +96,20 @@
     has_failed: bool = False
     replaced_at: float = -math.inf
 
+    def find_grant(
+        self, requester: ids.InstanceId, request_id: ids.RequestId
+    ) -> allocation.SlotGrant | None:
+        """Return the grant of a request that holds a slot, or None if it holds none."""
+        granted = self.granted.get(request_id)
+        if granted is None or granted[0] != requester:
+            return None
+        server = self.dispatcher.pool.get(granted[1])
+        running = server.running.get(request_id) if server is not None else None
+        if server is None or running is None:
+            return None
+        address = server.view.entry.address
+        return allocation.SlotGrant(request_id, server.name, address, running.expected_s)
+
     def recent_reports(self, now: float) -> dict[ids.Region, slot_messages.RegionReport]:
         """Return the reports of other regions that are not too old."""
         return {
