Report held slots on a new stream for all shards that were used lately

Cause: an instance that held and wanted nothing from a dispatcher reported nothing on a new stream to it, so that a slot whose release was lost with a dead stream stayed in use; the late end of that stream frees it no more. Change: it reports for each shard of its latest requests. Measured: `pytest tests/test_slot_allocator.py -k release_that_was_lost` fails before (one slot in use) and passes now.

--- a/src/carobhook/transport/slot_client.py
+++ b/src/carobhook/transport/slot_client.py
@@ -232,12 +232,12 @@
     def renew_owner(self, owner: ids.InstanceId) -> None:
         """Report held slots to an owner, and send it the pending requests, once more.
 
-        The stream to it is a new one. Some of them may be lost with the former stream, and the
-        owner may have taken its end for the end of this instance.
+        The stream to it is a new one. Some of them may be lost with the former stream, as may
+        releases, and the owner may have taken its end for the end of this instance.
         """
         pending = [p for p in self._pending.values() if p.owner == owner]
-        shards = {slot.shard for slot in self._held.values()} | {p.shard for p in pending}
-        for shard in shards:
+        held = {slot.shard for slot in self._held.values()}
+        for shard in held | set(self._recent_shards.values()):
             if self._owner_of(shard) == owner:
                 self._deliver(owner, self.held_slots(shard))
         for request in pending:
--- a/tests/test_slot_allocator.py
+++ b/tests/test_slot_allocator.py
@@ -638,6 +638,18 @@
         )
         assert self.deployment.allocators[self.owner].loads()[0].running == 0
 
+    def test_release_that_was_lost(self):
+        """The stream was dead for a while; the instance holds and wants nothing any more."""
+        decisions = self.deployment.request_slot(self.other, 1)
+        restore = self.lose(self.other, self.owner)
+        self.deployment.allocators[self.other].release_slot(
+            decisions[0].ask_id, allocation.AttemptOutcome.ANSWERED
+        )
+        restore()
+        self.deployment.clock.advance(2.0)
+        self.deployment.allocators[self.other].renew_stream(self.owner)
+        assert self.deployment.allocators[self.owner].loads()[0].running == 0
+
     def test_grant_that_comes_twice(self):
         """The slot in use is not given back."""
         decisions = self.deployment.request_slot(self.other, 1)
