Wait for what the test of broken streams needs only

Under load (load average 17), the four running requests ended before the test had seen three in the queue of the dispatcher, and it waited in vain (1 of 8 runs). It waits for the three undecided requests of the instance itself now, and the work takes 1.5 s.

--- a/tests/test_broken_streams.py
+++ b/tests/test_broken_streams.py
@@ -8,7 +8,7 @@
 class BrokenStreamCase(test_late_stop.StopCase):
     """The instance `two` dispatches for both; requests at `one` wait for its slots."""
 
-    WORK_S = 1.0
+    WORK_S = 1.5
 
     async def queue_requests(self):
         """Return four requests that run at `two`, and three at `one` that wait for a slot."""
@@ -24,14 +24,9 @@
             request.result for request in running if request.called
         ]
         queued = [defer.ensureDeferred(self.status(f"queued-{number}")) for number in range(3)]
-        await self.wait_until(lambda: self.dispatcher.queued_count == 3)
+        await self.wait_until(lambda: self.daemons[0]._allocator.pending_count == 3)
         return running, queued
 
-    @property
-    def dispatcher(self):
-        """Return the slot allocator whose dispatcher has the queued requests."""
-        return next(d._allocator for d in self.daemons if d._allocator._dispatchers.shard_count)
-
     def break_streams(self, names):
         """Abort the streams from some instances to the other one."""
         for daemon in self.daemons:
@@ -51,7 +46,7 @@
         self.break_streams(names)
         results = await defer.gatherResults(running + queued)
         assert [status for status, _ in results] == [200] * 7
-        assert reactor.seconds() - broken_at < 4.0
+        assert reactor.seconds() - broken_at < 4.5
 
     async def test_stream_to_the_dispatcher(self):
         """Its end is taken for that of the instance, whose requests are removed."""
