Log how each followed-up attempt without a mark was settled

Cause: an attempt that was lost and led to no mark left no line, so the log could not tell whether its server was not checked, was found alive, or had responded meanwhile. Change: the event attempt-settled names the request, the run, the reason and the age, one line for each attempt that is forgotten, evicted, or belongs to an end that is marked already. request-marked names the run too.

--- a/src/carobhook/coordination/lost_attempts.py
+++ b/src/carobhook/coordination/lost_attempts.py
@@ -4,6 +4,7 @@
 became of the server that ran the request.
 """
 
+import enum
 import math
 from collections.abc import Callable
 
@@ -25,6 +26,23 @@
 _MAX_ATTEMPTS = 2_000
 
 
+class Settlement(enum.Enum):
+    """How an attempt was settled that led to no mark.
+
+    UNCHECKED: No check of its server has ended yet.
+    HEARD: Its server responded later.
+    ALIVE: A server accepts connections at the address.
+    KNOWN: The end of its server was known before, with a mark of the request.
+    EVICTED: It was dropped early, as there were too many.
+    """
+
+    UNCHECKED = "unchecked"
+    HEARD = "heard"
+    ALIVE = "alive"
+    KNOWN = "known"
+    EVICTED = "evicted"
+
+
 @attrs.define(eq=False)
 class LostAttempt:
     """An attempt that ended without a response.
@@ -36,6 +54,7 @@
         request_id: Id that the client gave the request, for the log, or None.
         lost_at: Monotonic time in seconds at which it ended.
         check_at: Monotonic time in seconds at which the server is checked, None if it has been.
+        settlement: What is known of it so far, if it leads to no mark.
     """
 
     fingerprint: poison.Fingerprint
@@ -44,12 +63,18 @@
     request_id: str | None
     lost_at: float
     check_at: float | None
+    settlement: Settlement = Settlement.UNCHECKED
 
 
 @attrs.define
 class LostAttempts:
-    """Lost attempts of this instance, by the run of their server."""
+    """Lost attempts of this instance, by the run of their server.
 
+    Attributes:
+        on_dropped: Called with an attempt that led to no mark, as it is forgotten.
+    """
+
+    on_dropped: Callable[[LostAttempt], object] = lambda attempt: None
     _by_run: dict[servers.ServerRun, list[LostAttempt]] = attrs.field(factory=dict, init=False)
     _count: int = attrs.field(default=0, init=False)
     # Monotonic times in seconds of the last responses, by server, while there are attempts.
@@ -80,7 +105,7 @@
             now: Monotonic time in seconds.
         """
         if self._count >= _MAX_ATTEMPTS:
-            self.take(next(iter(self._by_run)))
+            self._evict(next(iter(self._by_run)))
         check_at = now + (_BROKEN_CHECK_S if is_broken else _GIVEN_UP_CHECK_S)
         attempt = LostAttempt(fingerprint, run, address, request_id, now, check_at)
         self._by_run.setdefault(run, []).append(attempt)
@@ -107,15 +132,19 @@
             due += unheard[:1]
             for attempt in waiting:
                 attempt.check_at = None
-            kept = [a for a in attempts if now - a.lost_at <= _LIFETIME_S]
-            self._count -= len(attempts) - len(kept)
-            self._by_run[run] = kept
-            if not kept:
-                del self._by_run[run]
+                if last_heard_at >= attempt.lost_at + _HEARD_MARGIN_S:
+                    attempt.settlement = Settlement.HEARD
+            self._drop_old(run, now)
         if not self._by_run:
             self._heard_at.clear()
         return due
 
+    def settle(self, run: servers.ServerRun, settlement: Settlement) -> None:
+        """Record what a check has found out about the attempts on a run of a server."""
+        for attempt in self._by_run.get(run, ()):
+            if attempt.check_at is None and attempt.settlement is Settlement.UNCHECKED:
+                attempt.settlement = settlement
+
     def ended_runs(
         self, current_run: Callable[[ids.Server], servers.ServerRun | None]
     ) -> list[servers.ServerRun]:
@@ -131,3 +160,20 @@
         attempts = self._by_run.pop(run, [])
         self._count -= len(attempts)
         return attempts
+
+    def _drop_old(self, run: servers.ServerRun, now: float) -> None:
+        """Forget the attempts on a run that are too old."""
+        attempts = self._by_run[run]
+        kept = [a for a in attempts if now - a.lost_at <= _LIFETIME_S]
+        for attempt in attempts[: len(attempts) - len(kept)]:
+            self.on_dropped(attempt)
+        self._count -= len(attempts) - len(kept)
+        self._by_run[run] = kept
+        if not kept:
+            del self._by_run[run]
+
+    def _evict(self, run: servers.ServerRun) -> None:
+        """Forget the attempts on a run, to make room for others."""
+        for attempt in self.take(run):
+            attempt.settlement = Settlement.EVICTED
+            self.on_dropped(attempt)
--- a/src/carobhook/events.py
+++ b/src/carobhook/events.py
@@ -55,6 +55,10 @@
         "request-marked",
         "A backend server ended while it ran a request; the request is marked.",
     )
+    ATTEMPT_SETTLED = EventInfo(
+        "attempt-settled",
+        "An attempt without a response was followed up and led to no mark, and why.",
+    )
     MARKS_REMOVED = EventInfo(
         "marks-removed",
         "Marks of a request count no more, as a response, a peer or the store tells.",
--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -64,7 +64,7 @@
         self._broadcast = broadcast
         self._on_failure = on_failure
         self._quarantine = poison.Quarantine(own)
-        self._lost_attempts = lost_attempts.LostAttempts()
+        self._lost_attempts = lost_attempts.LostAttempts(self._log_settled)
         self._stored_marks = stored_marks.StoredMarks(
             reactor,
             mark_store.store,
@@ -181,6 +181,19 @@
     async def _check(self, attempt: lost_attempts.LostAttempt) -> None:
         if await self._checks.has_ended(attempt.address):
             self._record_end(attempt.run, "unreachable")
+        else:
+            self._lost_attempts.settle(attempt.run, lost_attempts.Settlement.ALIVE)
+
+    def _log_settled(self, attempt: lost_attempts.LostAttempt) -> None:
+        """Log why an attempt that was followed up led to no mark."""
+        logs.event(
+            "attempt-settled",
+            request=attempt.request_id,
+            server=attempt.run.server,
+            born=attempt.run.started_at_ms,
+            reason=attempt.settlement,
+            age_ms=round((self._reactor.seconds() - attempt.lost_at) * 1000, 1),
+        )
 
     def _record_end(self, run: servers.ServerRun, reason: str) -> None:
         """Mark the requests that a server ran when it ended, here and at other instances."""
@@ -189,12 +202,15 @@
         for attempt in self._lost_attempts.take(run):
             mark = self._quarantine.record_end(attempt.fingerprint, name, now)
             if mark is None:
+                attempt.settlement = lost_attempts.Settlement.KNOWN
+                self._log_settled(attempt)
                 continue
             logs.warning(
                 "request-marked",
                 request=attempt.request_id,
                 fingerprint=attempt.fingerprint.hex(),
                 server=run.server,
+                run=name,
                 reason=reason,
             )
             self._broadcast(_mark_message(mark, now))
--- a/tests/test_ended_servers.py
+++ b/tests/test_ended_servers.py
@@ -198,3 +198,14 @@
         assert await self.send(1) == [200]
         removed = [fields for name, fields in lines if name == "marks-removed"]
         assert [(fields["source"], fields["marks"]) for fields in removed] == [("answered", 1)]
+
+    async def test_attempt_without_a_mark_names_its_reason(self):
+        """A connection was reset, and its server goes on."""
+        lines = []
+        self.patch(logs, "event", lambda name, **fields: lines.append((name, fields)))
+        self.set_behaviour(reset=True)
+        assert await self.send(1) == [502]
+        await self.wait_until(lambda: "attempt-settled" in [name for name, _ in lines])
+        fields = dict(lines)["attempt-settled"]
+        assert (fields["request"], fields["reason"].value) == ("attempt", "alive")
+        assert fields["server"] in self.backends
--- a/tests/test_lost_attempts.py
+++ b/tests/test_lost_attempts.py
@@ -76,3 +76,33 @@
             add(attempts, servers.ServerRun(ids.Server(f"s{number}"), 1))
         assert len(attempts.due(1.0)) == 2_000
         assert attempts.take(servers.ServerRun(ids.Server("s0"), 1)) == []
+
+
+class TestSettlements:
+    """An attempt that led to no mark left no line that said why."""
+
+    def test_each_attempt_that_is_forgotten_is_reported(self):
+        """Heard, checked, not checked yet."""
+        dropped = []
+        attempts = lost_attempts.LostAttempts(dropped.append)
+        add(attempts)
+        add(attempts, OTHER)
+        attempts.record_response(OTHER.server, 0.5)
+        attempts.due(1.0)
+        attempts.settle(FIRST, lost_attempts.Settlement.ALIVE)
+        add(attempts, SECOND, now=1.0)
+        attempts.due(20.0)
+        attempts.due(40.0)
+        assert {(a.run, a.settlement) for a in dropped} == {
+            (FIRST, lost_attempts.Settlement.ALIVE),
+            (OTHER, lost_attempts.Settlement.HEARD),
+            (SECOND, lost_attempts.Settlement.UNCHECKED),
+        }
+
+    def test_evicted_attempts_are_reported(self):
+        """They make room for others."""
+        dropped = []
+        attempts = lost_attempts.LostAttempts(dropped.append)
+        for number in range(2_001):
+            add(attempts, servers.ServerRun(ids.Server(f"s{number}"), 1))
+        assert [a.settlement for a in dropped] == [lost_attempts.Settlement.EVICTED]
