Tell the ends of one listed run of a server apart

Cause: an end had the name of the run that the store had told last, and a name counts once. While the store does not tell of a new start, all ends of a server that starts again with its id were one mark. Change: an attempt knows when its server was last known to run on its connection (start of the opening, or sending of the last answered request). Ends that others tell of count from when they are learned, so clocks don't matter. For a relayed attempt the time is that of the sending less the longest idle time of a connection. A further end of one listed run needs a refused connection and another instance, or other servers reached from here, to agree: a path that comes and goes adds no mark. Attempts that were sent after a finding are no more taken with it. Two test doubles of connections and one of the observer take the new optional argument; their checks are as before.

--- a/src/carobhook/coordination/lost_attempts.py
+++ b/src/carobhook/coordination/lost_attempts.py
@@ -32,6 +32,7 @@
     UNCHECKED: No check of its server has ended yet.
     HEARD: Its server responded later.
     ALIVE: A server accepts connections at the address.
+    UNKNOWN: The check of its server told nothing.
     KNOWN: The end of its server was known before, with a mark of the request.
     EVICTED: It was dropped early, as there were too many.
     """
@@ -39,10 +40,25 @@
     UNCHECKED = "unchecked"
     HEARD = "heard"
     ALIVE = "alive"
+    UNKNOWN = "unknown"
     KNOWN = "known"
     EVICTED = "evicted"
 
 
+@attrs.frozen
+class Sending:
+    """When an attempt was sent, and what its connection told of the server.
+
+    Attributes:
+        sent_at: Monotonic time in seconds.
+        alive_at: Monotonic time in seconds, at or after which the server ran by what the
+            connection tells; None if another instance has the connection.
+    """
+
+    sent_at: float
+    alive_at: float | None = None
+
+
 @attrs.define(eq=False)
 class LostAttempt:
     """An attempt that ended without a response.
@@ -54,6 +70,8 @@
         request_id: Id that the client gave the request, for the log, or None.
         lost_at: Monotonic time in seconds at which it ended.
         check_at: Monotonic time in seconds at which the server is checked, None if it has been.
+        alive_at: Monotonic time in seconds, at or after which the server ran that the request
+            was sent to.
         settlement: What is known of it so far, if it leads to no mark.
     """
 
@@ -63,6 +81,7 @@
     request_id: str | None
     lost_at: float
     check_at: float | None
+    alive_at: float = -math.inf
     settlement: Settlement = Settlement.UNCHECKED
 
 
@@ -93,6 +112,7 @@
         request_id: str | None,
         is_broken: bool,
         now: float,
+        alive_at: float = -math.inf,
     ) -> None:
         """Add an attempt.
 
@@ -103,11 +123,12 @@
             request_id: Id that the client gave the request, for the log, or None.
             is_broken: Whether the connection broke, rather than that the attempt was given up.
             now: Monotonic time in seconds.
+            alive_at: Monotonic time in seconds, at or after which the server ran.
         """
         if self._count >= _MAX_ATTEMPTS:
             self._evict(next(iter(self._by_run)))
         check_at = now + (_BROKEN_CHECK_S if is_broken else _GIVEN_UP_CHECK_S)
-        attempt = LostAttempt(fingerprint, run, address, request_id, now, check_at)
+        attempt = LostAttempt(fingerprint, run, address, request_id, now, check_at, alive_at)
         self._by_run.setdefault(run, []).append(attempt)
         self._count += 1
 
@@ -155,11 +176,24 @@
         """
         return [run for run in self._by_run if current_run(run.server) not in (None, run)]
 
-    def take(self, run: servers.ServerRun) -> list[LostAttempt]:
-        """Remove and return the attempts on a run of a server."""
+    def take(
+        self,
+        run: servers.ServerRun,
+        is_concerned: Callable[[LostAttempt], bool] = lambda attempt: True,
+    ) -> list[LostAttempt]:
+        """Remove and return the attempts on a run of a server.
+
+        Args:
+            run: The run.
+            is_concerned: Returns whether an attempt is removed.
+        """
         attempts = self._by_run.pop(run, [])
-        self._count -= len(attempts)
-        return attempts
+        taken = [attempt for attempt in attempts if is_concerned(attempt)]
+        if len(taken) < len(attempts):
+            concerned = set(taken)
+            self._by_run[run] = [a for a in attempts if a not in concerned]
+        self._count -= len(taken)
+        return taken
 
     def _drop_old(self, run: servers.ServerRun, now: float) -> None:
         """Forget the attempts on a run that are too old."""
--- a/src/carobhook/transport/direct_exchange.py
+++ b/src/carobhook/transport/direct_exchange.py
@@ -52,6 +52,8 @@
             wait, as it must not run twice. A response may still come, but no server needs the
             slot for it any more.
         is_repeat: Whether the request was sent before.
+        on_sending: Called right before the request is sent on a connection of this instance,
+            with a monotonic time in seconds at or after which the server ran.
     """
 
     server: ids.Server
@@ -65,6 +67,7 @@
     may_send: Callable[[], bool]
     on_silence: Callable[[], object] = lambda: None
     is_repeat: bool = False
+    on_sending: Callable[[float], object] = server_connection.ignore_sending
 
 
 @attrs.define(eq=False)
@@ -180,6 +183,7 @@
             attempt.require_fresh,
             server_connection.Identification(attempt.request_id, attempt.match),
             attempt.may_send,
+            on_sending=attempt.on_sending,
         )
         run = _RunningExchange(attempt, self._reactor.seconds(), defer.ensureDeferred(sending))
         self._running.add(run)
--- a/src/carobhook/transport/exchange_results.py
+++ b/src/carobhook/transport/exchange_results.py
@@ -33,6 +33,19 @@
     CUT_SHORT = "cut-short"
 
 
+class Listener(enum.Enum):
+    """What a connection to the address of a server found there.
+
+    PRESENT: It was accepted.
+    REFUSED: It was refused actively, as by a machine on which nobody listens at the address.
+    UNREACHED: It could not be opened otherwise, as where the path is broken.
+    """
+
+    PRESENT = "present"
+    REFUSED = "refused"
+    UNREACHED = "unreached"
+
+
 class ExchangeError(Exception):
     """An exchange with a server failed without a complete response.
 
@@ -42,6 +55,7 @@
         response_started: Whether the head of a response had arrived.
         is_relayed: Whether the request went through another instance, whose path to the server
             may be at fault.
+        is_refused: Whether the connection was refused actively.
     """
 
     def __init__(
@@ -51,12 +65,14 @@
         reused: bool,
         response_started: bool,
         is_relayed: bool = False,
+        is_refused: bool = False,
     ) -> None:
         super().__init__(f"{fault.value}: {text}")
         self.fault = fault
         self.reused = reused
         self.response_started = response_started
         self.is_relayed = is_relayed
+        self.is_refused = is_refused
 
 
 @attrs.frozen
--- a/src/carobhook/transport/flow_interfaces.py
+++ b/src/carobhook/transport/flow_interfaces.py
@@ -4,6 +4,7 @@
 
 from twisted.internet import defer
 
+from carobhook.coordination import lost_attempts
 from carobhook.protocol import http1
 from carobhook.state import allocation, ids, servers
 from carobhook.transport import (
@@ -56,6 +57,7 @@
         run: servers.ServerRun,
         address: str,
         is_broken: bool,
+        sending: lost_attempts.Sending | None = None,
     ) -> None:
         """Record an attempt that ended without a response; see `lost_attempts`."""
 
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer
 
 from carobhook import logs
-from carobhook.coordination import refusals
+from carobhook.coordination import lost_attempts, refusals
 from carobhook.protocol import http1
 from carobhook.state import allocation, codes, ids, servers
 from carobhook.transport import (
@@ -129,7 +129,7 @@
         self._attempts = 0
         self._unreachable_count = 0
         self._may_have_run = False
-        self._is_sent = False
+        self._sending: lost_attempts.Sending | None = None
         self._last_server: ids.Server | None = None
         self._first_slot_at: float | None = None
         self._timer: typing.Any = None
@@ -345,7 +345,7 @@
         rate: allocation.RateStatement | None = None
         pace: float | None = None
         run = self._observer.run_of(grant.server)
-        self._is_sent = False
+        self._sending = None
         received: exchange_results.ReceivedResponse | None = None
         is_path_suspect = False
         try:
@@ -394,6 +394,7 @@
                 grant.ask_id, allocation.AttemptOutcome.CANCELLED
             ),
             is_repeat=self._attempts > 1,
+            on_sending=self._record_connection,
         )
 
     def _may_send(
@@ -403,12 +404,19 @@
 
         One that was answered, or whose client has left, is not sent any more.
         """
-        self._is_sent = (
+        may_send = (
             not self._responded
             and self._may_use(accepted, server)
             and not self._observer.is_quarantined(accepted.request)
         )
-        return self._is_sent
+        now = self._reactor.seconds()
+        self._sending = lost_attempts.Sending(now) if may_send else None
+        return may_send
+
+    def _record_connection(self, alive_at: float) -> None:
+        """Record when the server ran by what the connection of the request tells."""
+        if self._sending is not None:
+            self._sending = attrs.evolve(self._sending, alive_at=alive_at)
 
     def _observe(
         self,
@@ -418,12 +426,14 @@
     ) -> None:
         """Report an attempt whose outcome tells whether the request ends its servers."""
         request = self._accepted.request
+        is_broken = outcome is allocation.AttemptOutcome.BROKEN
+        is_cancelled = outcome is allocation.AttemptOutcome.CANCELLED
         if outcome is allocation.AttemptOutcome.ANSWERED:
             self._observer.request_answered(request)
-        elif outcome is allocation.AttemptOutcome.BROKEN:
-            self._observer.attempt_lost(request, run, grant.address, is_broken=True)
-        elif outcome is allocation.AttemptOutcome.CANCELLED and self._is_sent:
-            self._observer.attempt_lost(request, run, grant.address, is_broken=False)
+        elif is_broken or (is_cancelled and self._sending is not None):
+            self._observer.attempt_lost(
+                request, run, grant.address, is_broken=is_broken, sending=self._sending
+            )
 
     def _rate_statement(
         self, response: http1.Response, server: ids.Server
--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -4,6 +4,7 @@
 this instance nor from others, or runs anew, the request gets a mark, which all instances share.
 """
 
+import math
 import secrets
 import typing
 from collections.abc import Callable
@@ -12,11 +13,18 @@
 from twisted.internet import defer
 
 from carobhook import logs
-from carobhook.coordination import catalog, lost_attempts, objects, poison
+from carobhook.coordination import catalog, known_ends, lost_attempts, objects, poison
 from carobhook.platform import requests
 from carobhook.protocol import mark_codec, slot_messages
 from carobhook.state import ids, servers
-from carobhook.transport import client_connections, reach_checks, stored_marks
+from carobhook.transport import (
+    client_connections,
+    end_checks,
+    server_connection,
+    stored_marks,
+)
+
+Finding = end_checks.Finding
 
 # Most marks that are sent to an instance on a new stream; the latest have precedence.
 _MAX_SENT_MARKS = 2_000
@@ -53,7 +61,7 @@
         reactor: typing.Any,
         own: ids.InstanceId,
         server_catalog: catalog.Catalog,
-        checks: reach_checks.ReachChecks,
+        checks: end_checks.EndChecks,
         mark_store: MarkStore,
         broadcast: Callable[[typing.Any], object],
         on_failure: Callable[[typing.Any], object],
@@ -64,6 +72,7 @@
         self._broadcast = broadcast
         self._on_failure = on_failure
         self._quarantine = poison.Quarantine(own)
+        self._known_ends = known_ends.KnownEnds()
         self._lost_attempts = lost_attempts.LostAttempts(self._log_settled)
         self._stored_marks = stored_marks.StoredMarks(
             reactor,
@@ -99,6 +108,7 @@
         run: servers.ServerRun,
         address: str,
         is_broken: bool,
+        sending: lost_attempts.Sending | None = None,
     ) -> None:
         """Record an attempt that ended without a response; its server is checked later.
 
@@ -107,10 +117,18 @@
             run: Run of the server that had it.
             address: Address of the server, ``host:port``.
             is_broken: Whether the connection broke, rather than that the attempt was given up.
+            sending: When it was sent, None if that is not known.
         """
         now = self._reactor.seconds()
-        request_id = requests.request_id(request.head)
-        self._lost_attempts.add(fingerprint(request), run, address, request_id, is_broken, now)
+        self._lost_attempts.add(
+            fingerprint(request),
+            run,
+            address,
+            requests.request_id(request.head),
+            is_broken,
+            now,
+            _alive_at(sending),
+        )
 
     def record_response(self, server: ids.Server) -> None:
         """Record that a server responded, so that it has not ended before."""
@@ -131,7 +149,8 @@
         """Check the servers of lost attempts, and keep the marks in the store up to date."""
         self._stored_marks.tick()
         for run in self._lost_attempts.ended_runs(self._catalog.run_of):
-            self._record_end(run, "runs-anew")
+            evidence = end_checks.Evidence(Finding.RUNS_ANEW, self._reactor.seconds())
+            self._record_end(run, evidence)
         for attempt in self._lost_attempts.due(self._reactor.seconds()):
             check = defer.ensureDeferred(self._check(attempt))
             check.addErrback(self._on_failure)
@@ -155,6 +174,8 @@
             return
         expires_at = self._reactor.seconds() + message.remaining_ms / 1000
         mark = poison.Mark(message.fingerprint, message.name, message.source, expires_at)
+        # Clocks of instances differ, so an end counts from when this one learns of it.
+        self._known_ends.record(message.name, self._reactor.seconds())
         if self._quarantine.add(mark):
             self._broadcast(message)
 
@@ -179,10 +200,12 @@
         return [_mark_message(mark, now) for mark in marks[-_MAX_SENT_MARKS:]]
 
     async def _check(self, attempt: lost_attempts.LostAttempt) -> None:
-        if await self._checks.has_ended(attempt.address):
-            self._record_end(attempt.run, "unreachable")
+        evidence = await self._checks.check(attempt.run.server, attempt.address)
+        if evidence.finding in end_checks.ENDS:
+            self._record_end(attempt.run, evidence)
         else:
-            self._lost_attempts.settle(attempt.run, lost_attempts.Settlement.ALIVE)
+            settlement = lost_attempts.Settlement(evidence.finding.value)
+            self._lost_attempts.settle(attempt.run, settlement)
 
     def _log_settled(self, attempt: lost_attempts.LostAttempt) -> None:
         """Log why an attempt that was followed up led to no mark."""
@@ -195,11 +218,24 @@
             age_ms=round((self._reactor.seconds() - attempt.lost_at) * 1000, 1),
         )
 
-    def _record_end(self, run: servers.ServerRun, reason: str) -> None:
-        """Mark the requests that a server ran when it ended, here and at other instances."""
+    def _record_end(self, run: servers.ServerRun, evidence: end_checks.Evidence) -> None:
+        """Mark the requests that a server ran when it ended, here and at other instances.
+
+        A broken path looks like an end, and may come and go. A further end of a listed run
+        therefore takes more evidence than the first.
+        """
+
+        def is_concerned(attempt: lost_attempts.LostAttempt) -> bool:
+            if attempt.alive_at > evidence.at:
+                return False
+            number = self._known_ends.number_of(str(run), attempt.alive_at)
+            return number == 1 or evidence.is_certain
+
         now = self._reactor.seconds()
-        name = _name_of_end(run)
-        for attempt in self._lost_attempts.take(run):
+        attempts = self._lost_attempts.take(run, is_concerned)
+        names = [self._name_of_end(attempt) for attempt in attempts]
+        for attempt, name in zip(attempts, names, strict=True):
+            self._known_ends.record(name, evidence.at)
             mark = self._quarantine.record_end(attempt.fingerprint, name, now)
             if mark is None:
                 attempt.settlement = lost_attempts.Settlement.KNOWN
@@ -211,11 +247,19 @@
                 fingerprint=attempt.fingerprint.hex(),
                 server=run.server,
                 run=name,
-                reason=reason,
+                reason=evidence.finding,
             )
             self._broadcast(_mark_message(mark, now))
             self._stored_marks.save(mark)
 
+    def _name_of_end(self, attempt: lost_attempts.LostAttempt) -> str:
+        """Return a name for the end of an attempt's server, if possible the same everywhere."""
+        run_name = str(attempt.run)
+        if attempt.run.started_at_ms is None:
+            return f"{run_name}/{secrets.token_hex(8)}"
+        number = self._known_ends.number_of(run_name, attempt.alive_at)
+        return known_ends.name_of_end(run_name, number)
+
     def _add_stored(self, stored: mark_codec.StoredMark, remaining_s: float) -> None:
         """Add a mark that the store holds; it is sent on like that of an instance."""
         self.apply_mark(
@@ -252,9 +296,14 @@
     )
 
 
-def _name_of_end(run: servers.ServerRun) -> str:
-    """Return a name for the end of a run of a server, the same at all instances if possible."""
-    return str(run) if run.started_at_ms is not None else f"{run}/{secrets.token_hex(8)}"
+def _alive_at(sending: lost_attempts.Sending | None) -> float:
+    """Return a monotonic time in seconds, at or after which the server of an attempt ran."""
+    if sending is None:
+        return -math.inf
+    if sending.alive_at is not None:
+        return sending.alive_at
+    # No instance reuses a connection that has been idle for longer.
+    return sending.sent_at - server_connection.MAX_IDLE_S
 
 
 def _mark_message(mark: poison.Mark, now: float) -> slot_messages.RequestMarked:
--- a/src/carobhook/transport/server_access.py
+++ b/src/carobhook/transport/server_access.py
@@ -14,6 +14,8 @@
 from carobhook.state import ids, members, servers
 from carobhook.transport import (
     direct_exchange,
+    end_checks,
+    exchange_results,
     member_streams,
     notice_board,
     peers,
@@ -152,7 +154,12 @@
             reactor,
             self._place.name,
             parts.server_catalog,
-            self._reach_checks,
+            end_checks.EndChecks(
+                reactor.seconds,
+                self._find_listener,
+                self._reach_checks.reach_of_others,
+                self._is_trusted,
+            ),
             request_quarantine.MarkStore(parts.store, parts.wall),
             parts.streams.broadcast,
             lambda reason: parts.supervisor.record("server-check", reason),
@@ -235,6 +242,12 @@
         """Return whether a server that this instance does not reach may be at fault."""
         return await self._direct.opens_connections(address)
 
+    async def _find_listener(
+        self, server: ids.Server, address: str
+    ) -> exchange_results.Listener:
+        """Return who listens at the address of a server that had a request."""
+        return await self._connections.find_listener(address)
+
     def _record_response(self, run: servers.ServerRun, response: http1.Response) -> None:
         """Learn what a response says of its server."""
         self.notices.record_response(run, response)
--- a/src/carobhook/transport/server_connection.py
+++ b/src/carobhook/transport/server_connection.py
@@ -21,7 +21,7 @@
 # left of the timeout.
 _KEEP_ALIVE_MARGIN_S = 1.0
 # Maximum idle time of a connection that is reused, if the server announces no shorter timeout.
-_MAX_IDLE_S = 4.0
+MAX_IDLE_S = 4.0
 # Bytes of an exchange that are no part of the response's body: heads, interim responses,
 # responses to other requests and the framing of chunks. A server that sends more does not send
 # a response.
@@ -58,6 +58,10 @@
     """Do nothing as a part of a response arrives."""
 
 
+def ignore_sending(alive_at: float) -> None:
+    """Do nothing as a request is sent."""
+
+
 @attrs.define
 class SurplusCount:
     """Counts the responses that belonged to no request under way.
@@ -83,6 +87,8 @@
         idle_since: Monotonic time in seconds at which the last exchange ended.
         idle_limit_s: Seconds for which it may be idle and still be reused.
         is_reusable: Whether it may carry another exchange.
+        alive_at: Monotonic time in seconds, at or after which the server ran: the start of
+            its opening, or the time at which the last request that was answered was sent.
     """
 
     def __init__(
@@ -109,8 +115,8 @@
         self._had_unmatched_response = False
         self.number = 0
         self.exchange_count = 0
-        self.idle_since = seconds()
-        self.idle_limit_s = _MAX_IDLE_S
+        self.idle_since = self.alive_at = seconds()
+        self.idle_limit_s = MAX_IDLE_S
         self.is_reusable = True
 
     def connectionMade(self) -> None:
@@ -300,6 +306,7 @@
         """Deliver the response, and keep the connection for the next request or close it."""
         self._clear_body()
         self.idle_since = self._seconds()
+        self.alive_at = self._sent_at
         self.idle_limit_s = _idle_limit_s(raw_headers)
         self.is_reusable = self.is_reusable and not close
         pending, self._pending = self._pending, None
@@ -350,5 +357,5 @@
         if name.lower() == b"keep-alive":
             match = _KEEP_ALIVE_PATTERN.search(value.decode("latin-1"))
             if match is not None:
-                return min(_MAX_IDLE_S, max(0.0, int(match[1]) - _KEEP_ALIVE_MARGIN_S))
-    return _MAX_IDLE_S
+                return min(MAX_IDLE_S, max(0.0, int(match[1]) - _KEEP_ALIVE_MARGIN_S))
+    return MAX_IDLE_S
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -12,6 +12,7 @@
 
 Connection = server_connection.ServerConnection
 Fault = exchange_results.Fault
+_Listener = exchange_results.Listener
 
 # A middlebox can drop the state of an idle connection, which is noticed only when a request on
 # that connection is lost. A request that must not run twice could not be retried then, so it
@@ -70,6 +71,7 @@
         identification: server_connection.Identification | None = None,
         may_send: Callable[[], bool] = _may_always_send,
         on_data: Callable[[], object] = server_connection.ignore_data,
+        on_sending: Callable[[float], object] = server_connection.ignore_sending,
     ) -> exchange_results.ReceivedResponse:
         """Send a request to a server and return its complete response.
 
@@ -84,6 +86,8 @@
             may_send: Returns whether the request may still be sent; called right before that,
                 as opening a connection takes time.
             on_data: Called when a part of the response arrives.
+            on_sending: Called right before the request is sent, with a monotonic time in
+                seconds at or after which the server ran by what its connection tells.
 
         Raises:
             exchange_results.ExchangeError: The exchange failed without a complete response.
@@ -96,6 +100,7 @@
         if not may_send():
             self._keep_idle(address, connection)
             raise exchange_results.ExchangeError(Fault.WITHDRAWN, "not sent", False, False)
+        on_sending(connection.alive_at)
         received = await connection.exchange(head, body, identification, on_data)
         self._keep_idle(address, connection)
         return received
@@ -129,6 +134,19 @@
         self._keep_idle(address, connection)
         return connection.is_reusable
 
+    async def find_listener(self, address: str) -> exchange_results.Listener:
+        """Return who listens at an address; a connection to a server is kept for requests.
+
+        Args:
+            address: ``host:port`` of the server.
+        """
+        try:
+            connection = await self._connect(address)
+        except exchange_results.ExchangeError as failure:
+            return _Listener.REFUSED if failure.is_refused else _Listener.UNREACHED
+        self._keep_idle(address, connection)
+        return _Listener.PRESENT
+
     async def probe_response(
         self,
         address: str,
@@ -225,6 +243,7 @@
         return found
 
     async def _connect(self, address: str) -> Connection:
+        started_at = self._reactor.seconds()
         host, _, port = address.rpartition(":")
         creator = protocol.ClientCreator(
             self._reactor,
@@ -239,10 +258,15 @@
             )
         except (error.ConnectError, OSError) as failure:
             raise exchange_results.ExchangeError(
-                Fault.CONNECT, str(failure), False, False
+                Fault.CONNECT,
+                str(failure),
+                False,
+                False,
+                is_refused=isinstance(failure, error.ConnectionRefusedError),
             ) from failure
         self._opened_count += 1
         connection.number = self._opened_count
+        connection.alive_at = started_at
         return connection
 
 
--- a/tests/test_direct_exchange.py
+++ b/tests/test_direct_exchange.py
@@ -44,7 +44,7 @@
             lambda reason: None,
         )
 
-    async def answer(self, address, head, body, require_fresh, identification, may_send):
+    async def answer(self, address, head, body, require_fresh, identification, may_send, **_):
         """Answer a request, or fail it."""
         self.sent.append(address)
         if self.pending is not None:
--- a/tests/test_ends_unknown_to_the_store.py
+++ b/tests/test_ends_unknown_to_the_store.py
@@ -157,6 +157,7 @@
         assert await self.send(5) == [502] * 5
         assert len(self.marks()) == 2
         self.set_behaviour()
+        await self.pause(2.0)
         assert await self.send(1) == [200]
 
     async def test_copies_at_two_instances(self):
--- a/tests/test_request_flow.py
+++ b/tests/test_request_flow.py
@@ -99,7 +99,7 @@
         """Return a run without a start."""
         return servers.ServerRun(server)
 
-    def attempt_lost(self, request, run, address, is_broken):
+    def attempt_lost(self, request, run, address, is_broken, sending=None):
         """Do nothing."""
 
     def request_answered(self, request):
--- a/tests/test_server_exchange.py
+++ b/tests/test_server_exchange.py
@@ -76,7 +76,7 @@
 
     # Connections to servers.
 
-    async def exchange(self, *args):
+    async def exchange(self, *args, **_):
         """Fail a direct exchange, or answer a relayed one."""
         if isinstance(args[0], str) and "s" in args[0]:
             self.direct.append(args[0])
