Ask who is at the address of a server that had a lost request

Cause: a server that ended and listens again with another id before the check counted as alive, as the check took any listener for the run that had the request. Change: the check sends a health check that names the expected server. A 421 says that the run has ended (reason replaced); a listener that is not asked or does not answer tells nothing. Servers that may get no requests (evacuated, draining, resting) are not asked.

--- a/src/carobhook/transport/end_checks.py
+++ b/src/carobhook/transport/end_checks.py
@@ -17,17 +17,25 @@
 
     ALIVE: It has not ended, as far as can be told.
     UNREACHABLE: It has ended, as nobody gets a connection.
+    REPLACED: It has ended, as another server is at its address.
     RUNS_ANEW: It has ended, as the store tells of a later run.
     UNKNOWN: The check told nothing.
     """
 
     ALIVE = "alive"
     UNREACHABLE = "unreachable"
+    REPLACED = "replaced"
     RUNS_ANEW = "runs-anew"
     UNKNOWN = "unknown"
 
 
-ENDS = frozenset({Finding.UNREACHABLE, Finding.RUNS_ANEW})
+ENDS = frozenset({Finding.UNREACHABLE, Finding.REPLACED, Finding.RUNS_ANEW})
+# What the answer of a listener says by itself.
+_FINDINGS = {
+    Listener.PRESENT: Finding.ALIVE,
+    Listener.OTHER: Finding.REPLACED,
+    Listener.SILENT: Finding.UNKNOWN,
+}
 
 
 @attrs.frozen
@@ -77,8 +85,8 @@
         """
         listener = await self._find_listener(server, address)
         found_at = self._seconds()
-        if listener is Listener.PRESENT:
-            return Evidence(Finding.ALIVE, found_at)
+        if listener in _FINDINGS:
+            return Evidence(_FINDINGS[listener], found_at)
         reach = await self._reach_of_others(address)
         if reach is path_messages.Reach.REACHED:
             return Evidence(Finding.UNKNOWN, found_at)
--- a/src/carobhook/transport/exchange_results.py
+++ b/src/carobhook/transport/exchange_results.py
@@ -36,12 +36,16 @@
 class Listener(enum.Enum):
     """What a connection to the address of a server found there.
 
-    PRESENT: It was accepted.
+    PRESENT: The server accepted it, or another run of it.
+    OTHER: Another server accepted it.
+    SILENT: It was accepted, and whoever did so was not asked, or did not say who it is.
     REFUSED: It was refused actively, as by a machine on which nobody listens at the address.
     UNREACHED: It could not be opened otherwise, as where the path is broken.
     """
 
     PRESENT = "present"
+    OTHER = "other"
+    SILENT = "silent"
     REFUSED = "refused"
     UNREACHED = "unreached"
 
--- a/src/carobhook/transport/server_access.py
+++ b/src/carobhook/transport/server_access.py
@@ -9,7 +9,7 @@
 
 from carobhook import entry_settings
 from carobhook.coordination import catalog, objects, relay_choice
-from carobhook.platform import requests
+from carobhook.platform import identity, requests
 from carobhook.protocol import http1, path_messages, relay_messages, slot_messages
 from carobhook.state import ids, members, servers
 from carobhook.transport import (
@@ -29,6 +29,8 @@
 )
 
 _CONNECT_TIMEOUT_S = 0.5
+# A health check waits for a slot like a request; one that waits longer is made again.
+_INQUIRY_TIMEOUT_S = 1.0
 # Path of the health check of a service that the configuration does not name.
 _DEFAULT_HEALTH_PATH = "/"
 _BYTES_PER_MB = 1024 * 1024
@@ -246,7 +248,17 @@
         self, server: ids.Server, address: str
     ) -> exchange_results.Listener:
         """Return who listens at the address of a server that had a request."""
-        return await self._connections.find_listener(address)
+        inquiry = server_connections.Inquiry(
+            lambda: self._build_inquiry(server, address), identity.is_other_server
+        )
+        return await self._connections.find_listener(address, inquiry, _INQUIRY_TIMEOUT_S)
+
+    def _build_inquiry(self, server: ids.Server, address: str) -> http1.RequestHead | None:
+        """Return the head that asks for a server; None if who is there may get no requests."""
+        health_path = self._health_path(address)
+        if health_path is None:
+            return None
+        return identity.build_head(server, address, health_path)
 
     def _record_response(self, run: servers.ServerRun, response: http1.Response) -> None:
         """Learn what a response says of its server."""
@@ -255,13 +267,19 @@
 
     def _build_probe(self, address: str) -> http1.RequestHead | None:
         """Return the head of a probe of a server, or None if it may not get requests."""
+        health_path = self._health_path(address)
+        if health_path is None:
+            return None
+        return self._codec.build_probe_head(address, health_path)
+
+    def _health_path(self, address: str) -> str | None:
+        """Return the path of a server's health check, or None if it may not get requests."""
         known = self._parts.server_catalog
         entry = known.usable_entry_at(address)
         if entry is None or known.config is None or self.notices.is_resting(entry.name):
             return None
         policy = known.config.services.get(entry.service)
-        health_path = policy.health_path if policy is not None else _DEFAULT_HEALTH_PATH
-        return self._codec.build_probe_head(address, health_path)
+        return policy.health_path if policy is not None else _DEFAULT_HEALTH_PATH
 
     def _may_relay_to(self, server: ids.Server, address: str) -> bool:
         entry = self._parts.server_catalog.entry(server)
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -4,6 +4,7 @@
 import typing
 from collections.abc import Callable
 
+import attrs
 from twisted.internet import defer, error, protocol
 
 from carobhook import logs
@@ -23,6 +24,20 @@
 _MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
+@attrs.frozen
+class Inquiry:
+    """How a server is asked whether it is the expected one.
+
+    Attributes:
+        build_head: Returns the head of the request, or None if the server may not get any;
+            called right before it is sent, as opening a connection takes time.
+        is_other: Returns whether the response is that of another server.
+    """
+
+    build_head: Callable[[], http1.RequestHead | None]
+    is_other: Callable[[http1.Response], bool]
+
+
 def _may_always_send() -> bool:
     return True
 
@@ -134,18 +149,42 @@
         self._keep_idle(address, connection)
         return connection.is_reusable
 
-    async def find_listener(self, address: str) -> exchange_results.Listener:
-        """Return who listens at an address; a connection to a server is kept for requests.
+    async def find_listener(
+        self, address: str, inquiry: Inquiry, timeout_s: float
+    ) -> exchange_results.Listener:
+        """Return who listens at the address of a server.
 
         Args:
             address: ``host:port`` of the server.
+            inquiry: How to ask whoever accepts a connection. A connection on which nobody may
+                be asked is kept for requests.
+            timeout_s: Seconds in which the answer must arrive.
         """
         try:
             connection = await self._connect(address)
         except exchange_results.ExchangeError as failure:
             return _Listener.REFUSED if failure.is_refused else _Listener.UNREACHED
-        self._keep_idle(address, connection)
-        return _Listener.PRESENT
+        head = inquiry.build_head()
+        if head is None:
+            self._keep_idle(address, connection)
+            return _Listener.SILENT
+        asking = connection.exchange(head, b"", server_connection.UNIDENTIFIED)
+        asking.addTimeout(timeout_s, self._reactor)
+        try:
+            received = await asking
+        except (exchange_results.ExchangeError, defer.TimeoutError):
+            return _Listener.SILENT
+        finally:
+            connection.abort()
+        is_other = inquiry.is_other(received.response)
+        logs.event(
+            "server-probed",
+            address=address,
+            status=received.response.status,
+            connection=connection.number,
+            is_other=is_other,
+        )
+        return _Listener.OTHER if is_other else _Listener.PRESENT
 
     async def probe_response(
         self,
