Take only a response of the same run for a sign of life

Cause: any response for a server, also a 421 of another one at its address or one of its next run, cleared the doubt about the run that had a lost request, which was then not even checked. Change: a response counts only if its connection was open before the lost attempt was sent; whoever listened then has gone on running. A 421 and the response of a relayed request say nothing. As more servers are checked for it, a run is checked at most twice in a second. Measured: new unit tests TestSignsOfLife in test_lost_attempts.py hold. The whole-instance test of a 421 before the check is still red: the check is made once, at a moment at which the store lists nobody at the address.

--- a/src/carobhook/coordination/lost_attempts.py
+++ b/src/carobhook/coordination/lost_attempts.py
@@ -22,6 +22,10 @@
 _HEARD_MARGIN_S = 0.3
 # For this long, another run of the server shows that the attempt's run has ended.
 _LIFETIME_S = 6.0
+# A run is checked at most this often, as a check uses a slot of the server.
+_CHECK_INTERVAL_S = 0.5
+# Connections to a server of which responses are remembered.
+_MAX_HEARD = 32
 # Limit of memory use; beyond it, the oldest entries are dropped.
 _MAX_ATTEMPTS = 2_000
 
@@ -72,6 +76,7 @@
         check_at: Monotonic time in seconds at which the server is checked, None if it has been.
         alive_at: Monotonic time in seconds, at or after which the server ran that the request
             was sent to.
+        sent_at: Monotonic time in seconds at which it was sent, or before.
         settlement: What is known of it so far, if it leads to no mark.
     """
 
@@ -82,9 +87,37 @@
     lost_at: float
     check_at: float | None
     alive_at: float = -math.inf
+    sent_at: float = -math.inf
     settlement: Settlement = Settlement.UNCHECKED
 
 
+@attrs.define
+class _Heard:
+    """Responses of a server.
+
+    A response on a connection that was open before an attempt was sent comes from the run that
+    had the attempt. On one that was opened later it may come from the next run.
+    """
+
+    # Monotonic times in seconds of the last responses, by the time of their connection's
+    # opening.
+    _last_at: dict[float, float] = attrs.field(factory=dict, init=False)
+
+    def record(self, opened_at: float, now: float) -> None:
+        """Record a response on a connection."""
+        self._last_at.pop(opened_at, None)
+        self._last_at[opened_at] = now
+        if len(self._last_at) > _MAX_HEARD:
+            del self._last_at[next(iter(self._last_at))]
+
+    def shows_life_after(self, attempt: LostAttempt) -> bool:
+        """Return whether a response shows that an attempt's server went on running."""
+        return any(
+            opened_at <= attempt.sent_at and heard_at >= attempt.lost_at + _HEARD_MARGIN_S
+            for opened_at, heard_at in self._last_at.items()
+        )
+
+
 @attrs.define
 class LostAttempts:
     """Lost attempts of this instance, by the run of their server.
@@ -96,8 +129,10 @@
     on_dropped: Callable[[LostAttempt], object] = lambda attempt: None
     _by_run: dict[servers.ServerRun, list[LostAttempt]] = attrs.field(factory=dict, init=False)
     _count: int = attrs.field(default=0, init=False)
-    # Monotonic times in seconds of the last responses, by server, while there are attempts.
-    _heard_at: dict[ids.Server, float] = attrs.field(factory=dict, init=False)
+    # What was heard of servers, while there are attempts.
+    _heard: dict[ids.Server, _Heard] = attrs.field(factory=dict, init=False)
+    # Monotonic times in seconds of the last checks, by run.
+    _checked_at: dict[servers.ServerRun, float] = attrs.field(factory=dict, init=False)
 
     @property
     def is_empty(self) -> bool:
@@ -113,6 +148,7 @@
         is_broken: bool,
         now: float,
         alive_at: float = -math.inf,
+        sent_at: float = -math.inf,
     ) -> None:
         """Add an attempt.
 
@@ -124,18 +160,29 @@
             is_broken: Whether the connection broke, rather than that the attempt was given up.
             now: Monotonic time in seconds.
             alive_at: Monotonic time in seconds, at or after which the server ran.
+            sent_at: Monotonic time in seconds at which it was sent, or before.
         """
         if self._count >= _MAX_ATTEMPTS:
             self._evict(next(iter(self._by_run)))
         check_at = now + (_BROKEN_CHECK_S if is_broken else _GIVEN_UP_CHECK_S)
-        attempt = LostAttempt(fingerprint, run, address, request_id, now, check_at, alive_at)
+        attempt = LostAttempt(
+            fingerprint, run, address, request_id, now, check_at, alive_at, sent_at
+        )
         self._by_run.setdefault(run, []).append(attempt)
         self._count += 1
 
-    def record_response(self, server: ids.Server, now: float) -> None:
-        """Record that a server responded, so that it goes on running."""
+    def record_response(
+        self, server: ids.Server, now: float, opened_at: float = -math.inf
+    ) -> None:
+        """Record that a server responded, so that it goes on running.
+
+        Args:
+            server: The server.
+            now: Monotonic time in seconds.
+            opened_at: Monotonic time in seconds by which the connection was open.
+        """
         if self._by_run:
-            self._heard_at[server] = now
+            self._heard.setdefault(server, _Heard()).record(opened_at, now)
 
     def due(self, now: float) -> list[LostAttempt]:
         """Return one attempt for each server to be checked now, and drop those too old.
@@ -147,19 +194,31 @@
         """
         due = []
         for run, attempts in list(self._by_run.items()):
-            waiting = [a for a in attempts if a.check_at is not None and now >= a.check_at]
-            last_heard_at = self._heard_at.get(run.server, -math.inf)
-            unheard = [a for a in waiting if last_heard_at < a.lost_at + _HEARD_MARGIN_S]
-            due += unheard[:1]
-            for attempt in waiting:
-                attempt.check_at = None
-                if last_heard_at >= attempt.lost_at + _HEARD_MARGIN_S:
-                    attempt.settlement = Settlement.HEARD
+            if now - self._checked_at.get(run, -math.inf) >= _CHECK_INTERVAL_S:
+                due += self._due_of(run, attempts, now)
             self._drop_old(run, now)
         if not self._by_run:
-            self._heard_at.clear()
+            self._heard.clear()
         return due
 
+    def _due_of(
+        self, run: servers.ServerRun, attempts: list[LostAttempt], now: float
+    ) -> list[LostAttempt]:
+        """Return the attempt for which a run is checked now, if there is one."""
+        heard = self._heard.get(run.server, _Heard())
+        unheard = []
+        for attempt in attempts:
+            if attempt.check_at is None or now < attempt.check_at:
+                continue
+            attempt.check_at = None
+            if heard.shows_life_after(attempt):
+                attempt.settlement = Settlement.HEARD
+            else:
+                unheard.append(attempt)
+        if unheard:
+            self._checked_at[run] = now
+        return unheard[:1]
+
     def settle(self, run: servers.ServerRun, settlement: Settlement) -> None:
         """Record what a check has found out about the attempts on a run of a server."""
         for attempt in self._by_run.get(run, ()):
@@ -187,12 +246,10 @@
             run: The run.
             is_concerned: Returns whether an attempt is removed.
         """
-        attempts = self._by_run.pop(run, [])
+        attempts = self._by_run.get(run, [])
         taken = [attempt for attempt in attempts if is_concerned(attempt)]
-        if len(taken) < len(attempts):
-            concerned = set(taken)
-            self._by_run[run] = [a for a in attempts if a not in concerned]
-        self._count -= len(taken)
+        concerned = set(taken)
+        self._keep(run, [a for a in attempts if a not in concerned])
         return taken
 
     def _drop_old(self, run: servers.ServerRun, now: float) -> None:
@@ -201,10 +258,16 @@
         kept = [a for a in attempts if now - a.lost_at <= _LIFETIME_S]
         for attempt in attempts[: len(attempts) - len(kept)]:
             self.on_dropped(attempt)
-        self._count -= len(attempts) - len(kept)
-        self._by_run[run] = kept
-        if not kept:
-            del self._by_run[run]
+        self._keep(run, kept)
+
+    def _keep(self, run: servers.ServerRun, attempts: list[LostAttempt]) -> None:
+        """Replace the attempts on a run."""
+        self._count += len(attempts) - len(self._by_run.get(run, ()))
+        if attempts:
+            self._by_run[run] = attempts
+        else:
+            self._by_run.pop(run, None)
+            self._checked_at.pop(run, None)
 
     def _evict(self, run: servers.ServerRun) -> None:
         """Forget the attempts on a run, to make room for others."""
--- a/src/carobhook/transport/direct_exchange.py
+++ b/src/carobhook/transport/direct_exchange.py
@@ -115,6 +115,7 @@
         known_servers: Answers questions about the servers.
         reach_of_others: Returns whether other instances reach a server.
         on_failure: Called with the failure of a check.
+        on_response: Called with a server and each response on a connection to it.
     """
 
     def __init__(
@@ -125,6 +126,9 @@
         known_servers: KnownServers,
         reach_of_others: Callable[[str], Awaitable[Reach]],
         on_failure: Callable[[typing.Any], object],
+        on_response: Callable[
+            [ids.Server, exchange_results.ReceivedResponse], object
+        ] = lambda server, received: None,
     ) -> None:
         self._reactor = reactor
         self._rng = rng
@@ -132,6 +136,7 @@
         self._known_servers = known_servers
         self._reach_of_others = reach_of_others
         self._on_failure = on_failure
+        self._on_response = on_response
         self._paths = server_paths.ServerPaths(known_servers.count)
         self._running: set[_RunningExchange] = set()
         self._checked_at = 0.0
@@ -173,6 +178,7 @@
         received = await self._send(attempt)
         now = self._reactor.seconds()
         self._paths.record_response(attempt.address, not received.reused, now)
+        self._on_response(attempt.server, received)
         return received
 
     async def _send(self, attempt: Attempt) -> exchange_results.ReceivedResponse:
--- a/src/carobhook/transport/exchange_results.py
+++ b/src/carobhook/transport/exchange_results.py
@@ -81,7 +81,7 @@
 
 @attrs.frozen
 class ConnectionUse:
-    """How a connection had been used when a response came on it, for the log.
+    """How a connection had been used when a response came on it.
 
     All is None if the connection is another instance's, or there is no response.
 
@@ -89,11 +89,13 @@
         connection: Number of the connection, counted from the start of the process.
         exchange_count: Number of exchanges that it had carried, with that of the response.
         wait_ms: Milliseconds from the request to the response.
+        opened_at: Monotonic time in seconds by which it was open.
     """
 
     connection: int | None = None
     exchange_count: int | None = None
     wait_ms: float | None = None
+    opened_at: float | None = None
 
 
 @attrs.frozen
--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -128,11 +128,17 @@
             is_broken,
             now,
             _alive_at(sending),
+            sending.sent_at if sending is not None else -math.inf,
         )
 
-    def record_response(self, server: ids.Server) -> None:
-        """Record that a server responded, so that it has not ended before."""
-        self._lost_attempts.record_response(server, self._reactor.seconds())
+    def record_response(self, server: ids.Server, opened_at: float) -> None:
+        """Record that a server responded, so that it has not ended before.
+
+        Args:
+            server: The server.
+            opened_at: Monotonic time in seconds by which the connection was open.
+        """
+        self._lost_attempts.record_response(server, self._reactor.seconds(), opened_at)
 
     def request_answered(self, request: client_connections.ClientRequest) -> None:
         """Clear the marks of a request that a server ran without a failure."""
--- a/src/carobhook/transport/server_access.py
+++ b/src/carobhook/transport/server_access.py
@@ -132,6 +132,7 @@
             ),
             self._reach_checks.reach_of_others,
             lambda reason: parts.supervisor.record("path-check", reason),
+            parts.supervisor.isolate("response", self._record_sign_of_life),
         )
         self.exchange = server_exchange.ServerExchange(
             reactor,
@@ -263,7 +264,17 @@
     def _record_response(self, run: servers.ServerRun, response: http1.Response) -> None:
         """Learn what a response says of its server."""
         self.notices.record_response(run, response)
-        self.quarantine.record_response(run.server)
+
+    def _record_sign_of_life(
+        self, server: ids.Server, received: exchange_results.ReceivedResponse
+    ) -> None:
+        """Learn from a response on a connection of this instance that a server runs.
+
+        One of another server at the address says nothing of it.
+        """
+        if received.use.opened_at is None or identity.is_other_server(received.response):
+            return
+        self.quarantine.record_response(server, received.use.opened_at)
 
     def _build_probe(self, address: str) -> http1.RequestHead | None:
         """Return the head of a probe of a server, or None if it may not get requests."""
--- a/src/carobhook/transport/server_connection.py
+++ b/src/carobhook/transport/server_connection.py
@@ -115,7 +115,8 @@
         self._had_unmatched_response = False
         self.number = 0
         self.exchange_count = 0
-        self.idle_since = self.alive_at = seconds()
+        self._opened_at = seconds()
+        self.idle_since = self.alive_at = self._opened_at
         self.idle_limit_s = MAX_IDLE_S
         self.is_reusable = True
 
@@ -318,7 +319,7 @@
             self.transport.loseConnection()
         if pending is not None:
             use = exchange_results.ConnectionUse(
-                self.number, self.exchange_count, self._wait_ms()
+                self.number, self.exchange_count, self._wait_ms(), self._opened_at
             )
             reused = self.exchange_count > 1
             pending.callback(
--- a/tests/test_lost_attempts.py
+++ b/tests/test_lost_attempts.py
@@ -1,5 +1,7 @@
 """Tests of carobhook.coordination.lost_attempts."""
 
+import math
+
 from carobhook.coordination import lost_attempts
 from carobhook.state import ids, servers
 
@@ -78,6 +80,55 @@
         assert attempts.take(servers.ServerRun(ids.Server("s0"), 1)) == []
 
 
+class TestSignsOfLife:
+    """A response of the next run cleared the doubt about the former one."""
+
+    def check(self, opened_at, heard_at, sent_at=0.0):
+        """Return whether a server is checked after a response on a connection."""
+        attempts = lost_attempts.LostAttempts()
+        attempts.add(b"f", FIRST, "a:1", "r", False, 1.0, -9.0, sent_at)
+        attempts.record_response(FIRST.server, heard_at, opened_at)
+        return attempts.due(2.0) != []
+
+    def test_connection_that_was_open_before_the_attempt(self):
+        """Whoever listened when the attempt was sent went on running."""
+        assert not self.check(opened_at=-0.1, heard_at=1.4)
+
+    def test_connection_that_was_opened_later(self):
+        """The server may have ended, and started again, before it was opened."""
+        assert self.check(opened_at=0.1, heard_at=1.4)
+
+    def test_response_that_may_have_been_under_way(self):
+        """The server may end at the request a moment after it is given up."""
+        assert self.check(opened_at=-0.1, heard_at=1.2)
+
+    def test_attempt_of_which_the_sending_is_unknown(self):
+        """Any connection may have been opened later."""
+        assert self.check(opened_at=-0.1, heard_at=1.4, sent_at=-math.inf)
+
+    def test_connections_are_told_apart(self):
+        """A later response on a newer connection does not hide the one that counts."""
+        attempts = lost_attempts.LostAttempts()
+        attempts.add(b"f", FIRST, "a:1", "r", False, 1.0, -9.0, 0.0)
+        attempts.record_response(FIRST.server, 1.4, -0.1)
+        for number in range(31):
+            attempts.record_response(FIRST.server, 1.5, 0.5 + number)
+        assert attempts.due(2.0) == []
+        attempts.add(b"f", FIRST, "a:1", "r", False, 2.0, -9.0, 0.0)
+        for number in range(2_000):
+            attempts.record_response(FIRST.server, 2.5, 0.5 + number)
+        assert len(attempts.due(3.0)) == 1
+
+    def test_server_is_not_checked_too_often(self):
+        """Many clients that leave in turn cost two checks in a second."""
+        attempts = lost_attempts.LostAttempts()
+        checks = 0
+        for number in range(20):
+            add(attempts, now=number / 20)
+            checks += len(attempts.due(number / 20))
+        assert checks == 2
+
+
 class TestSettlements:
     """An attempt that led to no mark left no line that said why."""
 
