Check a server again if a check told nothing

Cause: the server of a lost attempt was checked once. A check during which the store listed nobody at the address, the own path was broken, or the server did not answer told nothing, and no other followed. Change: it is made again after 0.5, 1, 2 s and so on until the attempt is forgotten. That goes for a further end of one listed run too, if the check was not certain of it.

--- a/src/carobhook/coordination/lost_attempts.py
+++ b/src/carobhook/coordination/lost_attempts.py
@@ -22,6 +22,9 @@
 _HEARD_MARGIN_S = 0.3
 # For this long, another run of the server shows that the attempt's run has ended.
 _LIFETIME_S = 6.0
+# A check that told nothing is made again after this time, and later ones after twice as long
+# each time.
+_RETRY_S = 0.5
 # A run is checked at most this often, as a check uses a slot of the server.
 _CHECK_INTERVAL_S = 0.5
 # Connections to a server of which responses are remembered.
@@ -49,6 +52,10 @@
     EVICTED = "evicted"
 
 
+# An attempt of which no more is known than this is still in doubt.
+_OPEN = frozenset({Settlement.UNCHECKED, Settlement.UNKNOWN})
+
+
 @attrs.frozen
 class Sending:
     """When an attempt was sent, and what its connection told of the server.
@@ -74,6 +81,7 @@
         request_id: Id that the client gave the request, for the log, or None.
         lost_at: Monotonic time in seconds at which it ended.
         check_at: Monotonic time in seconds at which the server is checked, None if it has been.
+        retry_s: Seconds until the next check if that one tells nothing.
         alive_at: Monotonic time in seconds, at or after which the server ran that the request
             was sent to.
         sent_at: Monotonic time in seconds at which it was sent, or before.
@@ -88,6 +96,7 @@
     check_at: float | None
     alive_at: float = -math.inf
     sent_at: float = -math.inf
+    retry_s: float = _RETRY_S
     settlement: Settlement = Settlement.UNCHECKED
 
 
@@ -221,9 +230,28 @@
 
     def settle(self, run: servers.ServerRun, settlement: Settlement) -> None:
         """Record what a check has found out about the attempts on a run of a server."""
-        for attempt in self._by_run.get(run, ()):
-            if attempt.check_at is None and attempt.settlement is Settlement.UNCHECKED:
-                attempt.settlement = settlement
+        for attempt in self._checked(run):
+            attempt.settlement = settlement
+
+    def retry(self, run: servers.ServerRun, now: float) -> None:
+        """Check a run again later, as a check has told nothing of its attempts.
+
+        Args:
+            run: The run.
+            now: Monotonic time in seconds.
+        """
+        for attempt in self._checked(run):
+            attempt.settlement = Settlement.UNKNOWN
+            attempt.check_at = now + attempt.retry_s
+            attempt.retry_s *= 2.0
+
+    def _checked(self, run: servers.ServerRun) -> list[LostAttempt]:
+        """Return the attempts on a run whose check told nothing so far."""
+        return [
+            attempt
+            for attempt in self._by_run.get(run, ())
+            if attempt.check_at is None and attempt.settlement in _OPEN
+        ]
 
     def ended_runs(
         self, current_run: Callable[[ids.Server], servers.ServerRun | None]
--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -209,9 +209,10 @@
         evidence = await self._checks.check(attempt.run.server, attempt.address)
         if evidence.finding in end_checks.ENDS:
             self._record_end(attempt.run, evidence)
-        else:
-            settlement = lost_attempts.Settlement(evidence.finding.value)
-            self._lost_attempts.settle(attempt.run, settlement)
+        elif evidence.finding is Finding.ALIVE:
+            self._lost_attempts.settle(attempt.run, lost_attempts.Settlement.ALIVE)
+        # Also of those that take more evidence than this check gave.
+        self._lost_attempts.retry(attempt.run, self._reactor.seconds())
 
     def _log_settled(self, attempt: lost_attempts.LostAttempt) -> None:
         """Log why an attempt that was followed up led to no mark."""
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -193,3 +193,47 @@
         for message in sent:
             if isinstance(message, slot_messages.RequestMarked):
                 receiver.quarantine.apply_mark(message)
+
+
+class TestChecksThatTellNothing:
+    """A check was made once, also if it told nothing."""
+
+    def test_check_is_made_again(self):
+        """The path of this instance is broken for three seconds."""
+        instance = Instance()
+        instance.finding = Finding.UNKNOWN
+        instance.lose()
+        instance.run(3.0)
+        assert instance.count() == 0
+        instance.finding = Finding.REPLACED
+        instance.run(3.0)
+        assert instance.count() == 1
+
+    def test_intervals_grow(self):
+        """A server that never tells costs five checks."""
+        instance = Instance()
+        instance.finding = Finding.UNKNOWN
+        instance.lose()
+        instance.run(20.0)
+        assert 3 <= instance.checks <= 5
+
+    def test_known_answer_is_not_asked_for_again(self):
+        """A server that is alive costs one check."""
+        instance = Instance()
+        instance.finding = Finding.ALIVE
+        instance.lose()
+        instance.run(20.0)
+        assert instance.checks == 1
+
+    def test_further_end_that_is_confirmed_later(self):
+        """Connections time out first, and are refused then."""
+        instance = Instance()
+        instance.lose()
+        instance.run(2.0)
+        instance.is_certain = False
+        instance.lose()
+        instance.run(1.0)
+        assert instance.count() == 1
+        instance.is_certain = True
+        instance.run(3.0)
+        assert instance.count() == 2
