Keep the doubt about a server while the store does not tell of it

Cause: a lost attempt was forgotten six seconds after its loss, though the store may be away for longer and tells of the server's new start only then. On an instance that stands still it was forgotten in the very moment in which its server was to be checked. Change: time in which the store is away, and four seconds after its return, does not count toward the age of an attempt, nor does time in which the instance did not run; 120 s end the doubt in any case. A later run of which the store tells after the six seconds counts only if its start fits the time of the loss, to nine seconds after it, with three for clocks that differ. An end that the instance notices itself concerns only attempts of the last six seconds, as before. Measured: test_start_at_the_time_of_the_loss and test_check_after_ten_seconds fail on the commit before and hold now; the eight others of both classes guard the other side (planned restarts, ends long after a loss) and held before.

--- a/src/carobhook/coordination/lost_attempts.py
+++ b/src/carobhook/coordination/lost_attempts.py
@@ -5,6 +5,7 @@
 """
 
 import enum
+import itertools
 import math
 from collections.abc import Callable
 
@@ -20,8 +21,11 @@
 _GIVEN_UP_CHECK_S = 1.0
 # A response this long after the attempt shows that the server goes on running.
 _HEARD_MARGIN_S = 0.3
-# For this long, another run of the server shows that the attempt's run has ended.
-_LIFETIME_S = 6.0
+# For this long, another run of the server shows that the attempt's run has ended. Time in which
+# the store does not tell, or this instance does not run, does not count.
+LIFETIME_S = 6.0
+# An attempt is forgotten after this time in any case.
+_MAX_AGE_S = 120.0
 # A check that told nothing is made again after this time, and later ones after twice as long
 # each time.
 _RETRY_S = 0.5
@@ -56,6 +60,19 @@
 _OPEN = frozenset({Settlement.UNCHECKED, Settlement.UNKNOWN})
 
 
+@attrs.frozen
+class Paused:
+    """Time in seconds that does not count toward the age of an attempt.
+
+    Attributes:
+        stalled_s: Time in which this instance did not run.
+        untold_s: Time in which the store did not tell of servers.
+    """
+
+    stalled_s: float = 0.0
+    untold_s: float = 0.0
+
+
 @attrs.frozen
 class Sending:
     """When an attempt was sent, and what its connection told of the server.
@@ -81,6 +98,7 @@
         request_id: Id that the client gave the request, for the log, or None.
         lost_at: Monotonic time in seconds at which it ended.
         check_at: Monotonic time in seconds at which the server is checked, None if it has been.
+        paused: Time that does not count toward its age, at the time at which it was added.
         retry_s: Seconds until the next check if that one tells nothing.
         alive_at: Monotonic time in seconds, at or after which the server ran that the request
             was sent to.
@@ -96,6 +114,7 @@
     check_at: float | None
     alive_at: float = -math.inf
     sent_at: float = -math.inf
+    paused: Paused = Paused()
     retry_s: float = _RETRY_S
     settlement: Settlement = Settlement.UNCHECKED
 
@@ -138,6 +157,7 @@
     on_dropped: Callable[[LostAttempt], object] = lambda attempt: None
     _by_run: dict[servers.ServerRun, list[LostAttempt]] = attrs.field(factory=dict, init=False)
     _count: int = attrs.field(default=0, init=False)
+    _paused: Paused = attrs.field(default=Paused(), init=False)
     # What was heard of servers, while there are attempts.
     _heard: dict[ids.Server, _Heard] = attrs.field(factory=dict, init=False)
     # Monotonic times in seconds of the last checks, by run.
@@ -175,11 +195,49 @@
             self._evict(next(iter(self._by_run)))
         check_at = now + (_BROKEN_CHECK_S if is_broken else _GIVEN_UP_CHECK_S)
         attempt = LostAttempt(
-            fingerprint, run, address, request_id, now, check_at, alive_at, sent_at
+            fingerprint,
+            run,
+            address,
+            request_id,
+            now,
+            check_at,
+            alive_at,
+            sent_at,
+            self._paused,
         )
         self._by_run.setdefault(run, []).append(attempt)
         self._count += 1
 
+    def record_silence(self, untold_s: float) -> None:
+        """Record that the store has told nothing for some seconds."""
+        total_s = self._paused.untold_s + untold_s
+        self._paused = attrs.evolve(self._paused, untold_s=total_s)
+
+    def record_stall(self, stalled_s: float, now: float) -> None:
+        """Record that this instance has not run for some seconds.
+
+        Args:
+            stalled_s: The seconds.
+            now: Monotonic time in seconds.
+        """
+        total_s = self._paused.stalled_s + stalled_s
+        for attempt in itertools.chain.from_iterable(self._by_run.values()):
+            if attempt.lost_at > now - stalled_s:
+                # It was lost in or after that time, of which only the rest concerns it.
+                before_s = total_s - (now - attempt.lost_at)
+                attempt.paused = attrs.evolve(attempt.paused, stalled_s=before_s)
+        self._paused = attrs.evolve(self._paused, stalled_s=total_s)
+
+    def is_recent(self, attempt: LostAttempt, now: float) -> bool:
+        """Return whether an end of its server that is noticed now concerns an attempt.
+
+        Args:
+            attempt: The attempt.
+            now: Monotonic time in seconds.
+        """
+        stalled_s = self._paused.stalled_s - attempt.paused.stalled_s
+        return now - attempt.lost_at - stalled_s <= LIFETIME_S
+
     def record_response(
         self, server: ids.Server, now: float, opened_at: float = -math.inf
     ) -> None:
@@ -220,6 +278,8 @@
             if attempt.check_at is None or now < attempt.check_at:
                 continue
             attempt.check_at = None
+            if not self.is_recent(attempt, now):
+                continue
             if heard.shows_life_after(attempt):
                 attempt.settlement = Settlement.HEARD
             else:
@@ -283,11 +343,20 @@
     def _drop_old(self, run: servers.ServerRun, now: float) -> None:
         """Forget the attempts on a run that are too old."""
         attempts = self._by_run[run]
-        kept = [a for a in attempts if now - a.lost_at <= _LIFETIME_S]
-        for attempt in attempts[: len(attempts) - len(kept)]:
-            self.on_dropped(attempt)
+        kept = []
+        for attempt in attempts:
+            if self._is_old(attempt, now):
+                self.on_dropped(attempt)
+            else:
+                kept.append(attempt)
         self._keep(run, kept)
 
+    def _is_old(self, attempt: LostAttempt, now: float) -> bool:
+        """Return whether nothing that is learned now concerns an attempt."""
+        age_s = now - attempt.lost_at
+        untold_s = self._paused.untold_s - attempt.paused.untold_s
+        return age_s > _MAX_AGE_S or not self.is_recent(attempt, now - untold_s)
+
     def _keep(self, run: servers.ServerRun, attempts: list[LostAttempt]) -> None:
         """Replace the attempts on a run."""
         self._count += len(attempts) - len(self._by_run.get(run, ()))
--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -28,6 +28,14 @@
 
 # Most marks that are sent to an instance on a new stream; the latest have precedence.
 _MAX_SENT_MARKS = 2_000
+# A call of `tick` that comes later than this tells that the instance did not run.
+_MIN_STALL_S = 1.0
+# Servers register again within two seconds of the store's return, and are listed then.
+_TOLD_AGAIN_S = 4.0
+# Clocks of machines differ by less than this, mostly.
+_CLOCK_SLACK_S = 3.0
+# Of an attempt whose sending is unknown, it is assumed that it ran for no longer.
+_MAX_WORK_S = 10.0
 
 
 @attrs.frozen
@@ -73,6 +81,9 @@
         self._on_failure = on_failure
         self._quarantine = poison.Quarantine(own)
         self._known_ends = known_ends.KnownEnds()
+        self._wall = mark_store.wall
+        self._ticked_at = reactor.seconds()
+        self._untold_until = -math.inf
         self._lost_attempts = lost_attempts.LostAttempts(self._log_settled)
         self._stored_marks = stored_marks.StoredMarks(
             reactor,
@@ -154,9 +165,10 @@
     def tick(self) -> None:
         """Check the servers of lost attempts, and keep the marks in the store up to date."""
         self._stored_marks.tick()
+        self._record_pause()
         for run in self._lost_attempts.ended_runs(self._catalog.run_of):
             evidence = end_checks.Evidence(Finding.RUNS_ANEW, self._reactor.seconds())
-            self._record_end(run, evidence)
+            self._record_end(run, evidence, self._catalog.run_of(run.server))
         for attempt in self._lost_attempts.due(self._reactor.seconds()):
             check = defer.ensureDeferred(self._check(attempt))
             check.addErrback(self._on_failure)
@@ -225,14 +237,56 @@
             age_ms=round((self._reactor.seconds() - attempt.lost_at) * 1000, 1),
         )
 
-    def _record_end(self, run: servers.ServerRun, evidence: end_checks.Evidence) -> None:
+    def _record_pause(self) -> None:
+        """Record the time since the last call in which no end could be noticed."""
+        now = self._reactor.seconds()
+        elapsed_s, self._ticked_at = now - self._ticked_at, now
+        if self._catalog.store_lost_at is not None:
+            self._untold_until = now + _TOLD_AGAIN_S
+        if elapsed_s > _MIN_STALL_S:
+            self._lost_attempts.record_stall(elapsed_s, now)
+        elif now < self._untold_until:
+            self._lost_attempts.record_silence(elapsed_s)
+
+    def _started_at_end(
+        self, attempt: lost_attempts.LostAttempt, later: servers.ServerRun | None
+    ) -> bool:
+        """Return whether a later run started when the attempt's server may have ended.
+
+        One that started long after an attempt was lost does not tell why its server ended.
+        """
+        if later is None or later.started_at_ms is None:
+            return False
+        started_ago_s = self._wall() - later.started_at_ms / 1000
+        now = self._reactor.seconds()
+        lost_ago_s = now - attempt.lost_at
+        sent_ago_s = now - max(attempt.sent_at, attempt.lost_at - _MAX_WORK_S)
+        earliest = sent_ago_s + _CLOCK_SLACK_S
+        return (
+            lost_ago_s - lost_attempts.LIFETIME_S - _CLOCK_SLACK_S <= started_ago_s <= earliest
+        )
+
+    def _record_end(
+        self,
+        run: servers.ServerRun,
+        evidence: end_checks.Evidence,
+        later: servers.ServerRun | None = None,
+    ) -> None:
         """Mark the requests that a server ran when it ended, here and at other instances.
 
         A broken path looks like an end, and may come and go. A further end of a listed run
         therefore takes more evidence than the first.
+
+        Args:
+            run: Run of the server that ended.
+            evidence: How that was found out.
+            later: The later run of which the store tells, if that is the evidence.
         """
 
         def is_concerned(attempt: lost_attempts.LostAttempt) -> bool:
+            is_recent = self._lost_attempts.is_recent(attempt, evidence.at)
+            if not is_recent and not self._started_at_end(attempt, later):
+                return False
             if attempt.alive_at > evidence.at:
                 return False
             number = self._known_ends.number_of(str(run), attempt.alive_at)
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -237,3 +237,112 @@
         instance.is_certain = True
         instance.run(3.0)
         assert instance.count() == 2
+
+
+class TestStoreThatIsAway:
+    """The doubt about a server was dropped after six seconds, whatever the store told."""
+
+    def lose_during_outage(self, away_s=20.0):
+        """Return an instance whose server is alive again, with its id, when it is checked."""
+        instance = Instance()
+        instance.finding = Finding.ALIVE
+        instance.known.record_outage(instance.clock.seconds())
+        instance.run(1.0)
+        instance.lose()
+        instance.run(away_s)
+        instance.known.record_answer(instance.clock.seconds())
+        return instance
+
+    def tell(self, instance, started_ago_s):
+        """Let the store tell of a later start."""
+        started_at_s = WALL_S + instance.clock.seconds() - started_ago_s
+        instance.known.put(entry(round(started_at_s * 1000)), instance.clock.seconds())
+        instance.run(0.5)
+
+    def test_start_at_the_time_of_the_loss(self):
+        """The store is back after twenty seconds, and tells of it two seconds later."""
+        instance = self.lose_during_outage()
+        instance.run(2.0)
+        self.tell(instance, started_ago_s=21.5)
+        assert instance.count() == 1
+
+    def test_start_long_after_the_loss(self):
+        """The server was restarted on purpose during the outage."""
+        instance = self.lose_during_outage()
+        self.tell(instance, started_ago_s=8.0)
+        assert instance.count() == 0
+
+    def test_start_long_before_the_loss(self):
+        """The store had told nothing of it before the attempt was sent."""
+        instance = self.lose_during_outage()
+        self.tell(instance, started_ago_s=60.0)
+        assert instance.count() == 0
+
+    def test_unknown_start(self):
+        """It may be any time during the outage."""
+        instance = self.lose_during_outage()
+        instance.known.put(entry(None), instance.clock.seconds())
+        instance.run(0.5)
+        assert instance.count() == 0
+
+    def test_end_that_is_noticed_long_after_the_loss(self):
+        """Another request ends the server at the end of the outage."""
+        instance = self.lose_during_outage()
+        instance.finding = Finding.UNREACHABLE
+        instance.lose(path=b"/other")
+        instance.run(1.0)
+        assert (instance.count(), instance.count(b"/other")) == (0, 1)
+
+    def test_doubt_ends_in_any_case(self):
+        """The store is away for hours."""
+        instance = self.lose_during_outage(away_s=121.0)
+        self.tell(instance, started_ago_s=121.0)
+        assert instance.count() == 0
+
+    def test_planned_restart_without_an_outage(self):
+        """It comes seven seconds after a reset."""
+        instance = Instance()
+        instance.finding = Finding.ALIVE
+        instance.lose()
+        instance.run(7.0)
+        self.tell(instance, started_ago_s=0.5)
+        assert instance.count() == 0
+
+
+class TestFrozenInstance:
+    """An attempt was dropped in the moment in which its server was to be checked."""
+
+    def test_check_after_ten_seconds(self):
+        """The instance stands still right after an attempt was lost."""
+        instance = Instance()
+        instance.run(1.0)
+        instance.lose()
+        instance.clock.advance(10.0)
+        instance.run(0.5)
+        assert instance.count() == 1
+
+    def test_end_long_after_the_freeze(self):
+        """The time after it counts as ever."""
+        instance = Instance()
+        instance.finding = Finding.ALIVE
+        instance.run(1.0)
+        instance.lose()
+        instance.clock.advance(10.0)
+        instance.run(7.0)
+        instance.finding = Finding.UNREACHABLE
+        instance.lose(path=b"/other")
+        instance.run(1.0)
+        assert (instance.count(), instance.count(b"/other")) == (0, 1)
+
+    def test_attempt_that_is_lost_as_the_instance_goes_on(self):
+        """The time in which it stood still before that is none of the attempt's."""
+        instance = Instance()
+        instance.finding = Finding.ALIVE
+        instance.run(1.0)
+        instance.clock.advance(10.0)
+        instance.lose()
+        instance.run(7.0)
+        instance.finding = Finding.UNREACHABLE
+        instance.lose(path=b"/other")
+        instance.run(1.0)
+        assert (instance.count(), instance.count(b"/other")) == (0, 1)
