Take another server in the listing for the end of the one before it

Cause: an instance that is cut from the servers can't ask who listens at an address, and others tell it only that somebody does. That the store lists another server there counted as no news. Change: if a check told nothing, the listed server does not exist any more and another one has its address, which started at the time of the loss, the former one has ended.

--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -219,6 +219,8 @@
 
     async def _check(self, attempt: lost_attempts.LostAttempt) -> None:
         evidence = await self._checks.check(attempt.run.server, attempt.address)
+        if evidence.finding is Finding.UNKNOWN and self._is_replaced(attempt):
+            evidence = attrs.evolve(evidence, finding=Finding.REPLACED)
         if evidence.finding in end_checks.ENDS:
             self._record_end(attempt.run, evidence)
         elif evidence.finding is Finding.ALIVE:
@@ -226,6 +228,13 @@
         # Also of those that take more evidence than this check gave.
         self._lost_attempts.retry(attempt.run, self._reactor.seconds())
 
+    def _is_replaced(self, attempt: lost_attempts.LostAttempt) -> bool:
+        """Return whether the store tells of another server that took an attempt's address."""
+        if self._catalog.run_of(attempt.run.server) is not None:
+            return False
+        other = self._catalog.usable_entry_at(attempt.address)
+        return other is not None and self._started_at_end(attempt, other.run)
+
     def _log_settled(self, attempt: lost_attempts.LostAttempt) -> None:
         """Log why an attempt that was followed up led to no mark."""
         logs.event(
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -346,3 +346,43 @@
         instance.lose(path=b"/other")
         instance.run(1.0)
         assert (instance.count(), instance.count(b"/other")) == (0, 1)
+
+
+class TestOtherServerInTheListing:
+    """An instance that is cut from the servers could not ask who is at an address."""
+
+    def replace(self, instance, started_ago_s):
+        """Let the store list another server at the address in place of the former one."""
+        now = instance.clock.seconds()
+        started_at_s = WALL_S + now - started_ago_s
+        instance.known.remove(SERVER, now)
+        instance.known.put(entry(round(started_at_s * 1000), ids.Server("t")), now)
+        instance.run(3.0)
+
+    def test_start_at_the_time_of_the_loss(self):
+        """Others reach a listener there, and the store tells that it is another server."""
+        instance = Instance()
+        instance.finding = Finding.UNKNOWN
+        instance.lose()
+        instance.run(2.0)
+        self.replace(instance, started_ago_s=1.0)
+        assert instance.count() == 1
+
+    def test_start_long_before_the_loss(self):
+        """The entry is that of a server that had the address before."""
+        instance = Instance()
+        instance.finding = Finding.UNKNOWN
+        instance.lose()
+        instance.run(2.0)
+        self.replace(instance, started_ago_s=60.0)
+        assert instance.count() == 0
+
+    def test_server_that_is_listed_still(self):
+        """Both are listed with the address, so it is not known which of them is there."""
+        instance = Instance()
+        instance.finding = Finding.UNKNOWN
+        instance.lose()
+        instance.run(2.0)
+        instance.known.put(entry(round((WALL_S + 101.0) * 1000), ids.Server("t")), 102.0)
+        instance.run(3.0)
+        assert instance.count() == 0
