--- a/src/carobhook/transport/direct_exchange.py
+++ b/src/carobhook/transport/direct_exchange.py
@@ -54,6 +54,8 @@
         is_repeat: Whether the request was sent before.
         fingerprint: Returns the fingerprint of the request as its marks have it, or nothing.
         on_loss: Called if the request was sent and lost, before it is sent once more.
+        on_sending: Called right before the request is sent on a connection of this instance,
+            with a monotonic time in seconds at or after which the server ran.
     """
 
     server: ids.Server
@@ -69,6 +71,7 @@
     is_repeat: bool = False
     fingerprint: Callable[[], bytes] = bytes
     on_loss: Callable[[], object] = lambda: None
+    on_sending: Callable[[float], object] = server_connection.ignore_sending
 
 
 @attrs.define(eq=False)
@@ -116,6 +119,7 @@
         known_servers: Answers questions about the servers.
         reach_of_others: Returns whether other instances reach a server.
         on_failure: Called with the failure of a check.
+        on_response: Called with a server and each response on a connection to it.
     """
 
     def __init__(
@@ -126,6 +130,9 @@
         known_servers: KnownServers,
         reach_of_others: Callable[[str], Awaitable[Reach]],
         on_failure: Callable[[typing.Any], object],
+        on_response: Callable[
+            [ids.Server, exchange_results.ReceivedResponse], object
+        ] = lambda server, received: None,
     ) -> None:
         self._reactor = reactor
         self._rng = rng
@@ -133,6 +140,7 @@
         self._known_servers = known_servers
         self._reach_of_others = reach_of_others
         self._on_failure = on_failure
+        self._on_response = on_response
         self._paths = server_paths.ServerPaths(known_servers.count)
         self._running: set[_RunningExchange] = set()
         self._checked_at = 0.0
@@ -174,6 +182,7 @@
         received = await self._send(attempt)
         now = self._reactor.seconds()
         self._paths.record_response(attempt.address, not received.reused, now)
+        self._on_response(attempt.server, received)
         return received
 
     async def _send(self, attempt: Attempt) -> exchange_results.ReceivedResponse:
@@ -184,6 +193,7 @@
             attempt.require_fresh,
             server_connection.Identification(attempt.request_id, attempt.match),
             attempt.may_send,
+            on_sending=attempt.on_sending,
         )
         run = _RunningExchange(attempt, self._reactor.seconds(), defer.ensureDeferred(sending))
         self._running.add(run)
--- a/src/carobhook/transport/request_flow.py
+++ b/src/carobhook/transport/request_flow.py
@@ -8,7 +8,7 @@
 from twisted.internet import defer
 
 from carobhook import logs
-from carobhook.coordination import refusals
+from carobhook.coordination import lost_attempts, refusals
 from carobhook.protocol import http1
 from carobhook.state import allocation, codes, ids, servers
 from carobhook.transport import (
@@ -141,7 +141,7 @@
         self._attempts = 0
         self._unreachable_count = 0
         self._may_have_run = False
-        self._is_sent = False
+        self._sending: lost_attempts.Sending | None = None
         self._last_server: ids.Server | None = None
         self._first_slot_at: float | None = None
         self._timer: typing.Any = None
@@ -356,7 +356,7 @@
         outcome = allocation.AttemptOutcome.CANCELLED
         rate: allocation.RateStatement | None = None
         pace: float | None = None
-        self._is_sent = False
+        self._sending = None
         received: exchange_results.ReceivedResponse | None = None
         is_path_suspect = False
         try:
@@ -407,6 +407,7 @@
             is_repeat=self._attempts > 1,
             fingerprint=lambda: request_quarantine.fingerprint(accepted.request),
             on_loss=lambda: self._report_loss(grant, is_broken=False),
+            on_sending=self._record_connection,
         )
 
     def _may_send(
@@ -416,15 +417,22 @@
 
         One that was answered, or whose client has left, is not sent any more.
         """
-        self._is_sent = (
+        may_send = (
             not self._responded
             and self._may_use(accepted, server)
             and not self._observer.is_quarantined(accepted.request)
         )
-        if self._is_sent:
+        if may_send:
             # It may be another one than at an earlier send.
             self._server_run = self._observer.run_of(server)
-        return self._is_sent
+        now = self._reactor.seconds()
+        self._sending = lost_attempts.Sending(now) if may_send else None
+        return may_send
+
+    def _record_connection(self, alive_at: float) -> None:
+        """Record when the server ran by what the connection of the request tells."""
+        if self._sending is not None:
+            self._sending = attrs.evolve(self._sending, alive_at=alive_at)
 
     def _observe(
         self,
@@ -442,10 +450,12 @@
 
     def _report_loss(self, grant: allocation.SlotGrant, *, is_broken: bool) -> None:
         """Report that the request was sent and lost, unless that was reported before."""
-        if self._is_sent:
+        sending, self._sending = self._sending, None
+        if sending is not None:
             request = self._accepted.request
-            self._observer.attempt_lost(request, self._server_run, grant.address, is_broken)
-        self._is_sent = False
+            self._observer.attempt_lost(
+                request, self._server_run, grant.address, is_broken, sending
+            )
 
     def _rate_statement(
         self, response: http1.Response, server: ids.Server
@@ -491,7 +501,7 @@
         )
         if error.fault in _NOT_SENT_FAULTS:
             # It was given to an instance that did not send it.
-            self._is_sent = False
+            self._sending = None
         if error.fault is exchange_results.Fault.WITHDRAWN:
             self._attempts -= 1
             return allocation.AttemptOutcome.CANCELLED
--- a/src/carobhook/transport/server_access.py
+++ b/src/carobhook/transport/server_access.py
@@ -9,11 +9,13 @@
 
 from carobhook import entry_settings
 from carobhook.coordination import catalog, objects, relay_choice
-from carobhook.platform import requests
+from carobhook.platform import identity, requests
 from carobhook.protocol import http1, path_messages, relay_messages, slot_messages
 from carobhook.state import ids, members, servers
 from carobhook.transport import (
     direct_exchange,
+    end_checks,
+    exchange_results,
     member_streams,
     notice_board,
     peers,
@@ -27,6 +29,8 @@
 )
 
 _CONNECT_TIMEOUT_S = 0.5
+# A health check waits for a slot like a request; one that waits longer is made again.
+_INQUIRY_TIMEOUT_S = 1.0
 # Path of the health check of a service that the configuration does not name.
 _DEFAULT_HEALTH_PATH = "/"
 _BYTES_PER_MB = 1024 * 1024
@@ -128,6 +132,7 @@
             ),
             self._reach_checks.reach_of_others,
             lambda reason: parts.supervisor.record("path-check", reason),
+            parts.supervisor.isolate("response", self._record_sign_of_life),
         )
         self.exchange = server_exchange.ServerExchange(
             reactor,
@@ -153,7 +158,12 @@
             reactor,
             self._place.name,
             parts.server_catalog,
-            self._reach_checks,
+            end_checks.EndChecks(
+                reactor.seconds,
+                self._find_listener,
+                self._reach_checks.reach_of_others,
+                self._is_trusted,
+            ),
             request_quarantine.MarkStore(parts.store, parts.wall),
             parts.streams.broadcast,
             lambda reason: parts.supervisor.record("server-check", reason),
@@ -236,20 +246,52 @@
         """Return whether a server that this instance does not reach may be at fault."""
         return await self._direct.opens_connections(address)
 
+    async def _find_listener(
+        self, server: ids.Server, address: str
+    ) -> exchange_results.Listener:
+        """Return who listens at the address of a server that had a request."""
+        inquiry = server_connections.Inquiry(
+            lambda: self._build_inquiry(server, address), identity.is_other_server
+        )
+        return await self._connections.find_listener(address, inquiry, _INQUIRY_TIMEOUT_S)
+
+    def _build_inquiry(self, server: ids.Server, address: str) -> http1.RequestHead | None:
+        """Return the head that asks for a server; None if who is there may get no requests."""
+        health_path = self._health_path(address)
+        if health_path is None:
+            return None
+        return identity.build_head(server, address, health_path)
+
     def _record_response(self, run: servers.ServerRun, response: http1.Response) -> None:
         """Learn what a response says of its server."""
         self.notices.record_response(run, response)
-        self.quarantine.record_response(run.server)
+
+    def _record_sign_of_life(
+        self, server: ids.Server, received: exchange_results.ReceivedResponse
+    ) -> None:
+        """Learn from a response on a connection of this instance that a server runs.
+
+        One of another server at the address says nothing of it.
+        """
+        if received.use.opened_at is None or identity.is_other_server(received.response):
+            return
+        self.quarantine.record_response(server, received.use.opened_at)
 
     def _build_probe(self, address: str) -> http1.RequestHead | None:
         """Return the head of a probe of a server, or None if it may not get requests."""
+        health_path = self._health_path(address)
+        if health_path is None:
+            return None
+        return self._codec.build_probe_head(address, health_path)
+
+    def _health_path(self, address: str) -> str | None:
+        """Return the path of a server's health check, or None if it may not get requests."""
         known = self._parts.server_catalog
         entry = known.usable_entry_at(address)
         if entry is None or known.config is None or self.notices.is_resting(entry.name):
             return None
         policy = known.config.services.get(entry.service)
-        health_path = policy.health_path if policy is not None else _DEFAULT_HEALTH_PATH
-        return self._codec.build_probe_head(address, health_path)
+        return policy.health_path if policy is not None else _DEFAULT_HEALTH_PATH
 
     def _may_relay_to(self, server: ids.Server, address: str) -> bool:
         entry = self._parts.server_catalog.entry(server)
--- a/src/carobhook/transport/server_connections.py
+++ b/src/carobhook/transport/server_connections.py
@@ -4,6 +4,7 @@
 import typing
 from collections.abc import Callable
 
+import attrs
 from twisted.internet import defer, error, protocol
 
 from carobhook import logs
@@ -12,6 +13,7 @@
 
 Connection = server_connection.ServerConnection
 Fault = exchange_results.Fault
+_Listener = exchange_results.Listener
 
 # A middlebox can drop the state of an idle connection, which is noticed only when a request on
 # that connection is lost. A request that must not run twice could not be retried then, so it
@@ -22,6 +24,20 @@
 _MAX_RESPONSE_BYTES = 64 * 1024 * 1024
 
 
+@attrs.frozen
+class Inquiry:
+    """How a server is asked whether it is the expected one.
+
+    Attributes:
+        build_head: Returns the head of the request, or None if the server may not get any;
+            called right before it is sent, as opening a connection takes time.
+        is_other: Returns whether the response is that of another server.
+    """
+
+    build_head: Callable[[], http1.RequestHead | None]
+    is_other: Callable[[http1.Response], bool]
+
+
 def _may_always_send() -> bool:
     return True
 
@@ -70,6 +86,7 @@
         identification: server_connection.Identification | None = None,
         may_send: Callable[[], bool] = _may_always_send,
         on_data: Callable[[], object] = server_connection.ignore_data,
+        on_sending: Callable[[float], object] = server_connection.ignore_sending,
     ) -> exchange_results.ReceivedResponse:
         """Send a request to a server and return its complete response.
 
@@ -84,6 +101,8 @@
             may_send: Returns whether the request may still be sent; called right before that,
                 as opening a connection takes time.
             on_data: Called when a part of the response arrives.
+            on_sending: Called right before the request is sent, with a monotonic time in
+                seconds at or after which the server ran by what its connection tells.
 
         Raises:
             exchange_results.ExchangeError: The exchange failed without a complete response.
@@ -96,6 +115,7 @@
         if not may_send():
             self._keep_idle(address, connection)
             raise exchange_results.ExchangeError(Fault.WITHDRAWN, "not sent", False, False)
+        on_sending(connection.alive_at)
         received = await connection.exchange(head, body, identification, on_data)
         self._keep_idle(address, connection)
         return received
@@ -129,6 +149,43 @@
         self._keep_idle(address, connection)
         return connection.is_reusable
 
+    async def find_listener(
+        self, address: str, inquiry: Inquiry, timeout_s: float
+    ) -> exchange_results.Listener:
+        """Return who listens at the address of a server.
+
+        Args:
+            address: ``host:port`` of the server.
+            inquiry: How to ask whoever accepts a connection. A connection on which nobody may
+                be asked is kept for requests.
+            timeout_s: Seconds in which the answer must arrive.
+        """
+        try:
+            connection = await self._connect(address)
+        except exchange_results.ExchangeError as failure:
+            return _Listener.REFUSED if failure.is_refused else _Listener.UNREACHED
+        head = inquiry.build_head()
+        if head is None:
+            self._keep_idle(address, connection)
+            return _Listener.SILENT
+        asking = connection.exchange(head, b"", server_connection.UNIDENTIFIED)
+        asking.addTimeout(timeout_s, self._reactor)
+        try:
+            received = await asking
+        except (exchange_results.ExchangeError, defer.TimeoutError):
+            return _Listener.SILENT
+        finally:
+            connection.abort()
+        is_other = inquiry.is_other(received.response)
+        logs.event(
+            "server-probed",
+            address=address,
+            status=received.response.status,
+            connection=connection.number,
+            is_other=is_other,
+        )
+        return _Listener.OTHER if is_other else _Listener.PRESENT
+
     async def probe_response(
         self,
         address: str,
@@ -225,6 +282,7 @@
         return found
 
     async def _connect(self, address: str) -> Connection:
+        started_at = self._reactor.seconds()
         host, _, port = address.rpartition(":")
         creator = protocol.ClientCreator(
             self._reactor,
@@ -239,10 +297,15 @@
             )
         except (error.ConnectError, OSError) as failure:
             raise exchange_results.ExchangeError(
-                Fault.CONNECT, str(failure), False, False
+                Fault.CONNECT,
+                str(failure),
+                False,
+                False,
+                is_refused=isinstance(failure, error.ConnectionRefusedError),
             ) from failure
         self._opened_count += 1
         connection.number = self._opened_count
+        connection.alive_at = started_at
         return connection
 
 
