--- a/tests/test_reported_losses.py
+++ b/tests/test_reported_losses.py
@@ -25,7 +25,7 @@
         """Return whether the test has the request refused."""
         return self.is_refused
 
-    def attempt_lost(self, request, run, address, is_broken):
+    def attempt_lost(self, request, run, address, is_broken, sending=None):
         """Record a lost attempt."""
         self.lost.append((run, is_broken))
 
