--- a/src/carobhook/transport/exchange_results.py
+++ b/src/carobhook/transport/exchange_results.py
@@ -33,6 +33,23 @@
     CUT_SHORT = "cut-short"
 
 
+class Listener(enum.Enum):
+    """What a connection to the address of a server found there.
+
+    PRESENT: The server accepted it, or another run of it.
+    OTHER: Another server accepted it.
+    SILENT: It was accepted, and whoever did so was not asked, or did not say who it is.
+    REFUSED: It was refused actively, as by a machine on which nobody listens at the address.
+    UNREACHED: It could not be opened otherwise, as where the path is broken.
+    """
+
+    PRESENT = "present"
+    OTHER = "other"
+    SILENT = "silent"
+    REFUSED = "refused"
+    UNREACHED = "unreached"
+
+
 class ExchangeError(Exception):
     """An exchange with a server failed without a complete response.
 
@@ -42,6 +59,7 @@
         response_started: Whether the head of a response had arrived.
         is_relayed: Whether the request went through another instance, whose path to the server
             may be at fault.
+        is_refused: Whether the connection was refused actively.
     """
 
     def __init__(
@@ -51,17 +69,19 @@
         reused: bool,
         response_started: bool,
         is_relayed: bool = False,
+        is_refused: bool = False,
     ) -> None:
         super().__init__(f"{fault.value}: {text}")
         self.fault = fault
         self.reused = reused
         self.response_started = response_started
         self.is_relayed = is_relayed
+        self.is_refused = is_refused
 
 
 @attrs.frozen
 class ConnectionUse:
-    """How a connection had been used when a response came on it, for the log.
+    """How a connection had been used when a response came on it.
 
     All is None if the connection is another instance's, or there is no response.
 
@@ -69,11 +89,13 @@
         connection: Number of the connection, counted from the start of the process.
         exchange_count: Number of exchanges that it had carried, with that of the response.
         wait_ms: Milliseconds from the request to the response.
+        opened_at: Monotonic time in seconds by which it was open.
     """
 
     connection: int | None = None
     exchange_count: int | None = None
     wait_ms: float | None = None
+    opened_at: float | None = None
 
 
 @attrs.frozen
--- a/tests/test_slot_allocator.py
+++ b/tests/test_slot_allocator.py
@@ -522,6 +522,16 @@
         self.tick(0.2)
         assert [type(message) for message in received] == [slot_messages.SlotRefused]
 
+    def test_loads_are_sent_when_the_stream_opens(self):
+        """The operator's answer would lack the shards of this instance."""
+        received = self.record_messages()
+        query = slot_messages.LoadQuery("1")
+        self.deployment.allocators[self.owner].handle_message(self.other, query)
+        self.tick(0.2)
+        self.deployment.cut.clear()
+        self.tick(0.2)
+        assert [(m.id, len(m.loads)) for m in received] == [("1", 1)]
+
     def test_messages_keep_their_order(self):
         """What is sent once the stream is open comes after what had to wait for it."""
         held = self.deployment.allocators[self.owner]
@@ -628,6 +638,18 @@
         )
         assert self.deployment.allocators[self.owner].loads()[0].running == 0
 
+    def test_release_that_was_lost(self):
+        """The stream was dead for a while; the instance holds and wants nothing any more."""
+        decisions = self.deployment.request_slot(self.other, 1)
+        restore = self.lose(self.other, self.owner)
+        self.deployment.allocators[self.other].release_slot(
+            decisions[0].ask_id, allocation.AttemptOutcome.ANSWERED
+        )
+        restore()
+        self.deployment.clock.advance(2.0)
+        self.deployment.allocators[self.other].renew_stream(self.owner)
+        assert self.deployment.allocators[self.owner].loads()[0].running == 0
+
     def test_grant_that_comes_twice(self):
         """The slot in use is not given back."""
         decisions = self.deployment.request_slot(self.other, 1)
