--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -283,26 +283,15 @@
     ) -> None:
         """Mark the requests that a server ran when it ended, here and at other instances.
 
-        A broken path looks like an end, and may come and go. A further end of a listed run
-        therefore takes more evidence than the first.
-
         Args:
             run: Run of the server that ended.
             evidence: How that was found out.
             later: The later run of which the store tells, if that is the evidence.
         """
-
-        def is_concerned(attempt: lost_attempts.LostAttempt) -> bool:
-            is_recent = self._lost_attempts.is_recent(attempt, evidence.at)
-            if not is_recent and not self._started_at_end(attempt, later):
-                return False
-            if attempt.alive_at > evidence.at:
-                return False
-            number = self._known_ends.number_of(str(run), attempt.alive_at)
-            return number == 1 or evidence.is_certain
-
         now = self._reactor.seconds()
-        attempts = self._lost_attempts.take(run, is_concerned)
+        attempts = self._lost_attempts.take(
+            run, lambda attempt: self._is_concerned(attempt, evidence, later)
+        )
         names = [self._name_of_end(attempt) for attempt in attempts]
         for attempt, name in zip(attempts, names, strict=True):
             self._known_ends.record(name, evidence.at)
@@ -330,6 +319,25 @@
         number = self._known_ends.number_of(run_name, attempt.alive_at)
         return known_ends.name_of_end(run_name, number)
 
+    def _is_concerned(
+        self,
+        attempt: lost_attempts.LostAttempt,
+        evidence: end_checks.Evidence,
+        later: servers.ServerRun | None,
+    ) -> bool:
+        """Return whether an end of its server concerns an attempt.
+
+        A broken path looks like an end, and may come and go. A further end of a listed run
+        therefore takes more evidence than the first.
+        """
+        is_recent = self._lost_attempts.is_recent(attempt, evidence.at)
+        if not is_recent and not self._started_at_end(attempt, later):
+            return False
+        if attempt.alive_at > evidence.at:
+            return False
+        number = self._known_ends.number_of(str(attempt.run), attempt.alive_at)
+        return number == 1 or evidence.is_certain
+
     def _add_stored(self, stored: mark_codec.StoredMark, remaining_s: float) -> None:
         """Add a mark that the store holds; it is sent on like that of an instance."""
         self.apply_mark(
