Ask no cold server who it is

Cause: the health check that asks a server who it is counts toward the rate that a cold server takes. Change: a cold server is asked when it is warm, by the repeated check. Measured: test_cold_server_is_not_asked fails on the commit before (one check while the server was cold) and holds now.

--- a/src/carobhook/transport/server_access.py
+++ b/src/carobhook/transport/server_access.py
@@ -255,9 +255,12 @@
         return await self._connections.find_listener(address, inquiry, _INQUIRY_TIMEOUT_S)
 
     def _build_inquiry(self, server: ids.Server, address: str) -> http1.RequestHead | None:
-        """Return the head that asks for a server; None if who is there may get no requests."""
+        """Return the head that asks for a server; None if who is there may get no requests.
+
+        A cold server is not asked either, as the health check would use up its rate.
+        """
         health_path = self._health_path(address)
-        if health_path is None:
+        if health_path is None or self._is_cold(address):
             return None
         return identity.build_head(server, address, health_path)
 
@@ -283,6 +286,12 @@
             return None
         return self._codec.build_probe_head(address, health_path)
 
+    def _is_cold(self, address: str) -> bool:
+        """Return whether a server at an address is cold."""
+        now = self._reactor.seconds()
+        views = self._parts.server_catalog.servers(now)
+        return any(view.entry.address == address and now < view.cold_until for view in views)
+
     def _health_path(self, address: str) -> str | None:
         """Return the path of a server's health check, or None if it may not get requests."""
         known = self._parts.server_catalog
--- a/tests/test_ends_unknown_to_the_store.py
+++ b/tests/test_ends_unknown_to_the_store.py
@@ -202,6 +202,25 @@
         assert all(status in (502, 503) for status in await self.send(4))
         assert self.marks() == set()
 
+    async def test_cold_server_is_not_asked(self):
+        """A health check would use up its rate; it is asked when it is warm."""
+        for name in self.backends:
+            self.register(name, born=BORN_MS, cold="2500ms")
+        await self.pause(0.3)
+        self.set_behaviour(reset=True)
+        assert await self.send(1, pause_s=0.0) == [502]
+        self.set_behaviour()
+        await self.pause(1.5)
+        assert self.inquiries() == 0
+        await self.wait_until(lambda: self.inquiries() == 1)
+        assert self.marks() == set()
+
+    def inquiries(self):
+        """Return the number of health checks that named the server."""
+        heads = [head for backend in self.backends.values() for head in backend.heads]
+        checks = [head for head in heads if head.target == b"/health"]
+        return sum(head.get("x-expected-instance") in self.backends for head in checks)
+
     async def test_served_request_is_cleared(self):
         """A server that answers the request removes all marks, also those of further ends."""
         self.make_fatal(down_s=0.4)
