Let the stand-in of a server answer health checks

Cause: an instance now asks by a health check who is at the address of a server that had a lost request. Change: it answers a health check of its own at once, and counts no run.

--- a/src/carobhook/standins/platform_server.py
+++ b/src/carobhook/standins/platform_server.py
@@ -15,6 +15,7 @@
 _LIMITS = routing.ClientLimits(idle_timeout_s=10.0)
 _MAX_CONNECTIONS = 256
 _MAX_BUFFERED_BYTES = 64 * 1024 * 1024
+_HEALTH_TARGET = b"/health"
 
 # Delay of a copy that is sent whether or not another request has arrived by then.
 _COPY_DELAY_S = 0.02
@@ -260,6 +261,9 @@
                 headers.append((b"Retry-After", self.behaviour.retry_after.encode()))
             refuse(self._build_response(head, 503, b"", tuple(headers)))
             return None
+        if _is_health_check(head):
+            respond(self._build_response(head, 200, b""))
+            return None
         respond = self._copying(respond, is_refusal=False)
         attempt_id = head.get(names.REQUEST_ID) or ""
         self.started_ids.append(attempt_id)
@@ -317,3 +321,8 @@
             *headers,
         )
         return http1.Response(status, b"Status", all_headers, body)
+
+
+def _is_health_check(head: http1.RequestHead) -> bool:
+    """Return whether a request asks for the health of the server, which is no run."""
+    return head.target == _HEALTH_TARGET and head.get(names.REQUEST_ID) is None
