--- a/src/carobhook/soak/deployment.py
+++ b/src/carobhook/soak/deployment.py
@@ -129,7 +129,9 @@
     def _start_server(self, service: str, number: int) -> None:
         name = f"{service}-{number}"
         server = platform_server.PlatformBackend(self._reactor, name)
-        server.behaviour = platform_server.Behaviour(slots=_SLOTS, work_s=_WORK_S)
+        server.behaviour = platform_server.Behaviour(
+            slots=_SLOTS, work_s=_WORK_S, health_target=demo.HEALTH_PATH.encode()
+        )
         port = server.listen(demo.HOST, 0)
         self._ports.append(port)
         server_proxy = proxy.Proxy(self._reactor, port.getHost().port)
@@ -321,6 +323,14 @@
                 raise TimeoutError(f"instance {index} is not ready: {lines}")
             await task.deferLater(self._reactor, _POLL_S)
 
+    def is_ready(self, index: int) -> bool:
+        """Return whether the present process of an instance has become ready and runs."""
+        process = self._processes.get(index)
+        if process is None or process.poll() is not None:
+            return False
+        log = (self._directory / f"i{index}.log").read_bytes()
+        return log.count(b'"instance-ready"') >= self._start_counts[index]
+
     def configs_in_force(self) -> list[checks.ConfigInForce]:
         """Return the configurations that came into force, as the instances logged them."""
         monotonic_offset_s = self._reactor.seconds() - time.time()
--- a/src/carobhook/standins/platform_server.py
+++ b/src/carobhook/standins/platform_server.py
@@ -15,7 +15,6 @@
 _LIMITS = routing.ClientLimits(idle_timeout_s=10.0)
 _MAX_CONNECTIONS = 256
 _MAX_BUFFERED_BYTES = 64 * 1024 * 1024
-_HEALTH_TARGET = b"/health"
 
 # Delay of a copy that is sent whether or not another request has arrived by then.
 _COPY_DELAY_S = 0.02
@@ -60,6 +59,8 @@
         fatal_target: Target of the requests that end the server when they have run for
             ``work_s``, whether or not their client still waits; None for no such requests.
         down_s: Seconds from the end of the server to its next start.
+        health_target: Target of the health check, which the server answers and does not run;
+            None if there is none.
     """
 
     slots: int = 4
@@ -78,6 +79,7 @@
     retry_after: str | None = None
     fatal_target: bytes | None = None
     down_s: float = 1.5
+    health_target: bytes | None = None
 
 
 @attrs.define(eq=False)
@@ -261,8 +263,8 @@
                 headers.append((b"Retry-After", self.behaviour.retry_after.encode()))
             refuse(self._build_response(head, 503, b"", tuple(headers)))
             return None
-        if _is_health_check(head):
-            respond(self._build_response(head, 200, b""))
+        if head.method == b"GET" and head.target == self.behaviour.health_target:
+            respond(self._build_response(head, 503 if self.behaviour.is_leaving else 200, b""))
             return None
         respond = self._copying(respond, is_refusal=False)
         attempt_id = head.get(names.REQUEST_ID) or ""
@@ -321,8 +323,3 @@
             *headers,
         )
         return http1.Response(status, b"Status", all_headers, body)
-
-
-def _is_health_check(head: http1.RequestHead) -> bool:
-    """Return whether a request asks for the health of the server, which is no run."""
-    return head.target == _HEALTH_TARGET and head.get(names.REQUEST_ID) is None
