Accept the connections that the system has opened before a stop closes the port

Cause: a stop closed its port from a timer, before the reactor had come to the connections that waited to be accepted. Change: the reactor gets two turns before the port closes.

--- a/src/carobhook/transport/graceful_stop.py
+++ b/src/carobhook/transport/graceful_stop.py
@@ -119,6 +119,7 @@
         await self._wait_until(times.limit_at)
         self._requests.limit_to(times.abort_at)
         await self._wait_until(times.close_at)
+        await self._accept_opened()
         await defer.maybeDeferred(request_port.stopListening)
         await self._wait_until(times.refuse_at, until_idle=True)
         self._requests.refuse_waiting()
@@ -154,6 +155,15 @@
         # The reactor closes what was aborted in its next turn.
         await task.deferLater(self._reactor, 0)
 
+    async def _accept_opened(self) -> None:
+        """Let the reactor accept the connections that the system has opened by now.
+
+        They would be reset as the port closes. A reactor that runs its timers may come to its
+        sockets in the turn after next.
+        """
+        for _ in range(2):
+            await task.deferLater(self._reactor, 0)
+
     async def _wait_until(self, end_at: float, until_idle: bool = False) -> None:
         """Wait until a time.
 
