--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -1,7 +1,8 @@
 """Learns which requests end the servers that run them, and refuses these at all instances.
 
 An attempt without a response is followed up: if its server accepts connections neither from
-this instance nor from others, or runs anew, the request gets a mark, which all instances share.
+this instance nor from others, runs anew, or another one is at its address, the request gets a
+mark, which all instances share.
 """
 
 import math
@@ -109,16 +110,6 @@
             return False
         return self._quarantine.is_quarantined(fingerprint(request), self._reactor.seconds())
 
-    def refusal_marks(
-        self, request_fingerprint: poison.Fingerprint
-    ) -> list[slot_messages.RequestMarked]:
-        """Return messages with the marks of a request that is refused, none if it is not."""
-        now = self._reactor.seconds()
-        if not self._quarantine.is_quarantined(request_fingerprint, now):
-            return []
-        marks = self._quarantine.marks(now)
-        return [_mark_message(m, now) for m in marks if m.fingerprint == request_fingerprint]
-
     def run_of(self, server: ids.Server) -> servers.ServerRun:
         """Return the present run of a server."""
         return self._catalog.run_of(server) or servers.ServerRun(server)
