Let the last answers of a stop reach clients that have sent more

Cause: reading stops before the last answers, and the connection was closed 50 ms later with the client's bytes unread. Change: a connection whose reading was stopped may have more, so it is closed for writing behind its answer and read again, dropping what comes; the end of the stop leaves such a connection to its client for as long as the others, and then closes it without a reset.

--- a/src/carobhook/transport/client_connection.py
+++ b/src/carobhook/transport/client_connection.py
@@ -107,6 +107,9 @@
         self._lost_reason = client_responses.EndReason.INSTANCE_ENDS
         self._end_reading()
         self._timer.stop()
+        if self._responses.is_end_announced:
+            # What was sent before the announcement still reaches the client.
+            self.transport.loseConnection()
         self.transport.abortConnection()
 
     def close_if_settled(self, now: float) -> None:
@@ -126,8 +129,11 @@
     def end(self) -> None:
         """Close the connection as the instance ends; no request is read any more.
 
-        What was sent reaches the client, unless it still has to read what is before that.
+        What was sent reaches the client, unless it still has to read what is before that. A
+        connection on which the client may have sent more stays open for now.
         """
+        if self._responses.is_end_announced:
+            return
         if self.is_blocked:
             self.abort()
             return
@@ -141,6 +147,7 @@
         return (
             self._is_pipelining
             or self._is_reading_paused
+            or self._is_reading_stopped
             or self._responses.is_blocked
             or not self._reader.is_empty
         )
@@ -255,8 +262,8 @@
                 while after it has been told of the end.
         """
         self._end_requests(client_responses.EndReason.RESPONSE_CLOSES)
-        if lingers and self._is_reading_paused and not self._is_reading_stopped:
-            self._is_reading_paused = False
+        if lingers and (self._is_reading_paused or self._is_reading_stopped):
+            self._is_reading_paused = self._is_reading_stopped = False
             self.transport.resumeProducing()
         self._responses.close(_LINGER_S if lingers else 0.0)
 
--- a/src/carobhook/transport/client_responses.py
+++ b/src/carobhook/transport/client_responses.py
@@ -76,6 +76,11 @@
         """Return whether responses wait for the client to read."""
         return self._writer.is_blocked
 
+    @property
+    def is_end_announced(self) -> bool:
+        """Return whether the client was told that no more responses follow."""
+        return self._close_call is not None
+
     @property
     def sent_at(self) -> float:
         """Return the monotonic time in seconds of the last bytes sent, or of the opening."""
