--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -110,6 +110,16 @@
             return False
         return self._quarantine.is_quarantined(fingerprint(request), self._reactor.seconds())
 
+    def refusal_marks(
+        self, request_fingerprint: poison.Fingerprint
+    ) -> list[slot_messages.RequestMarked]:
+        """Return messages with the marks of a request that is refused, none if it is not."""
+        now = self._reactor.seconds()
+        if not self._quarantine.is_quarantined(request_fingerprint, now):
+            return []
+        marks = self._quarantine.marks(now)
+        return [_mark_message(m, now) for m in marks if m.fingerprint == request_fingerprint]
+
     def run_of(self, server: ids.Server) -> servers.ServerRun:
         """Return the present run of a server."""
         return self._catalog.run_of(server) or servers.ServerRun(server)
