Take another server at an address for an end after a check found the former one alive

Change: as long as an attempt is remembered, a listing that has another server at the address, whose start fits the loss, and not the former one any more, ends the former one's run, whatever a check said before. No further calls or probes. Result: test_end_after_a_check_that_found_the_server_alive fails without it and holds.

--- a/src/carobhook/coordination/lost_attempts.py
+++ b/src/carobhook/coordination/lost_attempts.py
@@ -323,6 +323,20 @@
         """
         return [run for run in self._by_run if current_run(run.server) not in (None, run)]
 
+    def unlisted(
+        self, current_run: Callable[[ids.Server], servers.ServerRun | None]
+    ) -> list[LostAttempt]:
+        """Return the first attempt on each run whose server is not listed any more.
+
+        Args:
+            current_run: Returns the present run of a server, or None if it is not known.
+        """
+        return [
+            attempts[0]
+            for run, attempts in self._by_run.items()
+            if attempts and current_run(run.server) is None
+        ]
+
     def take(
         self,
         run: servers.ServerRun,
--- a/src/carobhook/transport/request_quarantine.py
+++ b/src/carobhook/transport/request_quarantine.py
@@ -180,6 +180,10 @@
         for run in self._lost_attempts.ended_runs(self._catalog.run_of):
             evidence = end_checks.Evidence(Finding.RUNS_ANEW, self._reactor.seconds())
             self._record_end(run, evidence, self._catalog.run_of(run.server))
+        for attempt in self._lost_attempts.unlisted(self._catalog.run_of):
+            if self._is_replaced(attempt):
+                evidence = end_checks.Evidence(Finding.REPLACED, self._reactor.seconds())
+                self._record_end(attempt.run, evidence)
         for attempt in self._lost_attempts.due(self._reactor.seconds()):
             check = defer.ensureDeferred(self._check(attempt))
             check.addErrback(self._on_failure)
@@ -230,8 +234,6 @@
 
     async def _check(self, attempt: lost_attempts.LostAttempt) -> None:
         evidence = await self._checks.check(attempt.run.server, attempt.address)
-        if evidence.finding is Finding.UNKNOWN and self._is_replaced(attempt):
-            evidence = attrs.evolve(evidence, finding=Finding.REPLACED)
         if evidence.finding in end_checks.ENDS:
             self._record_end(attempt.run, evidence)
         elif evidence.finding is Finding.ALIVE:
--- a/tests/test_request_quarantine.py
+++ b/tests/test_request_quarantine.py
@@ -368,6 +368,26 @@
         self.replace(instance, started_ago_s=1.0)
         assert instance.count() == 1
 
+    def test_end_after_a_check_that_found_the_server_alive(self):
+        """A server goes on with a request that was given up, and ends after its check."""
+        instance = Instance()
+        instance.finding = Finding.ALIVE
+        instance.lose(is_broken=False)
+        instance.run(2.0)
+        assert instance.checks == 1
+        self.replace(instance, started_ago_s=0.1)
+        assert instance.count() == 1
+
+    def test_server_that_was_alive_and_has_gone(self):
+        """One that nothing replaces may have left as planned."""
+        instance = Instance()
+        instance.finding = Finding.ALIVE
+        instance.lose(is_broken=False)
+        instance.run(2.0)
+        instance.known.remove(SERVER, instance.clock.seconds())
+        instance.run(3.0)
+        assert instance.count() == 0
+
     def test_start_long_before_the_loss(self):
         """The entry is that of a server that had the address before."""
         instance = Instance()
