--- a/tests/test_account_access.py
+++ b/tests/test_account_access.py
@@ -245,9 +245,9 @@
         sent = []
 
         class Paths(test_server_exchange.Paths):
-            async def exchange(self, *args):
+            async def exchange(self, *args, **options):
                 sent.extend(args[2:] if not isinstance(args[1], str) else [])
-                return await super().exchange(*args)
+                return await super().exchange(*args, **options)
 
         paths = Paths(test_server_exchange.member("a"))
         attempt = attrs.evolve(entry.servers.attempts[-1], address="s1:1")
