Wait for the first response in the test of an idle connection in a stop

Cause: the test gave the request that it sends before the stop 0.2 s and a deadline of 0.3 s. Change: it waits until the response is there, as other tests do; what it checks, the request on the idle connection after the signal, is as strict as before.

--- a/tests/test_late_stop.py
+++ b/tests/test_late_stop.py
@@ -88,8 +88,8 @@
         await self.join()
         head = b"GET /a/x HTTP/1.1\r\nHost: " + test_entry.HOST.encode() + b"\r\n"
         request = head + b"X-Deadline-Ms: 300\r\nX-Attempt-Id: "
-        client = await self.send_raw(request + b"first\r\n\r\n", wait_s=0.2)
-        assert client.data.count(b"HTTP/1.1 200") == 1
+        client = await self.send_raw(head + b"X-Attempt-Id: first\r\n\r\n", wait_s=0.0)
+        await self.wait_until(lambda: client.data.count(b"HTTP/1.1 200") == 1)
         stopping = defer.ensureDeferred(self.daemons[0].stop())
         await task.deferLater(reactor, 0.2, lambda: None)
         client.transport.write(request + b"second\r\n\r\n")
